--- /dev/null
+++ b/rudder/cloud/hostlist.go
@@ -0,0 +1,72 @@
+// Package cloud has the adapters to the platform around hosts: the host list, the cloud API and the weight store. The
+// fleet table and the control loops use it.
+package cloud
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/object"
+)
+
+const (
+	callTimeout   = 2 * time.Second
+	maxReplyBytes = 16 << 20
+)
+
+// HostState is the state of a host in the host list.
+type HostState string
+
+// States in the host list.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// Host is one backend server host as the host list shows it. The list lags behind reality.
+type Host struct {
+	Name               string         `json:"name"` // never used again for another host
+	FailureDomain      string         `json:"failure_domain"`
+	Class              string         `json:"class"`
+	Reclaimable        bool           `json:"reclaimable"`
+	PriceMicrosPerHour int64          `json:"price_micros_per_hour"` // millionths of a currency unit
+	State              HostState      `json:"state"`
+	Address            string         `json:"address"` // base URL of the backend server
+	Backend            object.Backend `json:"backend"`
+	Deployment         string         `json:"deployment"`
+}
+
+// HostList reads the host list.
+type HostList struct {
+	base string
+	http *http.Client
+}
+
+// NewHostList returns a client for the host list at the base URL.
+func NewHostList(base string) *HostList {
+	return &HostList{base: base, http: &http.Client{Timeout: callTimeout}}
+}
+
+// Hosts returns the hosts that the list shows now.
+func (l *HostList) Hosts(ctx context.Context) ([]Host, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.base+"/v1/hosts", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build host list request")
+	}
+	reply, err := l.http.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "read host list")
+	}
+	defer reply.Body.Close()
+	if reply.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("host list answered with status %d", reply.StatusCode)
+	}
+	var hosts []Host
+	err = json.NewDecoder(io.LimitReader(reply.Body, maxReplyBytes)).Decode(&hosts)
+	return hosts, errors.Wrap(err, "decode host list")
+}
--- /dev/null
+++ b/rudder/objectapi/client.go
@@ -0,0 +1,184 @@
+package objectapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+const (
+	callTimeout  = 2 * time.Second
+	watchWait    = 20 * time.Second
+	settleTries  = 3
+	settleDelay  = 100 * time.Millisecond
+	maxReplySize = 64 << 20
+)
+
+// Client speaks HTTP to the object API.
+type Client struct {
+	base  string
+	http  *http.Client
+	count func(kind string)
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient returns a client for the base URL. count is called with the kind of each call; it may be nil.
+func NewClient(base string, count func(kind string)) *Client {
+	if count == nil {
+		count = func(string) {}
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
+	return &Client{base: base, http: &http.Client{Transport: transport}, count: count}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var object Object
+	err := c.call(ctx, "get", http.MethodGet, "/v1/objects/"+key, nil, &object)
+	return object, errors.Wrapf(err, "get %q", key)
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var listing Listing
+	err := c.call(ctx, "list", http.MethodGet, "/v1/list?prefix="+url.QueryEscape(prefix), nil, &listing)
+	return listing, errors.Wrapf(err, "list %q", prefix)
+}
+
+// Put implements Store. A write whose answer is lost is settled by reading back its write token.
+func (c *Client) Put(ctx context.Context, key string, value any, expected int64) (Object, error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return Object{}, errors.Wrapf(err, "encode %q", key)
+	}
+	if len(raw) > MaxValueBytes {
+		return Object{}, errors.Errorf("value of %q has %d bytes, allowed are %d", key, len(raw), MaxValueBytes)
+	}
+	body := PutBody{Expected: expected, Token: uuid.NewString(), Value: raw}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var object Object
+	err = c.call(callCtx, "put", http.MethodPut, "/v1/objects/"+key, body, &object)
+	if !errors.Is(err, ErrUnsettled) {
+		return object, errors.Wrapf(err, "put %q", key)
+	}
+	object, err = c.settlePut(ctx, key, body)
+	return object, errors.Wrapf(err, "put %q", key)
+}
+
+// settlePut finds out whether a write with a lost answer took effect. If the object still has the expected version the
+// lost write may be on its way, so that the same write is sent again: its condition lets it take effect only once.
+func (c *Client) settlePut(ctx context.Context, key string, body PutBody) (Object, error) {
+	for range settleTries {
+		select {
+		case <-ctx.Done():
+			return Object{}, ErrUnsettled
+		case <-time.After(settleDelay):
+		}
+		current, err := c.Get(ctx, key)
+		switch {
+		case err == nil && current.Token == body.Token:
+			return current, nil
+		case err == nil && current.Version != body.Expected && body.Expected != Any:
+			// Someone wrote after the expected version. Either the lost write was refused, or it took effect and was
+			// overwritten; versions grow by one, so only the direct successor proves a refusal.
+			if current.Version == body.Expected+1 {
+				return Object{}, ErrConflict
+			}
+			return Object{}, ErrUnsettled
+		case err != nil && !errors.Is(err, ErrNotFound):
+			continue
+		}
+		var object Object
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err = c.call(callCtx, "put", http.MethodPut, "/v1/objects/"+key, body, &object)
+		cancel()
+		if err == nil {
+			return object, nil
+		}
+	}
+	return Object{}, ErrUnsettled
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, key string, expected int64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	path := fmt.Sprintf("/v1/objects/%s?expected=%d", key, expected)
+	return errors.Wrapf(c.call(ctx, "delete", http.MethodDelete, path, nil, nil), "delete %q", key)
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64) (Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	query := url.Values{
+		"prefix":       {prefix},
+		"after":        {strconv.FormatInt(after, 10)},
+		"wait_seconds": {strconv.Itoa(int(watchWait / time.Second))},
+	}
+	var changes Changes
+	err := c.call(ctx, "watch", http.MethodGet, "/v1/watch?"+query.Encode(), nil, &changes)
+	return changes, errors.Wrapf(err, "watch %q", prefix)
+}
+
+// call does one HTTP exchange. Errors are ErrNotFound, ErrConflict, ErrUnavailable, or ErrUnsettled for a write that
+// was sent and not answered.
+func (c *Client) call(ctx context.Context, kind, method, path string, in, out any) error {
+	c.count(kind)
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+		body = bytes.NewReader(raw)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	reply, err := c.http.Do(request)
+	if err != nil {
+		if method == http.MethodGet {
+			return errors.Wrap(ErrUnavailable, err.Error())
+		}
+		return errors.Wrap(ErrUnsettled, err.Error())
+	}
+	defer reply.Body.Close()
+	switch reply.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return ErrConflict
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return errors.Wrapf(ErrUnavailable, "status %d", reply.StatusCode)
+	default:
+		return errors.Wrapf(ErrUnsettled, "status %d", reply.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(reply.Body, maxReplySize)).Decode(out); err != nil {
+		if method == http.MethodGet {
+			return errors.Wrap(ErrUnavailable, "broken answer: "+err.Error())
+		}
+		return errors.Wrap(ErrUnsettled, "broken answer: "+err.Error())
+	}
+	return nil
+}
