Serve a request through separate processes

A caller asks for addresses, connects to an entry node, and the answer comes from a model runner through that runner's dispatcher. An answer goes on with another attempt when its runner crashes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+GO ?= go
+PACKAGES = ./rudder/... ./standin/...
+
+.PHONY: build test demo lint format generate
+
+build:
+	mkdir -p bin
+	$(GO) build -o bin/ ./rudder/cmd/rudderd ./rudder/cmd/rudderctl ./standin/cmd/...
+
+lint:
+	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "not gofmt clean: $$files"; exit 1; fi
+	$(GO) vet $(PACKAGES)
+	$(GO) tool staticcheck $(PACKAGES)
+
+test: lint build
+	$(GO) test -race -count=1 -timeout 20m $(PACKAGES)
+
+demo: build
+	./bin/demo
+
+# Needs buf, protoc-gen-go and protoc-gen-connect-go; the generated code is committed.
+generate:
+	cd rudder/proto && buf generate
--- /dev/null
+++ b/rudder/daemon/daemon.go
@@ -0,0 +1,151 @@
+// Package daemon builds the parts of a node and starts and stops them in order. Only cmd/rudderd calls it.
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/dispatch"
+	"chestnutrudder.example/rudder/entry"
+	"chestnutrudder.example/rudder/fleet"
+	"chestnutrudder.example/rudder/membership"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/peer"
+	"chestnutrudder.example/rudder/revision"
+	"chestnutrudder.example/rudder/settings"
+	"chestnutrudder.example/rudder/telemetry"
+)
+
+const headerTimeout = 10 * time.Second
+
+// Run runs a node until ctx ends and then stops it gracefully: requests in progress end by themselves within the stop
+// timeout.
+func Run(ctx context.Context, s settings.Settings, logs io.Writer) error {
+	logger := telemetry.NewLogger(logs, s.Level(), s.Node)
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return err
+	}
+	store := objectapi.NewClient(s.ObjectAPI, func(kind string) {
+		metrics.ObjectAPICalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
+	})
+	members := membership.NewTable(membership.Node{
+		Name:          s.Node,
+		Region:        s.Region,
+		FailureDomain: s.FailureDomain,
+		CallerAddress: s.CallerAddress,
+		PeerAddress:   s.PeerAddress,
+		Incarnation:   time.Now().UnixNano(),
+	})
+	hosts := fleet.NewTable()
+	current := &revision.Current{}
+	dialer := peer.NewDialer()
+	defer dialer.Close()
+	exchanger := &membership.Exchanger{Table: members, Store: store, Dial: dialer.Client, Seeds: s.Peers, Log: logger.Part("membership")}
+	dispatcher := dispatch.New(members, hosts, logger.Part("dispatch"))
+	callers := &entry.Server{Members: members, Fleet: hosts, Current: current, Dial: dialer.Client, Metrics: metrics, Log: logger.Part("entry")}
+	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher}
+	follower := &revision.Follower{Store: store, Current: current, Log: logger.Part("revision")}
+	acceptor := &revision.Acceptor{Store: store, Log: logger.Part("revision")}
+
+	parts, stopParts := context.WithCancel(context.Background())
+	defer stopParts()
+	group, groupCtx := errgroup.WithContext(parts)
+	for _, loop := range []func(context.Context){
+		exchanger.Run,
+		dispatcher.Loop,
+		follower.Run,
+		acceptor.Run,
+		func(ctx context.Context) { hosts.Poll(ctx, cloud.NewHostList(s.HostList), logger.Part("fleet")) },
+	} {
+		group.Go(func() error { loop(groupCtx); return nil })
+	}
+	callerServer := &http.Server{Handler: callers.Handler(), ReadHeaderTimeout: headerTimeout}
+	adminServer := &http.Server{Handler: adminHandler(metrics, func() string { return notReady(current, dispatcher) }), ReadHeaderTimeout: headerTimeout}
+	servers := []listening{
+		{peer.NewHTTPServer(peers), s.PeerAddress},
+		{callerServer, s.CallerAddress},
+		{adminServer, s.AdminAddress},
+	}
+	if err := listenAll(group, servers); err != nil {
+		return err
+	}
+	logger.Part("daemon").Info("Node is running.", "failure_domain", s.FailureDomain, "caller_address", s.CallerAddress)
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+	}
+	logger.Part("daemon").Info("Node is stopping.")
+	stopCtx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
+	defer cancel()
+	_ = callerServer.Shutdown(stopCtx)
+	for _, l := range servers {
+		_ = l.server.Shutdown(stopCtx)
+	}
+	stopParts()
+	return group.Wait()
+}
+
+type listening struct {
+	server  *http.Server
+	address string
+}
+
+// listenAll opens every socket before it serves any, so that a node with a taken address does not start half.
+func listenAll(group *errgroup.Group, servers []listening) error {
+	var listeners []net.Listener
+	for _, l := range servers {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", l.address)
+		}
+		listeners = append(listeners, listener)
+	}
+	for i, l := range servers {
+		group.Go(func() error {
+			err := l.server.Serve(listeners[i])
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			return errors.Wrapf(err, "serve %s", l.address)
+		})
+	}
+	return nil
+}
+
+// adminHandler serves metrics, liveness and readiness.
+func adminHandler(metrics *telemetry.Metrics, notReady func() string) http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", metrics.Handler())
+	router.HandleFunc("/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if reason := notReady(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return router
+}
+
+// notReady returns why a node should get no callers yet, empty if it is ready.
+func notReady(current *revision.Current, dispatcher *dispatch.Dispatcher) string {
+	if current.Index().Number == 0 {
+		return "no configuration yet"
+	}
+	if !dispatcher.Ready() {
+		return "backend servers are not known yet"
+	}
+	return ""
+}
--- /dev/null
+++ b/rudder/dispatch/run.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chestnutrudder.example/rudder/peer"
+	"chestnutrudder.example/rudder/peer/peerpb"
+)
+
+// Run is one model request on a backend server of this dispatcher. It buffers the answer, so that the entry node can
+// attach again after a broken connection.
+type Run struct {
+	ID           string
+	Organisation string
+
+	mu       sync.Mutex
+	changed  chan struct{} // closed and replaced at each change
+	accepted *peerpb.Accepted
+	base     int // offset of tokens[0] in the whole answer
+	tokens   []string
+	attempt  string
+	last     *peerpb.RunEvent // End, Broken, Refused or Moved
+	readers  int
+	idleFrom time.Time // since when nobody reads
+}
+
+func newRun(id, organisation, attempt string, base int) *Run {
+	return &Run{ID: id, Organisation: organisation, attempt: attempt, base: base, changed: make(chan struct{}), idleFrom: time.Now()}
+}
+
+func (r *Run) signal() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Run) accept(a *peerpb.Accepted) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.accepted = a
+	r.signal()
+}
+
+// add takes tokens that continue the answer at the next offset and drops those that are already there. It reports
+// false if there is a gap.
+func (r *Run) add(offset int, tokens []string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := r.base + len(r.tokens)
+	if offset > next || r.last != nil {
+		return false
+	}
+	if offset+len(tokens) <= next {
+		return true
+	}
+	r.tokens = append(r.tokens, tokens[next-offset:]...)
+	r.signal()
+	return true
+}
+
+// finish ends the run with its last event; only the first call counts.
+func (r *Run) finish(event *peerpb.RunEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.last != nil {
+		return
+	}
+	r.last = event
+	r.signal()
+}
+
+// length returns the number of tokens of the answer so far, from its start.
+func (r *Run) length() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.base + len(r.tokens)
+}
+
+// finished reports whether the run has its last event.
+func (r *Run) finished() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last != nil
+}
+
+// idleSince returns since when nobody reads the run; ok is false while somebody does.
+func (r *Run) idleSince() (since time.Time, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.idleFrom, r.readers == 0
+}
+
+// follow sends the run's events from an offset until the last one or until ctx ends.
+func (r *Run) follow(ctx context.Context, offset int, send func(*peerpb.RunEvent) error) error {
+	r.mu.Lock()
+	r.readers++
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		r.readers--
+		r.idleFrom = time.Now()
+		r.mu.Unlock()
+	}()
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	acceptedSent := false
+	for {
+		r.mu.Lock()
+		changed := r.changed
+		accepted := r.accepted
+		last := r.last
+		attempt := r.attempt
+		var tokens []string
+		if from := offset - r.base; from >= 0 && from < len(r.tokens) {
+			tokens = append(tokens, r.tokens[from:]...)
+		}
+		r.mu.Unlock()
+		if accepted != nil && !acceptedSent {
+			acceptedSent = true
+			if err := send(peer.AcceptedEvent(accepted)); err != nil {
+				return err
+			}
+		}
+		if len(tokens) > 0 {
+			if err := send(peer.TokensEvent(&peerpb.Tokens{Attempt: attempt, Offset: int64(offset), Tokens: tokens})); err != nil {
+				return err
+			}
+			offset += len(tokens)
+		}
+		if last != nil {
+			return send(last)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-heartbeat.C:
+			if err := send(peer.HeartbeatEvent()); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/rudder/entry/server.go
@@ -0,0 +1,169 @@
+// Package entry answers callers: addresses, model requests and calls to plain services. The daemon creates one server
+// for each node.
+package entry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/fleet"
+	"chestnutrudder.example/rudder/membership"
+	"chestnutrudder.example/rudder/outcome"
+	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
+	"chestnutrudder.example/rudder/revision"
+	"chestnutrudder.example/rudder/telemetry"
+)
+
+const (
+	keepSeconds  = 10
+	maxBodyBytes = 4 << 20
+)
+
+// Server answers callers.
+type Server struct {
+	Members *membership.Table
+	Fleet   *fleet.Table
+	Current *revision.Current
+	Dial    func(address string) peerpbconnect.PeerServiceClient
+	Metrics *telemetry.Metrics
+	Log     *slog.Logger
+}
+
+// Handler returns the routes for callers.
+func (s *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/addresses", s.addresses).Methods(http.MethodGet)
+	router.HandleFunc("/v1/chat/completions", s.withOrganisation(s.chat)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/services/{service}/{path:.*}", s.withOrganisation(s.call))
+	return router
+}
+
+// Address is one entry of the answer to GET /v1/addresses.
+type Address struct {
+	Address       string `json:"address"` // IP:port
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+}
+
+// Addresses is the answer to GET /v1/addresses. The first address is the best for this caller.
+type Addresses struct {
+	Addresses   []Address `json:"addresses"`
+	KeepSeconds int       `json:"keep_seconds"`
+}
+
+func (s *Server) addresses(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, Addresses{Addresses: s.addressesFor(r.RemoteAddr), KeepSeconds: keepSeconds})
+}
+
+// addressesFor lists live nodes, those of this node's failure domain first. Each group is rotated by a hash of the
+// caller, so that callers spread over the nodes.
+func (s *Server) addressesFor(remote string) []Address {
+	caller, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		caller = remote
+	}
+	self := s.Members.Self()
+	var near, far []Address
+	for _, n := range s.Members.Live() {
+		a := Address{Address: n.CallerAddress, FailureDomain: n.FailureDomain, Region: n.Region}
+		if n.FailureDomain == self.FailureDomain {
+			near = append(near, a)
+		} else {
+			far = append(far, a)
+		}
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(caller))
+	turn := int(hash.Sum32())
+	return append(rotate(near, turn), rotate(far, turn)...)
+}
+
+func rotate(addresses []Address, turn int) []Address {
+	if len(addresses) == 0 {
+		return nil
+	}
+	start := turn % len(addresses)
+	return append(append([]Address(nil), addresses[start:]...), addresses[:start]...)
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, organisation string)
+
+// withOrganisation finds the organisation by the bearer token. Every stored hash is compared, in constant time.
+func (s *Server) withOrganisation(next handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(token))
+		given := []byte(hex.EncodeToString(sum[:]))
+		organisation := ""
+		for name, spec := range s.Current.Index().Organisations {
+			for _, stored := range spec.TokenSHA256 {
+				if subtle.ConstantTimeCompare(given, []byte(stored)) == 1 {
+					organisation = name
+				}
+			}
+		}
+		if !found || organisation == "" {
+			s.fail(w, r, outcome.Refuse(http.StatusUnauthorized, 0, "the bearer token belongs to no organisation"))
+			return
+		}
+		next(w, r, organisation)
+	}
+}
+
+// Problem is an error document (RFC 9457).
+type Problem struct {
+	Type      string    `json:"type"`
+	Title     string    `json:"title"`
+	Status    int       `json:"status"`
+	Detail    string    `json:"detail,omitempty"`
+	Run       string    `json:"run"` // "no" or "unknown"
+	Addresses []Address `json:"addresses,omitempty"`
+}
+
+// fail writes err as a problem document.
+func (s *Server) fail(w http.ResponseWriter, r *http.Request, err error) {
+	problem, retryAfter := s.problem(err)
+	if problem.Status == http.StatusServiceUnavailable {
+		problem.Addresses = s.addressesFor(r.RemoteAddr)
+	}
+	if retryAfter > 0 {
+		seconds := int((retryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(problem.Status)
+	_ = json.NewEncoder(w).Encode(problem)
+	s.Log.Info("Request failed.", "status", problem.Status, "run", problem.Run, "reason", problem.Detail)
+}
+
+func (s *Server) problem(err error) (Problem, time.Duration) {
+	problem := Problem{Type: "about:blank", Status: http.StatusBadGateway, Detail: err.Error(), Run: outcome.Unknown.String()}
+	var retryAfter time.Duration
+	var known *outcome.Error
+	if errors.As(err, &known) {
+		problem.Status = known.Status
+		problem.Detail = known.Reason
+		problem.Run = known.Outcome.String()
+		retryAfter = known.RetryAfter
+	}
+	problem.Title = http.StatusText(problem.Status)
+	return problem, retryAfter
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/rudder/membership/membership.go
@@ -0,0 +1,133 @@
+// Package membership knows the nodes of the system and spreads versioned records between them. Routing, dispatching and
+// the control loops ask it which nodes are live.
+package membership
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is the state of a node. A higher state replaces a lower one of the same incarnation.
+type State int
+
+// The states of a node.
+const (
+	StateLive State = iota
+	StateDraining
+	StateDead
+)
+
+// String returns the name of the state.
+func (s State) String() string { return [...]string{"live", "draining", "dead"}[s] }
+
+// Node is what is known about one node.
+type Node struct {
+	Name          string `json:"name"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	CallerAddress string `json:"caller_address"` // IP:port
+	PeerAddress   string `json:"peer_address"`   // IP:port
+	Incarnation   int64  `json:"incarnation"`
+	State         State  `json:"state"`
+}
+
+// Table holds the nodes that this node knows.
+type Table struct {
+	mu    sync.RWMutex
+	self  string
+	nodes map[string]Node
+	heard map[string]time.Time
+}
+
+// NewTable returns a table that holds the node itself.
+func NewTable(self Node) *Table {
+	return &Table{
+		self:  self.Name,
+		nodes: map[string]Node{self.Name: self},
+		heard: map[string]time.Time{},
+	}
+}
+
+// Self returns the record of this node.
+func (t *Table) Self() Node {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.nodes[t.self]
+}
+
+// Merge takes a record if it is newer than the known one and reports whether it did.
+func (t *Table) Merge(n Node) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, found := t.nodes[n.Name]
+	if found && !isNewer(n, known) {
+		return false
+	}
+	t.nodes[n.Name] = n
+	return true
+}
+
+func isNewer(n, known Node) bool {
+	if n.Incarnation != known.Incarnation {
+		return n.Incarnation > known.Incarnation
+	}
+	return n.State > known.State
+}
+
+// Live returns the nodes that are neither draining nor dead, sorted by name.
+func (t *Table) Live() []Node {
+	return t.filter(func(n Node) bool { return n.State == StateLive })
+}
+
+// All returns every known node, sorted by name.
+func (t *Table) All() []Node { return t.filter(func(Node) bool { return true }) }
+
+// Find returns a node by name.
+func (t *Table) Find(name string) (Node, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	n, found := t.nodes[name]
+	return n, found
+}
+
+func (t *Table) filter(keep func(Node) bool) []Node {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var nodes []Node
+	for _, n := range t.nodes {
+		if keep(n) {
+			nodes = append(nodes, n)
+		}
+	}
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i].Name < nodes[j].Name })
+	return nodes
+}
+
+// Rank orders nodes by rendezvous hash for a key, the highest first (Thaler and Ravishankar, 1998).
+func Rank(key string, nodes []Node) []Node {
+	ranked := append([]Node(nil), nodes...)
+	weight := func(n Node) uint64 { return xxhash.Sum64String(key + "\x00" + n.Name) }
+	sort.Slice(ranked, func(i, j int) bool { return weight(ranked[i]) > weight(ranked[j]) })
+	return ranked
+}
+
+// DispatcherFor returns the node that admits work to a backend server: the first by rendezvous hash among the live
+// nodes of its failure domain, else among all live nodes.
+func DispatcherFor(host, failureDomain string, live []Node) (Node, bool) {
+	var local []Node
+	for _, n := range live {
+		if n.FailureDomain == failureDomain {
+			local = append(local, n)
+		}
+	}
+	if len(local) == 0 {
+		local = live
+	}
+	if len(local) == 0 {
+		return Node{}, false
+	}
+	return Rank(host, local)[0], true
+}
--- /dev/null
+++ b/rudder/route/route.go
@@ -0,0 +1,42 @@
+// Package route decides which dispatcher node an entry node uses for a request.
+package route
+
+import (
+	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/membership"
+)
+
+// Choice is a decision with its reason.
+type Choice struct {
+	Node     membership.Node
+	Reason   string
+	Rejected int // number of other candidates
+}
+
+// Candidates returns the dispatcher nodes that have at least one backend server of the deployment, in the order of the
+// rendezvous hash of the key.
+func Candidates(deployment, key string, hosts []cloud.Host, live []membership.Node) []membership.Node {
+	seen := map[string]bool{}
+	var nodes []membership.Node
+	for _, h := range hosts {
+		if h.Deployment != deployment {
+			continue
+		}
+		n, found := membership.DispatcherFor(h.Name, h.FailureDomain, live)
+		if found && !seen[n.Name] {
+			seen[n.Name] = true
+			nodes = append(nodes, n)
+		}
+	}
+	return membership.Rank(key, nodes)
+}
+
+// Choose returns the first candidate that is not excluded.
+func Choose(candidates []membership.Node, excluded map[string]bool) (Choice, bool) {
+	for _, n := range candidates {
+		if !excluded[n.Name] {
+			return Choice{Node: n, Reason: "first by rendezvous hash", Rejected: len(candidates) - 1}, true
+		}
+	}
+	return Choice{}, false
+}
--- /dev/null
+++ b/rudder/settings/settings.go
@@ -0,0 +1,125 @@
+// Package settings reads the daemon's flags and environment variables and checks them as a whole. Only cmd/rudderd
+// calls it.
+package settings
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+)
+
+// Settings are the settings of one node.
+type Settings struct {
+	Node          string        `arg:"--node,env:RUDDER_NODE" help:"name of this node, unique in the fleet"`
+	Region        string        `arg:"--region,env:RUDDER_REGION" help:"region of this host"`
+	FailureDomain string        `arg:"--failure-domain,env:RUDDER_FAILURE_DOMAIN" help:"failure domain of this host"`
+	CallerAddress string        `arg:"--caller-address,env:RUDDER_CALLER_ADDRESS" help:"IP:port for callers"`
+	PeerAddress   string        `arg:"--peer-address,env:RUDDER_PEER_ADDRESS" help:"IP:port for other nodes"`
+	AdminAddress  string        `arg:"--admin-address,env:RUDDER_ADMIN_ADDRESS" help:"IP:port for metrics, liveness and readiness"`
+	Peers         []string      `arg:"--peers,env:RUDDER_PEERS" help:"IP:port of nodes to contact first, besides those in the object API"`
+	ObjectAPI     string        `arg:"--object-api,env:RUDDER_OBJECT_API" help:"base URL of the object API"`
+	CloudAPI      string        `arg:"--cloud-api,env:RUDDER_CLOUD_API" help:"base URL of the cloud API"`
+	HostList      string        `arg:"--host-list,env:RUDDER_HOST_LIST" help:"base URL of the host list"`
+	WeightStore   string        `arg:"--weight-store,env:RUDDER_WEIGHT_STORE" help:"base URL of the weight store"`
+	LogLevel      string        `arg:"--log-level,env:RUDDER_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	StopTimeout   time.Duration `arg:"--stop-timeout,env:RUDDER_STOP_TIMEOUT" default:"60s" help:"time for requests in progress at a stop"`
+	Routing       string        `arg:"--routing,env:RUDDER_ROUTING" default:"predicted" help:"predicted, least-loaded or round-robin; the last two are baselines for measurements"`
+	Capacity      string        `arg:"--capacity,env:RUDDER_CAPACITY" default:"risk" help:"risk, on-demand or off; on-demand is a baseline for measurements"`
+}
+
+// Parse reads arguments (without the program name) and the environment.
+func Parse(args []string) (Settings, error) {
+	var s Settings
+	parser, err := arg.NewParser(arg.Config{Program: "rudderd"}, &s)
+	if err != nil {
+		return s, errors.Wrap(err, "build argument parser")
+	}
+	if err := parser.Parse(args); err != nil {
+		return s, err
+	}
+	return s, s.Check()
+}
+
+// Level returns the log level.
+func (s Settings) Level() slog.Level {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(s.LogLevel))
+	return level
+}
+
+// Check returns one error that lists every mistake.
+func (s Settings) Check() error {
+	var mistakes []string
+	add := func(field, value, allowed string) {
+		mistakes = append(mistakes, field+": "+strconv.Quote(value)+", allowed: "+allowed)
+	}
+	for field, value := range map[string]string{"--node": s.Node, "--failure-domain": s.FailureDomain, "--region": s.Region} {
+		if value == "" || strings.ContainsAny(value, " /\t\n") {
+			add(field, value, "a name without spaces and slashes")
+		}
+	}
+	for field, value := range map[string]string{"--caller-address": s.CallerAddress, "--peer-address": s.PeerAddress, "--admin-address": s.AdminAddress} {
+		if !isIPPort(value) {
+			add(field, value, "IP:port")
+		}
+	}
+	for _, value := range s.Peers {
+		if !isIPPort(value) {
+			add("--peers", value, "IP:port")
+		}
+	}
+	for field, value := range map[string]string{"--object-api": s.ObjectAPI, "--host-list": s.HostList, "--cloud-api": s.CloudAPI, "--weight-store": s.WeightStore} {
+		if !isHTTPURL(value) {
+			add(field, value, "an http or https URL")
+		}
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		add("--log-level", s.LogLevel, "debug, info, warn, error")
+	}
+	if s.StopTimeout <= 0 {
+		add("--stop-timeout", s.StopTimeout.String(), "a positive duration")
+	}
+	if !slices.Contains([]string{"predicted", "least-loaded", "round-robin"}, s.Routing) {
+		add("--routing", s.Routing, "predicted, least-loaded, round-robin")
+	}
+	if !slices.Contains([]string{"risk", "on-demand", "off"}, s.Capacity) {
+		add("--capacity", s.Capacity, "risk, on-demand, off")
+	}
+	return listMistakes(mistakes)
+}
+
+func listMistakes(mistakes []string) error {
+	if len(mistakes) == 0 {
+		return nil
+	}
+	slices.Sort(mistakes)
+	return errors.Errorf("%d settings are wrong:\n  %s", len(mistakes), strings.Join(mistakes, "\n  "))
+}
+
+func isIPPort(value string) bool {
+	host, port, err := net.SplitHostPort(value)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func isHTTPURL(value string) bool {
+	u, err := url.Parse(value)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
+
+// WriteHelp writes the list of flags and environment variables.
+func WriteHelp(w io.Writer) {
+	parser, err := arg.NewParser(arg.Config{Program: "rudderd"}, &Settings{})
+	if err != nil {
+		return
+	}
+	parser.WriteHelp(w)
+}
--- /dev/null
+++ b/rudder/telemetry/telemetry.go
@@ -0,0 +1,75 @@
+// Package telemetry builds the loggers and metrics of a node. The daemon creates it and passes its parts on.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Logger writes structured lines; Part gives each part of the system its fixed prefix.
+type Logger struct {
+	base *slog.Logger
+}
+
+// NewLogger returns a logger that writes text lines at or above level to w.
+func NewLogger(w io.Writer, level slog.Level, node string) *Logger {
+	handler := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})
+	return &Logger{base: slog.New(handler).With("node", node)}
+}
+
+// Part returns the logger of one part; every line carries its name.
+func (l *Logger) Part(name string) *slog.Logger { return l.base.With("part", name) }
+
+// Metrics holds the instruments of a node.
+type Metrics struct {
+	FirstToken       metric.Float64Histogram // seconds
+	BetweenTokens    metric.Float64Histogram // seconds
+	GeneratedTokens  metric.Int64Counter
+	RecomputedTokens metric.Int64Counter
+	Requests         metric.Int64Counter
+	ObjectAPICalls   metric.Int64Counter
+	ControlBytes     metric.Int64Counter
+	QueueLength      metric.Int64UpDownCounter
+	Decisions        metric.Int64Counter
+	handler          http.Handler
+}
+
+// NewMetrics returns the instruments and registers them for reading over HTTP.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	if err != nil {
+		return nil, errors.Wrap(err, "create metrics exporter")
+	}
+	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("chestnutrudder")
+	m := &Metrics{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	firstTokenBounds := metric.WithExplicitBucketBoundaries(.05, .1, .2, .3, .4, .5, .6, .68, .8, 1, 2, 5, 10)
+	betweenBounds := metric.WithExplicitBucketBoundaries(.005, .01, .015, .02, .025, .027, .03, .04, .06, .1, .5, 1)
+	var errs [9]error
+	m.FirstToken, errs[0] = meter.Float64Histogram("first_token_seconds", firstTokenBounds)
+	m.BetweenTokens, errs[1] = meter.Float64Histogram("between_tokens_seconds", betweenBounds)
+	m.GeneratedTokens, errs[2] = meter.Int64Counter("generated_tokens")
+	m.RecomputedTokens, errs[3] = meter.Int64Counter("recomputed_tokens")
+	m.Requests, errs[4] = meter.Int64Counter("requests")
+	m.ObjectAPICalls, errs[5] = meter.Int64Counter("object_api_calls")
+	m.ControlBytes, errs[6] = meter.Int64Counter("control_bytes")
+	m.QueueLength, errs[7] = meter.Int64UpDownCounter("queue_length")
+	m.Decisions, errs[8] = meter.Int64Counter("decisions")
+	for _, err := range errs {
+		if err != nil {
+			return nil, errors.Wrap(err, "create instrument")
+		}
+	}
+	return m, nil
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
--- /dev/null
+++ b/standin/cmd/demo/main.go
@@ -0,0 +1,109 @@
+// Command demo runs the main job of the system on loopback: it starts stand-ins and nodes, applies the example objects,
+// sends requests, takes a runner away in the middle of a long answer, and ends with 0 only if every answer was whole.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/standin/caller"
+	"chestnutrudder.example/standin/cloud"
+	"chestnutrudder.example/standin/engine"
+	"chestnutrudder.example/standin/process"
+	"chestnutrudder.example/standin/users"
+)
+
+const timeLimit = 60 * time.Second
+
+type arguments struct {
+	BinDir   string `arg:"--bin-dir" default:"bin" help:"directory of the built programs"`
+	Examples string `arg:"--examples" default:"examples" help:"directory of the example objects"`
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
+	defer cancel()
+	for _, user := range []users.User{users.Duwende(), users.Zlato()} {
+		if err := demonstrate(ctx, a, user); err != nil {
+			fmt.Fprintf(os.Stderr, "demo: %s: %v\n", user.Name, err)
+			os.Exit(1)
+		}
+	}
+	fmt.Println("Every answer was whole.")
+}
+
+func demonstrate(ctx context.Context, a arguments, user users.User) error {
+	logs, err := os.MkdirTemp("", "chestnutrudder-demo-")
+	if err != nil {
+		return err
+	}
+	cluster, err := process.StartCluster(user.Plan(a.BinDir, logs, a.Examples, 1))
+	if err != nil {
+		return errors.Wrapf(err, "logs in %s", logs)
+	}
+	defer cluster.Stop()
+	fmt.Printf("%s: %d nodes and %d backend servers are running.\n", user.Name, len(cluster.Nodes), user.Runners())
+	c := caller.New(user.Token, cluster.Nodes[0].Caller)
+	addresses, err := c.Addresses(ctx)
+	if err != nil {
+		return err
+	}
+	address := addresses.Addresses[0].Address
+	if err := ask(ctx, c, address, user.Model, "which red for a small cap", 12); err != nil {
+		return err
+	}
+	if err := askAndTakeRunnerAway(ctx, c, address, user, cluster); err != nil {
+		return err
+	}
+	raw, err := c.Call(ctx, address, http.MethodGet, user.ReadCall, map[string]string{}, "")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: the service answered %s", user.Name, raw)
+	return nil
+}
+
+// ask sends one message and checks the answer against the engine stand-in's rule.
+func ask(ctx context.Context, c *caller.Caller, address, model, content string, tokens int) error {
+	answer, err := c.Chat(ctx, address, model, content, tokens, "")
+	if err != nil {
+		return err
+	}
+	if !slices.Equal(answer.Tokens, engine.Answer(caller.Prompt(content), tokens)) {
+		return errors.Errorf("answer to %q is not its own or not whole", content)
+	}
+	fmt.Printf("  answer of %d tokens is whole: first token after %d ms, %d attempts, %d tokens recomputed\n",
+		len(answer.Tokens), answer.FirstToken.Milliseconds(), answer.Usage.Attempts, answer.Usage.RecomputedTokens)
+	return nil
+}
+
+func askAndTakeRunnerAway(ctx context.Context, c *caller.Caller, address string, user users.User, cluster *process.Cluster) error {
+	result := make(chan error, 1)
+	go func() { result <- ask(ctx, c, address, user.Model, "a long and detailed order", 300) }()
+	time.Sleep(time.Second)
+	host, err := busiestHost(cluster)
+	if err != nil {
+		return err
+	}
+	if err := process.Control(http.MethodPost, cluster.Cloud+"/control/hosts/"+host+"/crash", nil, nil); err != nil {
+		return err
+	}
+	fmt.Printf("  runner %s was taken away\n", host)
+	return <-result
+}
+
+// busiestHost returns a host whose engine runs a request.
+func busiestHost(cluster *process.Cluster) (string, error) {
+	var busy cloud.Busy
+	err := process.Control(http.MethodGet, cluster.Cloud+"/control/busiest", nil, &busy)
+	return busy.Host, err
+}
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,68 @@
+// Command standin runs one stand-in for an outside system as a process.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/standin/cloud"
+	"chestnutrudder.example/standin/engine"
+	"chestnutrudder.example/standin/objectapi"
+)
+
+type objectAPIArguments struct {
+	Address string `arg:"--address,required" help:"IP:port to listen on"`
+}
+
+type cloudArguments struct {
+	Address string `arg:"--address,required" help:"IP:port to listen on"`
+	Groups  string `arg:"--groups,required" help:"JSON list of host groups to start with"`
+}
+
+type arguments struct {
+	ObjectAPI *objectAPIArguments `arg:"subcommand:objectapi" help:"object API"`
+	Cloud     *cloudArguments     `arg:"subcommand:cloud" help:"cloud API, host list and hosts"`
+}
+
+func main() {
+	var a arguments
+	parser := arg.MustParse(&a)
+	var err error
+	switch {
+	case a.ObjectAPI != nil:
+		err = serve(a.ObjectAPI.Address, objectapi.NewServer().Handler())
+	case a.Cloud != nil:
+		err = runCloud(*a.Cloud)
+	default:
+		parser.Fail("a stand-in must be named")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func runCloud(a cloudArguments) error {
+	var groups []cloud.Group
+	if err := json.Unmarshal([]byte(a.Groups), &groups); err != nil {
+		return errors.Wrap(err, "decode --groups")
+	}
+	c := cloud.New(engine.DefaultConfig())
+	for _, g := range groups {
+		if err := c.AddGroup(g); err != nil {
+			return err
+		}
+	}
+	return serve(a.Address, c.Handler())
+}
+
+func serve(address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	return server.ListenAndServe()
+}
--- /dev/null
+++ b/standin/process/cluster.go
@@ -0,0 +1,147 @@
+package process
+
+import (
+	"encoding/json"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/standin/cloud"
+)
+
+// Node is one rudderd process.
+type Node struct {
+	*Process
+	FailureDomain string
+	Caller        string // IP:port
+	Peer          string // IP:port
+	Admin         string // IP:port
+}
+
+// Plan says what a cluster consists of.
+type Plan struct {
+	BinDir         string
+	LogDir         string
+	Region         string
+	FailureDomains []string
+	NodesPerDomain int
+	Groups         []cloud.Group
+	ObjectFiles    []string // applied with rudderctl
+	NodeArgs       []string // added to each rudderd
+}
+
+// Cluster is a running system with its stand-ins.
+type Cluster struct {
+	plan      Plan
+	ObjectAPI string // base URL
+	Cloud     string // base URL
+	Nodes     []*Node
+	processes []*Process
+}
+
+// StartCluster starts stand-ins and nodes, applies the objects and waits until every node is ready.
+func StartCluster(plan Plan) (*Cluster, error) {
+	c := &Cluster{plan: plan}
+	if err := c.startStandins(); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	for _, domain := range plan.FailureDomains {
+		for range plan.NodesPerDomain {
+			if _, err := c.StartNode(domain); err != nil {
+				c.Stop()
+				return nil, err
+			}
+		}
+	}
+	if err := c.prepare(); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) startStandins() error {
+	objectAPI, cloudAddress := FreeAddress(), FreeAddress()
+	c.ObjectAPI, c.Cloud = "http://"+objectAPI, "http://"+cloudAddress
+	groups, err := json.Marshal(c.plan.Groups)
+	if err != nil {
+		return errors.Wrap(err, "encode host groups")
+	}
+	if _, err := c.start("objectapi", "standin", "objectapi", "--address", objectAPI); err != nil {
+		return err
+	}
+	if _, err := c.start("cloud", "standin", "cloud", "--address", cloudAddress, "--groups", string(groups)); err != nil {
+		return err
+	}
+	return WaitFor("stand-ins", func() bool {
+		return Control(http.MethodGet, c.ObjectAPI+"/control/calls", nil, nil) == nil &&
+			Control(http.MethodGet, c.Cloud+"/v1/hosts", nil, nil) == nil
+	})
+}
+
+func (c *Cluster) start(name, program string, args ...string) (*Process, error) {
+	p, err := Start(c.plan.LogDir, name, filepath.Join(c.plan.BinDir, program), args...)
+	if err == nil {
+		c.processes = append(c.processes, p)
+	}
+	return p, err
+}
+
+// StartNode starts one more node in a failure domain.
+func (c *Cluster) StartNode(domain string) (*Node, error) {
+	name := domain + "-entry-" + strings.ReplaceAll(FreeAddress(), "127.0.0.1:", "")
+	n := &Node{FailureDomain: domain, Caller: FreeAddress(), Peer: FreeAddress(), Admin: FreeAddress()}
+	args := []string{
+		"--node", name, "--region", c.plan.Region, "--failure-domain", domain,
+		"--caller-address", n.Caller, "--peer-address", n.Peer, "--admin-address", n.Admin,
+		"--object-api", c.ObjectAPI, "--host-list", c.Cloud, "--cloud-api", c.Cloud, "--weight-store", c.Cloud,
+	}
+	p, err := c.start(name, "rudderd", append(args, c.plan.NodeArgs...)...)
+	if err != nil {
+		return nil, err
+	}
+	n.Process = p
+	c.Nodes = append(c.Nodes, n)
+	return n, nil
+}
+
+// prepare applies the objects and waits until every node is ready and knows all others.
+func (c *Cluster) prepare() error {
+	for _, file := range c.plan.ObjectFiles {
+		if _, err := c.Ctl("apply", "-f", file); err != nil {
+			return err
+		}
+	}
+	for _, n := range c.Nodes {
+		err := WaitFor("node "+n.Name+" ready", func() bool {
+			var addresses struct {
+				Addresses []struct{} `json:"addresses"`
+			}
+			return Control(http.MethodGet, "http://"+n.Admin+"/ready", nil, nil) == nil &&
+				Control(http.MethodGet, "http://"+n.Caller+"/v1/addresses", nil, &addresses) == nil &&
+				len(addresses.Addresses) >= len(c.Nodes)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Ctl runs rudderctl and returns its output.
+func (c *Cluster) Ctl(args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(c.plan.BinDir, "rudderctl"), append(args, "--object-api", c.ObjectAPI)...)
+	out, err := cmd.CombinedOutput()
+	return string(out), errors.Wrapf(err, "rudderctl %s: %s", strings.Join(args, " "), out)
+}
+
+// Stop ends all processes.
+func (c *Cluster) Stop() {
+	for i := len(c.processes) - 1; i >= 0; i-- {
+		c.processes[i].Kill()
+	}
+}
--- /dev/null
+++ b/standin/users/users.go
@@ -0,0 +1,100 @@
+// Package users describes the two users at the sizes that they have today. The demo, the benchmark and the integration
+// tests take their clusters from it.
+package users
+
+import (
+	"path/filepath"
+
+	"chestnutrudder.example/rudder/object"
+
+	"chestnutrudder.example/standin/cloud"
+	"chestnutrudder.example/standin/process"
+)
+
+// User is one user of the system.
+type User struct {
+	Name           string
+	Region         string
+	FailureDomains []string
+	Model          string
+	Token          string   // bearer token of the largest organisation
+	Tokens         []string // of all organisations
+	Groups         []cloud.Group
+	ReadCall       string // service and path of a call that may be repeated
+	WriteCall      string // service and path of a non-idempotent call
+}
+
+// Duwende returns Pintura Duwende Holdings: 18 model runners and 3 order-service runners.
+func Duwende() User {
+	u := User{
+		Name:           "duwende",
+		Region:         "luzon",
+		FailureDomains: []string{"marikina", "pasig", "antipolo"},
+		Model:          "gnome-briefs",
+		ReadCall:       "orders/stock",
+		WriteCall:      "orders/deposits",
+	}
+	u.setTokens("duwende-luzon", "workshop-laguna", "workshop-bulacan", "workshop-rizal", "workshop-quezon")
+	u.setGroups("gnome-briefs", "gnome-briefs-1", "order-service", 6)
+	return u
+}
+
+// Zlato returns Spojené Zlato: 9 model runners and 3 application runners.
+func Zlato() User {
+	u := User{
+		Name:           "zlato",
+		Region:         "sk-stred",
+		FailureDomains: []string{"kremnica", "zvolen", "banska"},
+		Model:          "restoration-dossiers",
+		ReadCall:       "commissions/catalogue",
+		WriteCall:      "commissions/commissions",
+	}
+	u.setTokens("zlato-members", "zlato-apprentices", "parishes-liptov", "museum-zvolen", "households")
+	u.setGroups("restoration-dossiers", "restoration-dossiers-1", "commission-service", 3)
+	return u
+}
+
+func (u *User) setTokens(organisations ...string) {
+	for _, o := range organisations {
+		u.Tokens = append(u.Tokens, "example-token-"+o)
+	}
+	u.Token = u.Tokens[0]
+}
+
+// setGroups makes two reclaimable model runners of three, as at the design size, and one service runner for each
+// failure domain.
+func (u *User) setGroups(deployment, modelVersion, service string, runnersPerDomain int) {
+	for _, domain := range u.FailureDomains {
+		reclaimable := runnersPerDomain * 2 / 3
+		u.Groups = append(u.Groups,
+			cloud.Group{Deployment: deployment, Backend: object.BackendModel, ModelVersion: modelVersion, FailureDomain: domain,
+				Class: "gpu-small", Reclaimable: true, PriceMicrosPerHour: 900_000, Count: reclaimable},
+			cloud.Group{Deployment: deployment, Backend: object.BackendModel, ModelVersion: modelVersion, FailureDomain: domain,
+				Class: "gpu-small", PriceMicrosPerHour: 2_500_000, Count: runnersPerDomain - reclaimable},
+			cloud.Group{Deployment: service, Backend: object.BackendService, FailureDomain: domain,
+				Class: "cpu-small", PriceMicrosPerHour: 100_000, Count: 1},
+		)
+	}
+}
+
+// Runners returns the number of backend servers.
+func (u User) Runners() int {
+	count := 0
+	for _, g := range u.Groups {
+		count += g.Count
+	}
+	return count
+}
+
+// Plan returns the plan of a cluster with some nodes in each failure domain.
+func (u User) Plan(binDir, logDir, examples string, nodesPerDomain int) process.Plan {
+	return process.Plan{
+		BinDir:         binDir,
+		LogDir:         logDir,
+		Region:         u.Region,
+		FailureDomains: u.FailureDomains,
+		NodesPerDomain: nodesPerDomain,
+		Groups:         u.Groups,
+		ObjectFiles:    []string{filepath.Join(examples, u.Name, "objects.yaml")},
+	}
+}
