Add the cloud API client, membership records and a fault proxy

The fault proxy stands before the object API and before the nodes' peer addresses in integration tests.

--- /dev/null
+++ b/rudder/cloud/api.go
@@ -0,0 +1,133 @@
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/object"
+)
+
+// Errors of the cloud API.
+var (
+	// ErrStartRefused means that the cloud has no host of the asked kind now; no host was started.
+	ErrStartRefused = errors.New("cloud refused to start a host")
+	// ErrUnknown means that the cloud did not answer; a start or release may have taken effect. Starts carry a request
+	// name, so that the same request sent again starts no second host.
+	ErrUnknown = errors.New("cloud did not answer")
+)
+
+// Offer is a kind of host that can be rented now.
+type Offer struct {
+	FailureDomain      string `json:"failure_domain"`
+	Class              string `json:"class"`
+	Reclaimable        bool   `json:"reclaimable"`
+	PriceMicrosPerHour int64  `json:"price_micros_per_hour"`
+}
+
+// StartRequest asks for one host.
+type StartRequest struct {
+	Request       string         `json:"request"` // the same request sent again returns the same host
+	FailureDomain string         `json:"failure_domain"`
+	Class         string         `json:"class"`
+	Reclaimable   bool           `json:"reclaimable"`
+	Backend       object.Backend `json:"backend"`
+	Deployment    string         `json:"deployment"`
+	ModelVersion  string         `json:"model_version,omitempty"` // loaded from the weight store before the host serves
+}
+
+// Notice announces that a host will be taken away.
+type Notice struct {
+	Sequence      int64  `json:"sequence"`
+	Host          string `json:"host"`
+	FailureDomain string `json:"failure_domain"`
+	InMillis      int64  `json:"in_ms"` // time left when the answer was sent
+}
+
+// Notices is a page of notices.
+type Notices struct {
+	Notices []Notice `json:"notices"`
+	Next    int64    `json:"next"` // sequence to ask for next
+}
+
+// API is a client for the cloud API.
+type API struct {
+	base string
+	http *http.Client
+}
+
+// NewAPI returns a client for the cloud API at the base URL.
+func NewAPI(base string) *API {
+	return &API{base: base, http: &http.Client{Timeout: noticeWait + callTimeout}}
+}
+
+// noticeWait is how long the cloud holds a request for notices when there are none.
+const noticeWait = 10 * time.Second
+
+// Offers returns what can be rented at which price.
+func (a *API) Offers(ctx context.Context) ([]Offer, error) {
+	var offers []Offer
+	err := a.call(ctx, http.MethodGet, "/v1/offers", nil, &offers)
+	return offers, errors.Wrap(err, "read offers")
+}
+
+// Start rents one host. It returns ErrStartRefused, or ErrUnknown if the host may have been started.
+func (a *API) Start(ctx context.Context, r StartRequest) (Host, error) {
+	var h Host
+	err := a.call(ctx, http.MethodPost, "/v1/hosts", r, &h)
+	return h, errors.Wrapf(err, "start host in %s", r.FailureDomain)
+}
+
+// Release gives a host back. A host that does not exist any more is no error.
+func (a *API) Release(ctx context.Context, host string) error {
+	return errors.Wrapf(a.call(ctx, http.MethodDelete, "/v1/hosts/"+url.PathEscape(host), nil, nil), "release host %q", host)
+}
+
+// Notices waits for reclaim notices from a sequence number on, for a bounded time.
+func (a *API) Notices(ctx context.Context, from int64) (Notices, error) {
+	query := url.Values{"from": {strconv.FormatInt(from, 10)}, "wait_ms": {strconv.FormatInt(noticeWait.Milliseconds(), 10)}}
+	var notices Notices
+	err := a.call(ctx, http.MethodGet, "/v1/notices?"+query.Encode(), nil, &notices)
+	return notices, errors.Wrap(err, "read notices")
+}
+
+func (a *API) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+		body = bytes.NewReader(raw)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, a.base+path, body)
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	reply, err := a.http.Do(request)
+	if err != nil {
+		return errors.Wrap(ErrUnknown, err.Error())
+	}
+	defer reply.Body.Close()
+	switch reply.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return ErrStartRefused
+	default:
+		return errors.Wrapf(ErrUnknown, "status %d", reply.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(reply.Body, maxReplyBytes)).Decode(out); err != nil {
+		return errors.Wrap(ErrUnknown, err.Error())
+	}
+	return nil
+}
--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -48,11 +48,12 @@
 		PeerAddress:   s.PeerAddress,
 		Incarnation:   time.Now().UnixNano(),
 	})
+	records := membership.NewRecords()
 	hosts := fleet.NewTable()
 	current := &revision.Current{}
 	dialer := peer.NewDialer()
 	defer dialer.Close()
-	exchanger := &membership.Exchanger{Table: members, Store: store, Dial: dialer.Client, Seeds: s.Peers, Log: logger.Part("membership")}
+	exchanger := &membership.Exchanger{Table: members, Records: records, Store: store, Dial: dialer.Client, Seeds: s.Peers, Log: logger.Part("membership")}
 	dispatcher := dispatch.New(members, hosts, logger.Part("dispatch"))
 	callers := &entry.Server{Members: members, Fleet: hosts, Current: current, Dial: dialer.Client, Metrics: metrics, Log: logger.Part("entry")}
 	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher}
@@ -74,8 +75,8 @@
 	callerServer := &http.Server{Handler: callers.Handler(), ReadHeaderTimeout: headerTimeout}
 	adminServer := &http.Server{Handler: adminHandler(metrics, func() string { return notReady(current, dispatcher) }), ReadHeaderTimeout: headerTimeout}
 	servers := []listening{
-		{peer.NewHTTPServer(peers), s.PeerAddress},
-		{callerServer, s.CallerAddress},
+		{peer.NewHTTPServer(peers), s.PeerListenAddress()},
+		{callerServer, s.CallerListenAddress()},
 		{adminServer, s.AdminAddress},
 	}
 	if err := listenAll(group, servers); err != nil {
--- a/rudder/membership/exchange.go
+++ b/rudder/membership/exchange.go
@@ -17,16 +17,16 @@
 const (
 	heartbeatInterval = time.Second
 	nodePrefix        = "nodes/"
-	recordNode        = "node/"
 )
 
 // Exchanger sends and answers heartbeats.
 type Exchanger struct {
-	Table *Table
-	Store objectapi.Store
-	Dial  func(address string) peerpbconnect.PeerServiceClient
-	Seeds []string // IP:port
-	Log   *slog.Logger
+	Table   *Table
+	Records *Records
+	Store   objectapi.Store
+	Dial    func(address string) peerpbconnect.PeerServiceClient
+	Seeds   []string // IP:port
+	Log     *slog.Logger
 }
 
 // Run registers this node and exchanges heartbeats until ctx ends.
@@ -98,20 +98,21 @@
 }
 
 func (e *Exchanger) records() []*peerpb.Record {
-	var records []*peerpb.Record
+	records := e.Records.List("")
 	for _, n := range e.Table.All() {
 		value, err := json.Marshal(n)
 		if err != nil {
 			continue
 		}
-		records = append(records, &peerpb.Record{Key: recordNode + n.Name, Version: n.Incarnation, Value: value})
+		records = append(records, &peerpb.Record{Key: RecordNode + n.Name, Version: n.Incarnation, Value: value})
 	}
 	return records
 }
 
 func (e *Exchanger) take(records []*peerpb.Record) {
 	for _, r := range records {
-		if !strings.HasPrefix(r.Key, recordNode) {
+		if !strings.HasPrefix(r.Key, RecordNode) {
+			e.Records.Merge(r)
 			continue
 		}
 		var n Node
--- a/rudder/settings/settings.go
+++ b/rudder/settings/settings.go
@@ -23,6 +23,8 @@
 	FailureDomain string        `arg:"--failure-domain,env:RUDDER_FAILURE_DOMAIN" help:"failure domain of this host"`
 	CallerAddress string        `arg:"--caller-address,env:RUDDER_CALLER_ADDRESS" help:"IP:port for callers"`
 	PeerAddress   string        `arg:"--peer-address,env:RUDDER_PEER_ADDRESS" help:"IP:port for other nodes"`
+	CallerListen  string        `arg:"--caller-listen,env:RUDDER_CALLER_LISTEN" help:"IP:port to listen on for callers, if it differs from --caller-address"`
+	PeerListen    string        `arg:"--peer-listen,env:RUDDER_PEER_LISTEN" help:"IP:port to listen on for other nodes, if it differs from --peer-address"`
 	AdminAddress  string        `arg:"--admin-address,env:RUDDER_ADMIN_ADDRESS" help:"IP:port for metrics, liveness and readiness"`
 	Peers         []string      `arg:"--peers,env:RUDDER_PEERS" help:"IP:port of nodes to contact first, besides those in the object API"`
 	ObjectAPI     string        `arg:"--object-api,env:RUDDER_OBJECT_API" help:"base URL of the object API"`
@@ -48,6 +50,22 @@
 	return s, s.Check()
 }
 
+// CallerListenAddress returns the IP:port to listen on for callers.
+func (s Settings) CallerListenAddress() string {
+	if s.CallerListen != "" {
+		return s.CallerListen
+	}
+	return s.CallerAddress
+}
+
+// PeerListenAddress returns the IP:port to listen on for other nodes.
+func (s Settings) PeerListenAddress() string {
+	if s.PeerListen != "" {
+		return s.PeerListen
+	}
+	return s.PeerAddress
+}
+
 // Level returns the log level.
 func (s Settings) Level() slog.Level {
 	var level slog.Level
@@ -66,7 +84,10 @@
 			add(field, value, "a name without spaces and slashes")
 		}
 	}
-	for field, value := range map[string]string{"--caller-address": s.CallerAddress, "--peer-address": s.PeerAddress, "--admin-address": s.AdminAddress} {
+	for field, value := range map[string]string{
+		"--caller-address": s.CallerAddress, "--peer-address": s.PeerAddress, "--admin-address": s.AdminAddress,
+		"--caller-listen": s.CallerListenAddress(), "--peer-listen": s.PeerListenAddress(),
+	} {
 		if !isIPPort(value) {
 			add(field, value, "IP:port")
 		}
--- a/standin/process/cluster.go
+++ b/standin/process/cluster.go
@@ -10,15 +10,17 @@
 	"github.com/pkg/errors"
 
 	"chestnutrudder.example/standin/cloud"
+	"chestnutrudder.example/standin/faultproxy"
 )
 
 // Node is one rudderd process.
 type Node struct {
 	*Process
 	FailureDomain string
-	Caller        string // IP:port
-	Peer          string // IP:port
-	Admin         string // IP:port
+	Caller        string            // IP:port
+	Peer          string            // IP:port
+	Admin         string            // IP:port
+	PeerProxy     *faultproxy.Proxy // nil without Plan.Proxies
 }
 
 // Plan says what a cluster consists of.
@@ -31,15 +33,20 @@
 	Groups         []cloud.Group
 	ObjectFiles    []string // applied with rudderctl
 	NodeArgs       []string // added to each rudderd
+	// Proxies puts a fault proxy before the object API and before each node's address for other nodes.
+	Proxies bool
 }
 
 // Cluster is a running system with its stand-ins.
 type Cluster struct {
 	plan      Plan
-	ObjectAPI string // base URL
+	ObjectAPI string // base URL, without the proxy
 	Cloud     string // base URL
 	Nodes     []*Node
-	processes []*Process
+	// ObjectAPIProxy stands between the nodes and the object API; nil without Plan.Proxies.
+	ObjectAPIProxy *faultproxy.Proxy
+	nodeObjectAPI  string // base URL that the nodes use
+	processes      []*Process
 }
 
 // StartCluster starts stand-ins and nodes, applies the objects and waits until every node is ready.
@@ -77,6 +84,15 @@
 	if _, err := c.start("cloud", "standin", "cloud", "--address", cloudAddress, "--groups", string(groups)); err != nil {
 		return err
 	}
+	c.nodeObjectAPI = c.ObjectAPI
+	if c.plan.Proxies {
+		proxy, err := faultproxy.New(FreeAddress(), objectAPI)
+		if err != nil {
+			return err
+		}
+		c.ObjectAPIProxy = proxy
+		c.nodeObjectAPI = "http://" + proxy.Address()
+	}
 	return WaitFor("stand-ins", func() bool {
 		return Control(http.MethodGet, c.ObjectAPI+"/control/calls", nil, nil) == nil &&
 			Control(http.MethodGet, c.Cloud+"/v1/hosts", nil, nil) == nil
@@ -98,7 +114,16 @@
 	args := []string{
 		"--node", name, "--region", c.plan.Region, "--failure-domain", domain,
 		"--caller-address", n.Caller, "--peer-address", n.Peer, "--admin-address", n.Admin,
-		"--object-api", c.ObjectAPI, "--host-list", c.Cloud, "--cloud-api", c.Cloud, "--weight-store", c.Cloud,
+		"--object-api", c.nodeObjectAPI, "--host-list", c.Cloud, "--cloud-api", c.Cloud, "--weight-store", c.Cloud,
+	}
+	if c.plan.Proxies {
+		listen := FreeAddress()
+		proxy, err := faultproxy.New(n.Peer, listen)
+		if err != nil {
+			return nil, err
+		}
+		n.PeerProxy = proxy
+		args = append(args, "--peer-listen", listen)
 	}
 	p, err := c.start(name, "rudderd", append(args, c.plan.NodeArgs...)...)
 	if err != nil {
@@ -144,4 +169,12 @@
 	for i := len(c.processes) - 1; i >= 0; i-- {
 		c.processes[i].Kill()
 	}
+	if c.ObjectAPIProxy != nil {
+		c.ObjectAPIProxy.Close()
+	}
+	for _, n := range c.Nodes {
+		if n.PeerProxy != nil {
+			n.PeerProxy.Close()
+		}
+	}
 }
--- a/standin/users/users.go
+++ b/standin/users/users.go
@@ -67,12 +67,18 @@
 	for _, domain := range u.FailureDomains {
 		reclaimable := runnersPerDomain * 2 / 3
 		u.Groups = append(u.Groups,
-			cloud.Group{Deployment: deployment, Backend: object.BackendModel, ModelVersion: modelVersion, FailureDomain: domain,
-				Class: "gpu-small", Reclaimable: true, PriceMicrosPerHour: 900_000, Count: reclaimable},
-			cloud.Group{Deployment: deployment, Backend: object.BackendModel, ModelVersion: modelVersion, FailureDomain: domain,
-				Class: "gpu-small", PriceMicrosPerHour: 2_500_000, Count: runnersPerDomain - reclaimable},
-			cloud.Group{Deployment: service, Backend: object.BackendService, FailureDomain: domain,
-				Class: "cpu-small", PriceMicrosPerHour: 100_000, Count: 1},
+			cloud.Group{
+				Deployment: deployment, Backend: object.BackendModel, ModelVersion: modelVersion, FailureDomain: domain,
+				Class: "gpu-small", Reclaimable: true, PriceMicrosPerHour: 900_000, Count: reclaimable,
+			},
+			cloud.Group{
+				Deployment: deployment, Backend: object.BackendModel, ModelVersion: modelVersion, FailureDomain: domain,
+				Class: "gpu-small", PriceMicrosPerHour: 2_500_000, Count: runnersPerDomain - reclaimable,
+			},
+			cloud.Group{
+				Deployment: service, Backend: object.BackendService, FailureDomain: domain,
+				Class: "cpu-small", PriceMicrosPerHour: 100_000, Count: 1,
+			},
 		)
 	}
 }
