Let non-idempotent calls take effect at most once

Cause: a call to a plain service was sent without any record, so that a caller who sent it again after a lost answer had it run twice.

Change: a claim on organisation and key is durable in the object API before the call is sent. The answer is recorded and replayed; a call whose outcome is not known is reported as unknown and never sent again. A call that was not run releases its claim. Dial failures between nodes are told apart from lost answers.

--- /dev/null
+++ b/rudder/claim/client.go
@@ -0,0 +1,88 @@
+package claim
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"chestnutrudder.example/rudder/membership"
+	"chestnutrudder.example/rudder/peer/peerpb"
+	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
+)
+
+const (
+	// ownerTimeout is longer than a commit with one lost answer and shorter than a caller's patience.
+	ownerTimeout = 3 * time.Second
+	ownersTried  = 2
+	settleTries  = 10
+	settlePause  = 500 * time.Millisecond
+)
+
+// Client asks the owner of a key's bucket: the first by rendezvous hash of the live nodes, else the second.
+type Client struct {
+	Members *membership.Table
+	Keeper  *Keeper // of this node
+	Dial    func(address string) peerpbconnect.PeerServiceClient
+}
+
+// Claim asks for the right to send a call. CLAIM_STATE_UNAVAILABLE means that the claimant must not send; the claim may
+// have been written, so the claimant releases it with Settle.
+func (c *Client) Claim(ctx context.Context, request *peerpb.ClaimRequest) *peerpb.ClaimResponse {
+	response := unavailable("no live node")
+	for _, owner := range c.owners(request.Organisation, request.Key) {
+		answer, err := c.claimAt(ctx, owner, request)
+		if err == nil {
+			return answer
+		}
+		response = unavailable(err.Error())
+	}
+	return response
+}
+
+func (c *Client) claimAt(ctx context.Context, owner membership.Node, request *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	if owner.Name == c.Members.Self().Name {
+		return c.Keeper.Claim(ctx, request), nil
+	}
+	reply, err := c.Dial(owner.PeerAddress).Claim(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return reply.Msg, nil
+}
+
+// Settle records how a call ended and reports whether that is durable. It tries for several seconds; the caller of a
+// request need not wait for it.
+func (c *Client) Settle(ctx context.Context, request *peerpb.SettleRequest) bool {
+	for range settleTries {
+		for _, owner := range c.owners(request.Organisation, request.Key) {
+			if c.settleAt(ctx, owner, request) {
+				return true
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(settlePause):
+		}
+	}
+	return false
+}
+
+func (c *Client) settleAt(ctx context.Context, owner membership.Node, request *peerpb.SettleRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	if owner.Name == c.Members.Self().Name {
+		return c.Keeper.Settle(ctx, request).Recorded
+	}
+	reply, err := c.Dial(owner.PeerAddress).Settle(ctx, connect.NewRequest(request))
+	return err == nil && reply.Msg.Recorded
+}
+
+func (c *Client) owners(organisation, key string) []membership.Node {
+	ranked := membership.Rank(keyPrefix+strconv.Itoa(Bucket(organisation, key)), c.Members.Live())
+	return ranked[:min(len(ranked), ownersTried)]
+}
--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"chestnutrudder.example/rudder/claim"
 	"chestnutrudder.example/rudder/cloud"
 	"chestnutrudder.example/rudder/dispatch"
 	"chestnutrudder.example/rudder/entry"
@@ -55,8 +56,10 @@
 	defer dialer.Close()
 	exchanger := &membership.Exchanger{Table: members, Records: records, Store: store, Dial: dialer.Client, Seeds: s.Peers, Log: logger.Part("membership")}
 	dispatcher := dispatch.New(members, hosts, logger.Part("dispatch"))
-	callers := &entry.Server{Members: members, Fleet: hosts, Current: current, Dial: dialer.Client, Metrics: metrics, Log: logger.Part("entry")}
-	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher}
+	keeper := claim.NewKeeper(store, time.Now, logger.Part("claim"))
+	claims := &claim.Client{Members: members, Keeper: keeper, Dial: dialer.Client}
+	callers := &entry.Server{Members: members, Fleet: hosts, Current: current, Claims: claims, Dial: dialer.Client, Metrics: metrics, Log: logger.Part("entry")}
+	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher, Claims: keeper}
 	follower := &revision.Follower{Store: store, Current: current, Log: logger.Part("revision")}
 	acceptor := &revision.Acceptor{Store: store, Log: logger.Part("revision")}
 
--- a/rudder/entry/server.go
+++ b/rudder/entry/server.go
@@ -36,6 +36,7 @@
 	Members *membership.Table
 	Fleet   *fleet.Table
 	Current *revision.Current
+	Claims  Claimer
 	Dial    func(address string) peerpbconnect.PeerServiceClient
 	Metrics *telemetry.Metrics
 	Log     *slog.Logger
@@ -43,10 +44,12 @@
 
 // Handler returns the routes for callers.
 func (s *Server) Handler() http.Handler {
-	router := mux.NewRouter()
+	// Unclean paths are handled by the call itself: a redirect would lose the body of a call to a service.
+	router := mux.NewRouter().SkipClean(true)
 	router.HandleFunc("/v1/addresses", s.addresses).Methods(http.MethodGet)
 	router.HandleFunc("/v1/chat/completions", s.withOrganisation(s.chat)).Methods(http.MethodPost)
-	router.HandleFunc("/v1/services/{service}/{path:.*}", s.withOrganisation(s.call))
+	router.HandleFunc("/v1/services/{service}/{path:.*}", s.withOrganisation(s.call)).
+		Methods(http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete)
 	return router
 }
 
--- a/rudder/objectapi/client.go
+++ b/rudder/objectapi/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,6 +17,7 @@
 )
 
 const (
+	dialTimeout  = time.Second
 	callTimeout  = 2 * time.Second
 	watchWait    = 20 * time.Second
 	settleTries  = 3
@@ -37,7 +39,18 @@
 	if count == nil {
 		count = func(string) {}
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     30 * time.Second,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, errors.Wrap(ErrUnavailable, err.Error())
+			}
+			return connection, nil
+		},
+	}
 	return &Client{base: base, http: &http.Client{Transport: transport}, count: count}
 }
 
@@ -154,7 +167,7 @@
 	}
 	reply, err := c.http.Do(request)
 	if err != nil {
-		if method == http.MethodGet {
+		if method == http.MethodGet || errors.Is(err, ErrUnavailable) {
 			return errors.Wrap(ErrUnavailable, err.Error())
 		}
 		return errors.Wrap(ErrUnsettled, err.Error())
--- a/rudder/peer/peer.go
+++ b/rudder/peer/peer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
@@ -23,6 +24,9 @@
 	pingTimeout = time.Second
 )
 
+// ErrNotSent means that no connection to the node could be made: the message was not sent.
+var ErrNotSent = errors.New("node could not be reached")
+
 // Dialer keeps one client for each address.
 type Dialer struct {
 	mu      sync.Mutex
@@ -34,9 +38,16 @@
 func NewDialer() *Dialer {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		Protocols:   protocols,
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Protocols: protocols,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, errors.Wrap(ErrNotSent, err.Error())
+			}
+			return connection, nil
+		},
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	return &Dialer{http: &http.Client{Transport: transport}, clients: map[string]peerpbconnect.PeerServiceClient{}}
--- a/rudder/service/service.go
+++ b/rudder/service/service.go
@@ -21,6 +21,9 @@
 	// callHeader carries the identity of the call. The name is not Idempotency-Key, because that header makes net/http
 	// repeat a request by itself.
 	callHeader = "X-Rudder-Call"
+	// notRunHeader on an answer with status 503 states that the service did not run the call. A bare 503 states nothing:
+	// it can come from behind the point where the call took effect.
+	notRunHeader = "X-Rudder-Not-Run"
 )
 
 var errNotSent = errors.New("service could not be reached")
@@ -46,7 +49,7 @@
 	return &Client{base: base, http: &http.Client{Transport: transport}}
 }
 
-// Call sends one call and returns its outcome. A service that answers 503 says that it did not run the call.
+// Call sends one call and returns its outcome.
 func (c *Client) Call(ctx context.Context, call *peerpb.CallRequest) *peerpb.CallResponse {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -67,11 +70,14 @@
 		return &peerpb.CallResponse{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Reason: err.Error()}
 	}
 	defer reply.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = errors.Errorf("answer has more than %d bytes", maxReplyBytes)
+	}
 	if err != nil {
 		return &peerpb.CallResponse{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Reason: err.Error()}
 	}
-	if reply.StatusCode == http.StatusServiceUnavailable {
+	if reply.StatusCode == http.StatusServiceUnavailable && reply.Header.Get(notRunHeader) != "" {
 		return &peerpb.CallResponse{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Reason: string(body), RetryAfterMs: 1000}
 	}
 	return &peerpb.CallResponse{
