Complete the stand-ins for engine, cloud, weight store, service and object API

Cause: the code for reclaim, capacity, rollout and claims needs stand-ins that export KV caches, take orders, rent hosts, give notices and fail on demand.

Change: the engine prefills in chunks within its steps, so that a long prompt no longer stops the whole batch and a run decodes only after its own prefill; cancelled runs leave the waiting queue; an idle engine sleeps. The cloud offers, rents, reclaims and charges for hosts and shows a lagging host list. The object API has rates, delays and partial outages and counts list calls apart from gets; its watches fall silent with it. standin/README.md lists all controls.

Checked: the demo ends with whole answers for both users.

Conclusion: tests of these parts can be written against the stand-ins.

--- /dev/null
+++ b/standin/cloud/cost.go
@@ -0,0 +1,50 @@
+package cloud
+
+import "time"
+
+// account sums up the rent of hosts. A change of price counts from the moment of the change, for running hosts too.
+type account struct {
+	since       time.Time // up to here everything is in the sums
+	micros      float64
+	hostSeconds float64
+}
+
+// settle adds the rent since the last call. It is called before each change of hosts or prices.
+func (a *account) settle(hosts map[string]*host) {
+	now := time.Now()
+	seconds := now.Sub(a.since).Seconds()
+	a.since = now
+	for _, h := range hosts {
+		a.hostSeconds += seconds
+		a.micros += seconds * float64(h.PriceMicrosPerHour) / 3600
+	}
+}
+
+// Cost is the rent of all hosts since the start.
+type Cost struct {
+	Micros      float64 `json:"micros"` // millionths of a currency unit
+	HostSeconds float64 `json:"host_seconds"`
+	Hosts       int     `json:"hosts"`
+}
+
+// Cost returns the rent so far.
+func (c *Cloud) Cost() Cost {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cost.settle(c.hosts)
+	return Cost{Micros: c.cost.micros, HostSeconds: c.cost.hostSeconds, Hosts: len(c.hosts)}
+}
+
+// SetPrice changes the price of a kind of host, also for those that run.
+func (c *Cloud) SetPrice(k Kind, microsPerHour int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cost.settle(c.hosts)
+	c.prices[k] = microsPerHour
+	for _, h := range c.hosts {
+		if (Kind{h.FailureDomain, h.Class, h.Reclaimable}) == k {
+			h.PriceMicrosPerHour = microsPerHour
+		}
+	}
+	c.record()
+}
--- /dev/null
+++ b/standin/cloud/host.go
@@ -0,0 +1,163 @@
+package cloud
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/object"
+
+	"chestnutrudder.example/standin/engine"
+	"chestnutrudder.example/standin/service"
+)
+
+const serviceDelay = 5 * time.Millisecond
+
+// host is one host with its backend server.
+type host struct {
+	cloud.Host
+	address string // IP:port, set once
+	mu      sync.Mutex
+	server  *http.Server
+	engine  *engine.Engine
+	service *service.Service
+	gone    bool
+}
+
+// open starts the backend server of a host. A backend server that crashes by itself starts again after a while.
+func (c *Cloud) open(h *host, version string) error {
+	address := h.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen for a host")
+	}
+	if h.address == "" {
+		h.address = listener.Addr().String()
+		h.Address = "http://" + h.address
+	}
+	var running *engine.Engine
+	var plain *service.Service
+	var handler http.Handler
+	if h.Backend == object.BackendService {
+		plain = &service.Service{Host: h.Name, Ledger: c.Ledger, Delay: serviceDelay, Crash: func() { c.crash(h, version) }}
+		handler = plain.Handler()
+	} else {
+		running = c.newEngine(h.Name, version)
+		handler = running.Handler()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.gone {
+		if running != nil {
+			running.Crash()
+		}
+		return listener.Close()
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	h.server, h.engine, h.service = server, running, plain
+	go func() { _ = server.Serve(listener) }()
+	if running != nil {
+		go func() {
+			<-running.Crashed()
+			c.crash(h, version)
+		}()
+	}
+	return nil
+}
+
+func (c *Cloud) newEngine(name, version string) *engine.Engine {
+	config := c.Config
+	config.ModelVersion = version
+	config.Host = name
+	config.Ledger = c.Runs
+	config.WeightStore = c.Base
+	c.mu.Lock()
+	config.IgnoreFencing = config.IgnoreFencing || c.settings.IgnoreFencing
+	faults := c.engineFaults
+	c.mu.Unlock()
+	e := engine.New(config)
+	e.SetFaults(faults)
+	return e
+}
+
+// crash closes all connections of a backend server and starts it again, with an empty cache, after a while.
+func (c *Cloud) crash(h *host, version string) {
+	h.mu.Lock()
+	server, gone := h.server, h.gone
+	h.server = nil
+	h.mu.Unlock()
+	if server == nil {
+		return
+	}
+	_ = server.Close()
+	c.mu.Lock()
+	restart := time.Duration(c.settings.RestartMillis) * time.Millisecond
+	c.mu.Unlock()
+	if gone || restart <= 0 {
+		return
+	}
+	time.AfterFunc(restart, func() { _ = c.open(h, version) })
+}
+
+// kill ends the process of a backend server; the host stays.
+func (h *host) kill(c *Cloud) {
+	h.mu.Lock()
+	running := h.engine
+	h.mu.Unlock()
+	if running != nil {
+		running.Crash()
+		return
+	}
+	c.crash(h, "")
+}
+
+// close takes a host away: connections break and nothing listens any more.
+func (h *host) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.gone = true
+	if h.engine != nil {
+		h.engine.Crash()
+	}
+	if h.server != nil {
+		_ = h.server.Close()
+		h.server = nil
+	}
+}
+
+// leave tells the backend server about a notice.
+func (h *host) leave(at time.Time, refuse bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.engine != nil {
+		h.engine.Leave(at, refuse)
+	}
+	if h.service != nil && refuse {
+		h.service.Leave()
+	}
+}
+
+func (h *host) freeze(frozen bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.engine != nil {
+		h.engine.Freeze(frozen)
+	}
+	if h.service != nil {
+		h.service.Freeze(frozen)
+	}
+}
+
+// running returns the engine, nil for a service.
+func (h *host) running() *engine.Engine {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.engine
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,50 +1,74 @@
-// Package engine is a stand-in for a model engine with a stated timing model: prompts are prefilled one after another
-// at a fixed rate, and each decode step gives every run in the batch one token and takes a time that grows with the
-// batch. Only cmd/standin and tests use it.
+// Package engine is a stand-in for a model engine with a stated timing model. Each step gives every run of the batch
+// whose prefill has ended one token, computes one chunk of the oldest unfinished prefill, and takes
+// DecodeBase + runs × DecodePerRun + chunk / PrefillTokensPerSec. Only cmd/standin, the cloud stand-in and tests use it.
 package engine
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutrudder.example/rudder/engine"
 )
 
-// Config is the timing model of an engine.
+// Config is the timing model and the limits of an engine.
 type Config struct {
+	Host                  string        // name in the run ledger
 	Slots                 int           // runs in the batch
+	MaxWaiting            int           // waiting runs; more are refused with 503
 	PrefillTokensPerSec   float64       // prompt tokens computed per second
+	PrefillChunkTokens    int           // prompt tokens computed in one step
 	DecodeBase            time.Duration // decode step with an empty batch
 	DecodePerRun          time.Duration // added for each run in the batch
 	CacheBlocks           int           // blocks held by the prefix cache
-	HoldAfterDisconnect   time.Duration // a run goes on this long without a reader
-	ExportTokensPerSecond float64
+	HoldAfterDisconnect   time.Duration // a run goes on and a finished run is held this long without a reader
+	ExportTokensPerSecond float64       // shared by all exports
+	ImportTokensPerSecond float64
 	ModelVersion          string
 	IgnoreFencing         bool
+	WeightStore           string // base URL; empty: weights are there at once
+	Ledger                *RunLedger
 }
 
 // DefaultConfig returns a configuration with round figures.
 func DefaultConfig() Config {
 	return Config{
 		Slots:                 16,
+		MaxWaiting:            16,
 		PrefillTokensPerSec:   8000,
+		PrefillChunkTokens:    64,
 		DecodeBase:            10 * time.Millisecond,
 		DecodePerRun:          500 * time.Microsecond,
 		CacheBlocks:           4096,
 		HoldAfterDisconnect:   5 * time.Second,
 		ExportTokensPerSecond: 4000,
+		ImportTokensPerSecond: 16000,
 	}
 }
 
+const (
+	// crashMarker in a prompt crashes the engine that runs it.
+	crashMarker = "crash-the-engine"
+	// idlePause bounds how late an idle engine forgets held runs.
+	idlePause = 100 * time.Millisecond
+)
+
 // run is one request in the engine.
 type run struct {
 	order     engine.RunOrder
+	prompt    uint64   // hash of the prompt
+	input     []string // tokens to prefill: prompt and earlier tokens
 	tokens    []string // of the whole answer
+	record    *RunRecord
+	remaining int // tokens still to prefill
+	started   bool
 	ended     bool
 	cancelled bool
 	computed  int
 	cached    int
-	started   bool
 	readers   int
 	idleFrom  time.Time
 	changed   chan struct{}
@@ -52,35 +76,61 @@
 
 // Engine is one model engine.
 type Engine struct {
-	config  Config
-	mu      sync.Mutex
-	runs    map[string]*run
-	queue   []*run // waiting for a slot
-	batch   []*run
-	cache   *prefixCache
-	epoch   int64
-	crashed chan struct{}
-	dead    bool
-	leaving bool
-	fence   int64
-	stats   Stats
+	config   Config
+	mu       sync.Mutex
+	runs     map[string]*run
+	queue    []*run // waiting for a slot
+	batch    []*run
+	cache    *prefixCache
+	epoch    int64
+	wake     chan struct{}
+	crashed  chan struct{}
+	dead     bool
+	gate     gate
+	faults   Faults
+	fence    int64
+	adapters []string
+	role     string
+	loading  string
+	leaving  leaving
+	report   engine.Load // as shown last, for LoadLagMillis
+	reportAt time.Time
+	exports  map[string]exported
+	exportMu sync.Mutex // held while an export uses the export rate
+	stats    Stats
+}
+
+type leaving struct {
+	at     time.Time // zero: not leaving
+	refuse bool      // refuse new runs with 410
 }
 
 // Stats count what an engine did.
 type Stats struct {
 	Runs            int64 `json:"runs"`
+	Refused         int64 `json:"refused"`
 	PrefilledTokens int64 `json:"prefilled_tokens"`
+	CachedTokens    int64 `json:"cached_tokens"`
 	DecodedTokens   int64 `json:"decoded_tokens"`
+	ExportedTokens  int64 `json:"exported_tokens"`
+	ImportedTokens  int64 `json:"imported_tokens"`
+	Loads           int64 `json:"loads"`
+	RefusedOrders   int64 `json:"refused_orders"`
 }
 
 // New returns an engine and starts its decode loop, which ends with Crash.
 func New(config Config) *Engine {
+	if config.Ledger == nil {
+		config.Ledger = &RunLedger{}
+	}
 	e := &Engine{
 		config:  config,
 		runs:    map[string]*run{},
 		cache:   newPrefixCache(config.CacheBlocks),
 		epoch:   time.Now().UnixNano(),
+		wake:    make(chan struct{}, 1),
 		crashed: make(chan struct{}),
+		exports: map[string]exported{},
 	}
 	go e.loop()
 	return e
@@ -90,48 +140,91 @@
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.dead {
-		e.dead = true
-		close(e.crashed)
+	e.crash()
+}
+
+func (e *Engine) crash() {
+	if e.dead {
+		return
+	}
+	e.dead = true
+	close(e.crashed)
+	for _, r := range e.batch {
+		e.config.Ledger.change(func() { r.record.Decoded = len(r.tokens) - len(r.order.Generated) })
 	}
 }
 
 // Crashed is closed when the engine has crashed.
 func (e *Engine) Crashed() <-chan struct{} { return e.crashed }
 
-// crashMarker in a prompt crashes the engine that runs it.
-const crashMarker = "crash-the-engine"
-
 func (r *run) signal() {
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
-// loop admits, prefills and decodes.
+// loop paces the steps. A step that is late does not make the next one shorter than it would be.
 func (e *Engine) loop() {
 	for {
+		if !e.gate.wait(e.crashed, nil) {
+			return
+		}
+		duration, prefilling, chunk := e.plan()
+		timer := time.NewTimer(duration)
+		if duration == idlePause {
+			select {
+			case <-e.wake:
+			case <-timer.C:
+			case <-e.crashed:
+			}
+			timer.Stop()
+			e.sweep()
+			continue
+		}
 		select {
+		case <-timer.C:
 		case <-e.crashed:
 			return
-		default:
 		}
-		if next := e.admit(); next != nil {
-			e.prefill(next)
-			continue
+		if !e.gate.wait(e.crashed, nil) {
+			return
 		}
-		pause := e.stepTime()
-		time.Sleep(pause)
-		e.step()
+		e.step(prefilling, chunk)
 	}
 }
 
-// admit moves the waiting run with the highest priority into the batch, nil if there is none or no slot.
-func (e *Engine) admit() *run {
+// plan admits waiting runs and returns the length of the next step and its share of prefill.
+func (e *Engine) plan() (time.Duration, *run, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.queue) == 0 || len(e.batch) >= e.config.Slots {
-		return nil
+	e.dropCancelled()
+	for len(e.queue) > 0 && len(e.batch) < e.config.Slots {
+		e.admit()
+	}
+	if len(e.batch) == 0 {
+		return idlePause, nil, 0
+	}
+	duration := e.decodeTime()
+	for _, r := range e.batch {
+		if !r.started {
+			chunk := min(r.remaining, e.config.PrefillChunkTokens)
+			duration += time.Duration(float64(chunk) / e.config.PrefillTokensPerSec * float64(time.Second))
+			return duration, r, chunk
+		}
 	}
+	return duration, nil, 0
+}
+
+// decodeTime returns the time of a step without prefill. The caller holds the lock.
+func (e *Engine) decodeTime() time.Duration {
+	duration := e.config.DecodeBase + time.Duration(len(e.batch))*e.config.DecodePerRun
+	if e.faults.slows(e.config.ModelVersion) {
+		duration *= slowFactor
+	}
+	return duration
+}
+
+// admit moves the waiting run with the highest priority into the batch. The caller holds the lock.
+func (e *Engine) admit() {
 	best := 0
 	for i, r := range e.queue {
 		if r.order.Priority > e.queue[best].order.Priority {
@@ -141,72 +234,133 @@
 	r := e.queue[best]
 	e.queue = append(e.queue[:best], e.queue[best+1:]...)
 	e.batch = append(e.batch, r)
-	return r
-}
-
-// prefill computes the tokens that the cache lacks; the batch waits meanwhile.
-func (e *Engine) prefill(r *run) {
-	tokens := append(engine.PromptTokens(r.order.Prompt), r.order.Generated...)
-	blocks := engine.PrefixBlocks(tokens)
-	e.mu.Lock()
-	r.cached = min(e.cache.match(blocks)*engine.BlockTokens, len(tokens))
-	if r.order.KVHandle != "" && e.cache.takeImport(r.order.KVHandle) {
-		r.cached = len(tokens)
-	}
-	r.computed = len(tokens) - r.cached
-	e.stats.PrefilledTokens += int64(r.computed)
-	e.mu.Unlock()
-	time.Sleep(time.Duration(float64(r.computed) / e.config.PrefillTokensPerSec * float64(time.Second)))
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.cache.store(blocks)
-	r.started = true
-	r.signal()
-}
-
-func (e *Engine) stepTime() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.batch) == 0 {
-		return time.Millisecond
+	cached := min(e.cache.match(engine.PrefixBlocks(r.input))*engine.BlockTokens, len(r.input))
+	if r.order.KVHandle != "" {
+		cached = max(cached, min(e.cache.takeImport(r.order.KVHandle, r.order.Prompt), len(r.input)))
 	}
-	return e.config.DecodeBase + time.Duration(len(e.batch))*e.config.DecodePerRun
+	r.cached = cached
+	r.computed = len(r.input) - cached
+	r.remaining = r.computed
+	e.stats.CachedTokens += int64(cached)
+	r.record = e.config.Ledger.add(RunRecord{
+		Prompt: PromptHash(r.order.Prompt), Run: r.order.Run, Attempt: r.order.Attempt, Host: e.config.Host,
+		Generated: len(r.order.Generated), Computed: r.computed, Cached: r.cached,
+	})
 }
 
-// step gives each run of the batch one token.
-func (e *Engine) step() {
+// step gives each run whose prefill has ended one token and advances the prefill.
+func (e *Engine) step(prefilling *run, chunk int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.dead {
 		return
 	}
-	kept := e.batch[:0]
 	for _, r := range e.batch {
-		if r.readers == 0 && time.Since(r.idleFrom) > e.config.HoldAfterDisconnect {
-			r.cancelled = true
-		}
-		if !r.cancelled && len(r.tokens) < r.order.MaxTokens {
-			r.tokens = append(r.tokens, Token(r.order.Prompt, len(r.tokens)))
+		if r.started && !r.cancelled && len(r.tokens) < r.order.MaxTokens {
+			r.tokens = append(r.tokens, token(r.prompt, len(r.tokens)))
 			e.stats.DecodedTokens++
+			r.signal()
 		}
-		if r.cancelled || len(r.tokens) >= r.order.MaxTokens {
-			r.ended = true
-			e.cache.store(engine.PrefixBlocks(append(engine.PromptTokens(r.order.Prompt), r.tokens...)))
+	}
+	if prefilling != nil {
+		prefilling.remaining -= chunk
+		e.stats.PrefilledTokens += int64(chunk)
+		if prefilling.remaining <= 0 {
+			e.start(prefilling)
+		}
+	}
+	kept := e.batch[:0]
+	for _, r := range e.batch {
+		if r.started && len(r.tokens) >= r.order.MaxTokens {
+			e.end(r)
 		} else {
 			kept = append(kept, r)
 		}
-		r.signal()
 	}
 	clear(e.batch[len(kept):])
 	e.batch = kept
-	e.dropEndedRuns()
+	e.forgetHeld()
+}
+
+// start ends the prefill of a run. The caller holds the lock.
+func (e *Engine) start(r *run) {
+	e.cache.store(engine.PrefixBlocks(r.input))
+	r.started = true
+	r.signal()
+	if strings.Contains(r.order.Prompt, crashMarker) || slices.Contains(e.faults.CrashVersions, e.config.ModelVersion) {
+		e.crash()
+	}
+}
+
+// end ends a run that has its whole answer or was cancelled. The caller holds the lock.
+func (e *Engine) end(r *run) {
+	r.ended = true
+	r.signal()
+	if r.record == nil {
+		return
+	}
+	decoded := len(r.tokens) - len(r.order.Generated)
+	e.config.Ledger.change(func() { r.record.Decoded = decoded })
+	if r.started {
+		e.cache.store(engine.PrefixBlocks(append(engine.PromptTokens(r.order.Prompt), r.tokens...)))
+	}
+}
+
+// dropCancelled ends cancelled and abandoned runs, waiting ones too. The caller holds the lock.
+func (e *Engine) dropCancelled() {
+	for _, list := range []*[]*run{&e.queue, &e.batch} {
+		kept := (*list)[:0]
+		for _, r := range *list {
+			if r.readers == 0 && time.Since(r.idleFrom) > e.config.HoldAfterDisconnect {
+				r.cancelled = true
+			}
+			if r.cancelled {
+				e.end(r)
+			} else {
+				kept = append(kept, r)
+			}
+		}
+		clear((*list)[len(kept):])
+		*list = kept
+	}
 }
 
-// dropEndedRuns forgets ended runs that nobody reads. The caller holds the lock.
-func (e *Engine) dropEndedRuns() {
+func (e *Engine) sweep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.forgetHeld()
+}
+
+// forgetHeld forgets ended runs that nobody has read for a while. The caller holds the lock.
+func (e *Engine) forgetHeld() {
 	for id, r := range e.runs {
 		if r.ended && r.readers == 0 && time.Since(r.idleFrom) > e.config.HoldAfterDisconnect {
 			delete(e.runs, id)
 		}
 	}
 }
+
+func newRun(order engine.RunOrder) *run {
+	return &run{
+		order:   order,
+		prompt:  xxhash.Sum64String(order.Prompt),
+		input:   append(engine.PromptTokens(order.Prompt), order.Generated...),
+		readers: 1,
+		tokens:  append([]string(nil), order.Generated...),
+		changed: make(chan struct{}),
+	}
+}
+
+// Running returns the number of runs in the batch.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.batch)
+}
+
+// Stats returns the counters.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stats
+}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -13,13 +12,26 @@
 
 const heartbeatInterval = 500 * time.Millisecond
 
-// Handler returns the engine's HTTP interface.
+// Handler returns the engine's HTTP interface. A frozen engine answers nothing and keeps connections open.
 func (e *Engine) Handler() http.Handler {
 	router := mux.NewRouter()
+	router.Use(func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !e.gate.wait(e.crashed, r.Context().Done()) {
+				panic(http.ErrAbortHandler)
+			}
+			next.ServeHTTP(w, r)
+		})
+	})
 	router.HandleFunc("/v1/runs", e.serveRun).Methods(http.MethodPost)
 	router.HandleFunc("/v1/runs/{run}/cancel", e.cancelRun).Methods(http.MethodPost)
+	router.HandleFunc("/v1/runs/{run}/export", e.exportRun).Methods(http.MethodPost)
+	router.HandleFunc("/v1/exports/{handle}", e.serveExport).Methods(http.MethodGet)
+	router.HandleFunc("/v1/imports", e.importExport).Methods(http.MethodPost)
+	router.HandleFunc("/v1/cache-events", e.serveCacheEvents).Methods(http.MethodGet)
+	router.HandleFunc("/v1/orders", e.takeOrder).Methods(http.MethodPost)
 	router.HandleFunc("/v1/load", e.serveLoad).Methods(http.MethodGet)
-	router.HandleFunc("/control/stats", e.serveStats).Methods(http.MethodGet)
+	router.HandleFunc("/control/stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Stats()) }).Methods(http.MethodGet)
 	return router
 }
 
@@ -41,10 +53,10 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/x-ndjson")
-	e.follow(w, r, entry, order)
+	(&stream{engine: e, run: entry, order: order, offset: len(order.Generated)}).follow(w, r)
 }
 
-// enter queues a run or finds the one to resume.
+// enter queues a run or finds the one to resume. A refusal means that nothing was run.
 func (e *Engine) enter(order engine.RunOrder) (*run, int, string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -56,83 +68,37 @@
 		held.readers++
 		return held, 0, ""
 	}
-	if e.leaving {
-		return nil, http.StatusGone, "leaving"
-	}
-	if order.ModelVersion != e.config.ModelVersion {
-		return nil, http.StatusConflict, "model version is " + e.config.ModelVersion
-	}
-	if len(e.queue)+len(e.batch) >= 2*e.config.Slots {
-		return nil, http.StatusServiceUnavailable, "queue is full"
+	if status, reason := e.refusal(order); status != 0 {
+		e.stats.Refused++
+		return nil, status, reason
 	}
 	if old := e.runs[order.Run]; old != nil {
 		old.cancelled = true
 	}
-	entry := &run{order: order, readers: 1, tokens: append([]string(nil), order.Generated...), changed: make(chan struct{})}
+	entry := newRun(order)
 	e.runs[order.Run] = entry
 	e.queue = append(e.queue, entry)
 	e.stats.Runs++
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
 	return entry, 0, ""
 }
 
-// follow streams the chunks of a run from the offset that the order asks for.
-func (e *Engine) follow(w http.ResponseWriter, r *http.Request, entry *run, order engine.RunOrder) {
-	defer func() {
-		e.mu.Lock()
-		entry.readers--
-		entry.idleFrom = time.Now()
-		e.mu.Unlock()
-	}()
-	controller := http.NewResponseController(w)
-	encoder := json.NewEncoder(w)
-	offset := len(order.Generated)
-	startedSent := false
-	heartbeat := time.NewTicker(heartbeatInterval)
-	defer heartbeat.Stop()
-	for {
-		e.mu.Lock()
-		chunk := engine.Chunk{Attempt: order.Attempt, Offset: offset}
-		if entry.started && !startedSent {
-			chunk.Started = true
-			chunk.ComputedTokens = entry.computed
-			chunk.CachedTokens = entry.cached
-			if order.Resume {
-				chunk.ComputedTokens = 0
-			}
-			startedSent = true
-		}
-		if offset < len(entry.tokens) {
-			chunk.Tokens = append(chunk.Tokens, entry.tokens[offset:]...)
-		}
-		offset += len(chunk.Tokens)
-		if entry.ended {
-			chunk.End = true
-			chunk.Cancelled = entry.cancelled
-			chunk.FinishReason = "length"
-		}
-		changed := entry.changed
-		crash := entry.started && strings.Contains(order.Prompt, crashMarker)
-		e.mu.Unlock()
-		if crash {
-			e.Crash()
-		}
-		if chunk.Started || chunk.End || len(chunk.Tokens) > 0 {
-			if encoder.Encode(chunk) != nil || controller.Flush() != nil || chunk.End {
-				return
-			}
-		}
-		select {
-		case <-e.crashed:
-			panic(http.ErrAbortHandler)
-		case <-r.Context().Done():
-			return
-		case <-changed:
-		case <-heartbeat.C:
-			if encoder.Encode(engine.Chunk{Attempt: order.Attempt, Offset: offset, Heartbeat: true}) != nil || controller.Flush() != nil {
-				return
-			}
-		}
+// refusal returns why a new run is not taken, 0 if it is. The caller holds the lock.
+func (e *Engine) refusal(order engine.RunOrder) (int, string) {
+	switch {
+	case e.leaving.refuse:
+		return http.StatusGone, "leaving"
+	case order.ModelVersion != e.config.ModelVersion:
+		return http.StatusConflict, "model version is " + e.config.ModelVersion
+	case e.faults.RefuseRuns:
+		return http.StatusServiceUnavailable, "refused"
+	case len(e.queue) >= e.config.MaxWaiting && len(e.batch) >= e.config.Slots:
+		return http.StatusServiceUnavailable, "queue is full"
 	}
+	return 0, ""
 }
 
 func (e *Engine) cancelRun(_ http.ResponseWriter, r *http.Request) {
@@ -145,39 +111,43 @@
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	if lag := time.Duration(e.faults.LoadLagMillis) * time.Millisecond; e.reportAt.IsZero() || time.Since(e.reportAt) >= lag {
+		e.report = e.load()
+		e.reportAt = time.Now()
+	}
+	writeJSON(w, e.report)
+}
+
+// load returns the present load. The caller holds the lock.
+func (e *Engine) load() engine.Load {
 	load := engine.Load{
 		Running:             len(e.batch),
 		Waiting:             len(e.queue),
 		Slots:               e.config.Slots,
 		ModelVersion:        e.config.ModelVersion,
-		Leaving:             e.leaving,
+		Adapters:            append([]string(nil), e.adapters...),
+		Role:                e.role,
+		Leaving:             !e.leaving.at.IsZero(),
 		Epoch:               e.epoch,
 		PrefillTokensPerSec: e.config.PrefillTokensPerSec,
+		DecodeStepMillis:    float64(e.decodeTime()) / float64(time.Millisecond),
 		LastFence:           e.fence,
+		LoadingVersion:      e.loading,
+	}
+	if load.Leaving {
+		load.LeavingInMillis = max(1, time.Until(e.leaving.at).Milliseconds())
 	}
 	for _, r := range e.queue {
-		load.WaitingPromptTokens += len(engine.PromptTokens(r.order.Prompt))
+		load.WaitingPromptTokens += len(r.input)
 	}
-	e.mu.Unlock()
-	load.DecodeStepMillis = float64(e.stepTime()) / float64(time.Millisecond)
-	writeJSON(w, load)
-}
-
-func (e *Engine) serveStats(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	stats := e.stats
-	e.mu.Unlock()
-	writeJSON(w, stats)
+	for _, r := range e.batch {
+		load.WaitingPromptTokens += max(0, r.remaining)
+	}
+	return load
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
 }
-
-// Running returns the number of runs in the batch.
-func (e *Engine) Running() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.batch)
-}
--- a/standin/objectapi/server.go
+++ b/standin/objectapi/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -18,14 +19,6 @@
 
 const historyLength = 10000
 
-// Faults change how the server answers.
-type Faults struct {
-	Down        bool  `json:"down"`         // answer 503 to everything
-	Silent      bool  `json:"silent"`       // do not answer at all
-	DelayMillis int64 `json:"delay_ms"`     // wait before each answer
-	LoseAnswers int   `json:"lose_answers"` // number of writes to do whose answer is dropped
-}
-
 type event struct {
 	revision int64
 	objectapi.Event
@@ -40,7 +33,9 @@
 	versions map[string]int64 // also of deleted keys, so that versions never repeat
 	history  []event
 	changed  chan struct{}
-	calls    map[string]int64
+	calls    counts
+	limits   limiters
+	random   *rand.Rand
 }
 
 // NewServer returns an empty server.
@@ -49,7 +44,8 @@
 		objects:  map[string]objectapi.Object{},
 		versions: map[string]int64{},
 		changed:  make(chan struct{}),
-		calls:    map[string]int64{},
+		calls:    counts{ByKind: map[string]int64{}, ByPrefix: map[string]int64{}},
+		random:   rand.New(rand.NewPCG(1, 1)),
 	}
 }
 
@@ -64,35 +60,12 @@
 	api.HandleFunc("/list", s.list).Methods(http.MethodGet)
 	api.HandleFunc("/watch", s.watch).Methods(http.MethodGet)
 	router.HandleFunc("/control/faults", s.setFaults).Methods(http.MethodPut)
+	router.HandleFunc("/control/limits", s.setLimits).Methods(http.MethodPut)
 	router.HandleFunc("/control/calls", s.callCounts).Methods(http.MethodGet)
+	router.HandleFunc("/control/calls-by-prefix", s.callsByPrefix).Methods(http.MethodGet)
 	return router
 }
 
-func (s *Server) applyFaults(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		faults := s.faults
-		kind := strings.ToLower(r.Method)
-		if strings.HasSuffix(r.URL.Path, "/watch") {
-			kind = "watch"
-		}
-		s.calls[kind]++
-		s.mu.Unlock()
-		if faults.DelayMillis > 0 {
-			time.Sleep(time.Duration(faults.DelayMillis) * time.Millisecond)
-		}
-		if faults.Silent {
-			<-r.Context().Done()
-			return
-		}
-		if faults.Down {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	o, found := s.objects[mux.Vars(r)["key"]]
@@ -162,22 +135,6 @@
 	answer(w, struct{}{})
 }
 
-// loseAnswer reports whether the answer of this write is to be dropped. The caller holds the lock.
-func (s *Server) loseAnswer() bool {
-	if s.faults.LoseAnswers <= 0 {
-		return false
-	}
-	s.faults.LoseAnswers--
-	return true
-}
-
-func dropConnection(w http.ResponseWriter) {
-	connection, _, err := http.NewResponseController(w).Hijack()
-	if err == nil {
-		_ = connection.Close()
-	}
-}
-
 // record appends an event and wakes the watches. The caller holds the lock.
 func (s *Server) record(e objectapi.Event) {
 	s.revision++
@@ -216,9 +173,13 @@
 		s.mu.Lock()
 		changes := s.changesAfter(query.Get("prefix"), after)
 		changed := s.changed
-		down := s.faults.Down
+		faults := s.faults
 		s.mu.Unlock()
-		if down {
+		if faults.Silent {
+			<-r.Context().Done()
+			return
+		}
+		if faults.Down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -240,7 +201,7 @@
 // changesAfter collects events. The caller holds the lock.
 func (s *Server) changesAfter(prefix string, after int64) objectapi.Changes {
 	changes := objectapi.Changes{Revision: s.revision, Events: []objectapi.Event{}}
-	if len(s.history) > 0 && after < s.history[0].revision-1 {
+	if len(s.history) > 0 && after < s.history[0].revision-1 || after > s.revision {
 		changes.Reset = true
 		return changes
 	}
@@ -252,25 +213,6 @@
 	return changes
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	s.faults = faults
-	close(s.changed)
-	s.changed = make(chan struct{})
-	s.mu.Unlock()
-}
-
-func (s *Server) callCounts(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	answer(w, s.calls)
-}
-
 func answer(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
