Add the oracle and the load tool

Cause: soak, benchmark and integration tests need one judge that knows only what callers asked and were told and what the stand-ins ran.

Change: package oracle counts whole, doubled, lost, foreign and cut answers, false "not run", effects that happened twice and tokens computed again. Package load sends a user's seeded open-loop mix; bin/load runs it against a cluster of its own. A prompt can let the model stop before max_tokens.

--- a/standin/engine/answer.go
+++ b/standin/engine/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -25,5 +26,25 @@
 	return tokens
 }
 
+// stopMarker in a prompt, followed by a number, lets the model stop by itself after so many tokens.
+const stopMarker = "stop-after-"
+
+// StopAfter returns the text that makes an answer end by itself after a number of tokens, if the caller allows that many.
+func StopAfter(tokens int) string { return stopMarker + strconv.Itoa(tokens) }
+
+// AnswerLength returns the length of the answer: what the caller allows, or less if the model stops by itself.
+func AnswerLength(prompt string, allowed int) int {
+	_, after, found := strings.Cut(prompt, stopMarker)
+	if !found {
+		return allowed
+	}
+	digits, _, _ := strings.Cut(after, " ")
+	tokens, err := strconv.Atoi(strings.TrimSpace(digits))
+	if err != nil || tokens < 1 {
+		return allowed
+	}
+	return min(tokens, allowed)
+}
+
 // PromptHash identifies a prompt in the run ledger.
 func PromptHash(prompt string) string { return strconv.FormatUint(xxhash.Sum64String(prompt), 16) }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -61,6 +61,7 @@
 	order     engine.RunOrder
 	prompt    uint64   // hash of the prompt
 	input     []string // tokens to prefill: prompt and earlier tokens
+	length    int      // of the whole answer
 	tokens    []string // of the whole answer
 	record    *RunRecord
 	remaining int // tokens still to prefill
@@ -256,7 +257,7 @@
 		return
 	}
 	for _, r := range e.batch {
-		if r.started && !r.cancelled && len(r.tokens) < r.order.MaxTokens {
+		if r.started && !r.cancelled && len(r.tokens) < r.length {
 			r.tokens = append(r.tokens, token(r.prompt, len(r.tokens)))
 			e.stats.DecodedTokens++
 			r.signal()
@@ -271,7 +272,7 @@
 	}
 	kept := e.batch[:0]
 	for _, r := range e.batch {
-		if r.started && len(r.tokens) >= r.order.MaxTokens {
+		if r.started && len(r.tokens) >= r.length {
 			e.end(r)
 		} else {
 			kept = append(kept, r)
@@ -345,6 +346,7 @@
 		order:   order,
 		prompt:  xxhash.Sum64String(order.Prompt),
 		input:   append(engine.PromptTokens(order.Prompt), order.Generated...),
+		length:  AnswerLength(order.Prompt, order.MaxTokens),
 		readers: 1,
 		tokens:  append([]string(nil), order.Generated...),
 		changed: make(chan struct{}),
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -79,9 +79,13 @@
 	if s.run.ended {
 		chunk.End = true
 		chunk.Cancelled = s.run.cancelled
-		chunk.FinishReason = "length"
-		if chunk.Cancelled {
+		switch {
+		case chunk.Cancelled:
 			chunk.FinishReason = "cancelled"
+		case s.run.length < s.order.MaxTokens:
+			chunk.FinishReason = "stop"
+		default:
+			chunk.FinishReason = "length"
 		}
 	}
 	return chunk, s.run.changed, e.faults
--- /dev/null
+++ b/standin/load/mix_test.go
@@ -0,0 +1,37 @@
+package load
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"chestnutrudder.example/standin/oracle"
+	"chestnutrudder.example/standin/users"
+)
+
+// TestArrivalsFollowSeed guards against runs that cannot be repeated and against a mix that lacks a kind of request or
+// repeats an identity, which would blind the oracle.
+func TestArrivalsFollowSeed(t *testing.T) {
+	for _, user := range []users.User{users.Duwende(), users.Zlato()} {
+		first := newGenerator(user, 3).arrivals(50, 10*time.Second)
+		if !reflect.DeepEqual(first, newGenerator(user, 3).arrivals(50, 10*time.Second)) {
+			t.Errorf("%s: the same seed gives other arrivals", user.Name)
+		}
+		kinds := map[oracle.Kind]int{}
+		seen := map[string]bool{}
+		for _, a := range first {
+			for _, r := range a.turns {
+				kinds[r.Kind]++
+				if seen[r.ID] || r.Kind == oracle.Model && seen[r.Prompt] {
+					t.Errorf("%s: request %q is not unique", user.Name, r.ID)
+				}
+				seen[r.ID], seen[r.Prompt] = true, true
+			}
+		}
+		for _, kind := range []oracle.Kind{oracle.Model, oracle.Read, oracle.Write} {
+			if kinds[kind] == 0 {
+				t.Errorf("%s: no request of kind %d", user.Name, kind)
+			}
+		}
+	}
+}
--- a/standin/process/cluster.go
+++ b/standin/process/cluster.go
@@ -33,6 +33,7 @@
 	Groups         []cloud.Group
 	ObjectFiles    []string // applied with rudderctl
 	NodeArgs       []string // added to each rudderd
+	CloudArgs      []string // added to the cloud stand-in
 	// Proxies puts a fault proxy before the object API and before each node's address for other nodes.
 	Proxies bool
 }
@@ -81,7 +82,7 @@
 	if _, err := c.start("objectapi", "standin", "objectapi", "--address", objectAPI); err != nil {
 		return err
 	}
-	if _, err := c.start("cloud", "standin", "cloud", "--address", cloudAddress, "--groups", string(groups)); err != nil {
+	if _, err := c.start("cloud", "standin", append([]string{"cloud", "--address", cloudAddress, "--groups", string(groups)}, c.plan.CloudArgs...)...); err != nil {
 		return err
 	}
 	c.nodeObjectAPI = c.ObjectAPI
@@ -157,6 +158,15 @@
 	return nil
 }
 
+// Callers returns the addresses of all nodes for callers.
+func (c *Cluster) Callers() []string {
+	var addresses []string
+	for _, n := range c.Nodes {
+		addresses = append(addresses, n.Caller)
+	}
+	return addresses
+}
+
 // Ctl runs rudderctl and returns its output.
 func (c *Cluster) Ctl(args ...string) (string, error) {
 	cmd := exec.Command(filepath.Join(c.plan.BinDir, "rudderctl"), append(args, "--object-api", c.ObjectAPI)...)
--- a/standin/users/users.go
+++ b/standin/users/users.go
@@ -5,6 +5,8 @@
 import (
 	"path/filepath"
 
+	"github.com/pkg/errors"
+
 	"chestnutrudder.example/rudder/object"
 
 	"chestnutrudder.example/standin/cloud"
@@ -54,6 +56,16 @@
 	return u
 }
 
+// ByName returns a user.
+func ByName(name string) (User, error) {
+	for _, u := range []User{Duwende(), Zlato()} {
+		if u.Name == name {
+			return u, nil
+		}
+	}
+	return User{}, errors.Errorf("user: %q, allowed: duwende, zlato", name)
+}
+
 func (u *User) setTokens(organisations ...string) {
 	for _, o := range organisations {
 		u.Tokens = append(u.Tokens, "example-token-"+o)
