--- a/standin/engine/answer.go
+++ b/standin/engine/answer.go
@@ -2,22 +2,49 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 // Token returns the token at an offset of the answer to a prompt. It depends on the whole prompt, so that a mixed-up,
 // cut or doubled answer shows.
-func Token(prompt string, offset int) string {
-	hash := xxhash.Sum64String(prompt + "\x00" + strconv.Itoa(offset))
+func Token(prompt string, offset int) string { return token(xxhash.Sum64String(prompt), offset) }
+
+func token(prompt uint64, offset int) string {
+	hash := xxhash.Sum64String(strconv.FormatUint(prompt, 36) + "/" + strconv.Itoa(offset))
 	return strconv.FormatUint(hash&0xffffff, 36)
 }
 
 // Answer returns the whole answer to a prompt.
 func Answer(prompt string, count int) []string {
+	hash := xxhash.Sum64String(prompt)
 	tokens := make([]string, count)
 	for i := range tokens {
-		tokens[i] = Token(prompt, i)
+		tokens[i] = token(hash, i)
 	}
 	return tokens
 }
+
+// stopMarker in a prompt, followed by a number, lets the model stop by itself after so many tokens.
+const stopMarker = "stop-after-"
+
+// StopAfter returns the text that makes an answer end by itself after a number of tokens, if the caller allows that many.
+func StopAfter(tokens int) string { return stopMarker + strconv.Itoa(tokens) }
+
+// AnswerLength returns the length of the answer: what the caller allows, or less if the model stops by itself.
+func AnswerLength(prompt string, allowed int) int {
+	_, after, found := strings.Cut(prompt, stopMarker)
+	if !found {
+		return allowed
+	}
+	digits, _, _ := strings.Cut(after, " ")
+	tokens, err := strconv.Atoi(strings.TrimSpace(digits))
+	if err != nil || tokens < 1 {
+		return allowed
+	}
+	return min(tokens, allowed)
+}
+
+// PromptHash identifies a prompt in the run ledger.
+func PromptHash(prompt string) string { return strconv.FormatUint(xxhash.Sum64String(prompt), 16) }
