--- a/rudder/object/decode.go
+++ b/rudder/object/decode.go
@@ -2,28 +2,112 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"fmt"
 	"io"
 
 	"github.com/pkg/errors"
-	"sigs.k8s.io/yaml"
+	yaml "go.yaml.in/yaml/v3"
 )
 
-// Decode reads objects from YAML documents separated by "---", or from JSON. An unknown field is an error.
+// Decode reads objects from YAML documents separated by "---", or from one or more JSON values. Unknown and repeated
+// fields and values of a wrong type are errors; the error is of type Problems where the text is well-formed and lists
+// the mistakes of all documents. It does not check values; Validate does.
 func Decode(r io.Reader) ([]Object, error) {
 	raw, err := io.ReadAll(r)
 	if err != nil {
 		return nil, errors.Wrap(err, "read objects")
 	}
+	documents, err := split(raw)
+	if err != nil {
+		return nil, err
+	}
 	var objects []Object
-	for i, document := range bytes.Split(raw, []byte("\n---")) {
-		if len(bytes.TrimSpace(document)) == 0 {
-			continue
+	var problems Problems
+	for i, document := range documents {
+		o, found := decodeDocument(document, fmt.Sprintf("document %d", i+1))
+		problems = append(problems, found...)
+		if len(found) == 0 {
+			objects = append(objects, o)
+		}
+	}
+	return objects, problems.Err()
+}
+
+// DecodeJSON reads one object from the object API with the same strictness as Decode.
+func DecodeJSON(raw []byte) (Object, Problems) {
+	var document any
+	if err := yaml.Unmarshal(raw, &document); err != nil {
+		return Object{}, Problems{{Object: "object", Field: "document", Value: show(string(raw)), Allowed: "JSON: " + err.Error()}}
+	}
+	return decodeDocument(document, "object")
+}
+
+// split returns the non-empty documents of a file as generic values.
+func split(raw []byte) ([]any, error) {
+	if bytes.HasPrefix(bytes.TrimSpace(raw), []byte("{")) {
+		if documents, err := splitJSON(raw); err == nil {
+			return documents, nil
+		}
+	}
+	var documents []any
+	decoder := yaml.NewDecoder(bytes.NewReader(raw))
+	for {
+		var document any
+		err := decoder.Decode(&document)
+		if errors.Is(err, io.EOF) {
+			return documents, nil
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "document %d", len(documents)+1)
+		}
+		if document != nil {
+			documents = append(documents, document)
 		}
-		var o Object
-		if err := yaml.UnmarshalStrict(document, &o); err != nil {
-			return nil, errors.Wrapf(err, "document %d", i+1)
+	}
+}
+
+// splitJSON reads consecutive JSON values, which are not a valid sequence of YAML documents. Each value goes through
+// the YAML decoder because that one refuses repeated keys.
+func splitJSON(raw []byte) ([]any, error) {
+	var documents []any
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	for {
+		var value json.RawMessage
+		err := decoder.Decode(&value)
+		if errors.Is(err, io.EOF) {
+			return documents, nil
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "JSON value %d", len(documents)+1)
 		}
-		objects = append(objects, o)
+		var document any
+		if err := yaml.Unmarshal(value, &document); err != nil {
+			return nil, errors.Wrapf(err, "JSON value %d", len(documents)+1)
+		}
+		documents = append(documents, document)
+	}
+}
+
+func decodeDocument(document any, place string) (Object, Problems) {
+	fields, isMap := document.(map[string]any)
+	if !isMap {
+		return Object{}, Problems{{Object: place, Field: "document", Value: show(document), Allowed: "fields kind, name and one spec"}}
+	}
+	if kind, name := fields["kind"], fields["name"]; kind != nil && name != nil {
+		place = fmt.Sprintf("%v/%v", kind, name)
+	}
+	problems := checkShape(place, "", document, objectType)
+	if len(problems) > 0 {
+		return Object{}, problems
+	}
+	raw, err := json.Marshal(document)
+	var o Object
+	if err == nil {
+		err = json.Unmarshal(raw, &o)
+	}
+	if err != nil {
+		return Object{}, Problems{{Object: place, Field: "document", Value: show(document), Allowed: err.Error()}}
 	}
-	return objects, nil
+	return o, nil
 }
