Keep recent routing and placement decisions for operators

Cause: why a request went where it went could only be read from the logs of all nodes. The node record carries the admin address, so that the operator client can find the nodes. Conclusion: memory stays bounded (tested with a ring of 8).

--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/dispatch"
 	"chestnutrudder.example/rudder/entry"
 	"chestnutrudder.example/rudder/fleet"
@@ -46,6 +47,7 @@
 		FailureDomain: s.FailureDomain,
 		CallerAddress: s.CallerAddress,
 		PeerAddress:   s.PeerAddress,
+		AdminAddress:  s.AdminAddress,
 		Incarnation:   time.Now().UnixNano(),
 	})
 	records := membership.NewRecords()
@@ -56,6 +58,8 @@
 	exchanger := &membership.Exchanger{Table: members, Records: records, Store: store, Dial: dialer.Client, Seeds: s.Peers, Log: logger.Part("membership")}
 	dispatcher := dispatch.New(members, hosts, logger.Part("dispatch"))
 	callers := &entry.Server{Members: members, Fleet: hosts, Current: current, Dial: dialer.Client, Metrics: metrics, Log: logger.Part("entry")}
+	decisions := decision.NewRecorder(s.Node, decision.Size, logger.Part)
+	dispatcher.Decisions, callers.Decisions = decisions, decisions
 	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher}
 	follower := &revision.Follower{Store: store, Current: current, Log: logger.Part("revision")}
 	acceptor := &revision.Acceptor{Store: store, Log: logger.Part("revision")}
@@ -73,7 +77,7 @@
 		group.Go(func() error { loop(groupCtx); return nil })
 	}
 	callerServer := &http.Server{Handler: callers.Handler(), ReadHeaderTimeout: headerTimeout}
-	adminServer := &http.Server{Handler: adminHandler(metrics, func() string { return notReady(current, dispatcher) }), ReadHeaderTimeout: headerTimeout}
+	adminServer := &http.Server{Handler: adminHandler(metrics, decisions, func() string { return notReady(current, dispatcher) }), ReadHeaderTimeout: headerTimeout}
 	servers := []listening{
 		{peer.NewHTTPServer(peers), s.PeerListenAddress()},
 		{callerServer, s.CallerListenAddress()},
@@ -125,10 +129,11 @@
 	return nil
 }
 
-// adminHandler serves metrics, liveness and readiness.
-func adminHandler(metrics *telemetry.Metrics, notReady func() string) http.Handler {
+// adminHandler serves metrics, recent decisions, liveness and readiness.
+func adminHandler(metrics *telemetry.Metrics, decisions *decision.Recorder, notReady func() string) http.Handler {
 	router := mux.NewRouter()
 	router.Handle("/metrics", metrics.Handler())
+	router.Handle("/decisions", decisions).Methods(http.MethodGet)
 	router.HandleFunc("/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
 		if reason := notReady(); reason != "" {
--- /dev/null
+++ b/rudder/decision/decision_test.go
@@ -0,0 +1,24 @@
+package decision
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+)
+
+// TestRingIsBounded guards against memory that grows with the number of requests, and against lost recent decisions.
+func TestRingIsBounded(t *testing.T) {
+	r := NewRecorder("n", 8, func(string) *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) })
+	for i := range 20 {
+		r.Record("entry", fmt.Sprintf("run-%d", i), "first by hash", "node-a", nil)
+	}
+	found := r.About("node-a")
+	if len(found) != 8 || found[0].Subject != "run-12" || found[7].Subject != "run-19" {
+		t.Errorf("kept %v", found)
+	}
+	if len(r.About("run-11")) != 0 || len(r.About("run-19")) != 1 {
+		t.Error("a decision is kept too long or found under the wrong subject")
+	}
+	(*Recorder)(nil).Record("entry", "run", "reason", "choice", nil)
+}
--- a/rudder/dispatch/dispatch.go
+++ b/rudder/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/engine"
 	"chestnutrudder.example/rudder/fleet"
 	"chestnutrudder.example/rudder/membership"
@@ -68,6 +69,8 @@
 	Members *membership.Table
 	Fleet   *fleet.Table
 	Log     *slog.Logger
+	// Decisions logs and keeps placement decisions; nil drops them.
+	Decisions *decision.Recorder
 
 	mu        sync.Mutex
 	backends  map[string]*Backend
@@ -120,7 +123,7 @@
 		if !found {
 			b = newBackend(h)
 			d.backends[name] = b
-			d.Log.Info("Backend server taken over.", "host", name)
+			d.Decisions.Record("dispatch", name, "first by rendezvous hash", self, nil)
 		}
 		if b.Engine != nil {
 			go b.poll(ctx)
@@ -172,7 +175,7 @@
 	d.mu.Lock()
 	d.runs[request.Run] = r
 	d.mu.Unlock()
-	d.Log.Info("Run placed.", "run", request.Run, "attempt", request.Attempt, "host", b.Host.Name, "reason", "least loaded")
+	d.Decisions.Record("dispatch", request.Run, "least loaded", b.Host.Name, nil, "attempt", request.Attempt)
 	go d.execute(r, b, request)
 	return r.follow(ctx, len(request.Generated), send)
 }
@@ -323,6 +326,6 @@
 	}
 	chosen.change(1)
 	defer chosen.change(-1)
-	d.Log.Info("Call placed.", "call", request.Call, "host", chosen.Host.Name, "reason", "least loaded")
+	d.Decisions.Record("dispatch", request.Call, "least loaded", chosen.Host.Name, nil)
 	return chosen.Service.Call(ctx, request)
 }
--- a/rudder/entry/call.go
+++ b/rudder/entry/call.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/route"
@@ -54,7 +55,7 @@
 	if !found {
 		return nil, outcome.Refuse(http.StatusServiceUnavailable, time.Second, "no dispatcher for deployment %q", request.Deployment)
 	}
-	s.Log.Info("Call routed.", "call", request.Call, "dispatcher", choice.Node.Name, "reason", choice.Reason, "rejected", choice.Rejected)
+	s.Decisions.Record("entry", request.Call, choice.Reason, choice.Node.Name, decision.Others(choice.Rejected))
 	reply, err := s.Dial(choice.Node.PeerAddress).Call(r.Context(), connect.NewRequest(request))
 	if err != nil {
 		return nil, outcome.Lost(http.StatusBadGateway, err, "the dispatcher's answer was lost")
--- a/rudder/entry/server.go
+++ b/rudder/entry/server.go
@@ -18,6 +18,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/fleet"
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/outcome"
@@ -39,6 +40,8 @@
 	Dial    func(address string) peerpbconnect.PeerServiceClient
 	Metrics *telemetry.Metrics
 	Log     *slog.Logger
+	// Decisions logs and keeps routing decisions; nil drops them.
+	Decisions *decision.Recorder
 }
 
 // Handler returns the routes for callers.
--- a/rudder/entry/session.go
+++ b/rudder/entry/session.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/route"
@@ -88,8 +89,8 @@
 
 // attempt runs one attempt on one dispatcher. done means that the answer is whole; reason says why it is not.
 func (s *session) attempt(ctx context.Context, choice route.Choice, emit emitFunc) (done bool, reason string, err error) {
-	s.server.Log.Info("Request routed.", "run", s.id, "attempt", s.attempts, "dispatcher", choice.Node.Name,
-		"reason", choice.Reason, "rejected", choice.Rejected, "offset", len(s.tokens))
+	s.server.Decisions.Record("entry", s.id, choice.Reason, choice.Node.Name, decision.Others(choice.Rejected),
+		"attempt", s.attempts, "offset", len(s.tokens))
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(silenceTimeout, cancel)
--- a/rudder/membership/membership.go
+++ b/rudder/membership/membership.go
@@ -30,6 +30,7 @@
 	FailureDomain string `json:"failure_domain"`
 	CallerAddress string `json:"caller_address"` // IP:port
 	PeerAddress   string `json:"peer_address"`   // IP:port
+	AdminAddress  string `json:"admin_address"`  // IP:port of metrics, readiness and decisions
 	Incarnation   int64  `json:"incarnation"`
 	State         State  `json:"state"`
 }
--- /dev/null
+++ b/rudder/objectapi/objectapitest/memory.go
@@ -0,0 +1,177 @@
+// Package objectapitest holds an object API in memory for tests of the packages that keep state in it.
+package objectapitest
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/google/uuid"
+
+	"chestnutrudder.example/rudder/objectapi"
+)
+
+// Memory implements objectapi.Store. A test sets the hooks before it uses the store.
+type Memory struct {
+	// Before is called before each call with its kind and key; its error is the answer and nothing is done.
+	Before func(kind, key string) error
+	// After is called after each write took effect; its error replaces the answer, as if that had been lost.
+	After func(kind, key string) error
+
+	mu       sync.Mutex
+	revision int64
+	objects  map[string]objectapi.Object
+	versions map[string]int64
+	events   []objectapi.Event // the event of revision n has index n-1
+	changed  chan struct{}
+	calls    map[string]int
+}
+
+var _ objectapi.Store = (*Memory)(nil)
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{
+		objects: map[string]objectapi.Object{}, versions: map[string]int64{}, changed: make(chan struct{}), calls: map[string]int{},
+	}
+}
+
+// Calls returns the number of calls of a kind.
+func (m *Memory) Calls(kind string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls[kind]
+}
+
+func (m *Memory) before(kind, key string) error {
+	m.mu.Lock()
+	m.calls[kind]++
+	m.mu.Unlock()
+	if m.Before == nil {
+		return nil
+	}
+	return m.Before(kind, key)
+}
+
+func (m *Memory) after(kind, key string) error {
+	if m.After == nil {
+		return nil
+	}
+	return m.After(kind, key)
+}
+
+// Get implements objectapi.Store.
+func (m *Memory) Get(_ context.Context, key string) (objectapi.Object, error) {
+	if err := m.before("get", key); err != nil {
+		return objectapi.Object{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, found := m.objects[key]
+	if !found {
+		return o, objectapi.ErrNotFound
+	}
+	return o, nil
+}
+
+// List implements objectapi.Store.
+func (m *Memory) List(_ context.Context, prefix string) (objectapi.Listing, error) {
+	if err := m.before("list", prefix); err != nil {
+		return objectapi.Listing{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listing := objectapi.Listing{Revision: m.revision}
+	for key, o := range m.objects {
+		if strings.HasPrefix(key, prefix) {
+			listing.Objects = append(listing.Objects, o)
+		}
+	}
+	sort.Slice(listing.Objects, func(i, j int) bool { return listing.Objects[i].Key < listing.Objects[j].Key })
+	return listing, nil
+}
+
+// Put implements objectapi.Store.
+func (m *Memory) Put(_ context.Context, key string, value any, expected int64) (objectapi.Object, error) {
+	if err := m.before("put", key); err != nil {
+		return objectapi.Object{}, err
+	}
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return objectapi.Object{}, err
+	}
+	o, err := m.put(key, raw, expected)
+	if err == nil {
+		err = m.after("put", key)
+	}
+	return o, err
+}
+
+func (m *Memory) put(key string, raw json.RawMessage, expected int64) (objectapi.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if expected != objectapi.Any && expected != m.objects[key].Version {
+		return objectapi.Object{}, objectapi.ErrConflict
+	}
+	m.versions[key]++
+	o := objectapi.Object{Key: key, Version: m.versions[key], Token: uuid.NewString(), Value: raw}
+	m.objects[key] = o
+	m.record(objectapi.Event{Object: o})
+	return o, nil
+}
+
+// Delete implements objectapi.Store.
+func (m *Memory) Delete(_ context.Context, key string, expected int64) error {
+	if err := m.before("delete", key); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	o, found := m.objects[key]
+	if !found {
+		m.mu.Unlock()
+		return objectapi.ErrNotFound
+	}
+	if expected != objectapi.Any && expected != o.Version {
+		m.mu.Unlock()
+		return objectapi.ErrConflict
+	}
+	delete(m.objects, key)
+	m.record(objectapi.Event{Deleted: true, Object: o})
+	m.mu.Unlock()
+	return m.after("delete", key)
+}
+
+func (m *Memory) record(e objectapi.Event) {
+	m.revision++
+	m.events = append(m.events, e)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Watch implements objectapi.Store. It returns without events when ctx ends.
+func (m *Memory) Watch(ctx context.Context, prefix string, after int64) (objectapi.Changes, error) {
+	if err := m.before("watch", prefix); err != nil {
+		return objectapi.Changes{}, err
+	}
+	for {
+		m.mu.Lock()
+		changes := objectapi.Changes{Revision: m.revision}
+		for _, e := range m.events[min(after, m.revision):] {
+			if strings.HasPrefix(e.Object.Key, prefix) {
+				changes.Events = append(changes.Events, e)
+			}
+		}
+		changed := m.changed
+		m.mu.Unlock()
+		if len(changes.Events) > 0 {
+			return changes, nil
+		}
+		select {
+		case <-ctx.Done():
+			return changes, nil
+		case <-changed:
+		}
+	}
+}
