Add the verbs of rudderctl

Cause: rudderctl could only write objects, without a condition and with one exit code for every failure. Change: verbs validate, apply, get, list, delete, watch, status and explain, one file each; every write and deletion is conditional on the version that was read or expected, and a conflict shows the differing fields; table and JSON output; exit codes for usage, invalid object, not found, conflict, unavailable and write of unknown effect. explain asks the nodes for their recent decisions. Conclusion: golden files hold output, errors and exit codes, also for a race between two operators, a lost answer to a deletion and a silent node.

--- a/rudder/command/apply.go
+++ b/rudder/command/apply.go
@@ -2,41 +2,142 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
-	"io"
-	"os"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/objectapi"
 )
 
 type applyArguments struct {
-	File string `arg:"-f,--file,required" help:"file with objects, - for standard input"`
+	File          []string `arg:"-f,--file,separate" help:"file with objects, - for standard input; may be repeated"`
+	ExpectVersion *int64   `arg:"--expect-version" help:"write only over this version (0: the object must not exist); for a single object"`
+}
+
+// result says what became of one object.
+type result struct {
+	Object  string   `json:"object"`
+	Action  string   `json:"action"` // created, updated, unchanged, deleted, conflict or failed
+	Version int64    `json:"version,omitempty"`
+	Changes []change `json:"changes,omitempty"` // on conflict
+	Reason  string   `json:"reason,omitempty"`
+}
+
+// conflictError says that an object was changed by someone else.
+type conflictError struct {
+	id       string
+	expected int64
+	present  int64 // 0 if the object does not exist
+	changes  []change
+}
+
+func (e *conflictError) Error() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s: version: value %d, allowed: %d (the present one); nothing was written", e.id, e.expected, e.present)
+	for _, c := range e.changes {
+		fmt.Fprintf(&text, "\n  %s: present %s, yours %s", c.Field, c.Present, c.Yours)
+	}
+	return text.String()
 }
 
-// apply writes the objects of a file.
-func apply(ctx context.Context, store objectapi.Store, a applyArguments, stdin io.Reader, stdout io.Writer) error {
-	objects, err := readObjects(a.File, stdin)
+// run validates all objects and writes each on the version that it read, so that a change made meanwhile is not
+// overwritten. A conflict on one object does not keep the others from being written.
+func (a *applyArguments) run(ctx context.Context, env *environment) error {
+	objects, err := env.readFiles(a.File)
 	if err != nil {
 		return err
 	}
+	if a.ExpectVersion != nil && len(objects) != 1 {
+		return usageError(fmt.Sprintf("--expect-version: given with %d objects, allowed: exactly one", len(objects)))
+	}
+	specs, err := env.specs(ctx)
+	if err != nil {
+		return err
+	}
+	if err := object.Check(objects, setOf(specs)).Err(); err != nil {
+		return err
+	}
+	slices.SortStableFunc(objects, func(x, y object.Object) int {
+		return slices.Index(object.Kinds, x.Kind) - slices.Index(object.Kinds, y.Kind)
+	})
+	var results []result
+	var firstErr error
 	for _, o := range objects {
-		if _, err := store.Put(ctx, o.Key(), o, objectapi.Any); err != nil {
-			return err
+		base := specs[o.ID()]
+		if a.ExpectVersion != nil && *a.ExpectVersion != base.Version {
+			base = stored{Version: *a.ExpectVersion}
+		}
+		r, err := env.write(ctx, o, base)
+		results = append(results, r)
+		if firstErr == nil {
+			firstErr = err
+		}
+		if errors.Is(err, objectapi.ErrUnavailable) {
+			break
 		}
-		fmt.Fprintf(stdout, "%s/%s written\n", o.Kind, o.Name)
 	}
-	return nil
+	if err := env.printResults(results); err != nil {
+		return err
+	}
+	return firstErr
 }
 
-func readObjects(file string, stdin io.Reader) ([]object.Object, error) {
-	if file == "-" {
-		return object.Decode(stdin)
-	}
-	f, err := os.Open(file)
+// write puts one object on the version of base.
+func (env *environment) write(ctx context.Context, o object.Object, base stored) (result, error) {
+	r := result{Object: o.ID(), Action: "updated", Version: base.Version}
+	raw, err := json.Marshal(o)
 	if err != nil {
-		return nil, err
+		return r, errors.Wrapf(err, "encode %s", o.ID())
+	}
+	if len(base.raw) > 0 {
+		changes, err := diff(base.raw, raw)
+		if err == nil && len(changes) == 0 {
+			r.Action = "unchanged"
+			return r, nil
+		}
+	} else if base.Version == objectapi.Absent {
+		r.Action = "created"
+	}
+	written, err := env.store.Put(ctx, o.Key(), o, base.Version)
+	if err == nil {
+		r.Version = written.Version
+		return r, nil
+	}
+	if errors.Is(err, objectapi.ErrConflict) {
+		conflict, err := env.conflict(ctx, o.Key(), o.ID(), raw, base.Version)
+		if err != nil {
+			r.Reason = "the present version could not be read: " + err.Error()
+		}
+		r.Action, r.Version, r.Changes = "conflict", conflict.present, conflict.changes
+		return r, conflict
+	}
+	r.Action, r.Reason = "failed", err.Error()
+	return r, err
+}
+
+// conflict reads the present version and compares it with the refused write.
+func (env *environment) conflict(ctx context.Context, key, id string, yours []byte, expected int64) (*conflictError, error) {
+	conflict := &conflictError{id: id, expected: expected}
+	present, err := env.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		return conflict, err
+	}
+	conflict.present = present.Version
+	conflict.changes, err = diff(present.Value, yours)
+	return conflict, err
+}
+
+func (env *environment) printResults(results []result) error {
+	if env.json {
+		return printJSON(env.stdout, results)
+	}
+	rows := make([][]string, len(results))
+	for i, r := range results {
+		rows[i] = []string{r.Object, r.Action, fmt.Sprint(r.Version)}
 	}
-	defer f.Close()
-	return object.Decode(f)
+	return printTable(env.stdout, []string{"OBJECT", "ACTION", "VERSION"}, rows)
 }
--- a/rudder/command/command.go
+++ b/rudder/command/command.go
@@ -5,46 +5,169 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/objectapi"
 )
 
 // Exit codes.
 const (
-	ExitOK    = 0
-	ExitError = 1
-	ExitUsage = 2
+	ExitOK          = 0
+	ExitError       = 1 // an error that has no code of its own, such as an unreadable file
+	ExitUsage       = 2 // unknown verb, flag or argument
+	ExitInvalid     = 3 // an object is wrong or another object refers to it; nothing was written
+	ExitNotFound    = 4 // the object, run or host is not known
+	ExitConflict    = 5 // the object has another version than the expected one; it was not written
+	ExitUnavailable = 6 // the object API or the nodes do not answer; nothing was written by the failed call
+	ExitUnknown     = 7 // a write was sent and it is not known whether it took effect
 )
 
 type arguments struct {
-	Apply     *applyArguments `arg:"subcommand:apply" help:"write objects"`
-	ObjectAPI string          `arg:"--object-api,env:RUDDER_OBJECT_API" help:"base URL of the object API"`
+	Validate *validateArguments `arg:"subcommand:validate" help:"check objects without writing them"`
+	Apply    *applyArguments    `arg:"subcommand:apply" help:"write objects"`
+	Get      *getArguments      `arg:"subcommand:get" help:"show objects"`
+	List     *listArguments     `arg:"subcommand:list" help:"list objects"`
+	Delete   *deleteArguments   `arg:"subcommand:delete" help:"delete objects"`
+	Watch    *watchArguments    `arg:"subcommand:watch" help:"show changes as they come"`
+	Status   *statusArguments   `arg:"subcommand:status" help:"show which objects are accepted and in force"`
+	Explain  *explainArguments  `arg:"subcommand:explain" help:"show why a request or host was chosen"`
+
+	ObjectAPI string `arg:"--object-api,env:RUDDER_OBJECT_API" help:"base URL of the object API"`
+	Output    string `arg:"-o,--output" default:"table" help:"table or json"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "rudderctl writes the objects of chestnutrudder and shows their status."
+}
+
+// Epilogue is shown by --help.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 done, 1 other error, 2 usage, 3 invalid object, 4 not found, 5 conflict, 6 unavailable, 7 write of unknown effect."
+}
+
+// environment is what a verb works with.
+type environment struct {
+	store  objectapi.Store // nil if no object API is given
+	http   *http.Client
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+	json   bool
 }
 
+const nodeTimeout = 3 * time.Second
+
 // Run runs one verb and returns its exit code.
 func Run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	connect := func(base string) objectapi.Store { return objectapi.NewClient(base, nil) }
+	env := &environment{http: &http.Client{Timeout: nodeTimeout}, stdin: stdin, stdout: stdout, stderr: stderr}
+	return run(ctx, args, env, connect)
+}
+
+type verb interface {
+	run(ctx context.Context, env *environment) error
+}
+
+func run(ctx context.Context, args []string, env *environment, connect func(base string) objectapi.Store) int {
 	var a arguments
 	parser, err := arg.NewParser(arg.Config{Program: "rudderctl"}, &a)
 	if err != nil {
-		fmt.Fprintln(stderr, "rudderctl:", err)
+		fmt.Fprintln(env.stderr, "rudderctl:", err)
 		return ExitError
 	}
 	err = parser.Parse(args)
 	if errors.Is(err, arg.ErrHelp) {
-		parser.WriteHelp(stdout)
+		_ = parser.WriteHelpForSubcommand(env.stdout, parser.SubcommandNames()...)
+		return ExitOK
+	}
+	chosen := a.verb()
+	if err == nil && chosen == nil {
+		err = errors.New("verb: none given, allowed: validate, apply, get, list, delete, watch, status, explain")
+	}
+	if err == nil && a.Output != "table" && a.Output != "json" {
+		err = errors.Errorf("--output: value %q, allowed: table, json", a.Output)
+	}
+	if err != nil {
+		_ = parser.WriteUsageForSubcommand(env.stderr, parser.SubcommandNames()...)
+		fmt.Fprintln(env.stderr, "rudderctl:", err)
+		return ExitUsage
+	}
+	env.json = a.Output == "json"
+	if a.ObjectAPI != "" {
+		env.store = connect(a.ObjectAPI)
+	}
+	err = chosen.run(ctx, env)
+	if err == nil {
 		return ExitOK
 	}
-	if err != nil || a.Apply == nil {
-		parser.WriteUsage(stderr)
+	fmt.Fprintln(env.stderr, "rudderctl:", err)
+	return exitCode(err)
+}
+
+// verb returns the chosen verb, nil if there is none.
+func (a *arguments) verb() verb {
+	switch {
+	case a.Validate != nil:
+		return a.Validate
+	case a.Apply != nil:
+		return a.Apply
+	case a.Get != nil:
+		return a.Get
+	case a.List != nil:
+		return a.List
+	case a.Delete != nil:
+		return a.Delete
+	case a.Watch != nil:
+		return a.Watch
+	case a.Status != nil:
+		return a.Status
+	case a.Explain != nil:
+		return a.Explain
+	}
+	return nil
+}
+
+// usageError is a mistake in the arguments that the parser cannot see.
+type usageError string
+
+func (e usageError) Error() string { return string(e) }
+
+func exitCode(err error) int {
+	var problems object.Problems
+	var conflict *conflictError
+	var usage usageError
+	switch {
+	case errors.As(err, &usage):
 		return ExitUsage
+	case errors.As(err, &problems):
+		return ExitInvalid
+	case errors.As(err, &conflict), errors.Is(err, objectapi.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, objectapi.ErrNotFound), errors.Is(err, errNothingKnown):
+		return ExitNotFound
+	case errors.Is(err, objectapi.ErrUnavailable):
+		return ExitUnavailable
+	case errors.Is(err, objectapi.ErrUnsettled):
+		return ExitUnknown
 	}
-	store := objectapi.NewClient(a.ObjectAPI, nil)
-	if err := apply(context.Background(), store, *a.Apply, stdin, stdout); err != nil {
-		fmt.Fprintln(stderr, "rudderctl:", err)
-		return ExitError
+	return ExitError
+}
+
+// requireStore returns a usage error if no object API is given.
+func (env *environment) requireStore() error {
+	if env.store == nil {
+		return usageError(`--object-api: value "", allowed: the base URL of the object API (or RUDDER_OBJECT_API)`)
 	}
-	return ExitOK
+	return nil
 }
--- /dev/null
+++ b/rudder/command/delete.go
@@ -0,0 +1,105 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/objectapi"
+)
+
+type deleteArguments struct {
+	Object        []string `arg:"positional,required" help:"Kind/name"`
+	ExpectVersion *int64   `arg:"--expect-version" help:"delete only this version; for a single object"`
+}
+
+// run deletes objects on the version that it read. Objects that others refer to are refused, unless those are deleted
+// by the same call.
+func (a *deleteArguments) run(ctx context.Context, env *environment) error {
+	if err := checkIDs(a.Object); err != nil {
+		return err
+	}
+	if a.ExpectVersion != nil && len(a.Object) != 1 {
+		return usageError(fmt.Sprintf("--expect-version: given with %d objects, allowed: exactly one", len(a.Object)))
+	}
+	specs, err := env.specs(ctx)
+	if err != nil {
+		return err
+	}
+	for _, id := range a.Object {
+		if _, found := specs[id]; !found {
+			return errors.Wrap(objectapi.ErrNotFound, id)
+		}
+	}
+	if err := checkUnreferenced(a.Object, setOf(specs)).Err(); err != nil {
+		return err
+	}
+	var results []result
+	for _, id := range a.Object {
+		version := specs[id].Version
+		if a.ExpectVersion != nil {
+			version = *a.ExpectVersion
+		}
+		r := result{Object: id, Action: "deleted", Version: version}
+		if err = env.deleteVersion(ctx, id, version); err != nil {
+			r.Action, r.Reason = "failed", err.Error()
+		}
+		results = append(results, r)
+		if err != nil {
+			break
+		}
+	}
+	if err := env.printResults(results); err != nil {
+		return err
+	}
+	return err
+}
+
+// checkUnreferenced lists the references from remaining objects to those that are to be deleted.
+func checkUnreferenced(ids []string, remaining object.Set) object.Problems {
+	gone := map[string]bool{}
+	for _, id := range ids {
+		delete(remaining, id)
+		gone[id] = true
+	}
+	var problems object.Problems
+	for _, o := range remaining.List() {
+		for _, r := range o.References() {
+			if gone[r.Target] {
+				problems = append(problems, object.Problem{
+					Object: r.Target, Field: "references", Value: o.ID() + " " + r.Field, Allowed: "none at deletion",
+				})
+			}
+		}
+	}
+	return problems
+}
+
+// deleteVersion deletes one version. When the answer is lost it looks whether the object is gone; if the version still
+// stands it asks again, which is safe because versions never repeat.
+func (env *environment) deleteVersion(ctx context.Context, id string, version int64) error {
+	key := object.SpecPrefix + id
+	err := env.store.Delete(ctx, key, version)
+	if errors.Is(err, objectapi.ErrUnsettled) {
+		present, readErr := env.store.Get(ctx, key)
+		switch {
+		case errors.Is(readErr, objectapi.ErrNotFound):
+			return nil
+		case readErr == nil && present.Version == version:
+			err = env.store.Delete(ctx, key, version)
+		default:
+			return err
+		}
+	}
+	if !errors.Is(err, objectapi.ErrConflict) {
+		return err
+	}
+	present, readErr := env.store.Get(ctx, key)
+	if readErr != nil {
+		return err
+	}
+	changes, _ := diff(present.Value, nil)
+	return &conflictError{id: id, expected: version, present: present.Version, changes: changes}
+}
--- /dev/null
+++ b/rudder/command/get.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/objectapi"
+)
+
+type getArguments struct {
+	Object []string `arg:"positional,required" help:"Kind/name"`
+}
+
+// run shows each object with its version, field by field.
+func (a *getArguments) run(ctx context.Context, env *environment) error {
+	if err := checkIDs(a.Object); err != nil {
+		return err
+	}
+	if err := env.requireStore(); err != nil {
+		return err
+	}
+	var found []stored
+	for _, id := range a.Object {
+		o, err := env.store.Get(ctx, object.SpecPrefix+id)
+		if errors.Is(err, objectapi.ErrNotFound) {
+			return errors.Wrap(objectapi.ErrNotFound, id)
+		}
+		if err != nil {
+			return err
+		}
+		found = append(found, storedFrom(id, o))
+	}
+	if env.json {
+		return printJSON(env.stdout, found)
+	}
+	for i, s := range found {
+		if i > 0 {
+			fmt.Fprintln(env.stdout)
+		}
+		if err := env.printObject(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (env *environment) printObject(s stored) error {
+	leaves, err := flatten(s.raw)
+	if err != nil {
+		return errors.Wrap(err, s.Object.ID())
+	}
+	leaves["version"] = strconv.FormatInt(s.Version, 10)
+	rows := make([][]string, 0, len(leaves))
+	for field, value := range leaves {
+		rows = append(rows, []string{field, value})
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i][0] < rows[j][0] })
+	return printTable(env.stdout, []string{"FIELD", "VALUE"}, rows)
+}
--- /dev/null
+++ b/rudder/command/list.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"chestnutrudder.example/rudder/object"
+)
+
+type listArguments struct {
+	Kind string `arg:"positional" help:"only this kind"`
+}
+
+// run lists the objects with their versions and what they refer to.
+func (a *listArguments) run(ctx context.Context, env *environment) error {
+	if err := checkKind(a.Kind); err != nil {
+		return err
+	}
+	specs, err := env.specs(ctx)
+	if err != nil {
+		return err
+	}
+	found := []stored{}
+	var rows [][]string
+	for _, id := range setOf(specs).IDs() {
+		s := specs[id]
+		if a.Kind != "" && s.Object.Kind != object.Kind(a.Kind) {
+			continue
+		}
+		found = append(found, s)
+		rows = append(rows, []string{string(s.Object.Kind), s.Object.Name, fmt.Sprint(s.Version), summary(s.Object)})
+	}
+	if env.json {
+		return printJSON(env.stdout, found)
+	}
+	return printTable(env.stdout, []string{"KIND", "NAME", "VERSION", "SUMMARY"}, rows)
+}
+
+// summary returns the most important fields of an object.
+func summary(o object.Object) string {
+	switch {
+	case o.Organisation != nil:
+		return fmt.Sprintf("share %d, at most %d in progress", o.Organisation.Share, o.Organisation.MaxInProgress)
+	case o.ModelVersion != nil:
+		return fmt.Sprintf("model %s version %s", o.ModelVersion.Model, o.ModelVersion.Version)
+	case o.Deployment != nil:
+		return fmt.Sprintf("%s, %d to %d runners", o.Deployment.Backend, o.Deployment.MinRunners, o.Deployment.MaxRunners)
+	case o.Route != nil && o.Route.Service != "":
+		return fmt.Sprintf("service %s to %s", o.Route.Service, o.Route.Deployment)
+	case o.Route != nil:
+		return fmt.Sprintf("model %s to %s", o.Route.Model, o.Route.Deployment)
+	}
+	return "unreadable"
+}
--- /dev/null
+++ b/rudder/command/validate.go
@@ -0,0 +1,36 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"chestnutrudder.example/rudder/object"
+)
+
+type validateArguments struct {
+	File []string `arg:"-f,--file,separate" help:"file with objects, - for standard input; may be repeated"`
+}
+
+// run checks the files by themselves, and against the objects in the object API if one is given.
+func (a *validateArguments) run(ctx context.Context, env *environment) error {
+	objects, err := env.readFiles(a.File)
+	if err != nil {
+		return err
+	}
+	known := object.Set{}
+	if env.store != nil {
+		specs, err := env.specs(ctx)
+		if err != nil {
+			return err
+		}
+		known = setOf(specs)
+	}
+	if err := object.Check(objects, known).Err(); err != nil {
+		return err
+	}
+	if env.json {
+		return printJSON(env.stdout, map[string]int{"valid": len(objects)})
+	}
+	fmt.Fprintf(env.stdout, "%d objects are valid\n", len(objects))
+	return nil
+}
--- /dev/null
+++ b/rudder/command/watch.go
@@ -0,0 +1,120 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/objectapi"
+)
+
+type watchArguments struct {
+	Kind  string `arg:"positional" help:"only this kind"`
+	Count int    `arg:"--count" help:"end after this many changes; 0: on interrupt"`
+}
+
+// event is one change of a spec or status.
+type event struct {
+	Type    string          `json:"type"`   // spec or status
+	Action  string          `json:"action"` // present, written or deleted
+	Object  string          `json:"object"`
+	Version int64           `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// run prints the present specs and statuses and then each change, one line each.
+func (a *watchArguments) run(ctx context.Context, env *environment) error {
+	if err := checkKind(a.Kind); err != nil {
+		return err
+	}
+	if err := env.requireStore(); err != nil {
+		return err
+	}
+	printed := 0
+	revision, seen := int64(-1), map[string]int64{}
+	for ctx.Err() == nil && !a.enough(printed) {
+		events, next, err := a.next(ctx, env, revision)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		revision = next
+		for _, e := range events {
+			if a.enough(printed) || !a.wants(e) || seen[e.Type+e.Object] == e.Version && e.Action != "deleted" {
+				continue
+			}
+			seen[e.Type+e.Object] = e.Version
+			printed++
+			if err := env.printEvent(e); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (a *watchArguments) enough(printed int) bool { return a.Count > 0 && printed >= a.Count }
+
+func (a *watchArguments) wants(e event) bool {
+	return e.Type != "" && (a.Kind == "" || strings.HasPrefix(e.Object, a.Kind+"/"))
+}
+
+// watchedPrefix covers spec/ and status/, so that one consistent list and one watch show both in their order.
+const watchedPrefix = "s"
+
+// next lists at the start and when the history is lost, else waits for changes.
+func (a *watchArguments) next(ctx context.Context, env *environment, revision int64) ([]event, int64, error) {
+	var events []event
+	if revision >= 0 {
+		changes, err := env.store.Watch(ctx, watchedPrefix, revision)
+		if err != nil || !changes.Reset {
+			for _, e := range changes.Events {
+				events = append(events, eventFrom(e))
+			}
+			return events, max(changes.Revision, revision), err
+		}
+	}
+	listing, err := env.store.List(ctx, watchedPrefix)
+	for _, o := range listing.Objects {
+		e := eventFrom(objectapi.Event{Object: o})
+		e.Action = "present"
+		events = append(events, e)
+	}
+	return events, listing.Revision, err
+}
+
+func eventFrom(e objectapi.Event) event {
+	out := event{Action: "written", Version: e.Object.Version, Value: e.Object.Value}
+	if e.Deleted {
+		out.Action = "deleted"
+	}
+	for kind, prefix := range map[string]string{"spec": object.SpecPrefix, "status": object.StatusPrefix} {
+		if id, found := strings.CutPrefix(e.Object.Key, prefix); found {
+			out.Type, out.Object = kind, id
+		}
+	}
+	return out
+}
+
+func (env *environment) printEvent(e event) error {
+	if env.json {
+		return json.NewEncoder(env.stdout).Encode(e)
+	}
+	text := ""
+	switch e.Type {
+	case "spec":
+		var o object.Object
+		_ = json.Unmarshal(e.Value, &o)
+		text = summary(o)
+	case "status":
+		var s object.Status
+		_ = json.Unmarshal(e.Value, &s)
+		text = statusText(s)
+	}
+	_, err := fmt.Fprintf(env.stdout, "%-7s %-8s %s version %d: %s\n", e.Type, e.Action, e.Object, e.Version, text)
+	return err
+}
