--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"chestnutrudder.example/rudder/claim"
 	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/dispatch"
 	"chestnutrudder.example/rudder/entry"
 	"chestnutrudder.example/rudder/fleet"
@@ -47,6 +48,7 @@
 		FailureDomain: s.FailureDomain,
 		CallerAddress: s.CallerAddress,
 		PeerAddress:   s.PeerAddress,
+		AdminAddress:  s.AdminAddress,
 		Incarnation:   time.Now().UnixNano(),
 	})
 	records := membership.NewRecords()
@@ -60,6 +62,8 @@
 	claims := &claim.Client{Members: members, Keeper: keeper, Dial: dialer.Client}
 	callers := &entry.Server{Members: members, Fleet: hosts, Current: current, Claims: claims, Dial: dialer.Client, Metrics: metrics, Log: logger.Part("entry")}
 	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher, Claims: keeper}
+	decisions := decision.NewRecorder(s.Node, decision.Size, logger.Part)
+	dispatcher.Decisions, callers.Decisions = decisions, decisions
 	follower := &revision.Follower{Store: store, Current: current, Log: logger.Part("revision")}
 	acceptor := &revision.Acceptor{Store: store, Log: logger.Part("revision")}
 
@@ -76,7 +80,7 @@
 		group.Go(func() error { loop(groupCtx); return nil })
 	}
 	callerServer := &http.Server{Handler: callers.Handler(), ReadHeaderTimeout: headerTimeout}
-	adminServer := &http.Server{Handler: adminHandler(metrics, func() string { return notReady(current, dispatcher) }), ReadHeaderTimeout: headerTimeout}
+	adminServer := &http.Server{Handler: adminHandler(metrics, decisions, func() string { return notReady(current, dispatcher) }), ReadHeaderTimeout: headerTimeout}
 	servers := []listening{
 		{peer.NewHTTPServer(peers), s.PeerListenAddress()},
 		{callerServer, s.CallerListenAddress()},
@@ -128,10 +132,11 @@
 	return nil
 }
 
-// adminHandler serves metrics, liveness and readiness.
-func adminHandler(metrics *telemetry.Metrics, notReady func() string) http.Handler {
+// adminHandler serves metrics, recent decisions, liveness and readiness.
+func adminHandler(metrics *telemetry.Metrics, decisions *decision.Recorder, notReady func() string) http.Handler {
 	router := mux.NewRouter()
 	router.Handle("/metrics", metrics.Handler())
+	router.Handle("/decisions", decisions).Methods(http.MethodGet)
 	router.HandleFunc("/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
 		if reason := notReady(); reason != "" {
--- a/rudder/entry/call.go
+++ b/rudder/entry/call.go
@@ -17,6 +17,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/peer"
@@ -297,8 +298,7 @@
 }
 
 func (c *serviceCall) attempt(ctx context.Context, choice route.Choice, attempt int) (*peerpb.CallResponse, error) {
-	c.server.Log.Info("Call routed.", "call", c.id, "attempt", attempt+1, "dispatcher", choice.Node.Name,
-		"reason", choice.Reason, "rejected", choice.Rejected)
+	c.server.Decisions.Record("entry", c.id, choice.Reason, choice.Node.Name, decision.Others(choice.Rejected))
 	target := url.URL{Path: c.path, RawQuery: c.query}
 	reply, err := c.server.Dial(choice.Node.PeerAddress).Call(ctx, connect.NewRequest(&peerpb.CallRequest{
 		Call:         fmt.Sprintf("%s.%d", c.id, attempt+1),
