Detect failures by heartbeat and spread changed records only

Cause: heartbeats carried all records to all nodes, nobody was ever declared dead, and records stayed for good.

Change: one goroutine for each neighbour and each other failure domain. Heartbeats carry the records changed since the last one with that peer, and a hash over key and version of all; unequal hashes lead to a full exchange. Neighbours are suspect after 3 s and dead after 6 s; a node refutes with a higher incarnation; a process that was paused does not count its own pause as the others' silence. A failure domain that was not heard for 6 s is a local view and no record, so that nodes that still reach it go on using it. A put record wakes the links to the own failure domain and one link to each other; news from another failure domain is passed on to the own one. Dead nodes are forgotten after an hour, with a tombstone of 10 minutes. Clusters have a name. Heartbeats use connections of their own, whose bytes are counted.

--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -46,14 +46,15 @@
 		FailureDomain: s.FailureDomain,
 		CallerAddress: s.CallerAddress,
 		PeerAddress:   s.PeerAddress,
-		Incarnation:   time.Now().UnixNano(),
+		Incarnation:   time.Now().UnixMilli(),
 	})
 	records := membership.NewRecords()
 	hosts := fleet.NewTable()
 	current := &revision.Current{}
 	dialer := peer.NewDialer()
 	defer dialer.Close()
-	exchanger := &membership.Exchanger{Table: members, Records: records, Store: store, Dial: dialer.Client, Seeds: s.Peers, Log: logger.Part("membership")}
+	exchanger, closeControl := newExchanger(s, members, records, store, metrics, logger)
+	defer closeControl()
 	dispatcher := dispatch.New(members, hosts, logger.Part("dispatch"))
 	callers := &entry.Server{Members: members, Fleet: hosts, Current: current, Dial: dialer.Client, Metrics: metrics, Log: logger.Part("entry")}
 	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher}
--- a/rudder/membership/membership.go
+++ b/rudder/membership/membership.go
@@ -34,20 +34,34 @@
 	State         State  `json:"state"`
 }
 
+// version orders the records of one node: a higher incarnation wins, then a higher state.
+func (n Node) version() int64 { return n.Incarnation*4 + int64(n.State) }
+
 // Table holds the nodes that this node knows.
 type Table struct {
 	mu    sync.RWMutex
+	now   func() time.Time
 	self  string
 	nodes map[string]Node
+	// heard holds when a node of the own failure domain last sent or answered a heartbeat.
 	heard map[string]time.Time
+	// domains holds the same for any node of another failure domain.
+	domains  map[string]time.Time
+	since    map[string]time.Time // when a node got its present state
+	suspects map[string]bool
+	detected time.Time // last look at the silences
 }
 
 // NewTable returns a table that holds the node itself.
 func NewTable(self Node) *Table {
 	return &Table{
-		self:  self.Name,
-		nodes: map[string]Node{self.Name: self},
-		heard: map[string]time.Time{},
+		now:      time.Now,
+		self:     self.Name,
+		nodes:    map[string]Node{self.Name: self},
+		heard:    map[string]time.Time{},
+		domains:  map[string]time.Time{},
+		since:    map[string]time.Time{},
+		suspects: map[string]bool{},
 	}
 }
 
@@ -58,28 +72,39 @@
 	return t.nodes[t.self]
 }
 
-// Merge takes a record if it is newer than the known one and reports whether it did.
+// setSelf replaces the record of this node.
+func (t *Table) setSelf(n Node) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nodes[t.self] = n
+}
+
+// Merge takes a record of another node if it is newer than the known one and reports whether it did.
 func (t *Table) Merge(n Node) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, found := t.nodes[n.Name]
-	if found && !isNewer(n, known) {
+	if n.Name == t.self || (found && n.version() <= known.version()) {
 		return false
 	}
+	now := t.now()
 	t.nodes[n.Name] = n
-	return true
-}
-
-func isNewer(n, known Node) bool {
-	if n.Incarnation != known.Incarnation {
-		return n.Incarnation > known.Incarnation
+	if !found || known.State != n.State {
+		t.since[n.Name] = now
+	}
+	if !found || n.Incarnation > known.Incarnation {
+		// The silence of a node that joins or refutes its death counts from here.
+		t.heard[n.Name] = now
 	}
-	return n.State > known.State
+	if _, known := t.domains[n.FailureDomain]; !known {
+		t.domains[n.FailureDomain] = now
+	}
+	return true
 }
 
-// Live returns the nodes that are neither draining nor dead, sorted by name.
+// Live returns the nodes that are neither draining nor dead nor in a silent failure domain, sorted by name.
 func (t *Table) Live() []Node {
-	return t.filter(func(n Node) bool { return n.State == StateLive })
+	return t.filter(func(n Node) bool { return n.State == StateLive && !t.isSilent(n.FailureDomain) })
 }
 
 // All returns every known node, sorted by name.
--- a/rudder/membership/records.go
+++ b/rudder/membership/records.go
@@ -5,7 +5,9 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/peer/peerpb"
@@ -19,11 +21,42 @@
 	RecordQuarantine = "quarantine/"
 )
 
+const (
+	// maxRecords bounds memory and the size of a full exchange: 24,000 accelerators on 12,000 hosts give at most
+	// 12,000 notices at once, besides 370 nodes.
+	maxRecords = 20_000
+	// maxRecordBytes is the largest value of one record.
+	maxRecordBytes = 4 << 10
+	// tombstoneLife is how long a record that was forgotten is not taken back at the same version. Nodes forget a record
+	// within seconds of each other, so that without it the last node to forget would bring the record back everywhere.
+	tombstoneLife = 10 * time.Minute
+)
+
+// recordLife is how long records stay after the last change, by key prefix. Others stay for good. The lifetimes are
+// longer than those of the facts: a host with a notice is gone within minutes, a quarantine is lifted after 10 minutes.
+var recordLife = map[string]time.Duration{
+	RecordHostNotice: 2 * time.Hour,
+	RecordQuarantine: 20 * time.Minute,
+}
+
+// entry is a record with what this node knows about its way.
+type entry struct {
+	*peerpb.Record
+	sequence int64     // position in this node's order of changes
+	from     string    // node that sent it, empty if it was put here
+	at       time.Time // when it was taken
+}
+
 // Records holds versioned facts that every node should know. The higher version of a key wins.
 type Records struct {
-	mu       sync.Mutex
-	records  map[string]*peerpb.Record
-	watchers []watcher
+	mu         sync.Mutex
+	now        func() time.Time
+	records    map[string]entry
+	tombstones map[string]entry
+	sequence   int64
+	hash       uint64 // exclusive or over all records
+	watchers   []watcher
+	put        func() // called after a record was put on this node; may be nil
 }
 
 type watcher struct {
@@ -33,38 +66,145 @@
 
 // NewRecords returns an empty set of records.
 func NewRecords() *Records {
-	return &Records{records: map[string]*peerpb.Record{}}
+	return &Records{now: time.Now, records: map[string]entry{}, tombstones: map[string]entry{}}
+}
+
+// recordHash covers key and version: two nodes may have put different values of the same version, of which either will do.
+func recordHash(r *peerpb.Record) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(uint64(r.Version))
+	_, _ = digest.WriteString(r.Key)
+	return digest.Sum64()
 }
 
-// Put stores a value under a key and spreads it, unless a record with the same or a higher version is known.
+// Put stores a value under a key and spreads it, unless a record with the same or a higher version is known. It fails if
+// the value is larger than 4 KiB.
 func (r *Records) Put(key string, version int64, value any) error {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return errors.Wrapf(err, "encode record %q", key)
 	}
+	if len(raw) > maxRecordBytes {
+		return errors.Errorf("record %q has %d bytes, allowed are %d", key, len(raw), maxRecordBytes)
+	}
 	r.Merge(&peerpb.Record{Key: key, Version: version, Value: raw})
 	return nil
 }
 
 // Merge takes a record if it is newer than the known one, tells the watchers, and reports whether it did.
-func (r *Records) Merge(record *peerpb.Record) bool {
+func (r *Records) Merge(record *peerpb.Record) bool { return r.mergeFrom(record, "") }
+
+// mergeFrom is Merge for a record that a node sent.
+func (r *Records) mergeFrom(record *peerpb.Record, from string) bool {
 	r.mu.Lock()
-	known, found := r.records[record.Key]
-	if found && known.Version >= record.Version {
+	if !r.isNews(record) || (r.records[record.Key].Record == nil && len(r.records) >= maxRecords && !r.dropOldest()) {
 		r.mu.Unlock()
 		return false
 	}
-	r.records[record.Key] = record
-	watchers := r.watchers
+	if known, found := r.records[record.Key]; found {
+		r.hash ^= recordHash(known.Record)
+	}
+	r.sequence++
+	r.records[record.Key] = entry{Record: record, sequence: r.sequence, from: from, at: r.now()}
+	r.hash ^= recordHash(record)
+	delete(r.tombstones, record.Key)
+	watchers, put := r.watchers, r.put
 	r.mu.Unlock()
 	for _, w := range watchers {
 		if strings.HasPrefix(record.Key, w.prefix) {
 			w.notify(record)
 		}
 	}
+	if from == "" && put != nil {
+		put()
+	}
 	return true
 }
 
+// onPut sets what is called after a record was put on this node.
+func (r *Records) onPut(put func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.put = put
+}
+
+// isNews reports whether a record is newer than what is known. The caller holds the lock.
+func (r *Records) isNews(record *peerpb.Record) bool {
+	if known, found := r.records[record.Key]; found {
+		return record.Version > known.Version
+	}
+	gone, found := r.tombstones[record.Key]
+	return !found || record.Version > gone.Version
+}
+
+// dropOldest makes room by forgetting the record that expires by itself and was taken longest ago; it reports false if
+// there is none. The caller holds the lock.
+func (r *Records) dropOldest() bool {
+	oldest := ""
+	for key, e := range r.records {
+		if lifeOf(key) > 0 && (oldest == "" || e.at.Before(r.records[oldest].at)) {
+			oldest = key
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	r.drop(oldest)
+	return true
+}
+
+func lifeOf(key string) time.Duration {
+	for prefix, life := range recordLife {
+		if strings.HasPrefix(key, prefix) {
+			return life
+		}
+	}
+	return 0
+}
+
+// drop forgets a record. The caller holds the lock.
+func (r *Records) drop(key string) {
+	e, found := r.records[key]
+	if !found {
+		return
+	}
+	r.hash ^= recordHash(e.Record)
+	delete(r.records, key)
+	e.at = r.now()
+	r.tombstones[key] = e
+}
+
+// forget drops a record that is not needed any more.
+func (r *Records) forget(key string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drop(key)
+}
+
+// revive lifts the tombstone of a key, because its subject has shown that it exists.
+func (r *Records) revive(key string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.tombstones, key)
+}
+
+// expire forgets records and tombstones whose time is over.
+func (r *Records) expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	for key, e := range r.records {
+		if life := lifeOf(key); life > 0 && now.Sub(e.at) > life {
+			r.drop(key)
+		}
+	}
+	for key, e := range r.tombstones {
+		if now.Sub(e.at) > tombstoneLife {
+			delete(r.tombstones, key)
+		}
+	}
+}
+
 // Watch calls notify for each new record under a prefix. notify must not block.
 func (r *Records) Watch(prefix string, notify func(*peerpb.Record)) {
 	r.mu.Lock()
@@ -77,11 +217,34 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var records []*peerpb.Record
-	for key, record := range r.records {
+	for key, e := range r.records {
 		if strings.HasPrefix(key, prefix) {
-			records = append(records, record)
+			records = append(records, e.Record)
 		}
 	}
 	sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
 	return records
 }
+
+// changes returns the records that were taken after a position and did not come from the node itself, with the position
+// and hash that they lead to.
+func (r *Records) changes(after int64, except string) (records []*peerpb.Record, sequence int64, hash uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if after < r.sequence {
+		for _, e := range r.records {
+			if e.sequence > after && (except == "" || e.from != except) {
+				records = append(records, e.Record)
+			}
+		}
+		sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
+	}
+	return records, r.sequence, r.hash
+}
+
+// position returns the present position and hash.
+func (r *Records) position() (sequence int64, hash uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sequence, r.hash
+}
--- a/rudder/settings/settings.go
+++ b/rudder/settings/settings.go
@@ -19,6 +19,7 @@
 // Settings are the settings of one node.
 type Settings struct {
 	Node          string        `arg:"--node,env:RUDDER_NODE" help:"name of this node, unique in the fleet"`
+	Cluster       string        `arg:"--cluster,env:RUDDER_CLUSTER" default:"rudder" help:"name of the cluster; nodes of clusters with another name are ignored"`
 	Region        string        `arg:"--region,env:RUDDER_REGION" help:"region of this host"`
 	FailureDomain string        `arg:"--failure-domain,env:RUDDER_FAILURE_DOMAIN" help:"failure domain of this host"`
 	CallerAddress string        `arg:"--caller-address,env:RUDDER_CALLER_ADDRESS" help:"IP:port for callers"`
@@ -79,7 +80,7 @@
 	add := func(field, value, allowed string) {
 		mistakes = append(mistakes, field+": "+strconv.Quote(value)+", allowed: "+allowed)
 	}
-	for field, value := range map[string]string{"--node": s.Node, "--failure-domain": s.FailureDomain, "--region": s.Region} {
+	for field, value := range map[string]string{"--node": s.Node, "--cluster": s.Cluster, "--failure-domain": s.FailureDomain, "--region": s.Region} {
 		if value == "" || strings.ContainsAny(value, " /\t\n") {
 			add(field, value, "a name without spaces and slashes")
 		}
