Learn notices from every source and never take one back

Cause: only the host list told which hosts serve; it lags, shows old states and loses entries.

Check: go test ./rudder/fleet.

--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -50,6 +50,7 @@
 	})
 	records := membership.NewRecords()
 	hosts := fleet.NewTable()
+	notices := newNotices(s, hosts, members, records, store, logger)
 	current := &revision.Current{}
 	dialer := peer.NewDialer()
 	defer dialer.Close()
@@ -66,6 +67,7 @@
 	group, groupCtx := errgroup.WithContext(parts)
 	for _, loop := range []func(context.Context){
 		exchanger.Run,
+		notices.Run,
 		dispatcher.Loop,
 		follower.Run,
 		acceptor.Run,
--- a/rudder/daemon/membership.go
+++ b/rudder/daemon/membership.go
@@ -6,6 +6,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/fleet"
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/peer"
@@ -28,3 +30,14 @@
 		Log: logger.Part("membership"), CountAnswered: count("answered"),
 	}, dialer.Close
 }
+
+// newNotices connects the notices of the cloud, the object API and other nodes with the table of hosts.
+func newNotices(s settings.Settings, hosts *fleet.Table, members *membership.Table, records *membership.Records, store objectapi.Store,
+	logger *telemetry.Logger,
+) *fleet.Notices {
+	notices := &fleet.Notices{
+		Table: hosts, Members: members, Records: records, Store: store, Source: cloud.NewAPI(s.CloudAPI), Log: logger.Part("fleet"),
+	}
+	notices.Start()
+	return notices
+}
--- a/rudder/dispatch/dispatch.go
+++ b/rudder/dispatch/dispatch.go
@@ -123,20 +123,21 @@
 			d.Log.Info("Backend server taken over.", "host", name)
 		}
 		if b.Engine != nil {
-			go b.poll(ctx)
+			go d.observe(ctx, b)
 		}
 	}
 }
 
-func (b *Backend) poll(ctx context.Context) {
+func (b *Backend) poll(ctx context.Context) error {
 	load, err := b.Engine.Load(ctx)
 	if err != nil {
-		return
+		return err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.load = load
 	b.loadAt = time.Now()
+	return nil
 }
 
 // Ready reports whether the load of every backend server of this node has been read.
@@ -184,7 +185,7 @@
 	var best *Backend
 	bestFree := 0
 	for _, b := range d.backends {
-		if b.Host.Deployment != request.Deployment || b.Engine == nil {
+		if b.Host.Deployment != request.Deployment || b.Engine == nil || d.isClosed(b.Host.Name) {
 			continue
 		}
 		load, _, inProgress := b.state()
@@ -214,6 +215,7 @@
 		MaxTokens:    int(request.MaxTokens),
 	})
 	if err != nil {
+		d.noteRefusal(b, err)
 		r.finish(startFailure(err, b.Host.Name))
 		return
 	}
--- a/rudder/engine/client.go
+++ b/rudder/engine/client.go
@@ -20,6 +20,8 @@
 	ErrNotSent = errors.New("engine could not be reached")
 	// ErrRefused means that the engine answered that it did not start the run.
 	ErrRefused = errors.New("engine refused")
+	// ErrLeaving is an ErrRefused of an engine whose host goes away.
+	ErrLeaving = errors.WithMessage(ErrRefused, "host is leaving")
 	// ErrBroken means that the stream ended without its end marker.
 	ErrBroken = errors.New("engine stream broke")
 	// ErrSilent means that neither a token nor a heartbeat arrived within SilenceTimeout.
@@ -103,7 +105,9 @@
 	var body Refusal
 	_ = json.NewDecoder(io.LimitReader(reply.Body, maxReplyBytes)).Decode(&body)
 	switch reply.StatusCode {
-	case http.StatusConflict, http.StatusGone, http.StatusServiceUnavailable, http.StatusNotFound:
+	case http.StatusGone:
+		return errors.Wrapf(ErrLeaving, "status %d: %s", reply.StatusCode, body.Reason)
+	case http.StatusConflict, http.StatusServiceUnavailable, http.StatusNotFound:
 		return errors.Wrapf(ErrRefused, "status %d: %s", reply.StatusCode, body.Reason)
 	default:
 		return errors.Wrapf(ErrBroken, "status %d: %s", reply.StatusCode, body.Reason)
--- /dev/null
+++ b/rudder/fleet/fleet_test.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/membership"
+)
+
+func host(name string, state cloud.HostState) cloud.Host {
+	return cloud.Host{Name: name, FailureDomain: "d", State: state}
+}
+
+func names(hosts []cloud.Host) string {
+	all := ""
+	for _, h := range hosts {
+		all += h.Name + " "
+	}
+	return all
+}
+
+// TestListNeverTakesBackNotice guards against new work on a leaving host because the lagging list shows it as live.
+func TestListNeverTakesBackNotice(t *testing.T) {
+	table := NewTable()
+	a, b := host("a", cloud.HostLive), host("b", cloud.HostLive)
+	table.Update([]cloud.Host{a, b})
+	table.MarkLeaving("a", time.Now().Add(time.Second))
+	table.MarkLeaving("unlisted", time.Now().Add(time.Second))
+	for _, list := range [][]cloud.Host{{a, b}, {b}, {a, b, host("unlisted", cloud.HostLive)}, {host("b", cloud.HostLeaving)}, {a, b}} {
+		table.Update(list)
+	}
+	if serving := table.Serving(); len(serving) != 0 {
+		t.Errorf("hosts that take work: %s, expected none", names(serving))
+	}
+}
+
+// TestMissingHostStaysWhileItAnswers guards against losing running hosts to gaps in the list, and against work for hosts
+// that are gone.
+func TestMissingHostStaysWhileItAnswers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	table.now = func() time.Time { return now }
+	table.Update([]cloud.Host{host("answering", cloud.HostLive), host("silent", cloud.HostLive)})
+	table.ReportAnswer("silent", false)
+	now = now.Add(2 * time.Second)
+	if !table.Silent("silent") || table.Silent("answering") {
+		t.Error("only the host that does not answer should be silent")
+	}
+	table.Update(nil)
+	if got := names(table.Serving()); got != "answering " {
+		t.Errorf("hosts that take work: %s, expected the answering one", got)
+	}
+	now = now.Add(missingGrace + time.Second)
+	table.Update(nil)
+	if got := names(table.Serving()); got != "" {
+		t.Errorf("hosts that take work: %s, expected none after the grace", got)
+	}
+}
+
+// TestWaveNeedsSeveralHosts guards against avoiding a failure domain because of a single reclaim, and against moving work
+// into one that is being reclaimed.
+func TestWaveNeedsSeveralHosts(t *testing.T) {
+	table := NewTable()
+	table.Update([]cloud.Host{host("a", cloud.HostLive), host("b", cloud.HostLive)})
+	table.MarkLeaving("a", time.Now())
+	if table.Waves()["d"] {
+		t.Error("one notice counts as a wave")
+	}
+	table.MarkLeaving("b", time.Now())
+	if !table.Waves()["d"] {
+		t.Error("two notices do not count as a wave")
+	}
+}
+
+// TestNoticeTravelsByRecords guards against a notice that only the node knows that saw it, and against one that a clock
+// ahead of the others prolongs.
+func TestNoticeTravelsByRecords(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	tables := []*Table{NewTable(), NewTable()}
+	records := []*membership.Records{membership.NewRecords(), membership.NewRecords()}
+	for i := range tables {
+		members := membership.NewTable(membership.Node{Name: "n", FailureDomain: "d"})
+		(&Notices{Table: tables[i], Members: members, Records: records[i], Log: log}).Start()
+	}
+	tables[0].markLeaving("a", "d", time.Now().Add(time.Hour))
+	record := records[0].List(membership.RecordHostNotice)
+	if len(record) != 1 {
+		t.Fatalf("%d notice records, expected 1", len(record))
+	}
+	records[1].Merge(record[0])
+	if at, leaving := tables[1].LeavingAt("a"); !leaving || time.Until(at) > time.Hour {
+		t.Errorf("second node: leaving %v at %v, expected within the hour", leaving, at)
+	}
+}
