--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -49,14 +49,16 @@
 		CallerAddress: s.CallerAddress,
 		PeerAddress:   s.PeerAddress,
 		AdminAddress:  s.AdminAddress,
-		Incarnation:   time.Now().UnixNano(),
+		Incarnation:   time.Now().UnixMilli(),
 	})
 	records := membership.NewRecords()
 	hosts := fleet.NewTable()
+	notices := newNotices(s, hosts, members, records, store, logger)
 	current := &revision.Current{}
 	dialer := peer.NewDialer()
 	defer dialer.Close()
-	exchanger := &membership.Exchanger{Table: members, Records: records, Store: store, Dial: dialer.Client, Seeds: s.Peers, Log: logger.Part("membership")}
+	exchanger, closeControl := newExchanger(s, members, records, store, metrics, logger)
+	defer closeControl()
 	dispatcher := dispatch.New(members, hosts, logger.Part("dispatch"))
 	keeper := claim.NewKeeper(store, time.Now, logger.Part("claim"))
 	claims := &claim.Client{Members: members, Keeper: keeper, Dial: dialer.Client}
@@ -72,6 +74,7 @@
 	group, groupCtx := errgroup.WithContext(parts)
 	for _, loop := range []func(context.Context){
 		exchanger.Run,
+		notices.Run,
 		dispatcher.Loop,
 		follower.Run,
 		acceptor.Run,
--- a/rudder/dispatch/dispatch.go
+++ b/rudder/dispatch/dispatch.go
@@ -126,20 +126,21 @@
 			d.Decisions.Record("dispatch", name, "first by rendezvous hash", self, nil)
 		}
 		if b.Engine != nil {
-			go b.poll(ctx)
+			go d.observe(ctx, b)
 		}
 	}
 }
 
-func (b *Backend) poll(ctx context.Context) {
+func (b *Backend) poll(ctx context.Context) error {
 	load, err := b.Engine.Load(ctx)
 	if err != nil {
-		return
+		return err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.load = load
 	b.loadAt = time.Now()
+	return nil
 }
 
 // Ready reports whether the load of every backend server of this node has been read.
@@ -187,7 +188,7 @@
 	var best *Backend
 	bestFree := 0
 	for _, b := range d.backends {
-		if b.Host.Deployment != request.Deployment || b.Engine == nil {
+		if b.Host.Deployment != request.Deployment || b.Engine == nil || d.isClosed(b.Host.Name) {
 			continue
 		}
 		load, _, inProgress := b.state()
@@ -217,6 +218,7 @@
 		MaxTokens:    int(request.MaxTokens),
 	})
 	if err != nil {
+		d.noteRefusal(b, err)
 		r.finish(startFailure(err, b.Host.Name))
 		return
 	}
