--- a/rudder/peer/peer.go
+++ b/rudder/peer/peer.go
@@ -48,7 +48,7 @@
 			}
 			return connection, nil
 		},
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	return &Dialer{http: &http.Client{Transport: transport}, clients: map[string]peerpbconnect.PeerServiceClient{}}
 }
