--- a/rudder/fleet/fleet.go
+++ b/rudder/fleet/fleet.go
@@ -193,6 +193,21 @@
 	return hosts
 }
 
+// Hosts returns every known host, leaving ones too, sorted by name.
+func (t *Table) Hosts() []cloud.Host {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	hosts := make([]cloud.Host, 0, len(t.hosts))
+	for _, s := range t.hosts {
+		hosts = append(hosts, s.Host)
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
+	return hosts
+}
+
+// Drain gives a host a notice of the system's own: it gets no new work and may finish what it has until the given time.
+func (t *Table) Drain(host string, at time.Time) { t.MarkLeaving(host, at) }
+
 // Poll reads the host list until ctx ends. While the list cannot be read the known hosts stay.
 func (t *Table) Poll(ctx context.Context, list Lister, log *slog.Logger) {
 	ticker := time.NewTicker(pollInterval)
