--- a/rudder/capacity/loop.go
+++ b/rudder/capacity/loop.go
@@ -26,7 +26,7 @@
 	// peakWindow is how long a peak of busy slots counts.
 	peakWindow = 2 * time.Minute
 	// drainTime is how long a host that is given back may finish what runs on it.
-	drainTime      = 10 * time.Minute
+	drainTime = 10 * time.Minute
 	// drainSpacing keeps drains apart, so that they are not taken for a reclaim wave.
 	drainSpacing   = 40 * time.Second
 	commandTimeout = 2 * time.Second
