Tell a dead engine process from one that cannot be reached

A refused connection means that the process died and its runs are suspects; a timeout says only that the host is silent. The client also reads cache events.

--- a/rudder/engine/client.go
+++ b/rudder/engine/client.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +20,8 @@
 var (
 	// ErrNotSent means that no connection could be made: nothing was run.
 	ErrNotSent = errors.New("engine could not be reached")
+	// ErrDown is ErrNotSent where the host answered that nothing listens: the engine process is dead.
+	ErrDown = errors.Wrap(ErrNotSent, "engine process is down")
 	// ErrRefused means that the engine answered that it did not start the run.
 	ErrRefused = errors.New("engine refused")
 	// ErrLeaving is an ErrRefused of an engine whose host goes away.
@@ -49,7 +53,10 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return nil, errors.Wrap(ErrDown, err.Error())
+		case err != nil:
 			return nil, errors.Wrap(ErrNotSent, err.Error())
 		}
 		return connection, nil
@@ -147,6 +154,13 @@
 	return load, errors.Wrap(err, "read load")
 }
 
+// CacheEvents reads the cache events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, after int64) (CacheEvents, error) {
+	var events CacheEvents
+	err := c.call(ctx, http.MethodGet, "/v1/cache-events?after="+strconv.FormatInt(after, 10), nil, &events)
+	return events, errors.Wrap(err, "read cache events")
+}
+
 // call does one short exchange with a JSON body and answer.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
