--- a/rudder/dispatch/reclaim.go
+++ b/rudder/dispatch/reclaim.go
@@ -14,7 +14,12 @@
 
 // observe polls the load of a backend server and tells the fleet table whether it answers and whether it leaves.
 func (d *Dispatcher) observe(ctx context.Context, b *Backend) {
-	if err := b.poll(ctx); err != nil {
+	err := d.poll(ctx, b)
+	d.mu.Lock()
+	b.polling = false
+	load := b.load
+	d.mu.Unlock()
+	if err != nil {
 		if ctx.Err() == nil {
 			d.Fleet.ReportAnswer(b.Host.Name, false)
 			d.noteRefusal(b, err)
@@ -22,7 +27,7 @@
 		return
 	}
 	d.Fleet.ReportAnswer(b.Host.Name, true)
-	if load, _, _ := b.state(); load.Leaving {
+	if load.Leaving {
 		d.Fleet.MarkLeaving(b.Host.Name, time.Now().Add(time.Duration(load.LeavingInMillis)*time.Millisecond))
 	}
 }
--- a/rudder/dispatch/run.go
+++ b/rudder/dispatch/run.go
@@ -14,6 +14,7 @@
 type Run struct {
 	ID           string
 	Organisation string
+	ticket       *ticket // set before the run is known to others
 
 	mu       sync.Mutex
 	changed  chan struct{} // closed and replaced at each change
@@ -24,6 +25,8 @@
 	last     *peerpb.RunEvent // End, Broken, Refused or Moved
 	readers  int
 	idleFrom time.Time // since when nobody reads
+	stopped  bool
+	cancel   context.CancelFunc // ends the engine stream
 }
 
 func newRun(id, organisation, attempt string, base int) *Run {
@@ -35,11 +38,49 @@
 	r.changed = make(chan struct{})
 }
 
-func (r *Run) accept(a *peerpb.Accepted) {
+// accept notes that the run has a slot and reports whether that is new.
+func (r *Run) accept(a *peerpb.Accepted) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.accepted != nil {
+		return false
+	}
 	r.accepted = a
 	r.signal()
+	return true
+}
+
+// onStop sets what ends the engine stream; it is called at once if the run is stopped already.
+func (r *Run) onStop(cancel context.CancelFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cancel = cancel
+	if r.stopped {
+		cancel()
+	}
+}
+
+// stop ends the engine stream, now or when it begins.
+func (r *Run) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+	if r.cancel != nil {
+		r.cancel()
+	}
+}
+
+func (r *Run) isStopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopped
+}
+
+// answer returns all tokens of the answer so far; generated are those that the attempt began with.
+func (r *Run) answer(generated []string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append(append(make([]string, 0, len(generated)+len(r.tokens)), generated...), r.tokens...)
 }
 
 // add takes tokens that continue the answer at the next offset and drops those that are already there. It reports
