Route by prompt prefix with bounded loads

The rendezvous order came from the run's identity, so that requests with a common prefix spread over all dispatchers. The session passes class, deadline, fingerprint and crash marks, and answers 422 for a request that crashed a runner alone.

--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -24,7 +24,9 @@
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/peer"
+	"chestnutrudder.example/rudder/quarantine"
 	"chestnutrudder.example/rudder/revision"
+	"chestnutrudder.example/rudder/route"
 	"chestnutrudder.example/rudder/settings"
 	"chestnutrudder.example/rudder/telemetry"
 )
@@ -60,11 +62,16 @@
 	exchanger, closeControl := newExchanger(s, members, records, store, metrics, logger)
 	defer closeControl()
 	dispatcher := dispatch.New(members, hosts, logger.Part("dispatch"))
+	quarantined := quarantine.New(records, logger.Part("quarantine"))
+	dispatcher.Current, dispatcher.Quarantine, dispatcher.Routing = current, quarantined, s.Routing
+	router := route.NewRouter(s.Routing)
+	exchanger.Digests, exchanger.TakeDigests = dispatcher.Digests, router.Digests.Update
 	keeper := claim.NewKeeper(store, time.Now, logger.Part("claim"))
 	claims := &claim.Client{Members: members, Keeper: keeper, Dial: dialer.Client}
 	callers := &entry.Server{Members: members, Fleet: hosts, Current: current, Claims: claims, Dial: dialer.Client, Metrics: metrics, Log: logger.Part("entry")}
 	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher, Claims: keeper}
 	decisions := decision.NewRecorder(s.Node, decision.Size, logger.Part)
+	callers.Router, callers.Quarantine = router, quarantined
 	dispatcher.Decisions, callers.Decisions = decisions, decisions
 	follower := &revision.Follower{Store: store, Current: current, Log: logger.Part("revision")}
 	acceptor := &revision.Acceptor{Store: store, Log: logger.Part("revision")}
--- a/rudder/entry/chat.go
+++ b/rudder/entry/chat.go
@@ -10,7 +10,10 @@
 
 	"github.com/google/uuid"
 
+	"chestnutrudder.example/rudder/limit"
+	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/outcome"
+	"chestnutrudder.example/rudder/quarantine"
 )
 
 const defaultMaxTokens = 256
@@ -164,6 +167,22 @@
 	return err
 }
 
+func classOf(route object.RouteSpec, maxTokens int) limit.Class {
+	if route.LongTokens > 0 && maxTokens >= route.LongTokens {
+		return limit.ClassLong
+	}
+	return limit.ClassShort
+}
+
+// deadlineOf returns how long a request may wait for its first token; 0 means no limit.
+func deadlineOf(route object.RouteSpec, deployment object.DeploymentSpec) time.Duration {
+	millis := route.QueueMilliseconds
+	if millis == 0 {
+		millis = deployment.Target.FirstTokenMilliseconds
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
 func (s *Server) newSession(organisation string, chat ChatRequest) (*session, error) {
 	index := s.Current.Index()
 	_, route, found := index.RouteFor(organisation, chat.Model, "")
@@ -171,14 +190,23 @@
 		return nil, outcome.Refuse(http.StatusNotFound, 0, "model: %q, allowed: a model that a route of the organisation names", chat.Model)
 	}
 	deployment := index.Deployments[route.Deployment]
+	prompt := chat.prompt()
+	fingerprint := quarantine.Fingerprint(organisation, route.Deployment, prompt)
+	if s.Quarantine != nil && s.Quarantine.Quarantined(quarantine.Key{Organisation: organisation, Fingerprint: fingerprint}, time.Now()) {
+		return nil, outcome.Refuse(http.StatusUnprocessableEntity, 0, "the request has crashed backend servers")
+	}
 	return &session{
 		server:       s,
 		id:           uuid.NewString(),
 		organisation: organisation,
 		deployment:   route.Deployment,
 		modelVersion: deployment.ModelVersion,
-		prompt:       chat.prompt(),
+		prompt:       prompt,
 		maxTokens:    chat.MaxTokens,
 		started:      time.Now(),
+		class:        classOf(route, chat.MaxTokens),
+		deadline:     deadlineOf(route, deployment),
+		preference:   deployment.Preference,
+		fingerprint:  fingerprint,
 	}, nil
 }
--- a/rudder/entry/server.go
+++ b/rudder/entry/server.go
@@ -23,7 +23,9 @@
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
+	"chestnutrudder.example/rudder/quarantine"
 	"chestnutrudder.example/rudder/revision"
+	"chestnutrudder.example/rudder/route"
 	"chestnutrudder.example/rudder/telemetry"
 )
 
@@ -32,12 +34,20 @@
 	maxBodyBytes = 4 << 20
 )
 
+// Quarantine knows requests that crash backend servers.
+type Quarantine interface {
+	Quarantined(key quarantine.Key, now time.Time) bool
+}
+
 // Server answers callers.
 type Server struct {
 	Members *membership.Table
 	Fleet   *fleet.Table
 	Current *revision.Current
+	Router  *route.Router
 	Claims  Claimer
+	// Quarantine knows requests that crash backend servers; nil refuses none.
+	Quarantine Quarantine
 	Dial    func(address string) peerpbconnect.PeerServiceClient
 	Metrics *telemetry.Metrics
 	Log     *slog.Logger
--- a/rudder/entry/session.go
+++ b/rudder/entry/session.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/decision"
+	"chestnutrudder.example/rudder/limit"
+	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/route"
@@ -31,7 +33,15 @@
 	prompt       string
 	maxTokens    int
 	started      time.Time
-
+	class        limit.Class
+	deadline     time.Duration // for the first token, from started
+	preference   object.Preference
+	fingerprint  uint64
+
+	isolate      bool   // suspected of crashing backend servers
+	computed     int64  // prompt and answer tokens that attempts have computed
+	lastHost     string // host of the last accepted attempt
+	resumeHost   string // host whose engine may still hold the run, because only the dispatcher was lost
 	tokens       []string
 	attempts     int
 	placed       bool // some dispatcher accepted an attempt
@@ -83,8 +93,13 @@
 }
 
 func (s *session) choose(excluded map[string]bool) (route.Choice, bool) {
-	candidates := route.Candidates(s.deployment, s.id, s.server.Fleet.Serving(), s.server.Members.Live())
-	return route.Choose(candidates, excluded)
+	candidates := route.Candidates(s.deployment, route.Key(s.prompt), s.server.Fleet.Serving(), s.server.Members.Live())
+	return s.server.Router.Choose(candidates, route.Request{
+		Deployment: s.deployment,
+		Class:      s.class,
+		Preference: s.preference,
+		Excluded:   excluded,
+	})
 }
 
 // attempt runs one attempt on one dispatcher. done means that the answer is whole; reason says why it is not.
@@ -106,6 +121,14 @@
 		MaxTokens:    int32(s.maxTokens),
 		EntryNode:    s.server.Members.Self().Name,
 		Revision:     s.server.Current.Index().Number,
+
+		Class:          string(s.class),
+		DeadlineMs:     s.timeLeft().Milliseconds(),
+		Fingerprint:    s.fingerprint,
+		Isolate:        s.isolate,
+		Resumed:        s.placed,
+		ComputedTokens: s.computed,
+		ResumeHost:     s.resumeHost,
 	}))
 	if err != nil {
 		return false, err.Error(), ctx.Err()
@@ -121,8 +144,9 @@
 	if ctx.Err() != nil {
 		return false, "", errors.Wrap(ctx.Err(), "caller left")
 	}
-	// The stream ended without its last event: the attempt may have been accepted.
+	// The stream ended without its last event: the attempt may have been accepted, and its engine may go on.
 	s.placed = true
+	s.resumeHost = s.lastHost
 	if err := stream.Err(); err != nil {
 		return false, err.Error(), nil
 	}
@@ -135,6 +159,8 @@
 	case *peerpb.RunEvent_Accepted:
 		s.placed = true
 		s.recomputed += e.Accepted.RecomputedTokens
+		s.computed = max(s.computed, e.Accepted.CachedTokens+e.Accepted.ComputedTokens)
+		s.lastHost, s.resumeHost = e.Accepted.Host, ""
 	case *peerpb.RunEvent_Tokens:
 		return false, "", s.takeTokens(e.Tokens, emit)
 	case *peerpb.RunEvent_End:
@@ -144,14 +170,39 @@
 		s.finishReason = e.End.FinishReason
 		return true, "", nil
 	case *peerpb.RunEvent_Refused:
+		s.isolate = s.isolate || e.Refused.Suspected
+		if e.Refused.Quarantined {
+			return false, "", s.quarantined(e.Refused.Reason)
+		}
 		return false, e.Refused.Reason, nil
 	case *peerpb.RunEvent_Broken:
 		s.placed = true
+		s.resumeHost = ""
+		s.isolate = s.isolate || e.Broken.Crashed
+		if e.Broken.Crashed && e.Broken.Alone {
+			return false, "", s.quarantined("the request crashed a backend server that ran nothing else")
+		}
 		return false, e.Broken.Reason, nil
 	}
 	return false, "", nil
 }
 
+// quarantined returns the error for a request that crashes backend servers.
+func (s *session) quarantined(reason string) error {
+	if !s.placed {
+		return outcome.Refuse(http.StatusUnprocessableEntity, 0, "%s", reason)
+	}
+	return outcome.Lost(http.StatusUnprocessableEntity, nil, "%s", reason)
+}
+
+// timeLeft returns the time left for the first token, 0 once the run was accepted: then no deadline holds.
+func (s *session) timeLeft() time.Duration {
+	if s.placed || s.deadline <= 0 {
+		return 0
+	}
+	return max(time.Millisecond, s.deadline-time.Since(s.started))
+}
+
 // takeTokens accepts tokens only at the next offset, so that late or doubled events change nothing.
 func (s *session) takeTokens(t *peerpb.Tokens, emit emitFunc) error {
 	next := len(s.tokens)
@@ -161,6 +212,7 @@
 	}
 	fresh := t.Tokens[next-offset:]
 	s.tokens = append(s.tokens, fresh...)
+	s.computed += int64(len(fresh))
 	s.measure(len(fresh))
 	return emit(next, fresh)
 }
--- a/rudder/membership/digest.go
+++ b/rudder/membership/digest.go
@@ -75,6 +75,7 @@
 		}
 		s.Runners += d.Runners
 		s.FreeSlots += d.FreeSlots
+		s.Slots += d.Slots
 		s.QueuedTokens += d.QueuedTokens
 		s.ReclaimableRunners += d.ReclaimableRunners
 		s.AgeMs = max(s.AgeMs, d.AgeMs)
--- a/rudder/route/route.go
+++ b/rudder/route/route.go
@@ -2,10 +2,16 @@
 package route
 
 import (
+	"strconv"
+
 	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/engine"
 	"chestnutrudder.example/rudder/membership"
 )
 
+// keyBlocks is how much of a prompt decides where requests with a common beginning meet.
+const keyBlocks = 4
+
 // Choice is a decision with its reason.
 type Choice struct {
 	Node     membership.Node
@@ -13,6 +19,17 @@
 	Rejected int // number of other candidates
 }
 
+// Key returns what the rendezvous order of a prompt is computed from. The same prompt has the same key on all nodes, so
+// that requests with a common beginning find its prefix cached, and copies of a request that crashes backend servers
+// meet at one dispatcher.
+func Key(prompt string) string {
+	blocks := engine.PrefixBlocks(engine.PromptTokens(prompt))
+	if len(blocks) == 0 {
+		return prompt
+	}
+	return strconv.FormatUint(blocks[min(keyBlocks, len(blocks))-1], 16)
+}
+
 // Candidates returns the dispatcher nodes that have at least one backend server of the deployment, in the order of the
 // rendezvous hash of the key.
 func Candidates(deployment, key string, hosts []cloud.Host, live []membership.Node) []membership.Node {
