Resume a run whose start was not answered, avoid runners that were found dead

A connection that broke before the engine's first chunk made the attempt broken although the engine ran it. A dead runner that the host list still shows took a probe after each back-off, so that a resumed run could use up all its attempts on dead runners; now its load report has to come back first.

--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/peer"
+	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/quarantine"
 	"chestnutrudder.example/rudder/revision"
 	"chestnutrudder.example/rudder/route"
@@ -65,7 +66,12 @@
 	quarantined := quarantine.New(records, logger.Part("quarantine"))
 	dispatcher.Current, dispatcher.Quarantine, dispatcher.Routing = current, quarantined, s.Routing
 	router := route.NewRouter(s.Routing)
-	exchanger.Digests, exchanger.TakeDigests = dispatcher.Digests, router.Digests.Update
+	exchanger.TakeDigests = router.Digests.Update
+	exchanger.Digests = func() []*peerpb.LoadDigest {
+		own := dispatcher.Digests()
+		router.Digests.Update(own)
+		return own
+	}
 	keeper := claim.NewKeeper(store, time.Now, logger.Part("claim"))
 	claims := &claim.Client{Members: members, Keeper: keeper, Dial: dialer.Client}
 	callers := &entry.Server{Members: members, Fleet: hosts, Current: current, Claims: claims, Dial: dialer.Client, Metrics: metrics, Log: logger.Part("entry")}
--- a/rudder/dispatch/backend.go
+++ b/rudder/dispatch/backend.go
@@ -30,7 +30,7 @@
 	breaker  breaker
 	polling  bool
 	closed   bool // by the fleet table: it leaves or does not answer
-	down     bool // the process was found dead
+	down     bool // the process was found dead and has given no load report since
 	downAt   time.Time
 	verdict  quarantine.Verdict // on its death
 	noEvents time.Time
@@ -53,7 +53,7 @@
 
 // free returns the number of runs that may be added now.
 func (b *Backend) free(betweenTokensMillis int, now time.Time) int {
-	if b.Engine == nil || b.loadAt.IsZero() || b.load.Leaving || b.closed || b.reserved != nil || !b.breaker.allows(now) {
+	if b.Engine == nil || b.loadAt.IsZero() || b.load.Leaving || b.closed || b.down || b.reserved != nil || !b.breaker.allows(now) {
 		return 0
 	}
 	return max(0, b.slots(betweenTokensMillis)-len(b.tickets)-b.foreign)
--- a/rudder/dispatch/crash.go
+++ b/rudder/dispatch/crash.go
@@ -15,11 +15,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if b.down || d.Quarantine == nil {
+	if b.down {
 		return b.verdict
 	}
 	b.down, b.downAt = true, now
-	b.breaker.failed(now, true)
+	if d.Quarantine == nil {
+		return b.verdict
+	}
 	crash := quarantine.Crash{Host: b.Host.Name, FailureDomain: b.Host.FailureDomain, Noticed: b.load.Leaving}
 	if _, noticed := d.Fleet.LeavingAt(b.Host.Name); noticed {
 		crash.Noticed = true
--- a/rudder/dispatch/execute.go
+++ b/rudder/dispatch/execute.go
@@ -84,10 +84,7 @@
 func (d *Dispatcher) read(ctx context.Context, t *ticket) *peerpb.RunEvent {
 	b := t.backend
 	stream, err := b.Engine.Run(ctx, t.order())
-	if err != nil {
-		if t.run.isStopped() {
-			return stoppedEvent(b.Host.Name)
-		}
+	if errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrRefused) {
 		if t.resume && !errors.Is(err, engine.ErrDown) {
 			return nil
 		}
@@ -96,26 +93,25 @@
 	}
 	resumedAt := -1
 	for {
-		last, err := d.readStream(t, stream)
-		stream.Close()
-		if last != nil {
-			return last
-		}
-		if t.run.isStopped() {
-			return stoppedEvent(b.Host.Name)
-		}
-		// The run may go on in the engine: ask for the rest over a new connection, once for each place of breakage.
-		if at := t.run.length(); at != resumedAt {
-			resumedAt = at
-			d.Log.Info("Engine stream is resumed.", "run", t.request.Run, "host", b.Host.Name, "offset", at, "error", err)
-			if stream, err = b.Engine.Run(ctx, t.resumeOrder()); err == nil {
-				continue
+		if err == nil {
+			var last *peerpb.RunEvent
+			last, err = d.readStream(t, stream)
+			stream.Close()
+			if last != nil {
+				return last
 			}
 		}
+		at := t.run.length()
 		if t.run.isStopped() {
 			return stoppedEvent(b.Host.Name)
 		}
-		return d.broken(ctx, t, err)
+		if at == resumedAt {
+			return d.broken(ctx, t, err)
+		}
+		// The run may go on in the engine: ask for the rest over a new connection, once for each place of breakage.
+		resumedAt = at
+		d.Log.Info("Engine stream is resumed.", "run", t.request.Run, "host", b.Host.Name, "offset", at, "error", err)
+		stream, err = b.Engine.Run(ctx, t.resumeOrder())
 	}
 }
 
@@ -226,20 +222,19 @@
 	d.start(placed)
 }
 
-// notStarted turns an error at the start of a run into its last event.
+// notStarted returns the last event of a run that the engine did not take.
 func (d *Dispatcher) notStarted(t *ticket, err error) *peerpb.RunEvent {
-	b := t.backend
 	d.mu.Lock()
-	if errors.Is(err, engine.ErrRefused) {
-		b.breaker.ended()
+	if errors.Is(err, engine.ErrNotSent) {
+		t.backend.breaker.failed(time.Now(), true)
 	} else {
-		b.breaker.failed(time.Now(), errors.Is(err, engine.ErrNotSent))
+		t.backend.breaker.ended()
 	}
 	d.mu.Unlock()
-	if errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrRefused) {
-		return peer.RefusedEvent(&peerpb.Refused{Reason: err.Error(), RetryAfterMs: shortestRetry.Milliseconds()})
+	if t.run.isStopped() {
+		return stoppedEvent(t.backend.Host.Name)
 	}
-	return d.broken(context.Background(), t, err)
+	return peer.RefusedEvent(&peerpb.Refused{Reason: err.Error(), RetryAfterMs: shortestRetry.Milliseconds()})
 }
 
 // broken returns the last event of a run whose stream could not be resumed.
--- a/rudder/dispatch/scheduler.go
+++ b/rudder/dispatch/scheduler.go
@@ -281,7 +281,7 @@
 		return nil
 	}
 	for _, b := range s.backends {
-		if b.free(0, now) <= 0 && len(b.tickets)+b.foreign == 0 || b.reserved != nil || b.load.Leaving || b.Engine == nil {
+		if b.free(0, now) <= 0 && len(b.tickets)+b.foreign == 0 || b.reserved != nil || b.load.Leaving || b.down || b.Engine == nil {
 			continue
 		}
 		if !b.breaker.allows(now) || slices.Contains(t.request.ExcludeHosts, b.Host.Name) {
--- a/rudder/engine/client.go
+++ b/rudder/engine/client.go
@@ -36,7 +36,7 @@
 	// SilenceTimeout is how long a stream may carry nothing. Engines send a heartbeat each 500 ms.
 	SilenceTimeout = 2 * time.Second
 	dialTimeout    = time.Second
-	headerTimeout  = 5 * time.Second
+	headerTimeout  = SilenceTimeout // a run that waits for a slot gets heartbeats as well
 	callTimeout    = 2 * time.Second
 	maxReplyBytes  = 16 << 20
 )
--- a/rudder/entry/server.go
+++ b/rudder/entry/server.go
@@ -48,9 +48,9 @@
 	Claims  Claimer
 	// Quarantine knows requests that crash backend servers; nil refuses none.
 	Quarantine Quarantine
-	Dial    func(address string) peerpbconnect.PeerServiceClient
-	Metrics *telemetry.Metrics
-	Log     *slog.Logger
+	Dial       func(address string) peerpbconnect.PeerServiceClient
+	Metrics    *telemetry.Metrics
+	Log        *slog.Logger
 	// Decisions logs and keeps routing decisions; nil drops them.
 	Decisions *decision.Recorder
 }
