Test that silent and cut engine connections are resumed

Hosts of the cloud stand-in can stand behind a fault proxy whose connections a test silences or cuts.

--- a/standin/cloud/cloud.go
+++ b/standin/cloud/cloud.go
@@ -27,6 +27,7 @@
 	Reclaimable        bool           `json:"reclaimable"`
 	PriceMicrosPerHour int64          `json:"price_micros_per_hour"`
 	Count              int            `json:"count"`
+	Proxied            bool           `json:"proxied"` // a fault proxy stands before each host
 }
 
 // Kind is a kind of host that has one price.
@@ -148,7 +149,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.number++
-	return &host{Host: cloud.Host{
+	return &host{proxied: g.Proxied, Host: cloud.Host{
 		Name:               fmt.Sprintf("%s-%s-%d", g.Deployment, g.FailureDomain, c.number),
 		FailureDomain:      g.FailureDomain,
 		Class:              g.Class,
--- a/standin/cloud/control.go
+++ b/standin/cloud/control.go
@@ -14,6 +14,7 @@
 func (c *Cloud) registerControls(router *mux.Router) {
 	router.HandleFunc("/hosts/{host}/crash", c.crashHost).Methods(http.MethodPost)
 	router.HandleFunc("/hosts/{host}/restart", c.restartBackend).Methods(http.MethodPost)
+	router.HandleFunc("/hosts/{host}/{fault:silence|cut}", c.disturb).Methods(http.MethodPost)
 	router.HandleFunc("/hosts/{host}/freeze", c.freezeHost).Methods(http.MethodPut)
 	router.HandleFunc("/reclaim", c.reclaim).Methods(http.MethodPost)
 	router.HandleFunc("/settings", c.changeSettings).Methods(http.MethodPut)
--- a/standin/cloud/host.go
+++ b/standin/cloud/host.go
@@ -12,6 +12,7 @@
 	"chestnutrudder.example/rudder/object"
 
 	"chestnutrudder.example/standin/engine"
+	"chestnutrudder.example/standin/faultproxy"
 	"chestnutrudder.example/standin/service"
 )
 
@@ -26,6 +27,8 @@
 	engine  *engine.Engine
 	service *service.Service
 	gone    bool
+	proxied bool
+	proxy   *faultproxy.Proxy // nil unless proxied
 }
 
 // open starts the backend server of a host. A backend server that crashes by itself starts again after a while.
@@ -41,6 +44,9 @@
 	if h.address == "" {
 		h.address = listener.Addr().String()
 		h.Address = "http://" + h.address
+		if err := h.advertiseProxy(); err != nil {
+			return err
+		}
 	}
 	var running *engine.Engine
 	var plain *service.Service
@@ -123,6 +129,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.gone = true
+	if h.proxy != nil {
+		h.proxy.Close()
+	}
 	if h.engine != nil {
 		h.engine.Crash()
 	}
--- a/standin/e2e/dispatch_crash_test.go
+++ b/standin/e2e/dispatch_crash_test.go
@@ -51,6 +51,11 @@
 func TestCrashingRequestIsQuarantined(t *testing.T) {
 	user := users.Zlato()
 	cluster := startUser(t, user, 1, nil)
+	// Crashed engines stay down, so that they can be counted.
+	settings := map[string]int{"restart_ms": 0}
+	if err := process.Control(http.MethodPut, cluster.Cloud+"/control/settings", settings, nil); err != nil {
+		t.Fatal(err)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
 	const tokens, innocents, copies = 120, 18, 9
