Keep slots for short requests from long ones

With the fair queue 82.1% of short requests met 0.68 s under a flood of long ones. Long runs that began together end together, and in between no slot is free for seconds. Long requests now leave as many slots as short requests lately used at one time, at most a quarter; the peak decays with a half-life of 30 s, so that nothing is kept when no short requests come. Aged long requests compete for the other slots, so that they are not starved.

--- a/rudder/dispatch/admission.go
+++ b/rudder/dispatch/admission.go
@@ -67,7 +67,7 @@
 	}
 	if b := d.backends[request.ResumeHost]; b != nil && b.Engine != nil && request.Resumed && !t.isolated {
 		t.resume = true
-		s.inProgress[t.item.Organisation]++
+		s.count(t, now)
 		s.place(t, b, now)
 		go d.execute(t)
 		return t, nil
--- a/rudder/dispatch/predict.go
+++ b/rudder/dispatch/predict.go
@@ -44,6 +44,9 @@
 // the tokens ahead are divided by the rate at which all slots make tokens.
 func (s *scheduler) slotWait(i *limit.Item, free int, now time.Time) time.Duration {
 	count, tokens := s.queue.Ahead(i)
+	if i.Class == limit.ClassLong {
+		free = min(free, max(0, s.roomForLong(now)))
+	}
 	if count < free {
 		return 0
 	}
--- a/rudder/dispatch/scheduler.go
+++ b/rudder/dispatch/scheduler.go
@@ -83,6 +83,7 @@
 	inProgress map[string]int // queued and placed requests by organisation
 	unproven   map[quarantine.Key]int
 	retries    *limit.RetryBudget
+	short      shortPeak
 	turn       int
 }
 
@@ -126,6 +127,14 @@
 	}
 	t.item.Tokens = max(1, t.tokens-cached+max(0, int(t.request.MaxTokens)-len(t.request.Generated)))
 	s.queue.Push(t.item)
+	s.count(t, now)
+}
+
+// count begins the count of a ticket, which finish ends.
+func (s *scheduler) count(t *ticket, now time.Time) {
+	if t.item.Class == limit.ClassShort {
+		s.short.arrived(now)
+	}
 	s.inProgress[t.item.Organisation]++
 }
 
@@ -141,6 +150,9 @@
 
 // finish ends the count of a ticket.
 func (s *scheduler) finish(t *ticket) {
+	if t.item.Class == limit.ClassShort {
+		s.short.now--
+	}
 	s.inProgress[t.item.Organisation]--
 	if s.inProgress[t.item.Organisation] <= 0 {
 		delete(s.inProgress, t.item.Organisation)
@@ -162,6 +174,7 @@
 	}
 	// While no runner has room, only suspects need a look, because they reserve runners that are busy.
 	room := slices.ContainsFunc(s.backends, func(b *Backend) bool { return b.free(s.betweenTokens(), now) > 0 })
+	roomForLong := s.roomForLong(now) > 0
 	item := s.queue.NextWhere(now, func(i *limit.Item) bool {
 		t := i.Value.(*ticket)
 		switch {
@@ -170,7 +183,7 @@
 		case t.isolated:
 			t.choice, t.reason = s.chooseAlone(t, now), "alone, suspected of a crash"
 			return t.choice != nil
-		case !room:
+		case !room, i.Class == limit.ClassLong && !i.Resumed && !roomForLong:
 			return false
 		case len(t.request.ExcludeHosts) > 0:
 			b, _ := s.choose(t, now)
@@ -204,6 +217,7 @@
 	t.backend = b
 	t.uncached = max(0, t.tokens-b.prefix.expected(t.blocks, now))
 	b.tickets[t] = true
+	s.countClass(t, 1)
 	b.breaker.placed()
 	if t.isolated {
 		s.unreserve(t)
@@ -234,6 +248,7 @@
 func (s *scheduler) release(t *ticket) {
 	s.prove(t)
 	delete(t.backend.tickets, t)
+	s.countClass(t, -1)
 	s.finish(t)
 }
 
