Place runs by the model version that a runner reports

A run order named the version of the configuration, so that a runner that had not yet loaded it refused with 409 until the rollout reached it. Runners that report the version go first, others of the deployment are better than none; the order names the reported version and a resumption stays on the version that began the answer. A move's target host is taken if it has a free slot.

A load report that lags counts own runs that have ended as foreign ones and closed slots; own runs of the last two to four seconds are now left out of that difference.

--- a/rudder/dispatch/backend.go
+++ b/rudder/dispatch/backend.go
@@ -24,7 +24,8 @@
 	foreign  int       // runs in the engine that this dispatcher did not place, by the last report
 	calls    int       // service calls in progress
 	tickets  map[*ticket]bool
-	reserved *ticket // suspect that waits until the runner is empty or runs alone on it
+	reserved *ticket    // suspect that waits until the runner is empty or runs alone on it
+	recent   recentPeak // own runs
 	steps    stepModel
 	prefix   prefixCopy
 	breaker  breaker
@@ -136,6 +137,29 @@
 		b.prefix = newPrefixCopy()
 	}
 	b.load, b.loadAt, b.down = load, at, false
-	b.foreign = max(0, load.Running+load.Waiting-max(before, len(b.tickets)))
+	b.recent.note(len(b.tickets), at)
+	b.foreign = max(0, load.Running+load.Waiting-max(before, b.recent.value()))
 	b.steps.observe(load.Running, load.DecodeStepMillis)
 }
+
+// reportLag is how far load reports may lag; own runs that have ended within it are no foreign ones in a report.
+const reportLag = 2 * time.Second
+
+// recentPeak is the highest number of own runs in the present and the previous period of reportLag.
+type recentPeak struct {
+	current, previous int
+	since             time.Time
+}
+
+func (p *recentPeak) note(runs int, now time.Time) {
+	if age := now.Sub(p.since); age >= reportLag {
+		p.previous = p.current
+		if age >= 2*reportLag {
+			p.previous = 0
+		}
+		p.current, p.since = 0, now
+	}
+	p.current = max(p.current, runs)
+}
+
+func (p *recentPeak) value() int { return max(p.current, p.previous) }
--- a/rudder/dispatch/execute.go
+++ b/rudder/dispatch/execute.go
@@ -43,7 +43,7 @@
 	return engine.RunOrder{
 		Run:          t.request.Run,
 		Attempt:      t.run.attempt,
-		ModelVersion: t.request.ModelVersion,
+		ModelVersion: t.version,
 		Prompt:       t.request.Prompt,
 		Generated:    t.request.Generated,
 		MaxTokens:    int(t.request.MaxTokens),
@@ -173,6 +173,7 @@
 		ComputedTokens:   int64(chunk.ComputedTokens),
 		RecomputedTokens: min(int64(chunk.ComputedTokens), t.request.ComputedTokens),
 		Revision:         t.request.Revision,
+		ModelVersion:     t.version,
 	}
 }
 
--- a/rudder/dispatch/scheduler.go
+++ b/rudder/dispatch/scheduler.go
@@ -33,6 +33,7 @@
 
 	backend  *Backend // nil while it waits
 	resume   bool     // the engine may still hold the run
+	version  string   // that the runner reported
 	uncached int      // tokens to prefill, as predicted at placement
 	started  bool     // prefilled
 	proven   bool
@@ -185,20 +186,16 @@
 			return t.choice != nil
 		case !room, i.Class == limit.ClassLong && !i.Resumed && !roomForLong:
 			return false
-		case len(t.request.ExcludeHosts) > 0:
-			b, _ := s.choose(t, now)
-			return b != nil
 		}
-		return true
+		// Hosts that it excludes or versions that differ can leave a request without a runner while there is room.
+		t.choice, t.reason = s.choose(t, now)
+		return t.choice != nil
 	})
 	if item == nil {
 		return nil
 	}
 	t := item.Value.(*ticket)
-	if !t.isolated {
-		t.choice, t.reason = s.choose(t, now)
-		s.turn++
-	}
+	s.turn++
 	s.queue.Take(item)
 	s.place(t, t.choice, now)
 	return t
@@ -215,8 +212,10 @@
 // place puts a ticket on a runner.
 func (s *scheduler) place(t *ticket, b *Backend, now time.Time) {
 	t.backend = b
+	t.version = b.load.ModelVersion
 	t.uncached = max(0, t.tokens-b.prefix.expected(t.blocks, now))
 	b.tickets[t] = true
+	b.recent.note(len(b.tickets), now)
 	s.countClass(t, 1)
 	b.breaker.placed()
 	if t.isolated {
@@ -254,14 +253,16 @@
 
 // choose picks a runner for a request, nil if none has room.
 func (s *scheduler) choose(t *ticket, now time.Time) (*Backend, string) {
-	candidates := make([]candidate, 0, len(s.backends))
-	usable := make([]*Backend, 0, len(s.backends))
-	for _, b := range s.backends {
-		if b.Engine == nil || slices.Contains(t.request.ExcludeHosts, b.Host.Name) {
-			continue
+	usable := s.usable(t)
+	if len(usable) == 0 {
+		return nil, "no runner"
+	}
+	candidates := make([]candidate, len(usable))
+	for i, b := range usable {
+		candidates[i] = b.candidate(t.blocks, s.betweenTokens(), now)
+		if b.Host.Name == t.request.TargetHost && candidates[i].free > 0 {
+			return b, "target of a move"
 		}
-		candidates = append(candidates, b.candidate(t.blocks, s.betweenTokens(), now))
-		usable = append(usable, b)
 	}
 	p := placement{promptTokens: t.tokens, class: t.item.Class, preference: s.spec.Preference}
 	at, reason := chooseBackend(s.policy, candidates, p, s.turn)
@@ -271,6 +272,25 @@
 	return usable[at], reason
 }
 
+// usable returns the runners that may run a request. Those that report its model version go first; during a rollout any
+// other version of the deployment is better than none.
+func (s *scheduler) usable(t *ticket) []*Backend {
+	var same, other []*Backend
+	for _, b := range s.backends {
+		switch {
+		case b.Engine == nil || b.loadAt.IsZero() || slices.Contains(t.request.ExcludeHosts, b.Host.Name):
+		case b.load.ModelVersion == t.request.ModelVersion:
+			same = append(same, b)
+		default:
+			other = append(other, b)
+		}
+	}
+	if len(same) > 0 {
+		return same
+	}
+	return other
+}
+
 // chooseAlone picks an empty runner for a suspect. If there is none, it reserves the one with the fewest runs, which then
 // takes no new work until it is empty. At least half of the runners stay with the other requests.
 func (s *scheduler) chooseAlone(t *ticket, now time.Time) *Backend {
--- a/rudder/entry/session.go
+++ b/rudder/entry/session.go
@@ -161,6 +161,9 @@
 		s.recomputed += e.Accepted.RecomputedTokens
 		s.computed = max(s.computed, e.Accepted.CachedTokens+e.Accepted.ComputedTokens)
 		s.lastHost, s.resumeHost = e.Accepted.Host, ""
+		if e.Accepted.ModelVersion != "" {
+			s.modelVersion = e.Accepted.ModelVersion // a resumption stays on the version that began the answer
+		}
 	case *peerpb.RunEvent_Tokens:
 		return false, "", s.takeTokens(e.Tokens, emit)
 	case *peerpb.RunEvent_End:
