--- /dev/null
+++ b/rudder/dispatch/scheduler_test.go
@@ -0,0 +1,188 @@
+package dispatch
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/engine"
+	"chestnutrudder.example/rudder/limit"
+	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/peer/peerpb"
+	"chestnutrudder.example/rudder/quarantine"
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict; -rapid.seed sets another one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// schedulerModel is the oracle: where every ticket is, in plain lists.
+type schedulerModel struct {
+	s       *scheduler
+	now     time.Time
+	all     []*Backend // also those that were given up
+	waiting []*ticket
+	running []*ticket
+	number  int
+}
+
+const modelSlots = 3
+
+var testNow = time.Unix(1000, 0)
+
+func (m *schedulerModel) addBackend() {
+	m.number++
+	b := newBackend(cloud.Host{Name: fmt.Sprintf("host-%d", m.number), Backend: object.BackendModel, Address: "http://127.0.0.1:1"})
+	b.breaker.pause.RandomizationFactor = 0
+	b.report(engine.Load{Slots: modelSlots, PrefillTokensPerSec: 8000, DecodeStepMillis: 10, Running: 1}, m.now, 1)
+	m.s.add(b)
+	m.all = append(m.all, b)
+}
+
+func (m *schedulerModel) pump(t *rapid.T) {
+	for placed := m.s.next(m.now); placed != nil; placed = m.s.next(m.now) {
+		at := slices.Index(m.waiting, placed)
+		if at < 0 {
+			t.Fatalf("placed %s, which does not wait", placed.request.Run)
+		}
+		m.waiting = slices.Delete(m.waiting, at, at+1)
+		m.running = append(m.running, placed)
+		if b := placed.backend; len(b.tickets)+b.foreign > modelSlots {
+			t.Fatalf("%s has %d own and %d foreign runs, slots %d", b.Host.Name, len(b.tickets), b.foreign, modelSlots)
+		}
+	}
+}
+
+func (m *schedulerModel) submit(t *rapid.T) {
+	m.number++
+	class := rapid.SampledFrom([]limit.Class{limit.ClassShort, limit.ClassLong}).Draw(t, "class")
+	request := &peerpb.RunRequest{
+		Run: fmt.Sprint("run-", m.number), Attempt: 1, Class: string(class), DeadlineMs: 680, MaxTokens: 20, Prompt: "a question",
+		Organisation: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "organisation"),
+		Fingerprint:  uint64(rapid.IntRange(0, 6).Draw(t, "fingerprint")),
+		Isolate:      rapid.IntRange(0, 5).Draw(t, "isolate") == 0,
+		Resumed:      rapid.IntRange(0, 5).Draw(t, "resumed") == 0,
+	}
+	ticket := newTicket(nil, request, 1, m.now)
+	m.s.push(ticket, m.now)
+	m.waiting = append(m.waiting, ticket)
+}
+
+func pick[T any](t *rapid.T, list []T) T {
+	if len(list) == 0 {
+		t.Skip("nothing to pick")
+	}
+	return list[rapid.IntRange(0, len(list)-1).Draw(t, "pick")]
+}
+
+func (m *schedulerModel) end(ticket *ticket) {
+	m.s.release(ticket)
+	at := slices.Index(m.running, ticket)
+	m.running = slices.Delete(m.running, at, at+1)
+}
+
+// check compares the scheduler with the lists.
+func (m *schedulerModel) check(t *rapid.T) {
+	if m.s.queue.Len() != len(m.waiting) {
+		t.Fatalf("%d wait, expected %d", m.s.queue.Len(), len(m.waiting))
+	}
+	placed, unproven := 0, map[quarantine.Key]int{}
+	for _, b := range m.all {
+		placed += len(b.tickets)
+		for ticket := range b.tickets {
+			if ticket.isolated && !ticket.proven && len(b.tickets) > 1 {
+				t.Fatalf("%s runs a suspect with %d others", b.Host.Name, len(b.tickets)-1)
+			}
+			if !ticket.proven && ticket.key.Fingerprint != 0 {
+				if unproven[ticket.key]++; unproven[ticket.key] > 1 {
+					t.Fatalf("two unproven copies of %v run", ticket.key)
+				}
+			}
+		}
+	}
+	counted := 0
+	for _, n := range m.s.inProgress {
+		counted += n
+	}
+	if placed != len(m.running) || counted != len(m.running)+len(m.waiting) {
+		t.Fatalf("%d placed, %d counted, expected %d running and %d waiting", placed, counted, len(m.running), len(m.waiting))
+	}
+}
+
+// TestScheduler guards against more runs than slots, requests that are lost or admitted twice, suspects that run beside
+// others, and requests that are never placed.
+func TestScheduler(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		m := &schedulerModel{s: newScheduler("predicted", now), now: now}
+		for range 3 {
+			m.addBackend()
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":  func(t *rapid.T) { m.submit(t) },
+			"submit2": func(t *rapid.T) { m.submit(t) },
+			"prove":   func(t *rapid.T) { m.s.prove(pick(t, m.running)) },
+			"end":     func(t *rapid.T) { m.end(pick(t, m.running)) },
+			"leave": func(t *rapid.T) {
+				ticket := pick(t, m.waiting)
+				if !m.s.leave(ticket) || m.s.leave(ticket) {
+					t.Fatal("a waiting ticket leaves exactly once")
+				}
+				at := slices.Index(m.waiting, ticket)
+				m.waiting = slices.Delete(m.waiting, at, at+1)
+			},
+			"report": func(t *rapid.T) {
+				b := pick(t, m.s.backends)
+				load := b.load
+				load.Running = rapid.IntRange(0, modelSlots).Draw(t, "running")
+				b.report(load, m.now, len(b.tickets))
+			},
+			"fail": func(t *rapid.T) { pick(t, m.s.backends).breaker.failed(m.now, true) },
+			"replace": func(t *rapid.T) {
+				m.s.drop(pick(t, m.s.backends))
+				m.addBackend()
+			},
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				m.pump(t)
+				m.check(t)
+			},
+		})
+		m.drain(t)
+	})
+}
+
+// drain ends all runs and expects that all waiting requests are placed.
+func (m *schedulerModel) drain(t *rapid.T) {
+	for round := 0; len(m.waiting)+len(m.running) > 0; round++ {
+		if round > 1000 {
+			t.Fatalf("%d requests are never placed", len(m.waiting))
+		}
+		m.now = m.now.Add(breakerLongest * 2)
+		for _, b := range m.s.backends {
+			load := b.load
+			load.Running = 0
+			b.report(load, m.now, len(b.tickets))
+			b.breaker.succeeded()
+		}
+		if len(m.running) > 0 {
+			m.end(m.running[0])
+		}
+		m.pump(t)
+		m.check(t)
+	}
+}
