--- a/rudder/route/digests.go
+++ b/rudder/route/digests.go
@@ -85,10 +85,14 @@
 }
 
 // Assign counts a request that was sent to a dispatcher, so that requests do not all follow the same digest.
-func (d *Digests) Assign(node, deployment string) {
+func (d *Digests) Assign(n membership.Node, deployment string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s := d.stored[place{node, deployment}]; s != nil {
+	s := d.stored[place{n.Name, deployment}]
+	if s == nil {
+		s = d.stored[place{domainKey(n.FailureDomain), deployment}]
+	}
+	if s != nil {
 		s.assigned = append(s.assigned, d.now())
 	}
 }
--- a/rudder/route/select.go
+++ b/rudder/route/select.go
@@ -52,7 +52,7 @@
 	digests := r.Digests.For(request.Deployment)
 	choice, found := choose(r.Policy, candidates, digests, request, r.turn.Add(1))
 	if found {
-		r.Digests.Assign(choice.Node.Name, request.Deployment)
+		r.Digests.Assign(choice.Node, request.Deployment)
 	}
 	return choice, found
 }
