--- a/rudder/limit/queue_test.go
+++ b/rudder/limit/queue_test.go
@@ -145,7 +145,9 @@
 				}
 				waiting = slices.Delete(waiting, at, at+1)
 			},
-			"time": func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond) },
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+			},
 			"": func(t *rapid.T) {
 				tokens := 0
 				for _, i := range waiting {
