Add make soak: random faults under load, judged by the oracle

Cause: faults singly and in pairs must not break the invariants, and no test with fixed steps covers their combinations.

The load tool gives up a silent sending after 10 s.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PACKAGES = ./rudder/... ./standin/...
 
-.PHONY: build test demo lint format generate
+.PHONY: build test demo soak bench lint format generate
 
 build:
 	mkdir -p bin
@@ -18,6 +18,12 @@
 demo: build
 	./bin/demo
 
+soak: build
+	./bin/soak $(SOAK_ARGS)
+
+bench: build
+	./bin/bench $(BENCH_ARGS)
+
 # Needs buf, protoc-gen-go and protoc-gen-connect-go; the generated code is committed.
 generate:
 	cd rudder/proto && buf generate
--- /dev/null
+++ b/standin/cmd/soak/main.go
@@ -0,0 +1,114 @@
+// Command soak runs a user's system on loopback for a bounded time, sends a seeded load, puts in random faults singly and
+// in pairs, and lets the oracle judge. It ends with 1 on any violation.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sort"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/standin/load"
+	"chestnutrudder.example/standin/oracle"
+	"chestnutrudder.example/standin/process"
+	"chestnutrudder.example/standin/users"
+)
+
+type arguments struct {
+	BinDir   string        `arg:"--bin-dir" default:"bin" help:"directory of the built programs"`
+	Examples string        `arg:"--examples" default:"examples" help:"directory of the example objects"`
+	User     string        `arg:"--user" default:"duwende" help:"duwende or zlato"`
+	Rate     float64       `arg:"--rate" default:"40" help:"arrivals per second"`
+	Duration time.Duration `arg:"--duration" default:"60s" help:"time with load and faults"`
+	Seed     uint64        `arg:"--seed" default:"0" help:"0 takes one from the clock"`
+	Only     []string      `arg:"--only" help:"names of the faults to put in; default all"`
+}
+
+const nodesPerDomain = 2
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	if a.Seed == 0 {
+		a.Seed = uint64(time.Now().UnixNano()) % 1_000_000
+	}
+	fmt.Printf("soak: user %s, seed %d, %s\n", a.User, a.Seed, a.Duration)
+	verdict, err := run(a)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+	if verdict.Violations() > 0 {
+		os.Exit(1)
+	}
+}
+
+func run(a arguments) (oracle.Verdict, error) {
+	user, err := users.ByName(a.User)
+	if err != nil {
+		return oracle.Verdict{}, err
+	}
+	logs, err := os.MkdirTemp("", "chestnutrudder-soak-")
+	if err != nil {
+		return oracle.Verdict{}, err
+	}
+	plan := user.Plan(a.BinDir, logs, a.Examples, nodesPerDomain)
+	plan.Proxies = true
+	cluster, err := process.StartCluster(plan)
+	if err != nil {
+		return oracle.Verdict{}, errors.Wrapf(err, "logs in %s", logs)
+	}
+	defer cluster.Stop()
+	o := &oracle.Oracle{}
+	nodes := cluster.Callers()
+	injector, err := newInjector(cluster, user, plan, a.Seed, a.Only)
+	if err != nil {
+		return oracle.Verdict{}, err
+	}
+	faults := make(chan struct{})
+	ctx, cancel := context.WithTimeout(context.Background(), a.Duration)
+	defer cancel()
+	go func() {
+		defer close(faults)
+		injector.loop(ctx)
+	}()
+	result := load.Run(context.Background(), load.Options{
+		User: user, Seed: a.Seed, Rate: a.Rate, Duration: a.Duration, Nodes: nodes, Oracle: o,
+	})
+	<-faults
+	verdict, err := load.Judge(o, cluster.Cloud)
+	if err != nil {
+		return oracle.Verdict{}, err
+	}
+	report(injector, result, verdict)
+	fmt.Printf("logs are in %s\n", logs)
+	return verdict, nil
+}
+
+func report(i *injector, r *load.Result, v oracle.Verdict) {
+	total := 0
+	var names []string
+	for name, count := range i.counts {
+		total += count
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	fmt.Printf("faults put in: %d\n", total)
+	for _, name := range names {
+		fmt.Printf("  %-22s %d\n", name, i.counts[name])
+	}
+	fmt.Printf("requests sent: %d\n", v.Asked)
+	fmt.Printf("whole %d, refused %d, writes of unknown outcome %d\n", v.Whole, v.Refused, v.Unknown)
+	fmt.Printf("doubled %d, lost %d, foreign %d, cut %d\n", v.Doubled, v.Lost, v.Foreign, v.Cut)
+	fmt.Printf("told wrongly: not run %d, done %d; effects more than once %d; run unasked %d\n",
+		v.FalseNotRun, v.FalseDone, v.EffectTwice, v.Unasked)
+	fmt.Printf("tokens generated %d, recomputed %d; %.1f%% of %d answers within the target\n",
+		r.Generated, v.Recomputed, 100*r.WithinShare(), r.Answers)
+	for _, example := range v.Examples {
+		fmt.Println("  violation:", example)
+	}
+}
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -25,8 +25,11 @@
 }
 
 const (
-	requestLimit = 20 * time.Second // for all sendings of a request
-	maxSendings  = 10
+	requestLimit = 30 * time.Second // for all sendings of a request
+	// sendingLimit is how long a caller waits for the end of one sending before it tries another address.
+	sendingLimit = 10 * time.Second
+	addressLimit = 500 * time.Millisecond
+	maxSendings  = 12
 	firstPause   = 100 * time.Millisecond
 	longestPause = 1600 * time.Millisecond
 )
@@ -86,26 +89,41 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 || time.Now().After(c.until) {
-		ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		defer cancel()
-		found, err := c.caller.Addresses(ctx)
-		if err == nil && len(found.Addresses) == 0 {
-			err = errors.New("no addresses")
-		}
-		if err != nil && len(c.addresses) == 0 {
+		if err := c.refresh(ctx); err != nil && len(c.addresses) == 0 {
 			return "", err
 		}
-		if err == nil {
-			c.addresses = nil
-			for _, a := range found.Addresses {
-				c.addresses = append(c.addresses, a.Address)
-			}
-			c.until = time.Now().Add(time.Duration(found.KeepSeconds) * time.Second)
-		}
 	}
 	return c.addresses[n%len(c.addresses)], nil
 }
 
+// refresh asks the nodes that it knows, one after another, and keeps the first answer. The caller holds the lock.
+func (c *client) refresh(ctx context.Context) error {
+	last := errors.New("no addresses")
+	for _, node := range append(append([]string(nil), c.addresses...), c.caller.Nodes...) {
+		ctx, cancel := context.WithTimeout(ctx, addressLimit)
+		found, err := (&caller.Caller{Token: c.caller.Token, Nodes: []string{node}, HTTP: c.caller.HTTP}).Addresses(ctx)
+		cancel()
+		if err != nil || len(found.Addresses) == 0 {
+			last = errOr(err, last)
+			continue
+		}
+		c.addresses = nil
+		for _, a := range found.Addresses {
+			c.addresses = append(c.addresses, a.Address)
+		}
+		c.until = time.Now().Add(time.Duration(found.KeepSeconds) * time.Second)
+		return nil
+	}
+	return last
+}
+
+func errOr(err, otherwise error) error {
+	if err != nil {
+		return err
+	}
+	return otherwise
+}
+
 // converse sends the turns of an arrival one after another; a turn that fails ends it.
 func (c *client) converse(ctx context.Context, a arrival, o Options, result *Result) {
 	for i, t := range a.turns {
@@ -150,6 +168,8 @@
 
 // send sends a request once and reports whether a retry may help.
 func (c *client) send(ctx context.Context, address string, t turn, model string, s oracle.Sending, result *Result, first bool) (told oracle.Told, again bool) {
+	ctx, cancel := context.WithTimeout(ctx, sendingLimit)
+	defer cancel()
 	if t.Kind == oracle.Model {
 		answer, err := c.caller.Chat(ctx, address, model, t.content, t.allowed, t.ID)
 		told, again = judge(err)
