Add the slope measurements for the capacity page

Cause: the design size can only be extrapolated from measured slopes.

Change: bin/slopes runs small clusters with growing numbers of nodes, runners, requests and configuration changes and prints processor time, memory, bytes and object API calls for each and their least squares slopes. Bytes are taken from /proc/<pid>/io, because the counter control_bytes is not fed yet.

Conclusion: docs/CAPACITY.md can name one command for its figures.

--- /dev/null
+++ b/standin/cmd/slopes/main.go
@@ -0,0 +1,149 @@
+// Command slopes measures what a node needs as the numbers of nodes, runners, requests and configuration changes grow,
+// with small clusters on loopback that run one after another, and prints one line for each cluster and the slopes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/object"
+
+	"chestnutrudder.example/standin/cloud"
+	"chestnutrudder.example/standin/load"
+	"chestnutrudder.example/standin/oracle"
+	"chestnutrudder.example/standin/process"
+	"chestnutrudder.example/standin/users"
+)
+
+type arguments struct {
+	BinDir   string        `arg:"--bin-dir" default:"bin" help:"directory of the built programs"`
+	Examples string        `arg:"--examples" default:"examples" help:"directory of the example objects"`
+	Window   time.Duration `arg:"--window" default:"8s" help:"time of each measurement"`
+	Seed     uint64        `arg:"--seed" default:"1"`
+}
+
+// point is one cluster.
+type point struct {
+	nodes    int // a multiple of the number of failure domains
+	runners  int
+	requests float64 // arrivals per second
+	changes  float64 // configuration changes per second
+}
+
+// series changes one number and keeps the others.
+type series struct {
+	name   string
+	of     func(point) float64
+	points []point
+}
+
+func allSeries() []series {
+	return []series{
+		{"nodes", func(p point) float64 { return float64(p.nodes) }, []point{{3, 18, 0, 0}, {6, 18, 0, 0}, {9, 18, 0, 0}}},
+		{"runners", func(p point) float64 { return float64(p.runners) }, []point{{3, 9, 0, 0}, {3, 60, 0, 0}, {3, 198, 0, 0}}},
+		{"requests/s", func(p point) float64 { return p.requests }, []point{{3, 18, 0, 0}, {3, 18, 40, 0}, {3, 18, 120, 0}}},
+		{"changes/s", func(p point) float64 { return p.changes }, []point{{3, 18, 0, 0}, {3, 18, 0, 2}, {3, 18, 0, 6}}},
+	}
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	if err := run(a); err != nil {
+		fmt.Fprintln(os.Stderr, "slopes:", err)
+		os.Exit(1)
+	}
+}
+
+func run(a arguments) error {
+	measured := map[point]usage{}
+	fmt.Println("| nodes | runners | requests/s | changes/s | " + usageHeader + " |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|")
+	for _, s := range allSeries() {
+		for _, p := range s.points {
+			if _, done := measured[p]; done {
+				continue
+			}
+			u, err := measure(a, p)
+			if err != nil {
+				return errors.Wrapf(err, "%+v", p)
+			}
+			measured[p] = u
+			fmt.Printf("| %d | %d | %.0f | %.0f | %s |\n", p.nodes, p.runners, p.requests, p.changes, u)
+		}
+	}
+	fmt.Println("\n| for each further | " + usageHeader + " |")
+	fmt.Println("|---|---|---|---|---|---|---|")
+	for _, s := range allSeries() {
+		var x []float64
+		var y []usage
+		for _, p := range s.points {
+			x = append(x, s.of(p))
+			y = append(y, measured[p])
+		}
+		fmt.Printf("| %s | %s |\n", s.name, slope(x, y))
+	}
+	return nil
+}
+
+// measure runs one cluster for the window.
+func measure(a arguments, p point) (usage, error) {
+	user := users.Duwende()
+	logs, err := os.MkdirTemp("", "chestnutrudder-slopes-")
+	if err != nil {
+		return usage{}, err
+	}
+	defer os.RemoveAll(logs)
+	plan := user.Plan(a.BinDir, logs, a.Examples, p.nodes/len(user.FailureDomains))
+	plan.Groups = resize(plan.Groups, p.runners/len(user.FailureDomains))
+	cluster, err := process.StartCluster(plan)
+	if err != nil {
+		return usage{}, err
+	}
+	defer cluster.Stop()
+	// The first seconds hold the first polls and the exchange of all records.
+	time.Sleep(2 * time.Second)
+	before, err := sample(cluster)
+	if err != nil {
+		return usage{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), a.Window)
+	defer cancel()
+	changed := make(chan error, 1)
+	go func() { changed <- changeObjects(ctx, cluster, p.changes) }()
+	if p.requests > 0 {
+		load.Run(ctx, load.Options{
+			User: user, Seed: a.Seed, Rate: p.requests, Duration: a.Window, Nodes: cluster.Callers(), Oracle: &oracle.Oracle{},
+		})
+	}
+	<-ctx.Done()
+	if err := <-changed; err != nil {
+		return usage{}, err
+	}
+	after, err := sample(cluster)
+	if err != nil {
+		return usage{}, err
+	}
+	return after.since(before, len(cluster.Nodes)), nil
+}
+
+// resize sets the number of model runners in each failure domain and keeps two reclaimable ones of three.
+func resize(groups []cloud.Group, perDomain int) []cloud.Group {
+	resized := slices.Clone(groups)
+	for i, g := range resized {
+		switch {
+		case g.Backend != object.BackendModel:
+		case g.Reclaimable:
+			resized[i].Count = perDomain * 2 / 3
+		default:
+			resized[i].Count = perDomain - perDomain*2/3
+		}
+	}
+	return resized
+}
--- /dev/null
+++ b/standin/cmd/slopes/usage.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/objectapi"
+
+	"chestnutrudder.example/standin/process"
+)
+
+// ticksPerSecond is the unit of processor times in /proc, the same on all Linux systems of today.
+const ticksPerSecond = 100
+
+// reading is the state of a cluster's counters at a time.
+type reading struct {
+	at         time.Time
+	ticks      float64 // of all nodes
+	residentMB float64 // of the largest node
+	bytes      float64 // in and out, of all nodes
+	reads      float64
+	writes     float64
+}
+
+// usage is what one node needs, on average, and what the object API gets from the whole cluster.
+type usage struct {
+	corePercent, residentMB, bytes float64 // for each node; bytes per second
+	reads, writes                  float64 // of the cluster, per second
+}
+
+const usageHeader = "core % a node | RSS MB, largest node | bytes/s a node, in and out | object API reads/s | object API writes/s"
+
+// String returns the cells of a table row.
+func (u usage) String() string {
+	return fmt.Sprintf("%.3f | %.3f | %.1f | %.3f | %.3f", u.corePercent, u.residentMB, u.bytes, u.reads, u.writes)
+}
+
+func sample(c *process.Cluster) (reading, error) {
+	r := reading{at: time.Now()}
+	for _, n := range c.Nodes {
+		ticks, err := cpuTicks(n.PID())
+		if err != nil {
+			return r, err
+		}
+		resident, err := residentMB(n.PID())
+		if err != nil {
+			return r, err
+		}
+		bytes, err := ioBytes(n.PID())
+		if err != nil {
+			return r, err
+		}
+		r.ticks += ticks
+		r.residentMB = max(r.residentMB, resident)
+		r.bytes += bytes
+	}
+	var kinds map[string]float64
+	if err := process.Control(http.MethodGet, c.ObjectAPI+"/control/calls", nil, &kinds); err != nil {
+		return r, err
+	}
+	r.writes = kinds["put"] + kinds["delete"]
+	r.reads = kinds["get"] + kinds["list"] + kinds["watch"]
+	return r, nil
+}
+
+func (r reading) since(before reading, nodes int) usage {
+	seconds := r.at.Sub(before.at).Seconds()
+	perNode := seconds * float64(nodes)
+	return usage{
+		corePercent: (r.ticks - before.ticks) / ticksPerSecond / perNode * 100,
+		residentMB:  r.residentMB,
+		bytes:       (r.bytes - before.bytes) / perNode,
+		reads:       (r.reads - before.reads) / seconds,
+		writes:      (r.writes - before.writes) / seconds,
+	}
+}
+
+// slope returns the least squares slope of each figure.
+func slope(x []float64, y []usage) usage {
+	of := func(value func(usage) float64) float64 {
+		meanX, meanY := 0.0, 0.0
+		for i := range x {
+			meanX += x[i] / float64(len(x))
+			meanY += value(y[i]) / float64(len(x))
+		}
+		above, below := 0.0, 0.0
+		for i := range x {
+			above += (x[i] - meanX) * (value(y[i]) - meanY)
+			below += (x[i] - meanX) * (x[i] - meanX)
+		}
+		return above / below
+	}
+	return usage{
+		corePercent: of(func(u usage) float64 { return u.corePercent }),
+		residentMB:  of(func(u usage) float64 { return u.residentMB }),
+		bytes:       of(func(u usage) float64 { return u.bytes }),
+		reads:       of(func(u usage) float64 { return u.reads }),
+		writes:      of(func(u usage) float64 { return u.writes }),
+	}
+}
+
+// cpuTicks returns user and system time from /proc/<pid>/stat, fields 14 and 15.
+func cpuTicks(pid int) (float64, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "read processor time")
+	}
+	// The second field is the program's name in parentheses and may hold spaces.
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+1:]))
+	user, err := strconv.ParseFloat(fields[11], 64)
+	if err != nil {
+		return 0, errors.Wrap(err, "user time")
+	}
+	system, err := strconv.ParseFloat(fields[12], 64)
+	return user + system, errors.Wrap(err, "system time")
+}
+
+func residentMB(pid int) (float64, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "read memory")
+	}
+	for line := range strings.Lines(string(raw)) {
+		if value, found := strings.CutPrefix(line, "VmRSS:"); found {
+			kilobytes, err := strconv.ParseFloat(strings.Fields(value)[0], 64)
+			return kilobytes / 1024, errors.Wrap(err, "resident size")
+		}
+	}
+	return 0, errors.New("no resident size")
+}
+
+// ioBytes returns what a process has read and written by system calls; besides log lines that is network traffic.
+func ioBytes(pid int) (float64, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "read input and output")
+	}
+	total := 0.0
+	for line := range strings.Lines(string(raw)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		if name != "rchar" && name != "wchar" {
+			continue
+		}
+		count, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return 0, errors.Wrap(err, name)
+		}
+		total += count
+	}
+	return total, nil
+}
+
+// changeObjects changes the share of an organisation at a rate until ctx ends.
+func changeObjects(ctx context.Context, c *process.Cluster, perSecond float64) error {
+	if perSecond <= 0 {
+		return nil
+	}
+	store := objectapi.NewClient(c.ObjectAPI, nil)
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+	defer ticker.Stop()
+	for share := 1; ; share++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if err := changeShare(store, share%8+1); err != nil {
+			return err
+		}
+	}
+}
+
+func changeShare(store objectapi.Store, share int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	listing, err := store.List(ctx, object.SpecPrefix+string(object.KindOrganisation)+"/")
+	if err != nil || len(listing.Objects) == 0 {
+		return errors.Wrap(err, "list organisations")
+	}
+	first := listing.Objects[0]
+	var o object.Object
+	if err := json.Unmarshal(first.Value, &o); err != nil {
+		return errors.Wrap(err, "decode organisation")
+	}
+	o.Organisation.Share = share
+	_, err = store.Put(ctx, first.Key, o, first.Version)
+	return errors.Wrap(err, "change organisation")
+}
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -60,6 +60,9 @@
 // Signal sends a signal.
 func (p *Process) Signal(signal os.Signal) error { return p.cmd.Process.Signal(signal) }
 
+// PID returns the process identity.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Kill ends the process at once and waits for it.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill()
