Count work that reaches a leaving backend server too late, and crashing requests

Cause: invariant H5 and the quarantine of crashing requests had no judge.

Change: engines note new runs that reach them more than 3 s after their notice; the oracle counts them as violations. The soak run sends requests that crash each engine that runs them; no answer is owed for these. A backend server that starts again after a crash knows its notice. The engine's next step is one value, so that an idle engine is not recognised by a duration.

Conclusion: soak can show both.

--- a/standin/cloud/control.go
+++ b/standin/cloud/control.go
@@ -25,6 +25,7 @@
 	router.HandleFunc("/engines", c.engines).Methods(http.MethodGet)
 	router.HandleFunc("/cost", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, c.Cost()) }).Methods(http.MethodGet)
 	router.HandleFunc("/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, c.Runs.Records()) }).Methods(http.MethodGet)
+	router.HandleFunc("/late-offers", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, c.Runs.LateOffers()) }).Methods(http.MethodGet)
 	router.HandleFunc("/effects", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, c.Ledger.Effects()) }).Methods(http.MethodGet)
 }
 
--- a/standin/cloud/host.go
+++ b/standin/cloud/host.go
@@ -26,6 +26,13 @@
 	engine  *engine.Engine
 	service *service.Service
 	gone    bool
+	leaving *deadline // nil: no notice
+}
+
+// deadline is the end that a notice announced.
+type deadline struct {
+	at     time.Time
+	refuse bool
 }
 
 // open starts the backend server of a host. A backend server that crashes by itself starts again after a while.
@@ -62,6 +69,7 @@
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	h.server, h.engine, h.service = server, running, plain
+	h.tellNotice()
 	go func() { _ = server.Serve(listener) }()
 	if running != nil {
 		go func() {
@@ -136,10 +144,19 @@
 func (h *host) leave(at time.Time, refuse bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.leaving = &deadline{at: at, refuse: refuse}
+	h.tellNotice()
+}
+
+// tellNotice passes the notice on, also to a backend server that started again. The caller holds the lock.
+func (h *host) tellNotice() {
+	if h.leaving == nil {
+		return
+	}
 	if h.engine != nil {
-		h.engine.Leave(at, refuse)
+		h.engine.Leave(h.leaving.at, h.leaving.refuse)
 	}
-	if h.service != nil && refuse {
+	if h.service != nil && h.leaving.refuse {
 		h.service.Leave()
 	}
 }
--- a/standin/cmd/soak/faults.go
+++ b/standin/cmd/soak/faults.go
@@ -2,18 +2,25 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/cloud"
 	"chestnutrudder.example/rudder/object"
 
+	"chestnutrudder.example/standin/caller"
 	standincloud "chestnutrudder.example/standin/cloud"
 	"chestnutrudder.example/standin/engine"
 	"chestnutrudder.example/standin/objectapi"
+	"chestnutrudder.example/standin/oracle"
 	"chestnutrudder.example/standin/process"
 	"chestnutrudder.example/standin/service"
 )
@@ -45,6 +52,7 @@
 		{"peer links silent", silencePeer},
 		{"object API links silent", silenceObjectAPI},
 		{"operators race", raceOperators},
+		{"crashing request", crashingRequest},
 	}
 }
 
@@ -198,3 +206,40 @@
 	both.Wait()
 	return nothing, true
 }
+
+// crashingRequest sends a request that crashes each engine that runs it, and sends it again.
+func crashingRequest(i *injector) (func(), bool) {
+	n, ok := i.node()
+	if !ok {
+		return nothing, false
+	}
+	i.request++
+	content := fmt.Sprintf("%s %d", engine.CrashMarker, i.request)
+	const tokens = 20
+	handle := i.oracle.Ask(oracle.Request{ID: content, Kind: oracle.Model, Prompt: caller.Prompt(content), Tokens: tokens, Crashes: true})
+	c := caller.New(i.user.Token, n.Caller)
+	go func() {
+		for range 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			sending := handle.Send()
+			answer, err := c.Chat(ctx, n.Caller, i.user.Model, content, tokens, "")
+			cancel()
+			sending.Answer(told(err), answer.Tokens)
+		}
+	}()
+	return nothing, true
+}
+
+func told(err error) oracle.Told {
+	var failure *caller.Failure
+	switch {
+	case err == nil:
+		return oracle.Done
+	case !errors.As(err, &failure):
+		return oracle.Nothing
+	case failure.Run == "no":
+		return oracle.NotRun
+	default:
+		return oracle.Unknown
+	}
+}
--- a/standin/cmd/soak/injector.go
+++ b/standin/cmd/soak/injector.go
@@ -12,6 +12,7 @@
 
 	"chestnutrudder.example/rudder/cloud"
 
+	"chestnutrudder.example/standin/oracle"
 	"chestnutrudder.example/standin/process"
 	"chestnutrudder.example/standin/users"
 )
@@ -33,6 +34,7 @@
 	started time.Time
 	request int
 	down    map[string]bool // names of nodes that are stopped or dead
+	oracle  *oracle.Oracle
 }
 
 // fault is one kind of fault. put returns what takes it out, and false if it does not apply now.
@@ -41,10 +43,10 @@
 	put  func(*injector) (undo func(), ok bool)
 }
 
-func newInjector(cluster *process.Cluster, user users.User, plan process.Plan, seed uint64, only []string) (*injector, error) {
+func newInjector(cluster *process.Cluster, user users.User, plan process.Plan, seed uint64, only []string, o *oracle.Oracle) (*injector, error) {
 	i := &injector{
 		cluster: cluster, user: user, plan: plan, random: rand.New(rand.NewPCG(seed, 11)),
-		counts: map[string]int{}, started: time.Now(), down: map[string]bool{},
+		counts: map[string]int{}, started: time.Now(), down: map[string]bool{}, oracle: o,
 	}
 	for _, f := range allFaults() {
 		if len(only) == 0 || slices.Contains(only, f.name) {
--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -65,7 +65,7 @@
 	defer cluster.Stop()
 	o := &oracle.Oracle{}
 	nodes := cluster.Callers()
-	injector, err := newInjector(cluster, user, plan, a.Seed, a.Only)
+	injector, err := newInjector(cluster, user, plan, a.Seed, a.Only, o)
 	if err != nil {
 		return oracle.Verdict{}, err
 	}
@@ -102,10 +102,10 @@
 		fmt.Printf("  %-22s %d\n", name, i.counts[name])
 	}
 	fmt.Printf("requests sent: %d\n", v.Asked)
-	fmt.Printf("whole %d, refused %d, writes of unknown outcome %d\n", v.Whole, v.Refused, v.Unknown)
+	fmt.Printf("whole %d, refused %d, writes of unknown outcome %d, crashing requests %d\n", v.Whole, v.Refused, v.Unknown, v.Crashing)
 	fmt.Printf("doubled %d, lost %d, foreign %d, cut %d\n", v.Doubled, v.Lost, v.Foreign, v.Cut)
-	fmt.Printf("told wrongly: not run %d, done %d; effects more than once %d; run unasked %d\n",
-		v.FalseNotRun, v.FalseDone, v.EffectTwice, v.Unasked)
+	fmt.Printf("told wrongly: not run %d, done %d; effects more than once %d; run unasked %d; late work %d\n",
+		v.FalseNotRun, v.FalseDone, v.EffectTwice, v.Unasked, v.LateWork)
 	fmt.Printf("tokens generated %d, recomputed %d; %.1f%% of %d answers within the target\n",
 		r.Generated, v.Recomputed, 100*r.WithinShare(), r.Answers)
 	for _, example := range v.Examples {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -50,8 +50,8 @@
 }
 
 const (
-	// crashMarker in a prompt crashes the engine that runs it.
-	crashMarker = "crash-the-engine"
+	// CrashMarker in a prompt crashes the engine that runs it.
+	CrashMarker = "crash-the-engine"
 	// idlePause bounds how late an idle engine forgets held runs.
 	idlePause = 100 * time.Millisecond
 )
@@ -102,8 +102,9 @@
 }
 
 type leaving struct {
-	at     time.Time // zero: not leaving
-	refuse bool      // refuse new runs with 410
+	noticeAt time.Time
+	at       time.Time // zero: not leaving
+	refuse   bool      // refuse new runs with 410
 }
 
 // Stats count what an engine did.
@@ -163,38 +164,52 @@
 	r.changed = make(chan struct{})
 }
 
-// loop paces the steps. A step that is late does not make the next one shorter than it would be.
+// loop paces the steps.
 func (e *Engine) loop() {
-	for {
-		if !e.gate.wait(e.crashed, nil) {
-			return
-		}
-		duration, prefilling, chunk := e.plan()
-		timer := time.NewTimer(duration)
-		if duration == idlePause {
-			select {
-			case <-e.wake:
-			case <-timer.C:
-			case <-e.crashed:
-			}
-			timer.Stop()
-			e.sweep()
+	for e.gate.wait(e.crashed, nil) {
+		next := e.plan()
+		if next.idle {
+			e.rest()
 			continue
 		}
+		timer := time.NewTimer(next.duration)
 		select {
 		case <-timer.C:
 		case <-e.crashed:
+			timer.Stop()
 			return
 		}
 		if !e.gate.wait(e.crashed, nil) {
 			return
 		}
-		e.step(prefilling, chunk)
+		e.step(next)
 	}
 }
 
-// plan admits waiting runs and returns the length of the next step and its share of prefill.
-func (e *Engine) plan() (time.Duration, *run, int) {
+// rest waits for a run and forgets held ones meanwhile.
+func (e *Engine) rest() {
+	timer := time.NewTimer(idlePause)
+	defer timer.Stop()
+	select {
+	case <-e.wake:
+	case <-timer.C:
+	case <-e.crashed:
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.forgetHeld()
+}
+
+// work is what one step does.
+type work struct {
+	idle     bool // there is nothing to do
+	duration time.Duration
+	prefill  *run // nil: no prefill
+	chunk    int  // tokens of the prefill
+}
+
+// plan admits waiting runs and returns the next step.
+func (e *Engine) plan() work {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.dropCancelled()
@@ -202,17 +217,18 @@
 		e.admit()
 	}
 	if len(e.batch) == 0 {
-		return idlePause, nil, 0
+		return work{idle: true}
 	}
-	duration := e.decodeTime()
+	next := work{duration: e.decodeTime()}
 	for _, r := range e.batch {
 		if !r.started {
-			chunk := min(r.remaining, e.config.PrefillChunkTokens)
-			duration += time.Duration(float64(chunk) / e.config.PrefillTokensPerSec * float64(time.Second))
-			return duration, r, chunk
+			next.prefill = r
+			next.chunk = min(r.remaining, e.config.PrefillChunkTokens)
+			next.duration += time.Duration(float64(next.chunk) / e.config.PrefillTokensPerSec * float64(time.Second))
+			break
 		}
 	}
-	return duration, nil, 0
+	return next
 }
 
 // decodeTime returns the time of a step without prefill. The caller holds the lock.
@@ -250,7 +266,7 @@
 }
 
 // step gives each run whose prefill has ended one token and advances the prefill.
-func (e *Engine) step(prefilling *run, chunk int) {
+func (e *Engine) step(w work) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.dead {
@@ -263,11 +279,11 @@
 			r.signal()
 		}
 	}
-	if prefilling != nil {
-		prefilling.remaining -= chunk
-		e.stats.PrefilledTokens += int64(chunk)
-		if prefilling.remaining <= 0 {
-			e.start(prefilling)
+	if w.prefill != nil {
+		w.prefill.remaining -= w.chunk
+		e.stats.PrefilledTokens += int64(w.chunk)
+		if w.prefill.remaining <= 0 {
+			e.start(w.prefill)
 		}
 	}
 	kept := e.batch[:0]
@@ -288,7 +304,7 @@
 	e.cache.store(engine.PrefixBlocks(r.input))
 	r.started = true
 	r.signal()
-	if strings.Contains(r.order.Prompt, crashMarker) || slices.Contains(e.faults.CrashVersions, e.config.ModelVersion) {
+	if strings.Contains(r.order.Prompt, CrashMarker) || slices.Contains(e.faults.CrashVersions, e.config.ModelVersion) {
 		e.crash()
 	}
 }
@@ -326,12 +342,6 @@
 	}
 }
 
-func (e *Engine) sweep() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.forgetHeld()
-}
-
 // forgetHeld forgets ended runs that nobody has read for a while. The caller holds the lock.
 func (e *Engine) forgetHeld() {
 	for id, r := range e.runs {
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -88,9 +88,9 @@
 	e := &Engine{config: c, runs: map[string]*run{}, cache: newPrefixCache(16), wake: make(chan struct{}, 1)}
 	first, _, _ := e.enter(order("a", 2))
 	second, _, _ := e.enter(order("b", 2))
-	_, prefilling, chunk := e.plan()
-	e.step(prefilling, chunk)
-	if prefilling != first || first.started || len(first.tokens) != 0 {
+	next := e.plan()
+	e.step(next)
+	if next.prefill != first || first.started || len(first.tokens) != 0 {
 		t.Errorf("run has %d tokens after a part of its prefill, expected none", len(first.tokens))
 	}
 	second.cancelled = true
@@ -99,8 +99,7 @@
 		t.Errorf("queue holds %d runs after a cancel, expected none", len(e.queue))
 	}
 	for !first.ended {
-		_, prefilling, chunk = e.plan()
-		e.step(prefilling, chunk)
+		e.step(e.plan())
 	}
 	if !slices.Equal(first.tokens, Answer(prompt, 2)) {
 		t.Errorf("answer is %v", first.tokens)
@@ -209,6 +208,13 @@
 	if status := post(t, base+"/v1/runs", order("a", 1), nil); status != http.StatusGone {
 		t.Errorf("run on a leaving engine has status %d, expected 410", status)
 	}
+	e.mu.Lock()
+	e.leaving.noticeAt = time.Now().Add(-LateAfter - time.Second)
+	e.mu.Unlock()
+	post(t, base+"/v1/runs", order("late", 1), nil)
+	if late := e.config.Ledger.LateOffers(); len(late) != 1 || late[0].Run != "late" {
+		t.Errorf("late offers are %v, expected only the last run", late)
+	}
 	report, err := engine.NewClient(base).Load(context.Background())
 	if err != nil || !report.Leaving || report.LeavingInMillis == 0 {
 		t.Errorf("load report is %+v (%v), expected leaving with time left", report, err)
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -45,7 +45,7 @@
 func (e *Engine) Leave(at time.Time, refuse bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leaving = leaving{at: at, refuse: refuse}
+	e.leaving = leaving{noticeAt: time.Now(), at: at, refuse: refuse}
 }
 
 // gate can be closed; the zero value is open.
--- a/standin/engine/ledger.go
+++ b/standin/engine/ledger.go
@@ -1,6 +1,9 @@
 package engine
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // RunRecord says what one engine did for one attempt that got a slot. A refused or merely queued attempt has none.
 type RunRecord struct {
@@ -18,6 +21,30 @@
 type RunLedger struct {
 	mu      sync.Mutex
 	records []*RunRecord
+	late    []LateOffer
+}
+
+// LateAfter is how long after a notice new work may still reach a leaving backend server (invariant H5).
+const LateAfter = 3 * time.Second
+
+// LateOffer is a new run that reached an engine more than LateAfter after its notice, taken or refused.
+type LateOffer struct {
+	Host        string `json:"host"`
+	Run         string `json:"run"`
+	AfterMillis int64  `json:"after_ms"`
+}
+
+func (l *RunLedger) addLate(o LateOffer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.late = append(l.late, o)
+}
+
+// LateOffers returns a copy of all late offers.
+func (l *RunLedger) LateOffers() []LateOffer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]LateOffer{}, l.late...)
 }
 
 func (l *RunLedger) add(r RunRecord) *RunRecord {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -68,6 +68,11 @@
 		held.readers++
 		return held, 0, ""
 	}
+	if !e.leaving.at.IsZero() {
+		if after := time.Since(e.leaving.noticeAt); after > LateAfter {
+			e.config.Ledger.addLate(LateOffer{Host: e.config.Host, Run: order.Run, AfterMillis: after.Milliseconds()})
+		}
+	}
 	if status, reason := e.refusal(order); status != 0 {
 		e.stats.Refused++
 		return nil, status, reason
--- a/standin/load/result.go
+++ b/standin/load/result.go
@@ -99,5 +99,11 @@
 	if err := process.Control(http.MethodGet, cloud+"/control/effects", nil, &effects); err != nil {
 		return oracle.Verdict{}, errors.Wrap(err, "read effects")
 	}
-	return o.Judge(runs, effects), nil
+	var late []engine.LateOffer
+	if err := process.Control(http.MethodGet, cloud+"/control/late-offers", nil, &late); err != nil {
+		return oracle.Verdict{}, errors.Wrap(err, "read late offers")
+	}
+	verdict := o.Judge(runs, effects)
+	verdict.AddLate(late)
+	return verdict, nil
 }
--- a/standin/oracle/oracle.go
+++ b/standin/oracle/oracle.go
@@ -27,6 +27,8 @@
 	Kind   Kind
 	Prompt string // of a model request, unique
 	Tokens int    // length of the whole answer to a model request
+	// Crashes says that the request crashes each engine that runs it: it need not be answered.
+	Crashes bool
 }
 
 // Told says what a caller was told about one sending of a request.
@@ -105,6 +107,7 @@
 	Whole      int   `json:"whole"`      // got its whole answer
 	Refused    int   `json:"refused"`    // told for each sending that it was not run, which is true
 	Unknown    int   `json:"unknown"`    // writes that ended as unknown, which is allowed
+	Crashing   int   `json:"crashing"`   // requests that crash engines; no answer is owed
 	Recomputed int64 `json:"recomputed"` // tokens that engines computed again
 
 	Doubled     int `json:"doubled"`       // got some part of its answer twice
@@ -115,6 +118,7 @@
 	FalseDone   int `json:"false_done"`    // a write was answered and had no effect
 	EffectTwice int `json:"effect_twice"`  // a write took effect more than once
 	Unasked     int `json:"unasked"`       // a backend server ran what nobody asked
+	LateWork    int `json:"late_work"`     // new work reached a backend server too long after its notice
 
 	// Examples names the request of each violation, up to a bound.
 	Examples []string `json:"examples,omitempty"`
@@ -124,7 +128,14 @@
 
 // Violations returns the number of violations.
 func (v Verdict) Violations() int {
-	return v.Doubled + v.Lost + v.Foreign + v.Cut + v.FalseNotRun + v.FalseDone + v.EffectTwice + v.Unasked
+	return v.Doubled + v.Lost + v.Foreign + v.Cut + v.FalseNotRun + v.FalseDone + v.EffectTwice + v.Unasked + v.LateWork
+}
+
+// AddLate counts new work that reached leaving backend servers too late.
+func (v *Verdict) AddLate(offers []engine.LateOffer) {
+	for _, o := range offers {
+		v.blame(&v.LateWork, "late work on "+o.Host+", run", o.Run)
+	}
 }
 
 func (v *Verdict) blame(count *int, name, id string) {
@@ -206,6 +217,8 @@
 	switch {
 	case whole:
 		v.Whole++
+	case a.Crashes:
+		v.Crashing++
 	case !notRun || len(a.sendings) == 0:
 		v.blame(&v.Lost, "lost", a.ID)
 	case len(runs) > 0:
--- a/standin/oracle/oracle_test.go
+++ b/standin/oracle/oracle_test.go
@@ -59,6 +59,9 @@
 		{"doubled at the end", model(Done, append(slices.Clone(answer), answer[3])), ran, nil, Verdict{Doubled: 1}},
 		{"foreign", model(Done, engine.Answer("user: another\n", 4)), ran, nil, Verdict{Foreign: 1}},
 		{"foreign without an end", model(Nothing, []string{"x"}), ran, nil, Verdict{Foreign: 1}},
+		{"crashing request", func(o *Oracle) {
+			o.Ask(Request{ID: "m", Kind: Model, Prompt: prompt, Tokens: 4, Crashes: true}).Send().Answer(Unknown, nil)
+		}, ran, nil, Verdict{Crashing: 1}},
 		{"unasked prompt", func(*Oracle) {}, ran, nil, Verdict{Unasked: 1}},
 		{"recomputed", model(Done, answer), append(slices.Clone(ran), engine.RunRecord{Prompt: ran[0].Prompt, Computed: 2, Decoded: 1}), nil, Verdict{Whole: 1, Recomputed: 3}},
 		{"write", call(Write, Done), nil, effects("c"), Verdict{Whole: 1}},
