--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"chestnutrudder.example/rudder/dispatch"
 	"chestnutrudder.example/rudder/entry"
 	"chestnutrudder.example/rudder/fleet"
+	"chestnutrudder.example/rudder/lease"
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/peer"
@@ -28,7 +29,11 @@
 	"chestnutrudder.example/rudder/telemetry"
 )
 
-const headerTimeout = 10 * time.Second
+const (
+	headerTimeout = 10 * time.Second
+	// leaseContenders is the number of nodes that look at a lease that they do not hold; the others cost no reads.
+	leaseContenders = 3
+)
 
 // Run runs a node until ctx ends and then stops it gracefully: requests in progress end by themselves within the stop
 // timeout.
@@ -60,9 +65,14 @@
 	callers := &entry.Server{Members: members, Fleet: hosts, Current: current, Dial: dialer.Client, Metrics: metrics, Log: logger.Part("entry")}
 	decisions := decision.NewRecorder(s.Node, decision.Size, logger.Part)
 	dispatcher.Decisions, callers.Decisions = decisions, decisions
-	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher}
-	follower := &revision.Follower{Store: store, Current: current, Log: logger.Part("revision")}
-	acceptor := &revision.Acceptor{Store: store, Log: logger.Part("revision")}
+	follower := &revision.Follower{Store: store, Current: current, Members: members, Records: records, Dial: dialer.Client, Log: logger.Part("revision")}
+	follower.Start()
+	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher, Snapshots: follower}
+	acceptor := &revision.Acceptor{Store: store, Current: current, Log: logger.Part("revision")}
+	leases := &lease.Manager{
+		Store: store, Node: s.Node, Timing: lease.DefaultTiming, Log: logger.Part("lease"),
+		Contends: func(name string) bool { return members.IsAmongFirst("lease/"+name, leaseContenders) },
+	}
 
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
@@ -71,13 +81,13 @@
 		exchanger.Run,
 		dispatcher.Loop,
 		follower.Run,
-		acceptor.Run,
+		func(ctx context.Context) { leases.Hold(ctx, revision.LeaseName, acceptor.Run) },
 		func(ctx context.Context) { hosts.Poll(ctx, cloud.NewHostList(s.HostList), logger.Part("fleet")) },
 	} {
 		group.Go(func() error { loop(groupCtx); return nil })
 	}
 	callerServer := &http.Server{Handler: callers.Handler(), ReadHeaderTimeout: headerTimeout}
-	adminServer := &http.Server{Handler: adminHandler(metrics, decisions, func() string { return notReady(current, dispatcher) }), ReadHeaderTimeout: headerTimeout}
+	adminServer := &http.Server{Handler: adminHandler(metrics, decisions, func() string { return notReady(follower, dispatcher) }), ReadHeaderTimeout: headerTimeout}
 	servers := []listening{
 		{peer.NewHTTPServer(peers), s.PeerListenAddress()},
 		{callerServer, s.CallerListenAddress()},
@@ -146,9 +156,9 @@
 }
 
 // notReady returns why a node should get no callers yet, empty if it is ready.
-func notReady(current *revision.Current, dispatcher *dispatch.Dispatcher) string {
-	if current.Index().Number == 0 {
-		return "no configuration yet"
+func notReady(follower *revision.Follower, dispatcher *dispatch.Dispatcher) string {
+	if reason := follower.NotReady(); reason != "" {
+		return reason
 	}
 	if !dispatcher.Ready() {
 		return "backend servers are not known yet"
--- a/rudder/membership/membership.go
+++ b/rudder/membership/membership.go
@@ -115,6 +115,17 @@
 	return ranked
 }
 
+// IsAmongFirst reports whether this node is one of the first count live nodes by rendezvous hash for a key.
+func (t *Table) IsAmongFirst(key string, count int) bool {
+	ranked := Rank(key, t.Live())
+	for _, n := range ranked[:min(count, len(ranked))] {
+		if n.Name == t.self {
+			return true
+		}
+	}
+	return false
+}
+
 // DispatcherFor returns the node that admits work to a backend server: the first by rendezvous hash among the live
 // nodes of its failure domain, else among all live nodes.
 func DispatcherFor(host, failureDomain string, live []Node) (Node, bool) {
--- a/rudder/object/decode.go
+++ b/rudder/object/decode.go
@@ -89,6 +89,17 @@
 	}
 }
 
+// normalised returns the object as it reads after a round trip through JSON: an empty optional list is absent. Two
+// objects with the same meaning are then equal.
+func (o Object) normalised() Object {
+	raw, err := json.Marshal(o)
+	var same Object
+	if err != nil || json.Unmarshal(raw, &same) != nil {
+		return o
+	}
+	return same
+}
+
 func decodeDocument(document any, place string) (Object, Problems) {
 	fields, isMap := document.(map[string]any)
 	if !isMap {
@@ -109,5 +120,5 @@
 	if err != nil {
 		return Object{}, Problems{{Object: place, Field: "document", Value: show(document), Allowed: err.Error()}}
 	}
-	return o, nil
+	return o.normalised(), nil
 }
--- a/rudder/objectapi/client.go
+++ b/rudder/objectapi/client.go
@@ -122,14 +122,19 @@
 	return errors.Wrapf(c.call(ctx, "delete", http.MethodDelete, path, nil, nil), "delete %q", key)
 }
 
-// Watch implements Store.
+// Watch implements Store. Where ctx has a deadline, the object API is asked to answer callTimeout before it, but not
+// within a second: the answer shows that the connection still works.
 func (c *Client) Watch(ctx context.Context, prefix string, after int64) (Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	wait := watchWait
+	if deadline, found := ctx.Deadline(); found {
+		wait = min(wait, max(time.Until(deadline)-callTimeout, time.Second).Round(time.Second))
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	query := url.Values{
 		"prefix":       {prefix},
 		"after":        {strconv.FormatInt(after, 10)},
-		"wait_seconds": {strconv.Itoa(int(watchWait / time.Second))},
+		"wait_seconds": {strconv.Itoa(int(wait / time.Second))},
 	}
 	var changes Changes
 	err := c.call(ctx, "watch", http.MethodGet, "/v1/watch?"+query.Encode(), nil, &changes)
--- /dev/null
+++ b/rudder/revision/follower_test.go
@@ -0,0 +1,129 @@
+package revision
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/membership"
+	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/objectapi/objectapitest"
+	"chestnutrudder.example/rudder/peer/peerpb"
+)
+
+func snapshotRequest(number int64) *peerpb.SnapshotRequest {
+	return &peerpb.SnapshotRequest{NewerThan: number}
+}
+
+func newFollower(store objectapi.Store, name string) *Follower {
+	f := &Follower{
+		Store: store, Current: &Current{}, Members: membership.NewTable(membership.Node{Name: name, FailureDomain: "x"}),
+		Records: membership.NewRecords(), Log: discard,
+	}
+	f.Start()
+	return f
+}
+
+// TestOlderPointerIsPassedOver guards against a node that reverts when the object API answers with an older state.
+func TestOlderPointerIsPassedOver(t *testing.T) {
+	store := objectapitest.NewMemory()
+	ctx := context.Background()
+	var pointers []objectapi.Object
+	for number := int64(1); number <= 2; number++ {
+		key := fmt.Sprintf("%s%d", SnapshotPrefix, number)
+		if _, err := store.Put(ctx, key, Snapshot{Number: number}, objectapi.Absent); err != nil {
+			t.Fatal(err)
+		}
+		raw, _ := json.Marshal(Pointer{Number: number, Key: key})
+		pointers = append(pointers, objectapi.Object{Value: raw})
+	}
+	f := newFollower(store, "n")
+	for _, shown := range []int{1, 0} {
+		if err := f.takeNewest(ctx, pointers[shown:shown+1]); err != nil || f.Current.Index().Number != 2 {
+			t.Errorf("after pointer %d: revision %d, error %v", shown+1, f.Current.Index().Number, err)
+		}
+	}
+	if f.Current.Adopt(Snapshot{Number: 1}) || f.Current.Index().Number != 2 {
+		t.Error("an older snapshot was put in force")
+	}
+	if records := f.Records.List(membership.RecordRevision); len(records) != 1 || records[0].Version != 2 {
+		t.Errorf("records %v", records)
+	}
+	if reply := f.Answer(snapshotRequest(2)); reply.Revision != 2 || len(reply.Snapshot) > 0 || reply.Known {
+		t.Errorf("answer to a node with the same revision: %v", reply)
+	}
+}
+
+// TestOneNodeWatches guards against a failure domain in which every node or none watches the object API.
+func TestOneNodeWatches(t *testing.T) {
+	nodes := []membership.Node{{Name: "a", FailureDomain: "x"}, {Name: "b", FailureDomain: "x"}, {Name: "c", FailureDomain: "x"}, {Name: "d", FailureDomain: "y"}}
+	var followers []*Follower
+	for _, n := range nodes {
+		table := membership.NewTable(n)
+		for _, other := range nodes {
+			table.Merge(other)
+		}
+		f := newFollower(objectapitest.NewMemory(), n.Name)
+		f.Members = table
+		followers = append(followers, f)
+	}
+	watching := map[string][]string{}
+	for _, f := range followers {
+		if _, watcher := f.neighbours(); watcher == nil {
+			domain := f.Members.Self().FailureDomain
+			watching[domain] = append(watching[domain], f.Members.Self().Name)
+		}
+	}
+	if len(watching["x"]) != 1 || len(watching["y"]) != 1 {
+		t.Fatalf("watching: %v", watching)
+	}
+	for _, f := range followers[:3] {
+		self := f.Members.Self().Name
+		for _, n := range nodes {
+			f.goodAt[n.Name] = time.Now().Add(-2 * silentAfter)
+		}
+		if before, watcher := f.neighbours(); watcher != nil || self != watching["x"][0] && len(before) == 0 {
+			t.Errorf("%s does not watch although all others are silent, or forgets them: %v", self, before)
+		}
+	}
+}
+
+// TestCutOff guards against a cut-off node that stays ready, and against a node that loses readiness too early.
+func TestCutOff(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		contact, now time.Duration
+		cutOff       bool
+	}{{0, 29, false}, {0, 30, true}, {10, 39, false}, {10, 40, true}} {
+		got := cutOff(start.Add(c.now*time.Second), start, start.Add(c.contact*time.Second)) != ""
+		if got != c.cutOff {
+			t.Errorf("contact after %d s, now %d s: cut off %t", c.contact, c.now, got)
+		}
+	}
+}
+
+// TestSnapshotSize guards against a snapshot that the object API would refuse, and against one large object that keeps
+// the others out.
+func TestSnapshotSize(t *testing.T) {
+	organisation := func(name string, hashes int) object.Object {
+		spec := &object.OrganisationSpec{Share: 1, MaxInProgress: 1}
+		for i := range hashes {
+			spec.TokenSHA256 = append(spec.TokenSHA256, fmt.Sprintf("%s%063d", name[:1], i))
+		}
+		return object.Object{Kind: object.KindOrganisation, Name: name, Organisation: spec}
+	}
+	small, big := organisation("a", 1), organisation("b", 100)
+	specs := map[string]written{small.ID(): {version: 1, object: small}, big.ID(): {version: 1, object: big}}
+	next, reasons := resolveWithin(1000, object.Set{}, specs)
+	if _, found := next[small.ID()]; !found || len(next) != 1 || !strings.Contains(reasons[big.ID()], "at most 1000 bytes") {
+		t.Errorf("in force: %v, reasons: %v", next.IDs(), reasons)
+	}
+	specs[big.ID()] = written{version: 2, object: organisation("b", 2)}
+	if next, reasons = resolveWithin(1000, next, specs); len(next) != 2 || len(reasons) != 0 {
+		t.Errorf("in force: %v, reasons: %v", next.IDs(), reasons)
+	}
+}
--- a/rudder/revision/revision.go
+++ b/rudder/revision/revision.go
@@ -1,29 +1,38 @@
-// Package revision turns accepted objects into immutable numbered snapshots and holds the snapshot that is in force on
-// a node. The daemon keeps it current; the request path reads it for every request.
+// Package revision turns written objects into immutable numbered snapshots (Acceptor, on the node that holds the lease)
+// and keeps the newest one in force on every node (Follower). The daemon runs both; the request path reads Current for
+// every request.
 package revision
 
 import (
-	"sort"
 	"sync/atomic"
 
 	"chestnutrudder.example/rudder/object"
 )
 
-// Keys in the object API.
+// Keys in the object API. A snapshot's key is SnapshotPrefix, its number and a suffix that is unique for each write, so
+// that a snapshot left by an acceptor that died before it moved the pointer is in nobody's way.
 const (
 	CurrentKey     = "revision/current"
 	SnapshotPrefix = "revision/"
 )
 
-// Pointer names the newest accepted snapshot.
+// keptSnapshots is the number of snapshots that stay in the object API, the newest included. A reader that is slower
+// than that finds its snapshot deleted and reads the pointer again.
+const keptSnapshots = 5
+
+// Pointer names the newest accepted snapshot. It is only written on its present version.
 type Pointer struct {
-	Number int64 `json:"number"`
+	Number int64  `json:"number"`
+	Key    string `json:"key"`   // of the snapshot; empty before the first one
+	Fence  int64  `json:"fence"` // fencing token of the acceptor that wrote it
+	// Kept are the keys of the newest snapshots, the newest last.
+	Kept []string `json:"kept"`
 }
 
 // Snapshot is one accepted configuration. It is never changed after it was written.
 type Snapshot struct {
 	Number  int64           `json:"number"`
-	Objects []object.Object `json:"objects"`
+	Objects []object.Object `json:"objects"` // sorted by kind and name
 }
 
 // Index is a snapshot prepared for look-ups by name.
@@ -34,8 +43,13 @@
 	Deployments   map[string]object.DeploymentSpec
 	Routes        map[string]object.RouteSpec
 	Snapshot      Snapshot
+
+	routes map[routeKey]string // name of the route
 }
 
+// routeKey is what a route is found by; an empty organisation stands for all.
+type routeKey struct{ organisation, model, service string }
+
 // NewIndex prepares a snapshot for look-ups.
 func NewIndex(snapshot Snapshot) *Index {
 	index := &Index{
@@ -45,6 +59,7 @@
 		Deployments:   map[string]object.DeploymentSpec{},
 		Routes:        map[string]object.RouteSpec{},
 		Snapshot:      snapshot,
+		routes:        map[routeKey]string{},
 	}
 	for _, o := range snapshot.Objects {
 		switch {
@@ -56,37 +71,34 @@
 			index.Deployments[o.Name] = *o.Deployment
 		case o.Route != nil:
 			index.Routes[o.Name] = *o.Route
+			index.addRoute(o.Name, *o.Route)
 		}
 	}
 	return index
 }
 
+// addRoute makes a route findable. Accepted routes do not overlap; of two that do, the first by name is used.
+func (x *Index) addRoute(name string, r object.RouteSpec) {
+	organisations := r.Organisations
+	if len(organisations) == 0 {
+		organisations = []string{""}
+	}
+	for _, o := range organisations {
+		key := routeKey{o, r.Model, r.Service}
+		if other, taken := x.routes[key]; !taken || name < other {
+			x.routes[key] = name
+		}
+	}
+}
+
 // RouteFor returns the route of an organisation for a model or service name. A route that names the organisation goes
 // before one for all.
 func (x *Index) RouteFor(organisation, model, service string) (name string, spec object.RouteSpec, found bool) {
-	names := make([]string, 0, len(x.Routes))
-	for n := range x.Routes {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	for _, n := range names {
-		r := x.Routes[n]
-		if r.Model != model || r.Service != service {
-			continue
-		}
-		if len(r.Organisations) == 0 {
-			if !found {
-				name, spec, found = n, r, true
-			}
-			continue
-		}
-		for _, o := range r.Organisations {
-			if o == organisation {
-				return n, r, true
-			}
-		}
+	name, found = x.routes[routeKey{organisation, model, service}]
+	if !found {
+		name, found = x.routes[routeKey{"", model, service}]
 	}
-	return name, spec, found
+	return name, x.Routes[name], found
 }
 
 // Current holds the snapshot in force on this node. It only moves up.
