Test configuration with real processes

Cause: acceptance, propagation and start were only tested within one process. The admin address shows the revision in force.

--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -87,7 +88,7 @@
 		group.Go(func() error { loop(groupCtx); return nil })
 	}
 	callerServer := &http.Server{Handler: callers.Handler(), ReadHeaderTimeout: headerTimeout}
-	adminServer := &http.Server{Handler: adminHandler(metrics, decisions, func() string { return notReady(follower, dispatcher) }), ReadHeaderTimeout: headerTimeout}
+	adminServer := &http.Server{Handler: adminHandler(metrics, decisions, current, func() string { return notReady(follower, dispatcher) }), ReadHeaderTimeout: headerTimeout}
 	servers := []listening{
 		{peer.NewHTTPServer(peers), s.PeerListenAddress()},
 		{callerServer, s.CallerListenAddress()},
@@ -139,11 +140,15 @@
 	return nil
 }
 
-// adminHandler serves metrics, recent decisions, liveness and readiness.
-func adminHandler(metrics *telemetry.Metrics, decisions *decision.Recorder, notReady func() string) http.Handler {
+// adminHandler serves metrics, recent decisions, the revision in force, liveness and readiness.
+func adminHandler(metrics *telemetry.Metrics, decisions *decision.Recorder, current *revision.Current, notReady func() string) http.Handler {
 	router := mux.NewRouter()
 	router.Handle("/metrics", metrics.Handler())
 	router.Handle("/decisions", decisions).Methods(http.MethodGet)
+	router.HandleFunc("/revision", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprintf(w, "{\"revision\":%d}\n", current.Index().Number)
+	}).Methods(http.MethodGet)
 	router.HandleFunc("/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
 		if reason := notReady(); reason != "" {
--- a/standin/process/cluster.go
+++ b/standin/process/cluster.go
@@ -107,8 +107,8 @@
 	return p, err
 }
 
-// StartNode starts one more node in a failure domain.
-func (c *Cluster) StartNode(domain string) (*Node, error) {
+// StartNode starts one more node in a failure domain, with further arguments besides those of the plan.
+func (c *Cluster) StartNode(domain string, more ...string) (*Node, error) {
 	name := domain + "-entry-" + strings.ReplaceAll(FreeAddress(), "127.0.0.1:", "")
 	n := &Node{FailureDomain: domain, Caller: FreeAddress(), Peer: FreeAddress(), Admin: FreeAddress()}
 	args := []string{
@@ -125,7 +125,7 @@
 		n.PeerProxy = proxy
 		args = append(args, "--peer-listen", listen)
 	}
-	p, err := c.start(name, "rudderd", append(args, c.plan.NodeArgs...)...)
+	p, err := c.start(name, "rudderd", append(append(args, c.plan.NodeArgs...), more...)...)
 	if err != nil {
 		return nil, err
 	}
