--- a/standin/cloud/host.go
+++ b/standin/cloud/host.go
@@ -29,7 +29,7 @@
 	gone    bool
 	proxied bool
 	proxy   *faultproxy.Proxy // nil unless proxied
-	leaving *deadline // nil: no notice
+	leaving *deadline         // nil: no notice
 }
 
 // deadline is the end that a notice announced.
