Rent hosts and roll out model versions from the daemon

Each deployment has a lease for each loop; the holder decides from the load digests, the host list and what runners report.

Found by the integration tests: - With refused reclaimable starts the loop tried one kind each 2 s and had paused none of them long enough to reach on demand: 16 to more than 20 s until the replacement. A crash on a version that has finished no run is now attributed to the version; the answers asked during the rollout are all whole.

go test -run 'Fleet|Rollout' ./standin/e2e

--- a/rudder/capacity/loop.go
+++ b/rudder/capacity/loop.go
@@ -145,6 +145,18 @@
 	if err != nil {
 		return err
 	}
+	// A refused kind is replaced at once by the next best one, not with the next step.
+	for range maxStarts * len(spec.FailureDomains) {
+		refused, err := h.decide(ctx, spec, offers, settled)
+		if err != nil || !refused {
+			return err
+		}
+	}
+	return nil
+}
+
+// decide makes one decision, acts, and reports whether a start was refused.
+func (h *holder) decide(ctx context.Context, spec object.DeploymentSpec, offers []cloud.Offer, settled bool) (refused bool, err error) {
 	now := time.Now()
 	s := h.situation(ctx, spec, offers, now)
 	d := Decide(s)
@@ -242,16 +254,22 @@
 	return highest
 }
 
-// act carries out a decision. The lease is checked immediately before each command.
-func (h *holder) act(ctx context.Context, spec object.DeploymentSpec, d Decision, now time.Time) error {
+// act carries out a decision and reports whether a start was refused. The lease is checked immediately before each
+// command.
+func (h *holder) act(ctx context.Context, spec object.DeploymentSpec, d Decision, now time.Time) (refused bool, err error) {
 	for _, kind := range d.Start {
-		if err := h.start(ctx, spec, kind, d, now); err != nil {
-			return err
+		err := h.start(ctx, spec, kind, d, now)
+		if errors.Is(err, cloud.ErrStartRefused) {
+			refused = true
+			continue
+		}
+		if err != nil {
+			return refused, err
 		}
 	}
 	for _, name := range d.Drain {
 		if err := h.lease.Check(); err != nil {
-			return err
+			return refused, err
 		}
 		h.drained[name] = true
 		h.surplusSince = now.Add(drainSpacing - surplusDelay)
@@ -260,14 +278,14 @@
 	}
 	for _, name := range d.Release {
 		if err := h.lease.Check(); err != nil {
-			return err
+			return refused, err
 		}
 		if err := h.release(ctx, name); err != nil {
-			return err
+			return refused, err
 		}
 		h.loop.Decisions.Record("capacity", h.deployment, "nothing runs on it any more", "release "+name, nil)
 	}
-	return nil
+	return refused, nil
 }
 
 func (h *holder) release(ctx context.Context, name string) error {
@@ -301,7 +319,7 @@
 	case errors.Is(err, cloud.ErrStartRefused):
 		h.refusals.refused(kind, now)
 		h.loop.Decisions.Record("capacity", h.deployment, d.Reason, "start refused in "+kind.FailureDomain, nil, "reclaimable", kind.Reclaimable)
-		return nil
+		return err
 	case err != nil:
 		// The start may have taken effect: it counts until the host list shows the host or startTimeout is over.
 		h.pending = append(h.pending, pendingHost{kind, "", now})
--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -96,14 +96,15 @@
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	group, groupCtx := errgroup.WithContext(parts)
-	for _, loop := range []func(context.Context){
+	loops := append(controlLoops(s, store, hosts, current, leases, router.Digests, decisions, logger),
 		exchanger.Run,
 		notices.Run,
 		dispatcher.Loop,
 		follower.Run,
 		func(ctx context.Context) { leases.Hold(ctx, revision.LeaseName, acceptor.Run) },
 		func(ctx context.Context) { hosts.Poll(ctx, cloud.NewHostList(s.HostList), logger.Part("fleet")) },
-	} {
+	)
+	for _, loop := range loops {
 		group.Go(func() error { loop(groupCtx); return nil })
 	}
 	callerServer := &http.Server{Handler: callers.Handler(), ReadHeaderTimeout: headerTimeout}
--- /dev/null
+++ b/rudder/daemon/loops.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"context"
+
+	"chestnutrudder.example/rudder/capacity"
+	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/decision"
+	"chestnutrudder.example/rudder/engine"
+	"chestnutrudder.example/rudder/fleet"
+	"chestnutrudder.example/rudder/lease"
+	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/revision"
+	"chestnutrudder.example/rudder/rollout"
+	"chestnutrudder.example/rudder/route"
+	"chestnutrudder.example/rudder/settings"
+	"chestnutrudder.example/rudder/telemetry"
+)
+
+// waitingRunTokens converts queued tokens into runs: about the tokens of a mixed load of short and long requests.
+const waitingRunTokens = 500
+
+// controlLoops returns the loops that rent hosts and roll out versions.
+func controlLoops(s settings.Settings, store objectapi.Store, hosts *fleet.Table, current *revision.Current, leases *lease.Manager,
+	digests *route.Digests, decisions *decision.Recorder, logger *telemetry.Logger,
+) []func(context.Context) {
+	busySlots := func(deployment string) (float64, bool) { return busySlotsOf(digests, deployment) }
+	versions := &rollout.Loop{
+		Store: store, Fleet: hosts, Current: current, Leases: leases, Decisions: decisions, Log: logger.Part("rollout"),
+		Floor: func(deployment string, spec object.DeploymentSpec) int {
+			busy, _ := busySlots(deployment)
+			return capacity.NeedFor(busy, current.Index().ModelVersions[spec.ModelVersion].Slots, spec).Surviving
+		},
+	}
+	loops := []func(context.Context){versions.Run}
+	if s.Capacity == "off" {
+		return loops
+	}
+	renting := &capacity.Loop{
+		Cloud: cloud.NewAPI(s.CloudAPI), Fleet: hosts, Current: current, Leases: leases, BusySlots: busySlots, Idle: isIdle,
+		OnDemand: s.Capacity == "on-demand", Decisions: decisions, Log: logger.Part("capacity"),
+	}
+	return append(loops, renting.Run)
+}
+
+// busySlotsOf sums up the load digests of a deployment.
+func busySlotsOf(digests *route.Digests, deployment string) (float64, bool) {
+	busy := 0.0
+	all := digests.For(deployment)
+	for _, d := range all {
+		busy += float64(d.Slots-d.FreeSlots) + float64(d.QueuedTokens)/waitingRunTokens
+	}
+	return busy, len(all) > 0
+}
+
+// isIdle asks a model runner whether anything runs on it. One that does not answer is not idle: it may be paused.
+func isIdle(ctx context.Context, h cloud.Host) bool {
+	load, err := engine.NewClient(h.Address).Load(ctx)
+	return err == nil && load.Running+load.Waiting == 0
+}
--- a/rudder/dispatch/execute.go
+++ b/rudder/dispatch/execute.go
@@ -218,6 +218,9 @@
 	blocks := engine.PrefixBlocks(tokens)
 	d.mu.Lock()
 	t.backend.prefix.learn(blocks, time.Now())
+	if s := d.schedulers[t.request.Deployment]; s != nil {
+		s.provenVersions[t.backend.load.ModelVersion] = true
+	}
 	placed := d.proven(t)
 	d.mu.Unlock()
 	d.start(placed)
--- a/rudder/dispatch/scheduler.go
+++ b/rudder/dispatch/scheduler.go
@@ -86,6 +86,8 @@
 	retries    *limit.RetryBudget
 	short      shortPeak
 	turn       int
+	// provenVersions are the model versions on which a run has ended.
+	provenVersions map[string]bool
 }
 
 func newScheduler(policy string, now time.Time) *scheduler {
@@ -95,6 +97,8 @@
 		inProgress: map[string]int{},
 		unproven:   map[quarantine.Key]int{},
 		retries:    limit.NewRetryBudget(now),
+
+		provenVersions: map[string]bool{},
 	}
 }
 
--- a/rudder/dispatch/table.go
+++ b/rudder/dispatch/table.go
@@ -98,7 +98,9 @@
 	price := int64(0)
 	for _, b := range s.backends {
 		digest.FreeSlots += int32(b.free(s.betweenTokens(), now))
-		digest.Slots += int32(b.load.Slots)
+		if !b.down {
+			digest.Slots += int32(b.load.Slots)
+		}
 		price += b.Host.PriceMicrosPerHour
 		if b.Host.Reclaimable {
 			digest.ReclaimableRunners++
--- a/rudder/quarantine/quarantine.go
+++ b/rudder/quarantine/quarantine.go
@@ -55,6 +55,7 @@
 	Host          string
 	FailureDomain string
 	Noticed       bool  // the host had a notice
+	OnTrial       bool  // the backend server's model version has finished no run yet, while another one has
 	Keys          []Key // requests that ran on it
 	Isolated      bool  // exactly one request ran on it, because it was a suspect
 }
@@ -64,7 +65,7 @@
 
 // The verdicts.
 const (
-	// Excused means that the host or the failure domain is to blame.
+	// Excused means that the host, the failure domain or the model version is to blame.
 	Excused Verdict = iota
 	// Suspects means that one of the requests may be to blame.
 	Suspects
@@ -155,7 +156,7 @@
 	l.forget(now)
 	related := l.unrelated(c)
 	l.crashes = append(l.crashes, seenCrash{c, now})
-	if c.Noticed || len(related) > 0 {
+	if c.Noticed || c.OnTrial || len(related) > 0 {
 		lifted := l.withdraw(related)
 		l.mu.Unlock()
 		for _, key := range lifted {
