--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -25,6 +25,7 @@
 	Quick      bool          `arg:"--quick" help:"this version only, calm and reclaim wave, shorter load"`
 	Load       time.Duration `arg:"--load" default:"5s" help:"time with load in each run"`
 	Seed       uint64        `arg:"--seed" default:"1"`
+	Repeat     int           `arg:"--repeat" default:"1" help:"runs of each kind, with growing seeds; the table has their mean"`
 	Users      []string      `arg:"--users" help:"default duwende and zlato"`
 	Scenarios  []string      `arg:"--scenarios" help:"default all"`
 	Variants   []string      `arg:"--variants" help:"default all"`
@@ -67,16 +68,22 @@
 				if !wanted(a, s, v) {
 					continue
 				}
-				if time.Since(started)+a.Load+runMargin > timeLimit {
-					skipped++
-					continue
+				var same []report.Row
+				for n := range a.Repeat {
+					if time.Since(started)+a.Load+runMargin > timeLimit {
+						skipped++
+						continue
+					}
+					row, err := measure(a, user, s, v, a.Seed+uint64(n))
+					if err != nil {
+						return errors.Wrapf(err, "%s, %s, %s", name, s.name, v.name)
+					}
+					fmt.Println(row)
+					same = append(same, row)
 				}
-				row, err := measure(a, user, s, v)
-				if err != nil {
-					return errors.Wrapf(err, "%s, %s, %s", name, s.name, v.name)
+				if len(same) > 0 {
+					rows = append(rows, report.Mean(same))
 				}
-				fmt.Println(row)
-				rows = append(rows, row)
 			}
 		}
 	}
--- a/standin/cmd/bench/measure.go
+++ b/standin/cmd/bench/measure.go
@@ -99,7 +99,7 @@
 }
 
 // measure runs one cluster.
-func measure(a arguments, user users.User, s scenario, v variant) (report.Row, error) {
+func measure(a arguments, user users.User, s scenario, v variant, seed uint64) (report.Row, error) {
 	logs, err := os.MkdirTemp("", "chestnutrudder-bench-")
 	if err != nil {
 		return report.Row{}, err
@@ -125,7 +125,7 @@
 	}
 	o := &oracle.Oracle{}
 	result := load.Run(context.Background(), load.Options{
-		User: user, Seed: a.Seed, Rate: rates[user.Name], Duration: a.Load, Nodes: cluster.Callers(), Oracle: o,
+		User: user, Seed: seed, Rate: rates[user.Name], Duration: a.Load, Nodes: cluster.Callers(), Oracle: o,
 	})
 	for range 2 {
 		if err := <-failed; err != nil {
--- a/standin/report/report.go
+++ b/standin/report/report.go
@@ -48,6 +48,25 @@
 	}
 }
 
+// Mean returns the mean of the measured figures and the sum of the counts. Rows must be of the same kind.
+func Mean(rows []Row) Row {
+	mean := Row{User: rows[0].User, Scenario: rows[0].Scenario, Variant: rows[0].Variant}
+	share := 1 / float64(len(rows))
+	for _, r := range rows {
+		mean.CostPer1000 += share * r.CostPer1000
+		mean.WithinPercent += share * r.WithinPercent
+		mean.FirstTokenMs += share * r.FirstTokenMs
+		mean.BetweenMs += share * r.BetweenMs
+		mean.RecomputedPer += share * r.RecomputedPer
+		mean.Asked += r.Asked
+		mean.Refused += r.Refused
+		mean.Failed += r.Failed
+		mean.Violations += r.Violations
+		mean.ObjectAPICalls += r.ObjectAPICalls
+	}
+	return mean
+}
+
 // Markdown writes a table.
 func Markdown(w io.Writer, rows []Row) error {
 	var b strings.Builder
