Resume the run of a dead dispatcher on its engine

The next dispatcher started the run anew, although the engine goes on for some seconds. It now asks the host that had accepted the run first, also when that host belongs to another dispatcher: the run has its slot already. The entry node names the host when it lost the dispatcher and not the engine. An attempt at the same dispatcher closes the earlier stream without a cancel.

A request that was refused everywhere until its deadline gives up at once, and the caller gets the Retry-After of the last refusal.

--- a/rudder/dispatch/admission.go
+++ b/rudder/dispatch/admission.go
@@ -18,7 +18,7 @@
 
 // Run implements peer.Dispatcher.
 func (d *Dispatcher) Run(ctx context.Context, request *peerpb.RunRequest, send func(*peerpb.RunEvent) error) error {
-	d.stopEarlier(ctx, request.Run)
+	d.stopEarlier(ctx, request)
 	r := newRun(request.Run, request.Organisation, attemptName(request), len(request.Generated))
 	d.mu.Lock()
 	t, refusal := d.admit(r, request, time.Now())
@@ -26,6 +26,7 @@
 	if refusal == nil {
 		d.runs[request.Run] = r
 		placed = d.pump(request.Deployment)
+		d.armExpiry(t)
 	}
 	d.mu.Unlock()
 	if refusal != nil {
@@ -40,12 +41,17 @@
 	return err
 }
 
-// stopEarlier ends an earlier attempt of the same run that is still in progress here, so that it takes no slot.
-func (d *Dispatcher) stopEarlier(ctx context.Context, run string) {
+// stopEarlier ends an earlier attempt of the same run that is still in progress here, so that it takes no slot. If the new
+// attempt wants to resume the run on its engine, only the stream is closed.
+func (d *Dispatcher) stopEarlier(ctx context.Context, request *peerpb.RunRequest) {
 	d.mu.Lock()
-	r := d.runs[run]
+	r := d.runs[request.Run]
 	d.mu.Unlock()
-	if r != nil && !r.finished() {
+	switch {
+	case r == nil || r.finished():
+	case request.ResumeHost != "" && request.ResumeHost == r.host():
+		r.stop()
+	default:
 		d.stop(ctx, r, "a later attempt took over")
 	}
 }
@@ -65,7 +71,7 @@
 	if refusal := s.admit(t, organisation, now); refusal != nil {
 		return nil, refusal
 	}
-	if b := d.backends[request.ResumeHost]; b != nil && b.Engine != nil && request.Resumed && !t.isolated {
+	if b := d.holder(t); b != nil {
 		t.resume = true
 		s.count(t, now)
 		s.place(t, b, now)
@@ -76,6 +82,24 @@
 	return t, nil
 }
 
+// holder returns the runner whose engine may still hold the run of a ticket, nil if there is none. It may belong to
+// another dispatcher that is dead or silent: the run has its slot already, so that no limit is passed.
+func (d *Dispatcher) holder(t *ticket) *Backend {
+	host := t.request.ResumeHost
+	if host == "" || !t.item.Resumed || t.isolated {
+		return nil
+	}
+	if b := d.backends[host]; b != nil && b.Engine != nil {
+		return b
+	}
+	for _, h := range d.Fleet.Serving() {
+		if h.Name == host && h.Deployment == t.request.Deployment && h.Backend == object.BackendModel {
+			return newBackend(h)
+		}
+	}
+	return nil
+}
+
 // checkCrashes refuses culprits. A suspect that comes without the mark is refused as well: the attempt after the crash
 // runs at the next dispatcher of the same order, and only there copies wait for each other.
 func (d *Dispatcher) checkCrashes(t *ticket, now time.Time) *peerpb.Refused {
@@ -148,15 +172,12 @@
 	for t := s.next(now); t != nil; t = s.next(now) {
 		placed = append(placed, t)
 	}
-	for _, i := range s.queue.Items() {
-		d.armExpiry(i.Value.(*ticket))
-	}
 	return placed
 }
 
-// armExpiry refuses a ticket that still waits when it can no longer meet its deadline.
+// armExpiry refuses a ticket that still waits when it can no longer meet its deadline. The caller holds the lock.
 func (d *Dispatcher) armExpiry(t *ticket) {
-	if t.expireIn <= 0 || t.expiry != nil {
+	if t.expireIn <= 0 || t.backend != nil {
 		return
 	}
 	t.expiry = time.AfterFunc(t.expireIn, func() {
@@ -188,6 +209,7 @@
 	}
 }
 
+// stopExpiry is called for tickets that no longer wait; one that fires nevertheless finds nothing to withdraw.
 func (t *ticket) stopExpiry() {
 	if t.expiry != nil {
 		t.expiry.Stop()
--- a/rudder/dispatch/run.go
+++ b/rudder/dispatch/run.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// host returns the host that accepted the run, empty if none has.
+func (r *Run) host() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepted.GetHost()
+}
+
 func (r *Run) isStopped() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/rudder/entry/session.go
+++ b/rudder/entry/session.go
@@ -38,10 +38,11 @@
 	preference   object.Preference
 	fingerprint  uint64
 
-	isolate      bool   // suspected of crashing backend servers
-	computed     int64  // prompt and answer tokens that attempts have computed
-	lastHost     string // host of the last accepted attempt
-	resumeHost   string // host whose engine may still hold the run, because only the dispatcher was lost
+	retryAfter   time.Duration // of the last refusal
+	isolate      bool          // suspected of crashing backend servers
+	computed     int64         // prompt and answer tokens that attempts have computed
+	lastHost     string        // host of the last accepted attempt
+	resumeHost   string        // host whose engine may still hold the run, because only the dispatcher was lost
 	tokens       []string
 	attempts     int
 	placed       bool // some dispatcher accepted an attempt
@@ -79,6 +80,9 @@
 			return err
 		}
 		lastReason = reason
+		if !s.placed && s.deadline > 0 && time.Since(s.started) > s.deadline {
+			break // every dispatcher would refuse it now
+		}
 		excluded[choice.Node.Name] = true
 	}
 	return s.giveUp(lastReason)
@@ -87,7 +91,7 @@
 // giveUp returns the error for the caller. A request that no dispatcher accepted was not run.
 func (s *session) giveUp(reason string) error {
 	if !s.placed {
-		return outcome.Refuse(http.StatusServiceUnavailable, time.Second, "no backend server took the request: %s", reason)
+		return outcome.Refuse(http.StatusServiceUnavailable, max(time.Second, s.retryAfter), "no backend server took the request: %s", reason)
 	}
 	return outcome.Lost(http.StatusBadGateway, nil, "the answer was lost: %s", reason)
 }
@@ -174,6 +178,7 @@
 		return true, "", nil
 	case *peerpb.RunEvent_Refused:
 		s.isolate = s.isolate || e.Refused.Suspected
+		s.retryAfter = time.Duration(e.Refused.RetryAfterMs) * time.Millisecond
 		if e.Refused.Quarantined {
 			return false, "", s.quarantined(e.Refused.Reason)
 		}
