Learn how long answers are, count the decode step in progress

A moving average for each class now scales the expectation, also for the tokens in the fair queue. The prediction of the first token adds half a step, until which an engine looks at nothing new.

--- a/rudder/dispatch/choose.go
+++ b/rudder/dispatch/choose.go
@@ -46,15 +46,16 @@
 	preference   object.Preference
 }
 
-// firstToken predicts the time from placement to the first token in milliseconds: prefill of what waits, prefill of the
-// prompt less its cached part, one decode step. A late report adds its lateness.
+// firstToken predicts the time from placement to the first token in milliseconds: half a decode step until the engine
+// looks at the request, prefill of what waits, prefill of the prompt less its cached part, one decode step. A late
+// report adds its lateness.
 func firstToken(c candidate, promptTokens int) float64 {
 	rate := c.prefillRate
 	if rate <= 0 {
 		rate = defaultPrefillRate
 	}
 	uncached := float64(max(0, promptTokens-c.cached))
-	millis := (c.backlog+uncached)/rate*1000 + c.stepMillis
+	millis := (c.backlog+uncached)/rate*1000 + 1.5*c.stepMillis
 	if late := c.reportAge - freshReport; late > 0 {
 		millis += float64(late.Milliseconds())
 	}
--- a/rudder/dispatch/choose_test.go
+++ b/rudder/dispatch/choose_test.go
@@ -164,3 +164,20 @@
 		t.Error("open after a success")
 	}
 }
+
+// TestAnswerLengths guards against refusals that expect every answer to be as long as the caller allows.
+func TestAnswerLengths(t *testing.T) {
+	a := answerLengths{}
+	if got := a.expected(limit.ClassLong, 100); got != 100 {
+		t.Errorf("expected %.0f tokens before the first answer, want all 100", got)
+	}
+	for range 200 {
+		a.learn(limit.ClassLong, 25, 100)
+	}
+	if got := a.expected(limit.ClassLong, 400); got < 99 || got > 101 {
+		t.Errorf("expected %.0f of 400 tokens after answers of a quarter, want 100", got)
+	}
+	if got := a.expected(limit.ClassShort, 40); got != 40 {
+		t.Errorf("expected %.0f tokens of the other class, want all 40", got)
+	}
+}
--- a/rudder/dispatch/execute.go
+++ b/rudder/dispatch/execute.go
@@ -218,6 +218,9 @@
 	blocks := engine.PrefixBlocks(tokens)
 	d.mu.Lock()
 	t.backend.prefix.learn(blocks, time.Now())
+	if s := d.schedulers[t.request.Deployment]; s != nil {
+		s.answers.learn(t.item.Class, t.run.length(), int(t.request.MaxTokens))
+	}
 	placed := d.proven(t)
 	d.mu.Unlock()
 	d.start(placed)
--- a/rudder/dispatch/predict.go
+++ b/rudder/dispatch/predict.go
@@ -75,14 +75,41 @@
 		}
 		rate += float64(b.slots(s.betweenTokens())) / step * 1000
 		for t := range b.tickets {
-			left := int(t.request.MaxTokens) - t.length()
-			ends = append(ends, time.Duration(float64(max(0, left))*step*float64(time.Millisecond)))
+			left := s.answers.expected(t.item.Class, int(t.request.MaxTokens)-t.length())
+			ends = append(ends, time.Duration(left*step*float64(time.Millisecond)))
 		}
 	}
 	sort.Slice(ends, func(i, j int) bool { return ends[i] < ends[j] })
 	return ends, rate
 }
 
+// answerLengths learns for each class how much of the allowed length answers take.
+type answerLengths map[limit.Class]float64
+
+// answerWeight is the weight of one answer in the moving average.
+const answerWeight = 0.05
+
+// expected returns the expected number of tokens of those that are allowed.
+func (a answerLengths) expected(class limit.Class, allowed int) float64 {
+	part, found := a[class]
+	if !found {
+		part = 1
+	}
+	return part * float64(max(0, allowed))
+}
+
+// learn takes the length of a whole answer.
+func (a answerLengths) learn(class limit.Class, length, allowed int) {
+	if allowed <= 0 {
+		return
+	}
+	part := float64(length) / float64(allowed)
+	if before, found := a[class]; found {
+		part = before + answerWeight*(part-before)
+	}
+	a[class] = part
+}
+
 // length returns the tokens of the answer so far.
 func (t *ticket) length() int {
 	if t.run == nil {
--- a/rudder/dispatch/scheduler.go
+++ b/rudder/dispatch/scheduler.go
@@ -85,6 +85,7 @@
 	unproven   map[quarantine.Key]int
 	retries    *limit.RetryBudget
 	short      shortPeak
+	answers    answerLengths
 	turn       int
 }
 
@@ -94,6 +95,7 @@
 		queue:      limit.NewQueue(),
 		inProgress: map[string]int{},
 		unproven:   map[quarantine.Key]int{},
+		answers:    answerLengths{},
 		retries:    limit.NewRetryBudget(now),
 	}
 }
@@ -126,7 +128,8 @@
 	for _, b := range s.backends {
 		cached = max(cached, b.prefix.expected(t.blocks, now))
 	}
-	t.item.Tokens = max(1, t.tokens-cached+max(0, int(t.request.MaxTokens)-len(t.request.Generated)))
+	answer := s.answers.expected(t.item.Class, int(t.request.MaxTokens)-len(t.request.Generated))
+	t.item.Tokens = max(1, t.tokens-cached+int(answer))
 	s.queue.Push(t.item)
 	s.count(t, now)
 }
--- a/rudder/dispatch/simulation_test.go
+++ b/rudder/dispatch/simulation_test.go
@@ -189,6 +189,7 @@
 		if length+1 < int(r.t.request.MaxTokens) {
 			kept = append(kept, r)
 		} else {
+			sim.s.answers.learn(r.t.item.Class, length+1, int(r.t.request.MaxTokens))
 			sim.s.release(r.t)
 		}
 	}
