Attribute crashes on a version being rolled out to the version

Cause: a dispatcher that had not finished a run yet quarantined the request that met a crashing new version (make test, TestRolloutIsReversedWhenVersionFails).

Change: the rollout's state spreads as a record; every dispatcher asks it when a runner dies. The process harness waits until every written object is accepted and in force: TestEngineStreamIsResumed met a node with a revision that had only some of them (404 for its model).

--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/quarantine"
 	"chestnutrudder.example/rudder/revision"
+	"chestnutrudder.example/rudder/rollout"
 	"chestnutrudder.example/rudder/route"
 	"chestnutrudder.example/rudder/settings"
 	"chestnutrudder.example/rudder/telemetry"
@@ -84,6 +85,7 @@
 	decisions := decision.NewRecorder(s.Node, decision.Size, logger.Part)
 	callers.Router, callers.Quarantine = router, quarantined
 	dispatcher.Decisions, callers.Decisions = decisions, decisions
+	dispatcher.OnTrial = rollout.NewTrials(records).IsOnTrial
 	follower := &revision.Follower{Store: store, Current: current, Members: members, Records: records, Dial: dialer.Client, Log: logger.Part("revision")}
 	follower.Start()
 	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher, Claims: keeper, Snapshots: follower}
@@ -96,7 +98,7 @@
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	group, groupCtx := errgroup.WithContext(parts)
-	loops := append(controlLoops(s, store, hosts, current, leases, router.Digests, decisions, logger),
+	loops := append(controlLoops(s, store, records, hosts, current, leases, router.Digests, decisions, logger),
 		exchanger.Run,
 		notices.Run,
 		dispatcher.Loop,
--- a/standin/process/cluster.go
+++ b/standin/process/cluster.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"os/exec"
@@ -9,6 +10,9 @@
 
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/objectapi"
+
 	"chestnutrudder.example/standin/cloud"
 	"chestnutrudder.example/standin/faultproxy"
 )
@@ -142,12 +146,23 @@
 			return err
 		}
 	}
+	var accepted int64
+	if err := WaitFor("acceptance of every object", func() (done bool) {
+		accepted, done = c.acceptedRevision()
+		return done
+	}); err != nil {
+		return err
+	}
 	for _, n := range c.Nodes {
 		err := WaitFor("node "+n.Name+" ready", func() bool {
 			var addresses struct {
 				Addresses []struct{} `json:"addresses"`
 			}
+			var inForce struct {
+				Revision int64 `json:"revision"`
+			}
 			return Control(http.MethodGet, "http://"+n.Admin+"/ready", nil, nil) == nil &&
+				Control(http.MethodGet, "http://"+n.Admin+"/revision", nil, &inForce) == nil && inForce.Revision >= accepted &&
 				Control(http.MethodGet, "http://"+n.Caller+"/v1/addresses", nil, &addresses) == nil &&
 				len(addresses.Addresses) >= len(c.Nodes)
 		})
@@ -158,6 +173,26 @@
 	return nil
 }
 
+// acceptedRevision returns the newest revision that an object came into force with; done means that every written object
+// is accepted.
+func (c *Cluster) acceptedRevision() (newest int64, done bool) {
+	ctx := context.Background()
+	store := objectapi.NewClient(c.ObjectAPI, nil)
+	specs, err := store.List(ctx, object.SpecPrefix)
+	if err != nil {
+		return 0, false
+	}
+	for _, spec := range specs.Objects {
+		var status object.Status
+		o, err := store.Get(ctx, object.StatusPrefix+strings.TrimPrefix(spec.Key, object.SpecPrefix))
+		if err != nil || json.Unmarshal(o.Value, &status) != nil || !status.Accepted || status.ObservedVersion != spec.Version {
+			return 0, false
+		}
+		newest = max(newest, status.Revision)
+	}
+	return newest, true
+}
+
 // Callers returns the addresses of all nodes for callers.
 func (c *Cluster) Callers() []string {
 	var addresses []string
