Move runs off a leaving host by their KV cache

Cause: a notice stopped new work only; the runs on the host broke when it went away and were computed again.

Change: on a notice the dispatcher triages the runs of the host. Those that end in time finish; of the others, those that save most tokens for each second of export are exported first, within the export rate and the time left; the rest is resumed by prefix at once. Targets spread over failure domains without a wave (two notices within 30 s) and have no notice. The entry node gets Moved and sends the run to the target's dispatcher, which imports the KV cache first and resumes by prefix if it cannot. A run that was expected to finish and did not is moved half a second before the end. The export rate is learned.

--- a/rudder/dispatch/admission.go
+++ b/rudder/dispatch/admission.go
@@ -71,8 +71,12 @@
 	if refusal := s.admit(t, organisation, now); refusal != nil {
 		return nil, refusal
 	}
-	if b := d.holder(t); b != nil {
-		t.resume = true
+	b := d.importer(t, s.betweenTokens())
+	if b == nil {
+		b = d.holder(t)
+		t.resume = b != nil
+	}
+	if b != nil {
 		s.count(t, now)
 		s.place(t, b, now)
 		go d.execute(t)
@@ -86,7 +90,7 @@
 // another dispatcher that is dead or silent: the run has its slot already, so that no limit is passed.
 func (d *Dispatcher) holder(t *ticket) *Backend {
 	host := t.request.ResumeHost
-	if host == "" || !t.item.Resumed || t.isolated {
+	if host == "" || !t.item.Resumed || t.isolated || t.request.KvHandle != "" {
 		return nil
 	}
 	if b := d.backends[host]; b != nil && b.Engine != nil {
--- a/rudder/dispatch/dispatch.go
+++ b/rudder/dispatch/dispatch.go
@@ -46,6 +46,7 @@
 	schedulers map[string]*scheduler // by deployment
 	runs       map[string]*Run
 	refreshed  bool // the fleet was known at the last refresh
+	exports    exportRate
 }
 
 // New returns a dispatcher without backend servers.
@@ -68,6 +69,7 @@
 	defer ticker.Stop()
 	for {
 		d.refresh(ctx)
+		d.reclaimHosts()
 		d.dropIdleRuns()
 		select {
 		case <-ctx.Done():
--- a/rudder/dispatch/execute.go
+++ b/rudder/dispatch/execute.go
@@ -49,7 +49,6 @@
 		MaxTokens:    int(t.request.MaxTokens),
 		Priority:     priority,
 		Resume:       t.resume,
-		KVHandle:     t.request.KvHandle,
 	}
 }
 
@@ -83,7 +82,9 @@
 // it should resume, which then is placed anew.
 func (d *Dispatcher) read(ctx context.Context, t *ticket) *peerpb.RunEvent {
 	b := t.backend
-	stream, err := b.Engine.Run(ctx, t.order())
+	order := t.order()
+	order.KVHandle = d.importKV(ctx, b, t.request)
+	stream, err := b.Engine.Run(ctx, order)
 	if errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrRefused) {
 		if t.resume && !errors.Is(err, engine.ErrDown) {
 			return nil
--- a/rudder/dispatch/scheduler.go
+++ b/rudder/dispatch/scheduler.go
@@ -37,6 +37,7 @@
 	uncached int      // tokens to prefill, as predicted at placement
 	started  bool     // prefilled
 	proven   bool
+	triaged  bool // its host leaves and it was decided what to do
 }
 
 func newTicket(r *Run, request *peerpb.RunRequest, share int, now time.Time) *ticket {
--- a/rudder/engine/client.go
+++ b/rudder/engine/client.go
@@ -165,6 +165,11 @@
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	return c.exchange(ctx, method, path, in, out)
+}
+
+// exchange is call without a time limit of its own.
+func (c *Client) exchange(ctx context.Context, method, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
 		raw, err := json.Marshal(in)
--- a/rudder/entry/session.go
+++ b/rudder/entry/session.go
@@ -10,6 +10,7 @@
 
 	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/limit"
+	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/peer/peerpb"
@@ -49,6 +50,7 @@
 	recomputed   int64
 	finishReason string
 	lastToken    time.Time
+	moved        *peerpb.Moved // where the run continues
 }
 
 type emitFunc func(offset int, tokens []string) error
@@ -83,7 +85,9 @@
 		if !s.placed && s.deadline > 0 && time.Since(s.started) > s.deadline {
 			break // every dispatcher would refuse it now
 		}
-		excluded[choice.Node.Name] = true
+		if s.moved == nil {
+			excluded[choice.Node.Name] = true
+		}
 	}
 	return s.giveUp(lastReason)
 }
@@ -97,6 +101,12 @@
 }
 
 func (s *session) choose(excluded map[string]bool) (route.Choice, bool) {
+	if s.moved != nil {
+		if n, found := s.server.Members.Find(s.moved.Node); found && !excluded[n.Name] && n.State != membership.StateDead {
+			return route.Choice{Node: n, Reason: "the run was moved"}, true
+		}
+		s.moved = nil
+	}
 	candidates := route.Candidates(s.deployment, route.Key(s.prompt), s.server.Fleet.Serving(), s.server.Members.Live())
 	return s.server.Router.Choose(candidates, route.Request{
 		Deployment: s.deployment,
@@ -114,6 +124,11 @@
 	defer cancel()
 	silence := time.AfterFunc(silenceTimeout, cancel)
 	defer silence.Stop()
+	moved := s.moved
+	s.moved = nil
+	if moved != nil {
+		s.resumeHost = moved.Host
+	}
 	stream, err := s.server.Dial(choice.Node.PeerAddress).Run(attemptCtx, connect.NewRequest(&peerpb.RunRequest{
 		Run:          s.id,
 		Attempt:      int32(s.attempts),
@@ -133,6 +148,8 @@
 		Resumed:        s.placed,
 		ComputedTokens: s.computed,
 		ResumeHost:     s.resumeHost,
+		KvHandle:       moved.GetKvHandle(),
+		KvSource:       moved.GetKvSource(),
 	}))
 	if err != nil {
 		return false, err.Error(), ctx.Err()
@@ -183,6 +200,10 @@
 			return false, "", s.quarantined(e.Refused.Reason)
 		}
 		return false, e.Refused.Reason, nil
+	case *peerpb.RunEvent_Moved:
+		s.moved = e.Moved
+		s.placed = true
+		return false, "the run was moved to " + e.Moved.Node, nil
 	case *peerpb.RunEvent_Broken:
 		s.placed = true
 		s.resumeHost = ""
