--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -57,6 +57,9 @@
 	return p, nil
 }
 
+// LogPath returns the file with the output of the process.
+func (p *Process) LogPath() string { return p.log.Name() }
+
 // Signal sends a signal.
 func (p *Process) Signal(signal os.Signal) error { return p.cmd.Process.Signal(signal) }
 
