Halve the bytes of heartbeats

Cause: both neighbours sent a heartbeat each second although one exchange informs both; a first contact sent all records; heartbeats to other failure domains went to another node, and so over another connection, each second; idle connections were pinged each second from both sides; and small messages were compressed.

Change: a heartbeat is sent only if none was exchanged with that neighbour, or with any node of that failure domain, in the last second; of two neighbours the one with the lower name sends. First contacts with nodes of other failure domains rely on the hash. A node of another failure domain is kept for 10 heartbeats and left at once if it does not answer. Heartbeat connections are pinged after 2 s and closed after 5 s without use. Messages under 1 KiB are not compressed.

--- a/rudder/membership/detect.go
+++ b/rudder/membership/detect.go
@@ -7,6 +7,8 @@
 	deadAfter    = 6 * time.Second
 	// forgetAfter is how long a dead node stays known, so that it is still contacted after a long partition.
 	forgetAfter = time.Hour
+	// dueSlack is more than the difference of the two ends' clocks at one exchange.
+	dueSlack = 100 * time.Millisecond
 	// pausedAfter: if the loop that looks at silences itself stood still for this long, this process was paused and the
 	// silences say nothing about the others.
 	pausedAfter = 2 * time.Second
@@ -26,6 +28,23 @@
 	delete(t.suspects, name)
 }
 
+// untilDue returns how long a heartbeat to a node can wait because that node, or for another failure domain any node of
+// it, exchanged one with this node within the last second. An exchange informs both sides, so that one of them is enough.
+// Of two neighbours the one with the higher name waits a little longer, so that both do not send at the same time.
+func (t *Table) untilDue(n Node) time.Duration {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	now := t.now()
+	if n.FailureDomain != t.nodes[t.self].FailureDomain {
+		return heartbeatInterval - dueSlack - now.Sub(t.domains[n.FailureDomain])
+	}
+	due := heartbeatInterval - dueSlack
+	if t.self > n.Name {
+		due += 2 * dueSlack
+	}
+	return due - now.Sub(t.heard[n.Name])
+}
+
 // isSilent reports whether no node of another failure domain was heard for 6 s. This stays a local view: nodes that can
 // still reach that failure domain go on using it. The caller holds the lock.
 func (t *Table) isSilent(domain string) bool {
--- a/rudder/membership/exchange.go
+++ b/rudder/membership/exchange.go
@@ -221,10 +221,15 @@
 	return *e.peerLocked(name)
 }
 
+// peerLocked returns the state of the exchanges with a node. A node of another failure domain most likely has all records
+// at the first contact: unequal hashes show if not. The caller holds the lock.
 func (e *Exchanger) peerLocked(name string) *peerState {
 	p, found := e.peers[name]
 	if !found {
 		p = &peerState{}
+		if n, known := e.Table.Find(name); known && n.FailureDomain != e.Table.Self().FailureDomain {
+			p.sent, _ = e.Records.position()
+		}
 		e.peers[name] = p
 	}
 	return p
--- a/rudder/membership/link.go
+++ b/rudder/membership/link.go
@@ -11,8 +11,13 @@
 	// deadInterval is the time between heartbeats to a dead node. They go on, so that the two sides of a healed partition
 	// that declared each other dead find each other again.
 	deadInterval = 5 * time.Second
-	// deadTurn: of this many heartbeats to another failure domain one goes to a dead node.
-	deadTurn = 5
+	// keepTurns is how many heartbeats to another failure domain go to the same node, so that its connection is used
+	// again. Half of the bytes of a heartbeat over a new connection are for the connection.
+	keepTurns = 10
+	// nextPause is the time until the next node of a failure domain is tried after one that did not answer.
+	nextPause = 100 * time.Millisecond
+	// quickFailures is how often this is done in a row; after that the whole failure domain seems to be down.
+	quickFailures = 3
 )
 
 // link is the goroutine that exchanges heartbeats with one neighbour, one other failure domain or one seed.
@@ -98,50 +103,75 @@
 
 // followNode exchanges heartbeats with a neighbour.
 func (e *Exchanger) followNode(ctx context.Context, name string, wake chan struct{}) {
+	woken := true
 	for ctx.Err() == nil {
 		n, found := e.Table.Find(name)
 		if !found {
 			return
 		}
+		if pause := e.Table.untilDue(n); pause > 0 && !woken {
+			woken = wait(ctx, pause, wake)
+			continue
+		}
 		_, _ = e.exchange(ctx, n)
 		interval := heartbeatInterval
 		if n.State == StateDead {
 			interval = deadInterval
 		}
-		wait(ctx, interval, wake)
+		woken = wait(ctx, interval, wake)
 	}
 }
 
 // followDomain exchanges heartbeats with the nodes of another failure domain in turn.
 func (e *Exchanger) followDomain(ctx context.Context, domain string, wake chan struct{}) {
-	for turn := 0; ctx.Err() == nil; turn++ {
-		if n, found := e.turn(domain, turn); found {
-			_, _ = e.exchange(ctx, n)
+	woken := true
+	failures := 0
+	for turn := 0; ctx.Err() == nil; {
+		n, found := e.turn(domain, turn)
+		if pause := e.Table.untilDue(n); found && pause > 0 && !woken {
+			woken = wait(ctx, pause, wake)
+			continue
+		}
+		pause := heartbeatInterval
+		turn++
+		if found {
+			failures++
+			if _, err := e.exchange(ctx, n); err == nil {
+				failures = 0
+			} else {
+				turn = nextTurn(turn)
+			}
+			if failures > 0 && failures <= quickFailures {
+				pause = nextPause
+			}
 		}
-		wait(ctx, heartbeatInterval, wake)
+		woken = wait(ctx, pause, wake)
 	}
 }
 
-// turn returns the node of another failure domain for a turn: dead ones only now and then, unless all are dead. Nodes
-// start their rotation at different places.
+// nextTurn returns the first turn of the next node.
+func nextTurn(turn int) int { return ((turn-1)/keepTurns + 1) * keepTurns }
+
+// turn returns the node of another failure domain for a turn: dead ones for the last heartbeat of each place in the
+// rotation only, unless all are dead. Nodes start their rotation at different places.
 func (e *Exchanger) turn(domain string, turn int) (Node, bool) {
 	var alive, dead []Node
-	for _, n := range Rank(e.Table.Self().Name, e.Table.All()) {
-		switch {
-		case n.FailureDomain != domain:
-		case n.State == StateDead:
+	nodes := e.Table.filter(func(n Node) bool { return n.FailureDomain == domain })
+	for _, n := range Rank(e.Table.Self().Name, nodes) {
+		if n.State == StateDead {
 			dead = append(dead, n)
-		default:
+		} else {
 			alive = append(alive, n)
 		}
 	}
-	if len(dead) > 0 && (len(alive) == 0 || turn%deadTurn == deadTurn-1) {
-		return dead[turn/deadTurn%len(dead)], true
-	}
-	if len(alive) == 0 {
-		return Node{}, false
+	place := turn / keepTurns
+	switch {
+	case len(dead) > 0 && (len(alive) == 0 || turn%keepTurns == keepTurns-1):
+		return dead[place%len(dead)], true
+	case len(alive) > 0:
+		return alive[place%len(alive)], true
 	}
-	return alive[turn%len(alive)], true
+	return Node{}, false
 }
 
 // followSeed contacts an address from the settings while no known node has it.
@@ -158,12 +188,15 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration, wake chan struct{}) {
+// wait pauses for d or until wake and reports whether it was woken.
+func wait(ctx context.Context, d time.Duration, wake chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-wake:
+		return true
 	case <-timer.C:
 	}
+	return false
 }
--- a/rudder/membership/network_test.go
+++ b/rudder/membership/network_test.go
@@ -140,8 +140,8 @@
 			}
 			node.tick()
 			if n.now.UnixMilli()%1000 == 0 || node.pushed {
-				node.pushed = false
 				n.beat(node)
+				node.pushed = false
 			}
 		}
 	}
@@ -152,11 +152,10 @@
 	for _, other := range node.Table.All() {
 		if other.FailureDomain != node.domain {
 			domains[other.FailureDomain] = true
-		} else if other.Name != node.name {
+		} else if other.Name != node.name && (node.pushed || node.Table.untilDue(other) <= 0) {
 			n.heartbeat(node, other, false)
 		}
 	}
-	node.turn++
 	for _, domain := range slices.Sorted(func(yield func(string) bool) {
 		for d := range domains {
 			if !yield(d) {
@@ -164,7 +163,11 @@
 			}
 		}
 	}) {
-		if to, found := node.Exchanger.turn(domain, node.turn); found {
+		if to, found := node.Exchanger.turn(domain, node.turn); found && (node.pushed || node.Table.untilDue(to) <= 0) {
+			node.turn++
+			if other := n.find(to.Name); other.down || other.paused || n.blocked[pair(node.name, to.Name)] {
+				node.turn = nextTurn(node.turn)
+			}
 			n.heartbeat(node, to, false)
 		}
 	}
--- a/rudder/peer/control.go
+++ b/rudder/peer/control.go
@@ -4,10 +4,20 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
 )
 
+const (
+	// controlPingAfter is more than the time between two heartbeats to a neighbour, so that only a silent connection is
+	// pinged.
+	controlPingAfter = 2 * time.Second
+	// controlIdle closes connections to nodes of other failure domains after their turn: at the design size a node would
+	// otherwise keep and ping connections to all 369 others.
+	controlIdle = 5 * time.Second
+)
+
 // NewControlDialer returns a dialer for heartbeats with connections of its own, so that they do not wait behind tokens.
 // count is called with the number of bytes of each read and write.
 func NewControlDialer(count func(bytes int)) *Dialer {
@@ -23,7 +33,8 @@
 			}
 			return &countedConn{Conn: connection, count: count}, nil
 		},
-		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: controlPingAfter, PingTimeout: pingTimeout},
+		IdleConnTimeout: controlIdle,
 	}
 	return &Dialer{http: &http.Client{Transport: transport}, clients: map[string]peerpbconnect.PeerServiceClient{}}
 }
--- a/rudder/peer/peer.go
+++ b/rudder/peer/peer.go
@@ -22,6 +22,11 @@
 	// that went silent is not used again.
 	pingAfter   = time.Second
 	pingTimeout = time.Second
+	// The server pings later than heartbeats come, so that it does not ping every connection every second.
+	serverPingAfter = 3 * time.Second
+	// compressFrom is the size in bytes from which messages are compressed. Heartbeats and tokens are smaller; compressing
+	// them costs more than it saves.
+	compressFrom = 1 << 10
 )
 
 // ErrNotSent means that no connection to the node could be made: the message was not sent.
@@ -113,7 +118,7 @@
 // NewHTTPServer returns an HTTP/2 server for the messages of other nodes.
 func NewHTTPServer(s *Server) *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(peerpbconnect.NewPeerServiceHandler(s))
+	mux.Handle(peerpbconnect.NewPeerServiceHandler(s, connect.WithCompressMinBytes(compressFrom)))
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -121,7 +126,7 @@
 		Handler:           mux,
 		Protocols:         protocols,
 		ReadHeaderTimeout: 5 * time.Second,
-		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout, MaxConcurrentStreams: 10000},
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: serverPingAfter, PingTimeout: pingTimeout, MaxConcurrentStreams: 10000},
 	}
 }
 
--- a/standin/e2e/membership_measure_test.go
+++ b/standin/e2e/membership_measure_test.go
@@ -84,7 +84,7 @@
 	for _, size := range [][2]int{{3, 1}, {3, 2}, {3, 3}, {3, 7}, {3, 14}, {6, 4}, {12, 2}} {
 		b.Run(fmt.Sprintf("domains=%d/nodes=%d", size[0], size[0]*size[1]), func(b *testing.B) {
 			cluster := startMeasured(b, size[0], size[1])
-			time.Sleep(3 * time.Second)
+			time.Sleep(10 * time.Second)
 			for range b.N {
 				sent, cpu, _ := usage(b, cluster)
 				time.Sleep(measureFor)
