Start tests when all applied objects are in force

Cause: an acceptor may accept the first objects of a file before the last one is written. A node with such a revision is ready, and tests that began then got 404 for a route of the next revision (TestFloodLeavesRoomForOthers, "object API down" of TestMembershipWaveLosesNoAnswer, which then never saw the route).

It is on the harness only: a node that has an older revision is right to serve it.

--- a/standin/process/cluster.go
+++ b/standin/process/cluster.go
@@ -139,7 +139,7 @@
 	return n, nil
 }
 
-// prepare applies the objects and waits until every node is ready and knows all others.
+// prepare applies the objects and waits until every node is ready, knows all others and has all objects in force.
 func (c *Cluster) prepare() error {
 	for _, file := range c.plan.ObjectFiles {
 		if _, err := c.Ctl("apply", "-f", file); err != nil {
@@ -170,7 +170,7 @@
 			return err
 		}
 	}
-	return nil
+	return c.waitApplied()
 }
 
 // acceptedRevision returns the newest revision that an object came into force with; done means that every written object
