Move runs off engines whose decode step is not known yet

Cause: the step model knows nothing before the first report with a batch. The triage took the remainder of such runs for zero and left them to finish: 14 runs moved at the last moment without their KV cache, 9752 tokens computed again.

Change: the report's step is the least that is assumed, 100 ms without one. Of several notices for a host the earliest time counts.

--- a/rudder/dispatch/reclaim.go
+++ b/rudder/dispatch/reclaim.go
@@ -24,6 +24,8 @@
 	firstExportRate = 2000
 	// exportOverhead is one exchange with the engine and the start on the target.
 	exportOverhead = 50 * time.Millisecond
+	// unknownStepMillis is the decode step of an engine that has not reported one: long, so that no run is left on it.
+	unknownStepMillis = 100
 	// rateMemory is the weight of the earlier exports in the mean rate.
 	rateMemory = 0.8
 	// importTimeout bounds the import of a KV cache; computing the prompt again takes about as long.
@@ -154,7 +156,12 @@
 func (d *Dispatcher) describe(b *Backend, tickets []*ticket) []reclaim.Run {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	step := time.Duration(b.steps.millis(max(1, len(b.tickets)+b.foreign)) * float64(time.Millisecond))
+	// Before the first report with a batch the step model knows nothing, and the report of an idle engine is too short.
+	millis := max(b.steps.millis(max(1, len(b.tickets)+b.foreign)), b.load.DecodeStepMillis)
+	if millis <= 0 {
+		millis = unknownStepMillis
+	}
+	step := time.Duration(millis * float64(time.Millisecond))
 	described := make([]reclaim.Run, 0, len(tickets))
 	for _, t := range tickets {
 		length := t.length()
--- a/rudder/fleet/fleet.go
+++ b/rudder/fleet/fleet.go
@@ -106,8 +106,8 @@
 	return t.known
 }
 
-// MarkLeaving records a notice: the host goes away at the given time. It reports whether the notice is new. A notice
-// stays in force for the life of the host name.
+// MarkLeaving records a notice: the host goes away at the given time; of several notices the earliest time counts. It
+// reports whether the notice is new. A notice stays in force for the life of the host name.
 func (t *Table) MarkLeaving(host string, at time.Time) bool {
 	t.mu.RLock()
 	failureDomain := t.hosts[host].FailureDomain
@@ -117,9 +117,13 @@
 
 func (t *Table) markLeaving(host, failureDomain string, at time.Time) bool {
 	t.mu.Lock()
-	_, known := t.leaving[host]
-	if !known {
+	earlier, known := t.leaving[host]
+	switch {
+	case !known:
 		t.leaving[host] = notice{at: at, noticed: t.now(), failureDomain: failureDomain}
+	case at.Before(earlier.at):
+		earlier.at = at
+		t.leaving[host] = earlier
 	}
 	onLeaving := t.onLeaving
 	t.mu.Unlock()
