Start tests only when all objects are in force

Cause: revision 1 may hold only the first objects of a file, since objects are written one by one. A node with it was ready, and a first request was answered with 404 because its route was missing (seen in TestConfigExplain). Change: the process harness waits until every object is accepted and that revision is in force on all nodes. Conclusion: no test depends any more on how the writes of a file fall into revisions.

--- a/standin/e2e/config_test.go
+++ b/standin/e2e/config_test.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/command"
+	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/revision"
 
@@ -67,15 +68,6 @@
 	}
 }
 
-// inForce returns the revision in force on a node, 0 if the node does not answer.
-func inForce(n *process.Node) int64 {
-	var answer struct {
-		Revision int64 `json:"revision"`
-	}
-	_ = process.Control(http.MethodGet, "http://"+n.Admin+"/revision", nil, &answer)
-	return answer.Revision
-}
-
 func readObject(t *testing.T, cluster *process.Cluster, key string, out any) {
 	t.Helper()
 	var o objectapi.Object
@@ -108,7 +100,7 @@
 	eventually(t, id+" accepted", bound, func() bool { state, _ := status(cluster, id); return state == "accepted" })
 	_, number := status(cluster, id)
 	for _, n := range nodes {
-		eventually(t, fmt.Sprintf("revision %d on %s", number, n.Name), bound, func() bool { return inForce(n) >= number })
+		eventually(t, fmt.Sprintf("revision %d on %s", number, n.Name), bound, func() bool { return n.Revision() >= number })
 	}
 }
 
@@ -127,7 +119,7 @@
 					return
 				case <-time.After(50 * time.Millisecond):
 				}
-				if number := inForce(n); number > 0 && number < highest {
+				if number := n.Revision(); number > 0 && number < highest {
 					t.Errorf("%s went from revision %d to %d", n.Name, highest, number)
 				} else {
 					highest = max(highest, number)
@@ -195,7 +187,7 @@
 	cluster := startUser(t, user, 1, nil)
 	apply(t, cluster, organisationFile(t, "guild", 1))
 	waitInForce(t, cluster, "Organisation/guild", longBound, cluster.Nodes)
-	number := inForce(cluster.Nodes[0])
+	number := cluster.Nodes[0].Revision()
 	setFaults(t, cluster, standinapi.Faults{Down: true})
 	ready := func(n *process.Node) bool {
 		return process.Control(http.MethodGet, "http://"+n.Admin+"/ready", nil, nil) == nil
@@ -209,14 +201,14 @@
 		t.Fatal(err)
 	}
 	eventually(t, "readiness with a snapshot from a peer", longBound, func() bool { return ready(informed) })
-	if got := inForce(informed); got != number {
+	if got := informed.Revision(); got != number {
 		t.Errorf("revision %d from a peer, expected %d", got, number)
 	}
-	if ready(alone) || inForce(alone) != 0 {
+	if ready(alone) || alone.Revision() != 0 {
 		t.Error("a node without object API and peers is ready")
 	}
 	setFaults(t, cluster, standinapi.Faults{})
-	eventually(t, "readiness after the outage", longBound, func() bool { return ready(alone) && inForce(alone) == number })
+	eventually(t, "readiness after the outage", longBound, func() bool { return ready(alone) && alone.Revision() == number })
 }
 
 // TestConfigPausedAcceptor guards against an acceptor that blocks changes while it is paused, or that spoils the
@@ -272,6 +264,37 @@
 	}
 }
 
+// TestConfigExplain guards against decisions that operators cannot find, and against a status without ready runners.
+func TestConfigExplain(t *testing.T) {
+	user := users.Zlato()
+	cluster := startUser(t, user, 1, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	answer, err := caller.New(user.Token, cluster.Nodes[0].Caller).Chat(ctx, cluster.Nodes[0].Caller, user.Model, "a short question", 10, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := cluster.Ctl("explain", "run", answer.Run, "-o", "json")
+	var decisions []decision.Decision
+	if err != nil || json.Unmarshal([]byte(out), &decisions) != nil {
+		t.Fatalf("error %v, output %s", err, out)
+	}
+	parts := map[string]string{}
+	for _, d := range decisions {
+		parts[d.Part] = d.Choice
+	}
+	if parts["entry"] == "" || parts["dispatch"] == "" {
+		t.Errorf("decisions about a run: %s", out)
+	}
+	if out, err = cluster.Ctl("explain", "host", parts["dispatch"]); err != nil || !strings.Contains(out, answer.Run) {
+		t.Errorf("decisions about its host: error %v, output %s", err, out)
+	}
+	eventually(t, "ready runners in the status", longBound, func() bool {
+		out, err := cluster.Ctl("status", "Deployment/commission-service", "-o", "json")
+		return err == nil && strings.Contains(out, `"readyRunners": 3`)
+	})
+}
+
 // TestConfigCutOffNode guards against a cut-off node that stays ready for new callers or that stops serving.
 func TestConfigCutOffNode(t *testing.T) {
 	user := users.Zlato()
--- a/standin/process/cluster.go
+++ b/standin/process/cluster.go
@@ -142,12 +142,21 @@
 			return err
 		}
 	}
+	// An early revision may hold only the first objects of a file.
+	number := int64(0)
+	if err := WaitFor("acceptance of all objects", func() bool {
+		var accepted bool
+		number, accepted = c.accepted()
+		return accepted
+	}); err != nil {
+		return err
+	}
 	for _, n := range c.Nodes {
 		err := WaitFor("node "+n.Name+" ready", func() bool {
 			var addresses struct {
 				Addresses []struct{} `json:"addresses"`
 			}
-			return Control(http.MethodGet, "http://"+n.Admin+"/ready", nil, nil) == nil &&
+			return n.Revision() >= number && Control(http.MethodGet, "http://"+n.Admin+"/ready", nil, nil) == nil &&
 				Control(http.MethodGet, "http://"+n.Caller+"/v1/addresses", nil, &addresses) == nil &&
 				len(addresses.Addresses) >= len(c.Nodes)
 		})
@@ -158,6 +167,35 @@
 	return nil
 }
 
+// accepted returns the newest revision and whether the present version of every object is accepted.
+func (c *Cluster) accepted() (int64, bool) {
+	out, err := c.Ctl("status", "-o", "json")
+	var status struct {
+		Revision int64 `json:"revision"`
+		Objects  []struct {
+			State string `json:"state"`
+		} `json:"objects"`
+	}
+	if err != nil || json.Unmarshal([]byte(out), &status) != nil {
+		return 0, false
+	}
+	for _, o := range status.Objects {
+		if o.State != "accepted" {
+			return 0, false
+		}
+	}
+	return status.Revision, true
+}
+
+// Revision returns the configuration in force on the node, 0 if it does not answer.
+func (n *Node) Revision() int64 {
+	var answer struct {
+		Revision int64 `json:"revision"`
+	}
+	_ = Control(http.MethodGet, "http://"+n.Admin+"/revision", nil, &answer)
+	return answer.Revision
+}
+
 // Callers returns the addresses of all nodes for callers.
 func (c *Cluster) Callers() []string {
 	var addresses []string
