Find hosts within decisions and show ready runners

Cause: control loops record choices such as "drain host-7", which explain host did not find, and the status of a deployment had no number of ready runners. Change: explain matches words of the choice; the acceptor gets the hosts in service by deployment.

--- a/rudder/decision/decision.go
+++ b/rudder/decision/decision.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -66,14 +68,15 @@
 	return []string{fmt.Sprintf("%d others", count)}
 }
 
-// About returns the kept decisions with this subject or choice, the oldest first.
+// About returns the kept decisions with this subject, or with this word in the choice (such as the host in "drain
+// host-7"), the oldest first.
 func (r *Recorder) About(subject string) []Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	found := []Decision{}
 	for i := range r.ring {
 		d := r.ring[(r.next+i)%len(r.ring)]
-		if d.Subject == subject || d.Choice == subject {
+		if d.Subject == subject || slices.Contains(strings.Fields(d.Choice), subject) {
 			found = append(found, d)
 		}
 	}
--- a/rudder/decision/decision_test.go
+++ b/rudder/decision/decision_test.go
@@ -20,5 +20,9 @@
 	if len(r.About("run-11")) != 0 || len(r.About("run-19")) != 1 {
 		t.Error("a decision is kept too long or found under the wrong subject")
 	}
+	r.Record("capacity", "deployment", "notice", "drain host-7", nil)
+	if len(r.About("host-7")) != 1 || len(r.About("host")) != 0 {
+		t.Error("a host is not found by its name, or by a part of it")
+	}
 	(*Recorder)(nil).Record("entry", "run", "reason", "choice", nil)
 }
--- a/rudder/fleet/fleet.go
+++ b/rudder/fleet/fleet.go
@@ -179,6 +179,18 @@
 	return !since.IsZero() && t.now().Sub(since) > silentAfter
 }
 
+// ServingByDeployment returns the number of hosts that take new work, by deployment; nil if the hosts are not known yet.
+func (t *Table) ServingByDeployment() map[string]int {
+	if !t.Known() {
+		return nil
+	}
+	count := map[string]int{}
+	for _, h := range t.Serving() {
+		count[h.Deployment]++
+	}
+	return count
+}
+
 // Serving returns the hosts that take new work, sorted by name.
 func (t *Table) Serving() []cloud.Host {
 	t.mu.RLock()
