--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -87,7 +87,7 @@
 	follower := &revision.Follower{Store: store, Current: current, Members: members, Records: records, Dial: dialer.Client, Log: logger.Part("revision")}
 	follower.Start()
 	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher, Claims: keeper, Snapshots: follower}
-	acceptor := &revision.Acceptor{Store: store, Current: current, Ready: hosts.ServingByDeployment, Log: logger.Part("revision")}
+	acceptor := &revision.Acceptor{Store: store, Current: current, Ready: hosts.ServingByDeployment, Node: s.Node, Published: follower.Published, Log: logger.Part("revision")}
 	leases := &lease.Manager{
 		Store: store, Node: s.Node, Timing: lease.DefaultTiming, Log: logger.Part("lease"),
 		Contends: func(name string) bool { return members.IsAmongFirst("lease/"+name, leaseContenders) },
--- a/rudder/revision/acceptance_test.go
+++ b/rudder/revision/acceptance_test.go
@@ -270,13 +270,14 @@
 	n := s.nodes[i]
 	before := n.Current.Index().Number
 	if rapid.Bool().Draw(t, "from peer") {
-		reply := s.nodes[1-i].Answer(snapshotRequest(before))
-		if len(reply.Snapshot) > 0 {
-			var snapshot Snapshot
-			if err := json.Unmarshal(reply.Snapshot, &snapshot); err != nil {
-				t.Fatal(err)
-			}
-			n.adopt(snapshot, "peer")
+		snapshot, err := snapshotFrom(s.nodes[1-i].Answer(snapshotRequest(before)), n.Current.Index().Snapshot)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.adopt(snapshot, "peer")
+		other := s.nodes[1-i].Current.Index()
+		if got := n.Current.Index(); got.Number == other.Number && !reflect.DeepEqual(got.Snapshot, other.Snapshot) {
+			t.Fatalf("revision %d differs between two nodes", got.Number)
 		}
 	} else if len(s.pointers) > 0 {
 		_ = n.takeNewest(context.Background(), []objectapi.Object{rapid.SampledFrom(s.pointers).Draw(t, "pointer")})
--- a/rudder/revision/acceptor.go
+++ b/rudder/revision/acceptor.go
@@ -37,7 +37,11 @@
 	Current *Current
 	// Ready returns the number of ready runners by deployment; nil or a missing entry means not known.
 	Ready func() map[string]int
-	Log   *slog.Logger
+	// Node is the name of this node, and Published is called with each new snapshot after the pointer names it. Both may
+	// be left out.
+	Node      string
+	Published func(Snapshot)
+	Log       *slog.Logger
 }
 
 // acceptance is the state of an acceptor while it holds the lease.
@@ -202,7 +206,7 @@
 	if _, err := a.Store.Put(ctx, key, snapshot, objectapi.Absent); err != nil {
 		return err
 	}
-	next := Pointer{Number: snapshot.Number, Key: key, Fence: a.fence, Kept: append(slices.Clone(a.pointer.Kept), key)}
+	next := Pointer{Number: snapshot.Number, Key: key, Node: a.Node, Fence: a.fence, Kept: append(slices.Clone(a.pointer.Kept), key)}
 	var old []string
 	if surplus := len(next.Kept) - keptSnapshots; surplus > 0 {
 		old, next.Kept = next.Kept[:surplus], slices.Clone(next.Kept[surplus:])
@@ -212,6 +216,9 @@
 	}
 	a.inForce, a.inForceKey = objects, key
 	a.Log.Info("Configuration is accepted.", "revision", snapshot.Number, "objects", len(snapshot.Objects))
+	if a.Published != nil {
+		a.Published(snapshot)
+	}
 	a.deleteSnapshots(ctx, old)
 	return nil
 }
--- /dev/null
+++ b/rudder/revision/delta.go
@@ -0,0 +1,141 @@
+package revision
+
+import (
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/peer/peerpb"
+)
+
+// historyLength is the number of revisions since which a node can give the changes. At the design size a revision comes
+// every few seconds and neighbours ask every second.
+const historyLength = 16
+
+// delta are the changes from one snapshot to a later one.
+type delta struct {
+	Base    int64           `json:"base"`
+	Number  int64           `json:"number"`
+	Changed []object.Object `json:"changed"`
+	Removed []string        `json:"removed"` // IDs
+	Hash    uint64          `json:"hash"`    // of the later snapshot as JSON
+}
+
+// history knows which objects the last snapshots held, so that a node can give its neighbours the changes only.
+type history struct {
+	number int64  // the newest snapshot; 0 if there is none
+	raw    []byte // as JSON
+	last   Snapshot
+	hashes []hashes
+	deltas map[int64][]byte // encoded changes to the newest snapshot, by base
+}
+
+// hashes holds the hash of each object of one snapshot.
+type hashes struct {
+	number int64
+	byID   map[string]uint64
+}
+
+// add takes a snapshot that is newer than all before.
+func (h *history) add(snapshot Snapshot) error {
+	raw, err := json.Marshal(snapshot)
+	if err != nil {
+		return errors.Wrap(err, "encode snapshot")
+	}
+	if snapshot.Number <= h.number {
+		return nil
+	}
+	entry := hashes{number: snapshot.Number, byID: map[string]uint64{}}
+	for _, o := range snapshot.Objects {
+		encoded, err := json.Marshal(o)
+		if err != nil {
+			return errors.Wrapf(err, "encode %s", o.ID())
+		}
+		entry.byID[o.ID()] = xxhash.Sum64(encoded)
+	}
+	h.number, h.raw, h.last, h.deltas = snapshot.Number, raw, snapshot, map[int64][]byte{}
+	h.hashes = append(h.hashes, entry)
+	if surplus := len(h.hashes) - historyLength; surplus > 0 {
+		h.hashes = append([]hashes(nil), h.hashes[surplus:]...)
+	}
+	return nil
+}
+
+// delta returns the encoded changes from a base to the newest snapshot, nil if the base is not known any more or the
+// changes are not smaller than the snapshot.
+func (h *history) delta(base int64) []byte {
+	if encoded, found := h.deltas[base]; found {
+		return encoded
+	}
+	for _, old := range h.hashes {
+		if old.number != base {
+			continue
+		}
+		encoded, err := json.Marshal(h.changesSince(old))
+		if err != nil || len(encoded) >= len(h.raw) {
+			encoded = nil
+		}
+		h.deltas[base] = encoded
+		return encoded
+	}
+	return nil
+}
+
+func (h *history) changesSince(old hashes) delta {
+	newest := h.hashes[len(h.hashes)-1]
+	d := delta{Base: old.number, Number: h.number, Hash: xxhash.Sum64(h.raw)}
+	for _, o := range h.last.Objects {
+		if hash, found := old.byID[o.ID()]; !found || hash != newest.byID[o.ID()] {
+			d.Changed = append(d.Changed, o)
+		}
+	}
+	for id := range old.byID {
+		if _, found := newest.byID[id]; !found {
+			d.Removed = append(d.Removed, id)
+		}
+	}
+	return d
+}
+
+// snapshotFrom returns the snapshot of an answer, put together from base where only changes came. An answer without
+// news gives base.
+func snapshotFrom(reply *peerpb.SnapshotResponse, base Snapshot) (Snapshot, error) {
+	switch {
+	case len(reply.Delta) > 0:
+		var d delta
+		if err := json.Unmarshal(reply.Delta, &d); err != nil {
+			return base, errors.Wrap(err, "decode changes")
+		}
+		return d.apply(base)
+	case len(reply.Snapshot) > 0:
+		var snapshot Snapshot
+		err := json.Unmarshal(reply.Snapshot, &snapshot)
+		return snapshot, errors.Wrap(err, "decode snapshot")
+	}
+	return base, nil
+}
+
+// apply returns the later snapshot. It fails if base is another snapshot than the one that the changes were made from.
+func (d delta) apply(base Snapshot) (Snapshot, error) {
+	if base.Number != d.Base {
+		return base, errors.Errorf("changes from revision %d, allowed: %d", d.Base, base.Number)
+	}
+	set := object.NewSet(base.Objects)
+	for _, id := range d.Removed {
+		delete(set, id)
+	}
+	for _, o := range d.Changed {
+		set[o.ID()] = o
+	}
+	snapshot := Snapshot{Number: d.Number, Objects: set.List()}
+	raw, err := json.Marshal(snapshot)
+	if err != nil {
+		return base, errors.Wrap(err, "encode snapshot")
+	}
+	if hash := xxhash.Sum64(raw); hash != d.Hash {
+		return base, errors.Errorf("hash of revision %d: value %x, allowed: %x", d.Number, hash, d.Hash)
+	}
+	return snapshot, nil
+}
--- a/rudder/revision/follower.go
+++ b/rudder/revision/follower.go
@@ -54,8 +54,7 @@
 	// contactAt is when the object API or another node last answered.
 	contactAt time.Time
 	goodAt    map[string]time.Time // when a neighbour last had news of the object API
-	raw       []byte               // the snapshot in force as JSON
-	rawNumber int64
+	history   history
 	wake      chan struct{}
 	stopWatch context.CancelFunc // nil while this node does not watch
 	rotation  int
@@ -145,26 +144,17 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	asked := time.Now()
-	request := &peerpb.SnapshotRequest{NewerThan: f.Current.Index().Number}
-	reply, err := f.Dial(n.PeerAddress).Snapshot(ctx, connect.NewRequest(request))
+	reply, err := f.fetch(ctx, n, f.Current.Index())
 	if err != nil {
 		return
 	}
-	if len(reply.Msg.Snapshot) > 0 {
-		var snapshot Snapshot
-		if err := json.Unmarshal(reply.Msg.Snapshot, &snapshot); err != nil {
-			f.Log.Warn("Snapshot of another node cannot be read.", "from", n.Name, "error", err)
-			return
-		}
-		f.adopt(snapshot, n.Name)
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.contactAt = time.Now()
-	if !reply.Msg.Known {
+	if !reply.Known {
 		return
 	}
-	inStepAt := asked.Add(-time.Duration(reply.Msg.AgeMs) * time.Millisecond)
+	inStepAt := asked.Add(-time.Duration(reply.AgeMs) * time.Millisecond)
 	if inStepAt.After(f.inStepAt) {
 		f.inStepAt = inStepAt
 	}
@@ -173,6 +163,30 @@
 	}
 }
 
+// fetch asks a node for what is newer than the snapshot in force and takes it. Changes that do not fit that snapshot
+// are asked for again as a whole.
+func (f *Follower) fetch(ctx context.Context, n membership.Node, present *Index) (*peerpb.SnapshotResponse, error) {
+	client := f.Dial(n.PeerAddress)
+	reply, err := client.Snapshot(ctx, connect.NewRequest(&peerpb.SnapshotRequest{NewerThan: present.Number}))
+	if err != nil {
+		return nil, err
+	}
+	snapshot, err := snapshotFrom(reply.Msg, present.Snapshot)
+	if err != nil && len(reply.Msg.Delta) > 0 {
+		f.Log.Warn("Changes from another node do not fit.", "from", n.Name, "error", err)
+		if reply, err = client.Snapshot(ctx, connect.NewRequest(&peerpb.SnapshotRequest{})); err != nil {
+			return nil, err
+		}
+		snapshot, err = snapshotFrom(reply.Msg, Snapshot{})
+	}
+	if err != nil {
+		f.Log.Warn("Snapshot of another node cannot be read.", "from", n.Name, "error", err)
+		return nil, err
+	}
+	f.adopt(snapshot, n.Name)
+	return reply.Msg, nil
+}
+
 // askAround asks the node that a record names, if this node is behind it, and one other node, each time the next.
 func (f *Follower) askAround(ctx context.Context) {
 	self := f.Members.Self().Name
@@ -218,17 +232,20 @@
 	return value.Node
 }
 
+// Published puts a snapshot that this node's acceptor has published in force, so that other nodes can get it here.
+func (f *Follower) Published(snapshot Snapshot) { f.adopt(snapshot, "own acceptor") }
+
 // adopt puts a newer snapshot in force and tells the other nodes.
 func (f *Follower) adopt(snapshot Snapshot, from string) {
-	if !f.Current.Adopt(snapshot) {
+	if snapshot.Number <= f.Current.Index().Number || !f.Current.Adopt(snapshot) {
 		return
 	}
-	raw, err := json.Marshal(snapshot)
 	f.mu.Lock()
-	if err == nil && snapshot.Number > f.rawNumber {
-		f.raw, f.rawNumber = raw, snapshot.Number
-	}
+	err := f.history.add(snapshot)
 	f.mu.Unlock()
+	if err != nil {
+		f.Log.Warn("Snapshot cannot be passed on.", "revision", snapshot.Number, "error", err)
+	}
 	f.Log.Info("Configuration is in force.", "revision", snapshot.Number, "objects", len(snapshot.Objects), "from", from)
 	if err := f.Records.Put(membership.RecordRevision, snapshot.Number, recordValue{Node: f.Members.Self().Name}); err != nil {
 		f.Log.Warn("Revision could not be announced.", "revision", snapshot.Number, "error", err)
@@ -239,12 +256,14 @@
 func (f *Follower) Answer(request *peerpb.SnapshotRequest) *peerpb.SnapshotResponse {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := &peerpb.SnapshotResponse{Revision: f.rawNumber, Known: !f.inStepAt.IsZero()}
+	reply := &peerpb.SnapshotResponse{Revision: f.history.number, Known: !f.inStepAt.IsZero()}
 	if reply.Known {
 		reply.AgeMs = time.Since(f.inStepAt).Milliseconds()
 	}
-	if f.rawNumber > request.NewerThan {
-		reply.Snapshot = f.raw
+	if f.history.number > request.NewerThan {
+		if reply.Delta = f.history.delta(request.NewerThan); reply.Delta == nil {
+			reply.Snapshot = f.history.raw
+		}
 	}
 	return reply
 }
@@ -364,6 +383,15 @@
 	if newest.Number <= f.Current.Index().Number {
 		return nil
 	}
+	// The changes from the acceptor's node are smaller than the snapshot in the object API.
+	for _, n := range f.Members.Live() {
+		if n.Name == newest.Node && n.Name != f.Members.Self().Name {
+			f.ask(ctx, n)
+		}
+	}
+	if newest.Number <= f.Current.Index().Number {
+		return nil
+	}
 	snapshot, err := readSnapshot(ctx, f.Store, newest.Key)
 	if err != nil {
 		return err
--- a/rudder/revision/follower_test.go
+++ b/rudder/revision/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -58,6 +59,45 @@
 	}
 }
 
+// TestChangesOnly guards against snapshots that travel as a whole for a small change, and against changes that are
+// applied to another snapshot than the one they were made from.
+func TestChangesOnly(t *testing.T) {
+	organisations := func(count, share int) []object.Object {
+		set := object.Set{}
+		for i := range count {
+			o := object.Object{Kind: object.KindOrganisation, Name: fmt.Sprintf("o%04d", i)}
+			o.Organisation = &object.OrganisationSpec{TokenSHA256: []string{fmt.Sprintf("%064d", i)}, Share: 1, MaxInProgress: 1}
+			if i == 7 {
+				o.Organisation.Share = share
+			}
+			set[o.ID()] = o
+		}
+		return set.List()
+	}
+	source := newFollower(objectapitest.NewMemory(), "source")
+	first, second := Snapshot{Number: 1, Objects: organisations(2000, 1)}, Snapshot{Number: 3, Objects: organisations(1999, 2)}
+	source.Published(first)
+	source.Published(second)
+	whole, changes := source.Answer(snapshotRequest(0)), source.Answer(snapshotRequest(1))
+	t.Logf("snapshot of 2000 objects: %d bytes, changes of two objects: %d bytes", len(whole.Snapshot), len(changes.Delta))
+	if len(whole.Snapshot) == 0 || len(whole.Delta) > 0 || len(changes.Snapshot) > 0 || len(changes.Delta) > 1000 {
+		t.Errorf("whole: %d bytes, changes: %d bytes", len(whole.Snapshot), len(changes.Delta))
+	}
+	if got, err := snapshotFrom(changes, first); err != nil || !reflect.DeepEqual(got, second) {
+		t.Errorf("revision %d with %d objects from changes, error %v", got.Number, len(got.Objects), err)
+	}
+	other := Snapshot{Number: 1, Objects: organisations(2000, 1)[:1500]}
+	if _, err := snapshotFrom(changes, other); err == nil {
+		t.Error("changes were applied to another snapshot of the same number")
+	}
+	if _, err := snapshotFrom(changes, Snapshot{Number: 2}); err == nil {
+		t.Error("changes were applied to a snapshot of another number")
+	}
+	if reply := source.Answer(snapshotRequest(2)); len(reply.Snapshot) == 0 {
+		t.Error("a node with an unknown revision gets no whole snapshot")
+	}
+}
+
 // TestOneNodeWatches guards against a failure domain in which every node or none watches the object API.
 func TestOneNodeWatches(t *testing.T) {
 	nodes := []membership.Node{{Name: "a", FailureDomain: "x"}, {Name: "b", FailureDomain: "x"}, {Name: "c", FailureDomain: "x"}, {Name: "d", FailureDomain: "y"}}
--- a/rudder/revision/revision.go
+++ b/rudder/revision/revision.go
@@ -24,6 +24,7 @@
 type Pointer struct {
 	Number int64  `json:"number"`
 	Key    string `json:"key"`   // of the snapshot; empty before the first one
+	Node   string `json:"node"`  // of the acceptor that wrote the snapshot; other nodes get the changes there
 	Fence  int64  `json:"fence"` // fencing token of the acceptor that wrote it
 	// Kept are the keys of the newest snapshots, the newest last.
 	Kept []string `json:"kept"`
