Test that the next node watches

Cause: the take-over of the watch was tested only as a choice of a node. Change: three followers in one process, of which the watching one stops answering. Conclusion: the next one watches and the last one gets a revision from it; the test fails if silence is not counted.

--- a/rudder/revision/follower_test.go
+++ b/rudder/revision/follower_test.go
@@ -6,14 +6,19 @@
 	"fmt"
 	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/objectapi/objectapitest"
 	"chestnutrudder.example/rudder/peer/peerpb"
+	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
 )
 
 func snapshotRequest(number int64) *peerpb.SnapshotRequest {
@@ -132,6 +137,76 @@
 	}
 }
 
+// linkedNode is another node as its neighbours reach it.
+type linkedNode struct {
+	peerpbconnect.PeerServiceClient
+	follower *Follower
+	down     *atomic.Bool
+}
+
+func (n linkedNode) Snapshot(_ context.Context, r *connect.Request[peerpb.SnapshotRequest]) (*connect.Response[peerpb.SnapshotResponse], error) {
+	if n.down.Load() {
+		return nil, errors.New("node does not answer")
+	}
+	return connect.NewResponse(n.follower.Answer(r.Msg)), nil
+}
+
+// TestNextNodeWatches guards against a failure domain that learns of no revision any more when its watching node dies.
+func TestNextNodeWatches(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := objectapitest.NewMemory()
+	ranked := membership.Rank("watch/revision", []membership.Node{
+		{Name: "a", FailureDomain: "x", PeerAddress: "a"}, {Name: "b", FailureDomain: "x", PeerAddress: "b"}, {Name: "c", FailureDomain: "x", PeerAddress: "c"},
+	})
+	links := map[string]linkedNode{}
+	for _, n := range ranked {
+		f := newFollower(store, n.Name)
+		table := membership.NewTable(n)
+		for _, other := range ranked {
+			table.Merge(other)
+		}
+		f.Members = table
+		f.Dial = func(address string) peerpbconnect.PeerServiceClient { return links[address] }
+		links[n.Name] = linkedNode{follower: f, down: &atomic.Bool{}}
+	}
+	first, next, last := links[ranked[0].Name], links[ranked[1].Name], links[ranked[2].Name]
+	watches := func(n linkedNode) bool { return n.follower.stopWatch != nil }
+	for _, n := range []linkedNode{first, next, last} {
+		n.follower.round(ctx)
+	}
+	if !watches(first) || watches(next) || watches(last) {
+		t.Fatalf("watching at the start: %t, %t, %t", watches(first), watches(next), watches(last))
+	}
+	first.down.Store(true)
+	first.follower.watchWhile(ctx, false)
+	for _, n := range []linkedNode{next, last} {
+		n.follower.goodAt[ranked[0].Name] = time.Now().Add(-silentAfter - time.Second)
+		n.follower.round(ctx)
+	}
+	if !watches(next) || watches(last) {
+		t.Fatalf("watching without the first: %t, %t", watches(next), watches(last))
+	}
+	key := SnapshotPrefix + "1"
+	for _, write := range []struct {
+		key   string
+		value any
+	}{{key, Snapshot{Number: 1}}, {CurrentKey, Pointer{Number: 1, Key: key}}} {
+		if _, err := store.Put(ctx, write.key, write.value, objectapi.Absent); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The bound only ends a test that would hang.
+	for started := time.Now(); next.follower.Current.Index().Number < 1; time.Sleep(time.Millisecond) {
+		if time.Since(started) > time.Minute {
+			t.Fatal("the next node does not watch")
+		}
+	}
+	if last.follower.round(ctx); last.follower.Current.Index().Number != 1 {
+		t.Error("the last node did not get the revision from the next one")
+	}
+}
+
 // TestCutOff guards against a cut-off node that stays ready, and against a node that loses readiness too early.
 func TestCutOff(t *testing.T) {
 	start := time.Unix(1000, 0)
