Forget nodes that are gone in the follower

Cause: the follower kept a time for every node name that it had ever asked. Change: it keeps those of the live nodes of its failure domain.

--- a/rudder/revision/follower.go
+++ b/rudder/revision/follower.go
@@ -124,13 +124,19 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// A node seen for the first time gets the whole time to show that it watches; nodes that are gone are forgotten.
+	goodAt := map[string]time.Time{}
+	for _, n := range local {
+		goodAt[n.Name] = now
+		if at, known := f.goodAt[n.Name]; known {
+			goodAt[n.Name] = at
+		}
+	}
+	f.goodAt = goodAt
 	for _, n := range membership.Rank("watch/revision", local) {
 		if n.Name == self.Name {
 			return before, nil
 		}
-		if _, known := f.goodAt[n.Name]; !known {
-			f.goodAt[n.Name] = now
-		}
 		if now.Sub(f.goodAt[n.Name]) <= silentAfter {
 			return before, &n
 		}
