--- a/rudder/revision/follower_test.go
+++ b/rudder/revision/follower_test.go
@@ -4,15 +4,21 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/objectapi/objectapitest"
 	"chestnutrudder.example/rudder/peer/peerpb"
+	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
 )
 
 func snapshotRequest(number int64) *peerpb.SnapshotRequest {
@@ -58,6 +64,45 @@
 	}
 }
 
+// TestChangesOnly guards against snapshots that travel as a whole for a small change, and against changes that are
+// applied to another snapshot than the one they were made from.
+func TestChangesOnly(t *testing.T) {
+	organisations := func(count, share int) []object.Object {
+		set := object.Set{}
+		for i := range count {
+			o := object.Object{Kind: object.KindOrganisation, Name: fmt.Sprintf("o%04d", i)}
+			o.Organisation = &object.OrganisationSpec{TokenSHA256: []string{fmt.Sprintf("%064d", i)}, Share: 1, MaxInProgress: 1}
+			if i == 7 {
+				o.Organisation.Share = share
+			}
+			set[o.ID()] = o
+		}
+		return set.List()
+	}
+	source := newFollower(objectapitest.NewMemory(), "source")
+	first, second := Snapshot{Number: 1, Objects: organisations(2000, 1)}, Snapshot{Number: 3, Objects: organisations(1999, 2)}
+	source.Published(first)
+	source.Published(second)
+	whole, changes := source.Answer(snapshotRequest(0)), source.Answer(snapshotRequest(1))
+	t.Logf("snapshot of 2000 objects: %d bytes, changes of two objects: %d bytes", len(whole.Snapshot), len(changes.Delta))
+	if len(whole.Snapshot) == 0 || len(whole.Delta) > 0 || len(changes.Snapshot) > 0 || len(changes.Delta) > 1000 {
+		t.Errorf("whole: %d bytes, changes: %d bytes", len(whole.Snapshot), len(changes.Delta))
+	}
+	if got, err := snapshotFrom(changes, first); err != nil || !reflect.DeepEqual(got, second) {
+		t.Errorf("revision %d with %d objects from changes, error %v", got.Number, len(got.Objects), err)
+	}
+	other := Snapshot{Number: 1, Objects: organisations(2000, 1)[:1500]}
+	if _, err := snapshotFrom(changes, other); err == nil {
+		t.Error("changes were applied to another snapshot of the same number")
+	}
+	if _, err := snapshotFrom(changes, Snapshot{Number: 2}); err == nil {
+		t.Error("changes were applied to a snapshot of another number")
+	}
+	if reply := source.Answer(snapshotRequest(2)); len(reply.Snapshot) == 0 {
+		t.Error("a node with an unknown revision gets no whole snapshot")
+	}
+}
+
 // TestOneNodeWatches guards against a failure domain in which every node or none watches the object API.
 func TestOneNodeWatches(t *testing.T) {
 	nodes := []membership.Node{{Name: "a", FailureDomain: "x"}, {Name: "b", FailureDomain: "x"}, {Name: "c", FailureDomain: "x"}, {Name: "d", FailureDomain: "y"}}
@@ -92,6 +137,76 @@
 	}
 }
 
+// linkedNode is another node as its neighbours reach it.
+type linkedNode struct {
+	peerpbconnect.PeerServiceClient
+	follower *Follower
+	down     *atomic.Bool
+}
+
+func (n linkedNode) Snapshot(_ context.Context, r *connect.Request[peerpb.SnapshotRequest]) (*connect.Response[peerpb.SnapshotResponse], error) {
+	if n.down.Load() {
+		return nil, errors.New("node does not answer")
+	}
+	return connect.NewResponse(n.follower.Answer(r.Msg)), nil
+}
+
+// TestNextNodeWatches guards against a failure domain that learns of no revision any more when its watching node dies.
+func TestNextNodeWatches(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := objectapitest.NewMemory()
+	ranked := membership.Rank("watch/revision", []membership.Node{
+		{Name: "a", FailureDomain: "x", PeerAddress: "a"}, {Name: "b", FailureDomain: "x", PeerAddress: "b"}, {Name: "c", FailureDomain: "x", PeerAddress: "c"},
+	})
+	links := map[string]linkedNode{}
+	for _, n := range ranked {
+		f := newFollower(store, n.Name)
+		table := membership.NewTable(n)
+		for _, other := range ranked {
+			table.Merge(other)
+		}
+		f.Members = table
+		f.Dial = func(address string) peerpbconnect.PeerServiceClient { return links[address] }
+		links[n.Name] = linkedNode{follower: f, down: &atomic.Bool{}}
+	}
+	first, next, last := links[ranked[0].Name], links[ranked[1].Name], links[ranked[2].Name]
+	watches := func(n linkedNode) bool { return n.follower.stopWatch != nil }
+	for _, n := range []linkedNode{first, next, last} {
+		n.follower.round(ctx)
+	}
+	if !watches(first) || watches(next) || watches(last) {
+		t.Fatalf("watching at the start: %t, %t, %t", watches(first), watches(next), watches(last))
+	}
+	first.down.Store(true)
+	first.follower.watchWhile(ctx, false)
+	for _, n := range []linkedNode{next, last} {
+		n.follower.goodAt[ranked[0].Name] = time.Now().Add(-silentAfter - time.Second)
+		n.follower.round(ctx)
+	}
+	if !watches(next) || watches(last) {
+		t.Fatalf("watching without the first: %t, %t", watches(next), watches(last))
+	}
+	key := SnapshotPrefix + "1"
+	for _, write := range []struct {
+		key   string
+		value any
+	}{{key, Snapshot{Number: 1}}, {CurrentKey, Pointer{Number: 1, Key: key}}} {
+		if _, err := store.Put(ctx, write.key, write.value, objectapi.Absent); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The bound only ends a test that would hang.
+	for started := time.Now(); next.follower.Current.Index().Number < 1; time.Sleep(time.Millisecond) {
+		if time.Since(started) > time.Minute {
+			t.Fatal("the next node does not watch")
+		}
+	}
+	if last.follower.round(ctx); last.follower.Current.Index().Number != 1 {
+		t.Error("the last node did not get the revision from the next one")
+	}
+}
+
 // TestCutOff guards against a cut-off node that stays ready, and against a node that loses readiness too early.
 func TestCutOff(t *testing.T) {
 	start := time.Unix(1000, 0)
