Remove the earlier revision's worktree when the benchmark is interrupted

Cause: an interrupted benchmark left a registered worktree behind.

Change: interrupt and termination signals clean up before the end.

Checked: go vet; not run by itself.

Conclusion: only a kill leaves a worktree behind.

--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -56,6 +58,14 @@
 		return err
 	}
 	defer cleanUp()
+	// The worktree of the earlier revision goes away on an interrupt too.
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		cleanUp()
+		os.Exit(1)
+	}()
 	var rows []report.Row
 	skipped := 0
 	for _, name := range a.Users {
