--- a/standin/cmd/bench/measure.go
+++ b/standin/cmd/bench/measure.go
@@ -140,7 +140,26 @@
 	if err != nil {
 		return report.Row{}, err
 	}
-	return row(user, s, v, result, verdict, after.cost.Micros-before.cost.Micros, after.calls-before.calls), nil
+	measured := row(user, s, v, result, verdict, after.cost.Micros-before.cost.Micros, after.calls-before.calls)
+	measured.LatePercent, err = latePercent(cluster)
+	return measured, err
+}
+
+// latePercent sums up the steps of all engines that are still there.
+func latePercent(c *process.Cluster) (float64, error) {
+	var engines []cloud.EngineState
+	if err := process.Control(http.MethodGet, c.Cloud+"/control/engines", nil, &engines); err != nil {
+		return 0, err
+	}
+	planned, taken := int64(0), int64(0)
+	for _, e := range engines {
+		planned += e.Stats.PlannedMicros
+		taken += e.Stats.TakenMicros
+	}
+	if planned == 0 {
+		return 0, nil
+	}
+	return 100 * (float64(taken)/float64(planned) - 1), nil
 }
 
 func row(user users.User, s scenario, v variant, r *load.Result, judged oracle.Verdict, micros float64, calls int64) report.Row {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -118,6 +118,10 @@
 	ImportedTokens  int64 `json:"imported_tokens"`
 	Loads           int64 `json:"loads"`
 	RefusedOrders   int64 `json:"refused_orders"`
+	// The time that steps should take and took. A higher TakenMicros means that the machine is too busy for the run to
+	// say something about latency.
+	PlannedMicros int64 `json:"planned_micros"`
+	TakenMicros   int64 `json:"taken_micros"`
 }
 
 // New returns an engine and starts its decode loop, which ends with Crash.
@@ -172,6 +176,7 @@
 			e.rest()
 			continue
 		}
+		begun := time.Now()
 		timer := time.NewTimer(next.duration)
 		select {
 		case <-timer.C:
@@ -179,6 +184,7 @@
 			timer.Stop()
 			return
 		}
+		next.took = time.Since(begun)
 		if !e.gate.wait(e.crashed, nil) {
 			return
 		}
@@ -206,6 +212,7 @@
 	duration time.Duration
 	prefill  *run // nil: no prefill
 	chunk    int  // tokens of the prefill
+	took     time.Duration
 }
 
 // plan admits waiting runs and returns the next step.
@@ -272,6 +279,8 @@
 	if e.dead {
 		return
 	}
+	e.stats.PlannedMicros += w.duration.Microseconds()
+	e.stats.TakenMicros += w.took.Microseconds()
 	for _, r := range e.batch {
 		if r.started && !r.cancelled && len(r.tokens) < r.length {
 			r.tokens = append(r.tokens, token(r.prompt, len(r.tokens)))
--- a/standin/report/report.go
+++ b/standin/report/report.go
@@ -25,11 +25,13 @@
 	Failed         int
 	Violations     int
 	ObjectAPICalls int64
+	// LatePercent says by how much the engines' steps took longer than planned, because the machine was busy.
+	LatePercent float64
 }
 
 var header = []string{
 	"user", "scenario", "variant", "cost for 1,000 within target (micros)", "within target (%)", "first token p95 (ms)",
-	"between tokens p95 (ms)", "recomputed for 1,000 generated", "asked", "refused", "failed", "violations", "object API calls",
+	"between tokens p95 (ms)", "recomputed for 1,000 generated", "asked", "refused", "failed", "violations", "object API calls", "engine steps late (%)",
 }
 
 // String returns the row as one line.
@@ -44,7 +46,7 @@
 	return []string{
 		r.User, r.Scenario, r.Variant, cost, number(r.WithinPercent, 1), number(r.FirstTokenMs, 0),
 		number(r.BetweenMs, 1), number(r.RecomputedPer, 1), strconv.Itoa(r.Asked), strconv.Itoa(r.Refused),
-		strconv.Itoa(r.Failed), strconv.Itoa(r.Violations), strconv.FormatInt(r.ObjectAPICalls, 10),
+		strconv.Itoa(r.Failed), strconv.Itoa(r.Violations), strconv.FormatInt(r.ObjectAPICalls, 10), number(r.LatePercent, 1),
 	}
 }
 
@@ -58,6 +60,7 @@
 		mean.FirstTokenMs += share * r.FirstTokenMs
 		mean.BetweenMs += share * r.BetweenMs
 		mean.RecomputedPer += share * r.RecomputedPer
+		mean.LatePercent += share * r.LatePercent
 		mean.Asked += r.Asked
 		mean.Refused += r.Refused
 		mean.Failed += r.Failed
