Leave a frozen runner sooner

After a silent stream the resumption could wait 2 s for an answer and the question whether the process is dead four times 2 s, while the run made no progress. An engine that holds a run answers at once: the resumption now waits 1 s and the probes 0.3 s together.

--- a/rudder/dispatch/execute.go
+++ b/rudder/dispatch/execute.go
@@ -23,8 +23,8 @@
 
 const (
 	// A process that has just died may accept connections for a moment longer.
-	probes     = 4
-	probePause = 50 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
+	probePause   = 50 * time.Millisecond
 )
 
 func attemptName(request *peerpb.RunRequest) string {
@@ -260,12 +260,11 @@
 	return peer.BrokenEvent(event)
 }
 
-// isDown finds out whether the engine process is dead.
+// isDown finds out whether the engine process is dead. One that does not answer in time may be frozen or out of reach.
 func (d *Dispatcher) isDown(ctx context.Context, t *ticket, err error) bool {
-	for range probes {
-		if errors.Is(err, engine.ErrDown) {
-			return true
-		}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	for !errors.Is(err, engine.ErrDown) {
 		if _, err = t.backend.Engine.Load(ctx); err == nil {
 			d.mu.Lock()
 			down := t.backend.down
@@ -274,7 +273,11 @@
 				return true
 			}
 		}
-		time.Sleep(probePause)
+		select {
+		case <-ctx.Done():
+			return errors.Is(err, engine.ErrDown)
+		case <-time.After(probePause):
+		}
 	}
-	return errors.Is(err, engine.ErrDown)
+	return true
 }
--- a/rudder/dispatch/scheduler_test.go
+++ b/rudder/dispatch/scheduler_test.go
@@ -186,3 +186,56 @@
 		m.check(t)
 	}
 }
+
+// TestAdmission guards against an organisation over its limit, retries over the budget, and accepted runs or suspects that
+// are refused by a limit for new requests.
+func TestAdmission(t *testing.T) {
+	request := func(change func(*peerpb.RunRequest)) *peerpb.RunRequest {
+		r := &peerpb.RunRequest{Organisation: "a", Attempt: 1, Prompt: "a question", MaxTokens: 200, DeadlineMs: 680}
+		change(r)
+		return r
+	}
+	limited := object.OrganisationSpec{MaxInProgress: 6}
+	resumed := func(r *peerpb.RunRequest) { r.Attempt, r.Resumed = 2, true }
+	for _, c := range []struct {
+		name    string
+		others  int // requests of the organisation in progress
+		retries int // taken before
+		spec    object.OrganisationSpec
+		request *peerpb.RunRequest
+		refused bool
+	}{
+		{"below the limit", 2, 0, limited, request(func(*peerpb.RunRequest) {}), false},
+		{"at this dispatcher's part of the limit", 3, 0, limited, request(func(*peerpb.RunRequest) {}), true},
+		{"resumed at the limit", 3, 0, limited, request(resumed), false},
+		{"suspect at the limit", 3, 0, limited, request(func(r *peerpb.RunRequest) { r.Attempt, r.Isolate = 2, true }), false},
+		{"retry within the budget", 0, 5, limited, request(func(r *peerpb.RunRequest) { r.Attempt = 2 }), false},
+		{"retry over the budget", 0, 10, limited, request(func(r *peerpb.RunRequest) { r.Attempt = 2 }), true},
+		{"resumed without a budget", 0, 10, limited, request(resumed), false},
+		{"no slot within the deadline", 33, 0, object.OrganisationSpec{}, request(func(*peerpb.RunRequest) {}), true},
+		{"resumed without a slot", 33, 0, object.OrganisationSpec{}, request(resumed), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newSimulation("predicted", 2, 64)
+			sim.s.allRunners = 4 // half of them are elsewhere
+			for range c.others {
+				other := newTicket(newRun("", "", "", 0), request(func(*peerpb.RunRequest) {}), 1, sim.now)
+				sim.s.push(other, sim.now)
+				sim.s.next(sim.now)
+			}
+			for _, b := range sim.s.backends {
+				b.report(engine.Load{Slots: 16, PrefillTokensPerSec: 8000, DecodeStepMillis: 18, Running: len(b.tickets), Epoch: 1}, sim.now, len(b.tickets))
+			}
+			for range c.retries {
+				sim.s.retries.Retry(sim.now)
+			}
+			refusal := sim.s.admit(newTicket(newRun("", "", "", 0), c.request, 1, sim.now), c.spec, sim.now)
+			if (refusal != nil) != c.refused {
+				t.Errorf("refusal %v, expected one: %t", refusal, c.refused)
+			}
+			if refusal != nil && refusal.RetryAfterMs <= 0 {
+				t.Error("refusal without a time to try again")
+			}
+		})
+	}
+}
--- a/rudder/engine/client.go
+++ b/rudder/engine/client.go
@@ -35,10 +35,13 @@
 const (
 	// SilenceTimeout is how long a stream may carry nothing. Engines send a heartbeat each 500 ms.
 	SilenceTimeout = 2 * time.Second
-	dialTimeout    = time.Second
-	headerTimeout  = SilenceTimeout // a run that waits for a slot gets heartbeats as well
-	callTimeout    = 2 * time.Second
-	maxReplyBytes  = 16 << 20
+	// resumeTimeout bounds the answer to a resumption: an engine that holds the run answers at once, and another one can
+	// take over sooner.
+	resumeTimeout = time.Second
+	dialTimeout   = time.Second
+	headerTimeout = SilenceTimeout // a run that waits for a slot gets heartbeats as well
+	callTimeout   = 2 * time.Second
+	maxReplyBytes = 16 << 20
 )
 
 // Client speaks to the engine of one model runner.
@@ -46,6 +49,7 @@
 	base   string
 	http   *http.Client // short calls
 	stream *http.Client // one connection for each run, so that a silent connection affects one run
+	resume *http.Client // the same for resumptions
 }
 
 // NewClient returns a client for the engine at the base URL.
@@ -61,10 +65,14 @@
 		}
 		return connection, nil
 	}
+	streaming := func(timeout time.Duration) *http.Client {
+		return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: timeout}}
+	}
 	return &Client{
 		base:   base,
 		http:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second}},
-		stream: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout}},
+		stream: streaming(headerTimeout),
+		resume: streaming(resumeTimeout),
 	}
 }
 
@@ -91,7 +99,11 @@
 	}
 	// Without GetBody the transport cannot send the request a second time by itself.
 	request.GetBody = nil
-	reply, err := c.stream.Do(request)
+	client := c.stream
+	if order.Resume {
+		client = c.resume
+	}
+	reply, err := client.Do(request)
 	if err != nil {
 		cancel(err)
 		if errors.Is(err, ErrNotSent) {
