--- a/rudder/peer/control.go
+++ b/rudder/peer/control.go
@@ -1,12 +1,8 @@
 package peer
 
 import (
-	"context"
 	"net"
-	"net/http"
 	"time"
-
-	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
 )
 
 const (
@@ -21,22 +17,12 @@
 // NewControlDialer returns a dialer for heartbeats with connections of its own, so that they do not wait behind tokens.
 // count is called with the number of bytes of each read and write.
 func NewControlDialer(count func(bytes int)) *Dialer {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		Protocols: protocols,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: connection, count: count}, nil
-		},
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: controlPingAfter, PingTimeout: pingTimeout},
-		IdleConnTimeout: controlIdle,
+	return &Dialer{
+		wrap:      func(c net.Conn) net.Conn { return &countedConn{Conn: c, count: count} },
+		pingAfter: controlPingAfter,
+		idle:      controlIdle,
+		links:     map[string]link{},
 	}
-	return &Dialer{http: &http.Client{Transport: transport}, clients: map[string]peerpbconnect.PeerServiceClient{}}
 }
 
 type countedConn struct {
--- a/rudder/peer/peer.go
+++ b/rudder/peer/peer.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,7 +15,6 @@
 )
 
 const (
-	dialTimeout = time.Second
 	// A connection that carries nothing for pingAfter is pinged and dropped after pingTimeout, so that a connection
 	// that went silent is not used again.
 	pingAfter   = time.Second
@@ -32,47 +29,6 @@
 // ErrNotSent means that no connection to the node could be made: the message was not sent.
 var ErrNotSent = errors.New("node could not be reached")
 
-// Dialer keeps one client for each address.
-type Dialer struct {
-	mu      sync.Mutex
-	http    *http.Client
-	clients map[string]peerpbconnect.PeerServiceClient
-}
-
-// NewDialer returns a dialer whose connections are HTTP/2 without TLS.
-func NewDialer() *Dialer {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		Protocols: protocols,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, errors.Wrap(ErrNotSent, err.Error())
-			}
-			return connection, nil
-		},
-		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-	}
-	return &Dialer{http: &http.Client{Transport: transport}, clients: map[string]peerpbconnect.PeerServiceClient{}}
-}
-
-// Client returns the client for an address in the form IP:port.
-func (d *Dialer) Client(address string) peerpbconnect.PeerServiceClient {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	client, found := d.clients[address]
-	if !found {
-		client = peerpbconnect.NewPeerServiceClient(d.http, "http://"+address)
-		d.clients[address] = client
-	}
-	return client
-}
-
-// Close drops all idle connections.
-func (d *Dialer) Close() { d.http.CloseIdleConnections() }
-
 // Membership answers heartbeats.
 type Membership interface {
 	Answer(request *peerpb.ExchangeRequest) *peerpb.ExchangeResponse
