Keep the request with the run and hand runs over

Cause: an entry node that takes up a run of a dead one needs the whole answer and the prompt, and a dispatcher that stops has to pass its runs on.

An abandoned attempt closes its stream and leaves the engine run to a successor. A node without a runner of the deployment resumes a run that an engine holds as well: in the failure domain of a dead dispatcher nobody else may be left.

--- a/rudder/dispatch/admission.go
+++ b/rudder/dispatch/admission.go
@@ -58,13 +58,17 @@
 
 // admit adds a request to the queue or returns why it is refused. The caller holds the lock.
 func (d *Dispatcher) admit(r *Run, request *peerpb.RunRequest, now time.Time) (*ticket, *peerpb.Refused) {
-	s := d.schedulers[request.Deployment]
-	if s == nil || len(s.backends) == 0 {
-		return nil, &peerpb.Refused{Reason: "no backend server of the deployment", RetryAfterMs: 1000}
-	}
 	organisation := d.organisation(request.Organisation)
 	t := newTicket(r, request, organisation.Share, now)
 	r.ticket = t
+	s, holder := d.schedulers[request.Deployment], d.holder(t)
+	if holder != nil {
+		// A node without a runner of the deployment resumes a run as well: in its failure domain nobody else may be left.
+		s = d.schedulerFor(request.Deployment)
+	}
+	if s == nil || (len(s.backends) == 0 && holder == nil) {
+		return nil, &peerpb.Refused{Reason: "no backend server of the deployment", RetryAfterMs: 1000}
+	}
 	if refusal := d.checkCrashes(t, now); refusal != nil {
 		return nil, refusal
 	}
@@ -72,8 +76,8 @@
 		return nil, refusal
 	}
 	b := d.importer(t, s.betweenTokens())
-	if b == nil {
-		b = d.holder(t)
+	if b == nil && !t.isolated {
+		b = holder
 		t.resume = b != nil
 	}
 	if b != nil {
--- a/rudder/dispatch/crash.go
+++ b/rudder/dispatch/crash.go
@@ -22,7 +22,7 @@
 	if d.Quarantine == nil {
 		return b.verdict
 	}
-	crash := quarantine.Crash{Host: b.Host.Name, FailureDomain: b.Host.FailureDomain, Noticed: b.load.Leaving, OnTrial: d.OnTrial != nil && d.OnTrial(b.Host.Deployment, b.load.ModelVersion)}
+	crash := quarantine.Crash{Host: b.Host.Name, FailureDomain: b.Host.FailureDomain, Noticed: b.load.Leaving, OnTrial: d.isOnTrial(b)}
 	if _, noticed := d.Fleet.LeavingAt(b.Host.Name); noticed {
 		crash.Noticed = true
 	}
@@ -37,6 +37,13 @@
 	return b.verdict
 }
 
+// isOnTrial reports whether no run has ended on the model version of a runner, while some have on another version of its
+// deployment. A crash is then rather the version's fault than the request's. The caller holds the lock.
+func (d *Dispatcher) isOnTrial(b *Backend) bool {
+	s := d.schedulers[b.Host.Deployment]
+	return s != nil && len(s.provenVersions) > 0 && !s.provenVersions[b.load.ModelVersion]
+}
+
 // stop ends a run on the caller's wish: in the queue, or on the engine.
 func (d *Dispatcher) stop(ctx context.Context, r *Run, reason string) {
 	t := r.ticket
@@ -58,8 +65,10 @@
 	_ = b.Engine.Cancel(ctx, run)
 }
 
-// cancelIfAbandoned stops a run that nobody reads for longer than detachedGrace.
-func (d *Dispatcher) cancelIfAbandoned(ctx context.Context, r *Run) {
+// dropIfAbandoned gives up a run that nobody reads for longer than its grace. Another dispatcher may have resumed the
+// same engine run, so it is cancelled only if the entry node gave it up; otherwise the engine ends it when no
+// dispatcher reads it any more.
+func (d *Dispatcher) dropIfAbandoned(ctx context.Context, r *Run) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
@@ -68,10 +77,17 @@
 			return
 		case <-ticker.C:
 		}
-		if since, idle := r.idleSince(); idle && time.Since(since) > detachedGrace {
+		abandoned, givenUp := r.isAbandoned(time.Now())
+		if !abandoned {
+			continue
+		}
+		if givenUp {
 			d.stop(ctx, r, "nobody reads it")
 			return
 		}
+		d.Log.Info("Run is stopped.", "run", r.ID, "reason", "nobody reads it")
+		r.stop()
+		return
 	}
 }
 
--- a/rudder/dispatch/dispatch.go
+++ b/rudder/dispatch/dispatch.go
@@ -8,15 +8,11 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-	"github.com/pkg/errors"
-
 	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/fleet"
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/peer"
-	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/quarantine"
 	"chestnutrudder.example/rudder/revision"
 )
@@ -38,8 +34,6 @@
 	Log        *slog.Logger
 	// Decisions logs and keeps placement decisions; nil drops them.
 	Decisions *decision.Recorder
-	// OnTrial reports whether a model version is being rolled out; nil means none.
-	OnTrial func(deployment, version string) bool
 
 	mu         sync.Mutex
 	backends   map[string]*Backend
@@ -108,24 +102,3 @@
 		}
 	}
 }
-
-// Attach implements peer.Dispatcher.
-func (d *Dispatcher) Attach(ctx context.Context, request *peerpb.AttachRequest, send func(*peerpb.RunEvent) error) error {
-	d.mu.Lock()
-	r := d.runs[request.Run]
-	d.mu.Unlock()
-	if r == nil || r.Organisation != request.Organisation {
-		return connect.NewError(connect.CodeNotFound, errors.Errorf("run %q is not here", request.Run))
-	}
-	return r.follow(ctx, int(request.Offset), send)
-}
-
-// Cancel implements peer.Dispatcher.
-func (d *Dispatcher) Cancel(ctx context.Context, request *peerpb.CancelRequest) {
-	d.mu.Lock()
-	r := d.runs[request.Run]
-	d.mu.Unlock()
-	if r != nil && r.Organisation == request.Organisation && !r.finished() {
-		d.stop(ctx, r, "the caller cancelled it")
-	}
-}
--- a/rudder/dispatch/execute.go
+++ b/rudder/dispatch/execute.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	t.run.onStop(cancel)
-	go d.cancelIfAbandoned(ctx, t.run)
+	go d.dropIfAbandoned(ctx, t.run)
 	last := d.read(ctx, t)
 	d.mu.Lock()
 	s := d.schedulers[t.request.Deployment]
@@ -220,6 +220,7 @@
 	d.mu.Lock()
 	t.backend.prefix.learn(blocks, time.Now())
 	if s := d.schedulers[t.request.Deployment]; s != nil {
+		s.provenVersions[t.backend.load.ModelVersion] = true
 		s.answers.learn(t.item.Class, t.run.length(), int(t.request.MaxTokens))
 	}
 	placed := d.proven(t)
--- a/rudder/dispatch/run.go
+++ b/rudder/dispatch/run.go
@@ -25,6 +25,7 @@
 	last     *peerpb.RunEvent // End, Broken, Refused or Moved
 	readers  int
 	idleFrom time.Time // since when nobody reads
+	givenUp  bool      // the entry node has no caller for it any more
 	stopped  bool
 	cancel   context.CancelFunc // ends the engine stream
 }
@@ -139,6 +140,15 @@
 	return r.idleFrom, r.readers == 0
 }
 
+// tokensFrom returns the tokens from an offset of the whole answer, with those that the attempt began with. The caller
+// holds the lock.
+func (r *Run) tokensFrom(offset int) []string {
+	if offset < r.base {
+		return append(append([]string(nil), r.ticket.request.Generated[offset:]...), r.tokens...)
+	}
+	return append([]string(nil), r.tokens[min(offset-r.base, len(r.tokens)):]...)
+}
+
 // follow sends the run's events from an offset until the last one or until ctx ends.
 func (r *Run) follow(ctx context.Context, offset int, send func(*peerpb.RunEvent) error) error {
 	r.mu.Lock()
@@ -159,10 +169,7 @@
 		accepted := r.accepted
 		last := r.last
 		attempt := r.attempt
-		var tokens []string
-		if from := offset - r.base; from >= 0 && from < len(r.tokens) {
-			tokens = append(tokens, r.tokens[from:]...)
-		}
+		tokens := r.tokensFrom(offset)
 		r.mu.Unlock()
 		if accepted != nil && !acceptedSent {
 			acceptedSent = true
--- a/rudder/dispatch/table.go
+++ b/rudder/dispatch/table.go
@@ -58,13 +58,7 @@
 	d.backends[h.Name] = b
 	d.Decisions.Record("dispatch", h.Name, "first by rendezvous hash", d.Members.Self().Name, nil)
 	if b.Engine != nil {
-		s := d.schedulers[h.Deployment]
-		if s == nil {
-			s = newScheduler(d.Routing, time.Now())
-			s.spec = d.deployment(h.Deployment)
-			d.schedulers[h.Deployment] = s
-		}
-		s.add(b)
+		d.schedulerFor(h.Deployment).add(b)
 	}
 	return b
 }
