Pursue accepted requests until they complete

Cause: a session ended after eight attempts, lived in one connection's goroutine, and started again elsewhere although the dispatcher still held the answer.

Change: a session is separate from its callers' connections and can be read from any node by key, run or Last-Event-ID. After a break or silence it attaches again to the same dispatcher by a new connection, then resumes at the dispatcher that takes over the host, then anywhere, within time bounds. A draining node refuses new work as not run, waits for requests in progress and hands over what its deadline would cut: callers get 303 or the event moved.

--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -28,8 +28,8 @@
 	"chestnutrudder.example/rudder/peer"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/quarantine"
+	"chestnutrudder.example/rudder/registry"
 	"chestnutrudder.example/rudder/revision"
-	"chestnutrudder.example/rudder/rollout"
 	"chestnutrudder.example/rudder/route"
 	"chestnutrudder.example/rudder/settings"
 	"chestnutrudder.example/rudder/telemetry"
@@ -85,10 +85,16 @@
 	decisions := decision.NewRecorder(s.Node, decision.Size, logger.Part)
 	callers.Router, callers.Quarantine = router, quarantined
 	dispatcher.Decisions, callers.Decisions = decisions, decisions
-	dispatcher.OnTrial = rollout.NewTrials(records).IsOnTrial
 	follower := &revision.Follower{Store: store, Current: current, Members: members, Records: records, Dial: dialer.Client, Log: logger.Part("revision")}
 	follower.Start()
-	peers := &peer.Server{Membership: exchanger, Dispatcher: dispatcher, Claims: keeper, Snapshots: follower}
+	places := registry.NewTable()
+	runs := &registry.Client{Members: members, Dial: dialer.Client, Local: places}
+	callers.Registry, callers.Redial = runs, dialer.Renew
+	peers := &peer.Server{
+		Membership: exchanger, Dispatcher: entry.PeerRuns{Dispatcher: dispatcher, Entry: callers}, Claims: keeper,
+		Registry: places, Snapshots: follower,
+	}
+	stopper := &drainer{members: exchanger, dispatcher: dispatcher, callers: callers, log: logger.Part("daemon"), begin: make(chan time.Duration, 1)}
 	acceptor := &revision.Acceptor{Store: store, Current: current, Ready: hosts.ServingByDeployment, Node: s.Node, Published: follower.Published, Log: logger.Part("revision")}
 	leases := &lease.Manager{
 		Store: store, Node: s.Node, Timing: lease.DefaultTiming, Log: logger.Part("lease"),
@@ -98,9 +104,10 @@
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	group, groupCtx := errgroup.WithContext(parts)
-	loops := append(controlLoops(s, store, records, hosts, current, leases, router.Digests, decisions, logger),
+	loops := append(controlLoops(s, store, hosts, current, leases, router.Digests, decisions, logger),
 		exchanger.Run,
 		notices.Run,
+		func(ctx context.Context) { runs.Renew(ctx, callers.Places, dispatcher.Places) },
 		dispatcher.Loop,
 		follower.Run,
 		func(ctx context.Context) { leases.Hold(ctx, revision.LeaseName, acceptor.Run) },
@@ -110,7 +117,9 @@
 		group.Go(func() error { loop(groupCtx); return nil })
 	}
 	callerServer := &http.Server{Handler: callers.Handler(), ReadHeaderTimeout: headerTimeout}
-	adminServer := &http.Server{Handler: adminHandler(metrics, decisions, current, func() string { return notReady(follower, dispatcher) }), ReadHeaderTimeout: headerTimeout}
+	admin := adminHandler(metrics, decisions, current, func() string { return notReady(follower, dispatcher) })
+	admin.HandleFunc("/drain", stopper.serve).Methods(http.MethodPost)
+	adminServer := &http.Server{Handler: admin, ReadHeaderTimeout: headerTimeout}
 	servers := []listening{
 		{peer.NewHTTPServer(peers), s.PeerListenAddress()},
 		{callerServer, s.CallerListenAddress()},
@@ -120,13 +129,11 @@
 		return err
 	}
 	logger.Part("daemon").Info("Node is running.", "failure_domain", s.FailureDomain, "caller_address", s.CallerAddress)
-	select {
-	case <-ctx.Done():
-	case <-groupCtx.Done():
-	}
-	logger.Part("daemon").Info("Node is stopping.")
-	stopCtx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
+	left := stopper.await(ctx, groupCtx.Done(), s.StopTimeout)
+	logger.Part("daemon").Info("Node is stopping.", "deadline_seconds", left.Seconds())
+	stopCtx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
+	stopper.drain(left)
 	_ = callerServer.Shutdown(stopCtx)
 	for _, l := range servers {
 		_ = l.server.Shutdown(stopCtx)
@@ -163,7 +170,7 @@
 }
 
 // adminHandler serves metrics, recent decisions, the revision in force, liveness and readiness.
-func adminHandler(metrics *telemetry.Metrics, decisions *decision.Recorder, current *revision.Current, notReady func() string) http.Handler {
+func adminHandler(metrics *telemetry.Metrics, decisions *decision.Recorder, current *revision.Current, notReady func() string) *mux.Router {
 	router := mux.NewRouter()
 	router.Handle("/metrics", metrics.Handler())
 	router.Handle("/decisions", decisions).Methods(http.MethodGet)
--- a/rudder/entry/chat.go
+++ b/rudder/entry/chat.go
@@ -1,22 +1,32 @@
 package entry
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/outcome"
+	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/quarantine"
 )
 
-const defaultMaxTokens = 256
+const (
+	defaultMaxTokens = 256
+	bodyTimeout      = 30 * time.Second
+	// deadlineHeader bounds the wait for the first token, in milliseconds from the arrival of the request.
+	deadlineHeader    = "X-Request-Deadline"
+	maxDeadlineMillis = 600_000
+)
 
 // ChatRequest is the body of POST /v1/chat/completions.
 type ChatRequest struct {
@@ -73,98 +83,151 @@
 	return b.String()
 }
 
-func decodeChat(r *http.Request) (ChatRequest, error) {
+// content identifies what is asked for, whatever the form of the answer.
+func (c ChatRequest) content(organisation string) string {
+	c.Stream = false
+	raw, _ := json.Marshal(c) // strings and numbers only
+	sum := sha256.Sum256(append([]byte(organisation+"\x00"), raw...))
+	return hex.EncodeToString(sum[:16])
+}
+
+func decodeChat(w http.ResponseWriter, r *http.Request) (ChatRequest, error) {
 	var chat ChatRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
-	if err := decoder.Decode(&chat); err != nil {
-		return chat, outcome.Refuse(http.StatusBadRequest, 0, "the body is not a chat request: %v", err)
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	err := decoder.Decode(&chat)
+	_ = controller.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return chat, outcome.Refuse(http.StatusRequestEntityTooLarge, 0, "body: more than %d bytes, allowed: at most %d bytes", maxBodyBytes, maxBodyBytes)
 	}
-	if len(chat.Messages) == 0 {
-		return chat, outcome.Refuse(http.StatusBadRequest, 0, "messages: [], allowed: at least one message")
+	if err != nil {
+		return chat, outcome.Refuse(http.StatusBadRequest, 0, "body: %v, allowed: a JSON chat request", err)
+	}
+	return chat, chat.check()
+}
+
+// check names the field, its value and what is allowed.
+func (c *ChatRequest) check() error {
+	refuse := func(field string, value any, allowed string) error {
+		return outcome.Refuse(http.StatusBadRequest, 0, "%s: %v, allowed: %s", field, value, allowed)
 	}
-	if chat.MaxTokens < 0 {
-		return chat, outcome.Refuse(http.StatusBadRequest, 0, "max_tokens: %d, allowed: at least 1", chat.MaxTokens)
+	if c.Model == "" {
+		return refuse("model", `""`, "the name of a model")
 	}
-	if chat.MaxTokens == 0 {
-		chat.MaxTokens = defaultMaxTokens
+	if len(c.Messages) == 0 {
+		return refuse("messages", "[]", "at least one message")
 	}
-	return chat, nil
+	for i, m := range c.Messages {
+		switch m.Role {
+		case "system", "user", "assistant", "tool":
+		default:
+			return refuse(fmt.Sprintf("messages[%d].role", i), strconv.Quote(m.Role), "system, user, assistant, tool")
+		}
+	}
+	if c.MaxTokens < 0 {
+		return refuse("max_tokens", c.MaxTokens, "at least 1")
+	}
+	if c.MaxTokens == 0 {
+		c.MaxTokens = defaultMaxTokens
+	}
+	return nil
 }
 
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, organisation string) {
-	chat, err := decodeChat(r)
+	chat, err := decodeChat(w, r)
 	if err != nil {
 		s.fail(w, r, err)
 		return
 	}
-	session, err := s.newSession(organisation, chat)
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		s.resumeChat(w, r, organisation, chat, last)
+		return
+	}
+	request, err := s.newRequest(organisation, chat, r.Header.Get("Idempotency-Key"))
 	if err != nil {
 		s.fail(w, r, err)
 		return
 	}
-	if chat.Stream {
-		s.stream(w, r, session)
+	if err := applyDeadline(r, request); err != nil {
+		s.fail(w, r, err)
 		return
 	}
-	if err := session.run(r.Context(), func(int, []string) error { return nil }); err != nil {
+	one, err := s.open(r.Context(), request, request.Key != "" || chat.Stream)
+	if err != nil {
 		s.fail(w, r, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, ChatAnswer{
-		ID:     session.id,
-		Object: "chat.completion",
-		Model:  chat.Model,
-		Choices: []ChatChoice{{
-			Message:      ChatMessage{Role: "assistant", Content: strings.Join(session.tokens, " ")},
-			FinishReason: session.finishReason,
-		}},
-		Usage: session.usage(),
-	})
+	s.deliver(w, r, one, 0, chat.Stream)
 }
 
-// stream sends the answer as server-sent events. The id of an event is the run and the offset of the next token.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, session *session) {
-	controller := http.NewResponseController(w)
-	started := false
-	send := func(event string, offset int, value any) error {
-		if !started {
-			started = true
-			w.Header().Set("Content-Type", "text/event-stream")
-			w.Header().Set("Cache-Control", "no-store")
-			w.WriteHeader(http.StatusOK)
-		}
-		if err := writeEvent(w, event, fmt.Sprintf("%s/%d", session.id, offset), value); err != nil {
-			return err
-		}
-		return controller.Flush()
-	}
-	err := session.run(r.Context(), func(offset int, tokens []string) error {
-		return send("", offset+len(tokens), ChatDelta{ID: session.id, Offset: offset, Tokens: tokens})
-	})
-	switch {
-	case err == nil:
-		usage := session.usage()
-		_ = send("end", len(session.tokens), ChatDelta{ID: session.id, Offset: len(session.tokens), FinishReason: session.finishReason, Usage: &usage})
-	case !started:
+// resumeChat continues a stream for a caller that repeats its request.
+func (s *Server) resumeChat(w http.ResponseWriter, r *http.Request, organisation string, chat ChatRequest, last string) {
+	run, offset, err := parseEventID(last)
+	if err != nil {
+		s.fail(w, r, err)
+		return
+	}
+	again, err := s.newRequest(organisation, chat, r.Header.Get("Idempotency-Key"))
+	if err != nil {
+		s.fail(w, r, err)
+		return
+	}
+	if s.Draining() && s.sessions.find(organisation, run) == nil {
+		s.seeOther(w, r, run, chat.Stream)
+		return
+	}
+	one, err := s.find(r.Context(), organisation, run, again)
+	if err != nil {
 		s.fail(w, r, err)
-	default:
-		problem, _ := s.problem(err)
-		_ = send("error", len(session.tokens), problem)
+		return
 	}
+	s.deliver(w, r, one, offset, chat.Stream)
 }
 
-func writeEvent(w io.Writer, event, id string, value any) error {
-	raw, err := json.Marshal(value)
-	if err != nil {
-		return err
+// applyDeadline replaces the route's deadline for the first token by the caller's.
+func applyDeadline(r *http.Request, request *peerpb.RunRequest) error {
+	text := r.Header.Get(deadlineHeader)
+	if text == "" {
+		return nil
 	}
-	if event != "" {
-		if _, err := fmt.Fprintf(w, "event: %s\n", event); err != nil {
-			return err
-		}
+	milliseconds, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || milliseconds < 1 || milliseconds > maxDeadlineMillis {
+		return outcome.Refuse(http.StatusBadRequest, 0, "%s: %q, allowed: milliseconds from 1 to %d", deadlineHeader, text, maxDeadlineMillis)
 	}
-	_, err = fmt.Fprintf(w, "id: %s\ndata: %s\n\n", id, raw)
-	return err
+	request.DeadlineMs = milliseconds
+	return nil
+}
+
+func (s *Server) newRequest(organisation string, chat ChatRequest, key string) (*peerpb.RunRequest, error) {
+	if len(key) > maxKeyBytes {
+		return nil, outcome.Refuse(http.StatusBadRequest, 0, "Idempotency-Key: %d bytes, allowed: at most %d bytes", len(key), maxKeyBytes)
+	}
+	index := s.Current.Index()
+	_, route, found := index.RouteFor(organisation, chat.Model, "")
+	if !found {
+		return nil, outcome.Refuse(http.StatusNotFound, 0, "model: %q, allowed: a model that a route of the organisation names", chat.Model)
+	}
+	content, prompt := chat.content(organisation), chat.prompt()
+	fingerprint := quarantine.Fingerprint(organisation, route.Deployment, prompt)
+	if s.Quarantine != nil && s.Quarantine.Quarantined(quarantine.Key{Organisation: organisation, Fingerprint: fingerprint}, time.Now()) {
+		return nil, outcome.Refuse(http.StatusUnprocessableEntity, 0, "the request has crashed backend servers")
+	}
+	return &peerpb.RunRequest{
+		Run:          uuid.NewString(),
+		Organisation: organisation,
+		Deployment:   route.Deployment,
+		ModelVersion: index.Deployments[route.Deployment].ModelVersion,
+		Prompt:       prompt,
+		MaxTokens:    int32(chat.MaxTokens),
+		DeadlineMs:   deadlineOf(route, index.Deployments[route.Deployment]).Milliseconds(),
+		Class:        string(classOf(route, chat.MaxTokens)),
+		Fingerprint:  fingerprint,
+		Key:          key,
+		Content:      content,
+		Model:        chat.Model,
+	}, nil
 }
 
 func classOf(route object.RouteSpec, maxTokens int) limit.Class {
@@ -182,31 +245,3 @@
 	}
 	return time.Duration(millis) * time.Millisecond
 }
-
-func (s *Server) newSession(organisation string, chat ChatRequest) (*session, error) {
-	index := s.Current.Index()
-	_, route, found := index.RouteFor(organisation, chat.Model, "")
-	if !found {
-		return nil, outcome.Refuse(http.StatusNotFound, 0, "model: %q, allowed: a model that a route of the organisation names", chat.Model)
-	}
-	deployment := index.Deployments[route.Deployment]
-	prompt := chat.prompt()
-	fingerprint := quarantine.Fingerprint(organisation, route.Deployment, prompt)
-	if s.Quarantine != nil && s.Quarantine.Quarantined(quarantine.Key{Organisation: organisation, Fingerprint: fingerprint}, time.Now()) {
-		return nil, outcome.Refuse(http.StatusUnprocessableEntity, 0, "the request has crashed backend servers")
-	}
-	return &session{
-		server:       s,
-		id:           uuid.NewString(),
-		organisation: organisation,
-		deployment:   route.Deployment,
-		modelVersion: deployment.ModelVersion,
-		prompt:       prompt,
-		maxTokens:    chat.MaxTokens,
-		started:      time.Now(),
-		class:        classOf(route, chat.MaxTokens),
-		deadline:     deadlineOf(route, deployment),
-		preference:   deployment.Preference,
-		fingerprint:  fingerprint,
-	}, nil
-}
--- a/rudder/entry/server.go
+++ b/rudder/entry/server.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
@@ -13,6 +14,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -22,6 +24,7 @@
 	"chestnutrudder.example/rudder/fleet"
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/outcome"
+	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
 	"chestnutrudder.example/rudder/quarantine"
 	"chestnutrudder.example/rudder/revision"
@@ -53,6 +56,23 @@
 	Log        *slog.Logger
 	// Decisions logs and keeps routing decisions; nil drops them.
 	Decisions *decision.Recorder
+	// Redial replaces a client whose connection went silent; nil keeps it.
+	Redial   func(address string, failed peerpbconnect.PeerServiceClient) peerpbconnect.PeerServiceClient
+	Registry Registry // nil: keys and runs are known on this node only
+
+	sessions sessionTable
+	running  atomic.Int64 // sessions in progress
+	draining atomic.Bool
+}
+
+// Registry knows where the runs of all nodes are.
+type Registry interface {
+	// Claim registers the first place of a key, or returns the place of the run that has it.
+	Claim(ctx context.Context, place *peerpb.RunPlace) *peerpb.RunPlace
+	Put(ctx context.Context, place *peerpb.RunPlace)
+	Release(ctx context.Context, place *peerpb.RunPlace)
+	// Find returns the place of a run or key, nil if it is not known.
+	Find(ctx context.Context, organisation, key, run string) *peerpb.RunPlace
 }
 
 // Handler returns the routes for callers.
@@ -61,7 +81,9 @@
 	router := mux.NewRouter().SkipClean(true)
 	router.HandleFunc("/v1/addresses", s.addresses).Methods(http.MethodGet)
 	router.HandleFunc("/v1/chat/completions", s.withOrganisation(s.chat)).Methods(http.MethodPost)
-	router.HandleFunc("/v1/services/{service}/{path:.*}", s.withOrganisation(s.call)).
+	router.HandleFunc("/v1/runs/{run}", s.withOrganisation(s.readRun)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/runs/{run}", s.withOrganisation(s.cancelRun)).Methods(http.MethodDelete)
+	router.HandleFunc("/v1/services/{service}/{path:.*}", s.withOrganisation(s.unlessDraining(s.call))).
 		Methods(http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete)
 	return router
 }
@@ -146,8 +168,12 @@
 	Detail    string    `json:"detail,omitempty"`
 	Run       string    `json:"run"` // "no" or "unknown"
 	Addresses []Address `json:"addresses,omitempty"`
+	// RetryAfterSeconds stands for the Retry-After header where the problem is an event of a stream.
+	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
 }
 
+func seconds(d time.Duration) int { return int((d + time.Second - 1) / time.Second) }
+
 // fail writes err as a problem document.
 func (s *Server) fail(w http.ResponseWriter, r *http.Request, err error) {
 	problem, retryAfter := s.problem(err)
@@ -155,9 +181,9 @@
 		problem.Addresses = s.addressesFor(r.RemoteAddr)
 	}
 	if retryAfter > 0 {
-		seconds := int((retryAfter + time.Second - 1) / time.Second)
-		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds(retryAfter)))
 	}
+	extendWrite(w)
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(problem.Status)
 	_ = json.NewEncoder(w).Encode(problem)
@@ -179,6 +205,7 @@
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
+	extendWrite(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(value)
--- a/rudder/entry/session.go
+++ b/rudder/entry/session.go
@@ -2,248 +2,208 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
-	"chestnutrudder.example/rudder/decision"
-	"chestnutrudder.example/rudder/limit"
-	"chestnutrudder.example/rudder/membership"
-	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/peer/peerpb"
-	"chestnutrudder.example/rudder/route"
 )
 
 const (
-	maxAttempts = 8
-	// silenceTimeout is how long a dispatcher may send nothing; it sends a heartbeat each 500 ms.
-	silenceTimeout = 2 * time.Second
-	retryPause     = 100 * time.Millisecond
+	// unkeyedGrace is how long a run without a key goes on while nobody reads it: a caller whose connection broke may
+	// return with Last-Event-ID, one that left on purpose should not cost a slot for long.
+	unkeyedGrace = 5 * time.Second
+	// keyedGrace is the same for a run with a key, whose caller can find it from any node. It equals the time for which a
+	// dispatcher goes on without an entry node.
+	keyedGrace = 30 * time.Second
 )
 
-// session is one model request over all its attempts.
-type session struct {
-	server       *Server
-	id           string
-	organisation string
-	deployment   string
-	modelVersion string
-	prompt       string
-	maxTokens    int
-	started      time.Time
-	class        limit.Class
-	deadline     time.Duration // for the first token, from started
-	preference   object.Preference
-	fingerprint  uint64
+// Causes for which a session's context ends.
+var (
+	errAbandoned  = errors.New("nobody reads the answer")
+	errCancelled  = errors.New("the run was cancelled")
+	errHandedOver = errors.New("the run was handed over")
+)
 
+// session is one model request over all its attempts. The goroutine in pursue writes it, callers' connections read it.
+type session struct {
+	server  *Server
+	request *peerpb.RunRequest // template of the attempts; without a prompt until another node has sent it
+	started time.Time
+	startBy time.Time // without acceptance by then the request is refused as not run
+	cancel  context.CancelCauseFunc
+	grace   time.Duration
+	ready   chan struct{} // closed when the run's identity is settled
+	// findable means that a caller can return to the run: it has a key or its caller has seen the run's identity.
+	findable bool
+
+	mu           sync.Mutex
+	changed      chan struct{} // closed and replaced at each change
+	tokens       []string
+	accepted     *peerpb.Accepted // of the last attempt
+	at           position
+	attempts     int32
+	current      string        // identity of the attempt whose events count
+	pending      string        // dispatcher that has been sent an attempt and has not answered
+	placed       bool          // an attempt may have been run
 	retryAfter   time.Duration // of the last refusal
 	isolate      bool          // suspected of crashing backend servers
 	computed     int64         // prompt and answer tokens that attempts have computed
-	lastHost     string        // host of the last accepted attempt
-	resumeHost   string        // host whose engine may still hold the run, because only the dispatcher was lost
-	tokens       []string
-	attempts     int
-	placed       bool // some dispatcher accepted an attempt
 	recomputed   int64
 	finishReason string
+	ended        bool
+	err          error // why the session ended without an answer
+	owner        bool  // this node registers the run's place
+	sequence     int64
 	lastToken    time.Time
-	moved        *peerpb.Moved // where the run continues
+	readers      int
+	abandon      *time.Timer
 }
 
-type emitFunc func(offset int, tokens []string) error
-
-func (s *session) usage() Usage {
-	return Usage{CompletionTokens: len(s.tokens), RecomputedTokens: s.recomputed, Attempts: s.attempts}
+// position says where the answer was last read.
+type position struct {
+	node    string // dispatcher
+	host    string
+	attempt int32
 }
 
-// run makes attempts until the answer is whole. It passes each token to emit once and in order.
-func (s *session) run(ctx context.Context, emit emitFunc) error {
-	excluded := map[string]bool{}
-	var lastReason string
-	for s.attempts < maxAttempts {
-		choice, found := s.choose(excluded)
-		if !found {
-			if len(excluded) == 0 {
-				return s.giveUp("no dispatcher for the deployment")
-			}
-			excluded = map[string]bool{}
-			if err := pause(ctx, retryPause); err != nil {
-				return err
-			}
-			s.attempts++
-			continue
-		}
-		s.attempts++
-		done, reason, err := s.attempt(ctx, choice, emit)
-		if done || err != nil {
-			return err
-		}
-		lastReason = reason
-		if !s.placed && s.deadline > 0 && time.Since(s.started) > s.deadline {
-			break // every dispatcher would refuse it now
-		}
-		if s.moved == nil {
-			excluded[choice.Node.Name] = true
-		}
+func newSession(server *Server, request *peerpb.RunRequest) *session {
+	startWithin := startTimeout
+	if request.DeadlineMs > 0 {
+		startWithin = max(shortestStart, time.Duration(request.DeadlineMs)*time.Millisecond)
+	}
+	s := &session{
+		server:  server,
+		request: request,
+		started: time.Now(),
+		startBy: time.Now().Add(startWithin),
+		grace:   unkeyedGrace,
+		changed: make(chan struct{}),
+		ready:   make(chan struct{}),
+		cancel:  func(error) {},
+	}
+	if request.Key != "" {
+		s.grace = keyedGrace
 	}
-	return s.giveUp(lastReason)
+	return s
 }
 
-// giveUp returns the error for the caller. A request that no dispatcher accepted was not run.
-func (s *session) giveUp(reason string) error {
-	if !s.placed {
-		return outcome.Refuse(http.StatusServiceUnavailable, max(time.Second, s.retryAfter), "no backend server took the request: %s", reason)
-	}
-	return outcome.Lost(http.StatusBadGateway, nil, "the answer was lost: %s", reason)
+func (s *session) id() string { return s.request.Run }
+
+func (s *session) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
-func (s *session) choose(excluded map[string]bool) (route.Choice, bool) {
-	if s.moved != nil {
-		if n, found := s.server.Members.Find(s.moved.Node); found && !excluded[n.Name] && n.State != membership.StateDead {
-			return route.Choice{Node: n, Reason: "the run was moved"}, true
-		}
-		s.moved = nil
-	}
-	candidates := route.Candidates(s.deployment, route.Key(s.prompt), s.server.Fleet.Serving(), s.server.Members.Live())
-	return s.server.Router.Choose(candidates, route.Request{
-		Deployment: s.deployment,
-		Class:      s.class,
-		Preference: s.preference,
-		Excluded:   excluded,
-	})
+// progress is what a reader sees of a session.
+type progress struct {
+	tokens       []string // from the offset that was asked for
+	accepted     *peerpb.Accepted
+	ended        bool
+	err          error
+	finishReason string
+	total        int
+	changed      <-chan struct{}
 }
 
-// attempt runs one attempt on one dispatcher. done means that the answer is whole; reason says why it is not.
-func (s *session) attempt(ctx context.Context, choice route.Choice, emit emitFunc) (done bool, reason string, err error) {
-	s.server.Decisions.Record("entry", s.id, choice.Reason, choice.Node.Name, decision.Others(choice.Rejected),
-		"attempt", s.attempts, "offset", len(s.tokens))
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(silenceTimeout, cancel)
-	defer silence.Stop()
-	moved := s.moved
-	s.moved = nil
-	if moved != nil {
-		s.resumeHost = moved.Host
+// progress returns the tokens from an offset and whether the answer has ended.
+func (s *session) progress(offset int) progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := progress{accepted: s.accepted, ended: s.ended, err: s.err, finishReason: s.finishReason, total: len(s.tokens), changed: s.changed}
+	if offset < len(s.tokens) {
+		// Written elements of the slice never change, so that readers need no copy.
+		p.tokens = s.tokens[offset:len(s.tokens):len(s.tokens)]
 	}
-	stream, err := s.server.Dial(choice.Node.PeerAddress).Run(attemptCtx, connect.NewRequest(&peerpb.RunRequest{
-		Run:          s.id,
-		Attempt:      int32(s.attempts),
-		Organisation: s.organisation,
-		Deployment:   s.deployment,
-		ModelVersion: s.modelVersion,
-		Prompt:       s.prompt,
-		Generated:    s.tokens,
-		MaxTokens:    int32(s.maxTokens),
-		EntryNode:    s.server.Members.Self().Name,
-		Revision:     s.server.Current.Index().Number,
+	return p
+}
 
-		Class:          string(s.class),
-		DeadlineMs:     s.timeLeft().Milliseconds(),
-		Fingerprint:    s.fingerprint,
-		Isolate:        s.isolate,
-		Resumed:        s.placed,
-		ComputedTokens: s.computed,
-		ResumeHost:     s.resumeHost,
-		KvHandle:       moved.GetKvHandle(),
-		KvSource:       moved.GetKvSource(),
-	}))
-	if err != nil {
-		return false, err.Error(), ctx.Err()
-	}
-	defer stream.Close()
-	for stream.Receive() {
-		silence.Reset(silenceTimeout)
-		done, reason, err := s.take(stream.Msg(), emit)
-		if done || reason != "" || err != nil {
-			return done, reason, err
-		}
-	}
-	if ctx.Err() != nil {
-		return false, "", errors.Wrap(ctx.Err(), "caller left")
+func (s *session) usage() Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Usage{CompletionTokens: len(s.tokens), RecomputedTokens: s.recomputed, Attempts: int(s.attempts)}
+}
+
+// enter counts a reader; a session without readers ends after its grace.
+func (s *session) enter() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readers++
+	if s.abandon != nil {
+		s.abandon.Stop()
+		s.abandon = nil
 	}
-	// The stream ended without its last event: the attempt may have been accepted, and its engine may go on.
-	s.placed = true
-	s.resumeHost = s.lastHost
-	if err := stream.Err(); err != nil {
-		return false, err.Error(), nil
+}
+
+func (s *session) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readers--
+	if s.readers > 0 || s.ended {
+		return
 	}
-	return false, "dispatcher closed the stream", nil
+	s.abandon = time.AfterFunc(s.grace, s.cancelUnread)
 }
 
-// take handles one event. A non-empty reason ends the attempt.
-func (s *session) take(event *peerpb.RunEvent, emit emitFunc) (done bool, reason string, err error) {
-	switch e := event.Event.(type) {
-	case *peerpb.RunEvent_Accepted:
-		s.placed = true
-		s.recomputed += e.Accepted.RecomputedTokens
-		s.computed = max(s.computed, e.Accepted.CachedTokens+e.Accepted.ComputedTokens)
-		s.lastHost, s.resumeHost = e.Accepted.Host, ""
-		if e.Accepted.ModelVersion != "" {
-			s.modelVersion = e.Accepted.ModelVersion // a resumption stays on the version that began the answer
-		}
-	case *peerpb.RunEvent_Tokens:
-		return false, "", s.takeTokens(e.Tokens, emit)
-	case *peerpb.RunEvent_End:
-		if int(e.End.Offset) != len(s.tokens) {
-			return false, "answer ended with tokens missing", nil
-		}
-		s.finishReason = e.End.FinishReason
-		return true, "", nil
-	case *peerpb.RunEvent_Refused:
-		s.isolate = s.isolate || e.Refused.Suspected
-		s.retryAfter = time.Duration(e.Refused.RetryAfterMs) * time.Millisecond
-		if e.Refused.Quarantined {
-			return false, "", s.quarantined(e.Refused.Reason)
-		}
-		return false, e.Refused.Reason, nil
-	case *peerpb.RunEvent_Moved:
-		s.moved = e.Moved
-		s.placed = true
-		return false, "the run was moved to " + e.Moved.Node, nil
-	case *peerpb.RunEvent_Broken:
-		s.placed = true
-		s.resumeHost = ""
-		s.isolate = s.isolate || e.Broken.Crashed
-		if e.Broken.Crashed && e.Broken.Alone {
-			return false, "", s.quarantined("the request crashed a backend server that ran nothing else")
-		}
-		return false, e.Broken.Reason, nil
+func (s *session) cancelUnread() {
+	s.mu.Lock()
+	unread := s.readers == 0 && !s.ended
+	cancel := s.cancel
+	s.mu.Unlock()
+	if unread {
+		cancel(errAbandoned)
 	}
-	return false, "", nil
 }
 
-// quarantined returns the error for a request that crashes backend servers.
-func (s *session) quarantined(reason string) error {
-	if !s.placed {
-		return outcome.Refuse(http.StatusUnprocessableEntity, 0, "%s", reason)
+// place is what the registry is told.
+func (s *session) place() *peerpb.RunPlace {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &peerpb.RunPlace{
+		Run:          s.request.Run,
+		Organisation: s.request.Organisation,
+		Key:          s.request.Key,
+		Dispatcher:   s.dispatcher(),
+		EntryNode:    s.server.Members.Self().Name,
+		Host:         s.at.host,
+		Fingerprint:  s.request.Content,
+		Deployment:   s.request.Deployment,
+		Finished:     s.ended,
+		Sequence:     s.sequence,
 	}
-	return outcome.Lost(http.StatusUnprocessableEntity, nil, "%s", reason)
 }
 
-// timeLeft returns the time left for the first token, 0 once the run was accepted: then no deadline holds.
-func (s *session) timeLeft() time.Duration {
-	if s.placed || s.deadline <= 0 {
-		return 0
+// dispatcher returns the node that runs or may run the request, empty if there is none. The caller holds the lock.
+func (s *session) dispatcher() string {
+	if s.at.node != "" {
+		return s.at.node
 	}
-	return max(time.Millisecond, s.deadline-time.Since(s.started))
+	return s.pending
 }
 
-// takeTokens accepts tokens only at the next offset, so that late or doubled events change nothing.
-func (s *session) takeTokens(t *peerpb.Tokens, emit emitFunc) error {
+// attemptID is the identity that the events of an attempt carry.
+func attemptID(run string, attempt int32) string { return fmt.Sprintf("%s.%d", run, attempt) }
+
+// takeTokens accepts tokens only at the next offset, so that late or doubled events change nothing. It reports whether
+// there were new ones.
+func (s *session) takeTokens(t *peerpb.Tokens) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	next := len(s.tokens)
 	offset := int(t.Offset)
-	if offset > next || offset+len(t.Tokens) <= next {
-		return nil
+	if offset < 0 || offset > next || offset+len(t.Tokens) <= next {
+		return false
 	}
 	fresh := t.Tokens[next-offset:]
 	s.tokens = append(s.tokens, fresh...)
 	s.computed += int64(len(fresh))
 	s.measure(len(fresh))
-	return emit(next, fresh)
+	s.signal()
+	return true
 }
 
 func (s *session) measure(count int) {
@@ -259,11 +219,25 @@
 	s.lastToken = now
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
+// end closes the session; err is nil if the answer is whole.
+func (s *session) end(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	s.err = err
+	s.sequence++
+	s.signal()
+}
+
+// giveUp returns the error for the caller. A request that no dispatcher accepted was not run.
+func (s *session) giveUp(reason string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.placed {
+		return outcome.Refuse(http.StatusServiceUnavailable, max(time.Second, s.retryAfter), "no backend server took the request: %s", reason)
+	}
+	if s.request.Prompt == "" {
+		return &outcome.Error{Outcome: outcome.Unknown, Status: http.StatusNotFound, Reason: "the run is lost, send the request again: " + reason}
 	}
+	return &outcome.Error{Outcome: outcome.Unknown, Status: http.StatusGatewayTimeout, Reason: "the answer was lost: " + reason, RetryAfter: time.Second}
 }
