--- a/rudder/membership/records.go
+++ b/rudder/membership/records.go
@@ -19,7 +19,6 @@
 	RecordHostNotice = "host/"
 	RecordRevision   = "revision" // one record: number of the newest known revision
 	RecordQuarantine = "quarantine/"
-	RecordRollout    = "rollout/" // by deployment: the rollout's state
 )
 
 const (
