--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"chestnutrudder.example/rudder/quarantine"
 	"chestnutrudder.example/rudder/registry"
 	"chestnutrudder.example/rudder/revision"
+	"chestnutrudder.example/rudder/rollout"
 	"chestnutrudder.example/rudder/route"
 	"chestnutrudder.example/rudder/settings"
 	"chestnutrudder.example/rudder/telemetry"
@@ -85,6 +86,7 @@
 	decisions := decision.NewRecorder(s.Node, decision.Size, logger.Part)
 	callers.Router, callers.Quarantine = router, quarantined
 	dispatcher.Decisions, callers.Decisions = decisions, decisions
+	dispatcher.OnTrial = rollout.NewTrials(records).IsOnTrial
 	follower := &revision.Follower{Store: store, Current: current, Members: members, Records: records, Dial: dialer.Client, Log: logger.Part("revision")}
 	follower.Start()
 	places := registry.NewTable()
@@ -104,7 +106,7 @@
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	group, groupCtx := errgroup.WithContext(parts)
-	loops := append(controlLoops(s, store, hosts, current, leases, router.Digests, decisions, logger),
+	loops := append(controlLoops(s, store, records, hosts, current, leases, router.Digests, decisions, logger),
 		exchanger.Run,
 		notices.Run,
 		func(ctx context.Context) { runs.Renew(ctx, callers.Places, dispatcher.Places) },
--- a/rudder/daemon/loops.go
+++ b/rudder/daemon/loops.go
@@ -9,6 +9,7 @@
 	"chestnutrudder.example/rudder/engine"
 	"chestnutrudder.example/rudder/fleet"
 	"chestnutrudder.example/rudder/lease"
+	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/revision"
@@ -22,12 +23,12 @@
 const waitingRunTokens = 500
 
 // controlLoops returns the loops that rent hosts and roll out versions.
-func controlLoops(s settings.Settings, store objectapi.Store, hosts *fleet.Table, current *revision.Current, leases *lease.Manager,
+func controlLoops(s settings.Settings, store objectapi.Store, records *membership.Records, hosts *fleet.Table, current *revision.Current, leases *lease.Manager,
 	digests *route.Digests, decisions *decision.Recorder, logger *telemetry.Logger,
 ) []func(context.Context) {
 	busySlots := func(deployment string) (float64, bool) { return busySlotsOf(digests, deployment) }
 	versions := &rollout.Loop{
-		Store: store, Fleet: hosts, Current: current, Leases: leases, Decisions: decisions, Log: logger.Part("rollout"),
+		Store: store, Records: records, Fleet: hosts, Current: current, Leases: leases, Decisions: decisions, Log: logger.Part("rollout"),
 		Floor: func(deployment string, spec object.DeploymentSpec) int {
 			busy, _ := busySlots(deployment)
 			return capacity.NeedFor(busy, current.Index().ModelVersions[spec.ModelVersion].Slots, spec).Surviving
--- a/rudder/dispatch/crash.go
+++ b/rudder/dispatch/crash.go
@@ -22,7 +22,10 @@
 	if d.Quarantine == nil {
 		return b.verdict
 	}
-	crash := quarantine.Crash{Host: b.Host.Name, FailureDomain: b.Host.FailureDomain, Noticed: b.load.Leaving, OnTrial: d.isOnTrial(b)}
+	crash := quarantine.Crash{
+		Host: b.Host.Name, FailureDomain: b.Host.FailureDomain, Noticed: b.load.Leaving,
+		OnTrial: d.OnTrial != nil && d.OnTrial(b.Host.Deployment, b.load.ModelVersion),
+	}
 	if _, noticed := d.Fleet.LeavingAt(b.Host.Name); noticed {
 		crash.Noticed = true
 	}
@@ -37,13 +40,6 @@
 	return b.verdict
 }
 
-// isOnTrial reports whether no run has ended on the model version of a runner, while some have on another version of its
-// deployment. A crash is then rather the version's fault than the request's. The caller holds the lock.
-func (d *Dispatcher) isOnTrial(b *Backend) bool {
-	s := d.schedulers[b.Host.Deployment]
-	return s != nil && len(s.provenVersions) > 0 && !s.provenVersions[b.load.ModelVersion]
-}
-
 // stop ends a run on the caller's wish: in the queue, or on the engine.
 func (d *Dispatcher) stop(ctx context.Context, r *Run, reason string) {
 	t := r.ticket
--- a/rudder/dispatch/dispatch.go
+++ b/rudder/dispatch/dispatch.go
@@ -34,6 +34,8 @@
 	Log        *slog.Logger
 	// Decisions logs and keeps placement decisions; nil drops them.
 	Decisions *decision.Recorder
+	// OnTrial reports whether a model version is being rolled out; nil means none.
+	OnTrial func(deployment, version string) bool
 
 	mu         sync.Mutex
 	backends   map[string]*Backend
--- a/rudder/dispatch/execute.go
+++ b/rudder/dispatch/execute.go
@@ -220,7 +220,6 @@
 	d.mu.Lock()
 	t.backend.prefix.learn(blocks, time.Now())
 	if s := d.schedulers[t.request.Deployment]; s != nil {
-		s.provenVersions[t.backend.load.ModelVersion] = true
 		s.answers.learn(t.item.Class, t.run.length(), int(t.request.MaxTokens))
 	}
 	placed := d.proven(t)
--- a/rudder/dispatch/scheduler.go
+++ b/rudder/dispatch/scheduler.go
@@ -88,8 +88,6 @@
 	short      shortPeak
 	answers    answerLengths
 	turn       int
-	// provenVersions are the model versions on which a run has ended.
-	provenVersions map[string]bool
 }
 
 func newScheduler(policy string, now time.Time) *scheduler {
@@ -100,8 +98,6 @@
 		unproven:   map[quarantine.Key]int{},
 		answers:    answerLengths{},
 		retries:    limit.NewRetryBudget(now),
-
-		provenVersions: map[string]bool{},
 	}
 }
 
--- a/rudder/membership/records.go
+++ b/rudder/membership/records.go
@@ -19,6 +19,7 @@
 	RecordHostNotice = "host/"
 	RecordRevision   = "revision" // one record: number of the newest known revision
 	RecordQuarantine = "quarantine/"
+	RecordRollout    = "rollout/" // by deployment: the rollout's state
 )
 
 const (
--- a/rudder/quarantine/quarantine.go
+++ b/rudder/quarantine/quarantine.go
@@ -55,7 +55,7 @@
 	Host          string
 	FailureDomain string
 	Noticed       bool  // the host had a notice
-	OnTrial       bool  // the backend server's model version has finished no run yet, while another one has
+	OnTrial       bool  // the backend server's model version is being rolled out
 	Keys          []Key // requests that ran on it
 	Isolated      bool  // exactly one request ran on it, because it was a suspect
 }
--- a/rudder/rollout/loop.go
+++ b/rudder/rollout/loop.go
@@ -14,6 +14,7 @@
 	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/engine"
 	"chestnutrudder.example/rudder/lease"
+	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/revision"
@@ -36,6 +37,7 @@
 // Loop rolls model versions out for all deployments whose lease this node holds.
 type Loop struct {
 	Store   objectapi.Store
+	Records Records
 	Fleet   Fleet
 	Current *revision.Current
 	Leases  *lease.Manager
@@ -152,6 +154,9 @@
 		if err != nil {
 			return err
 		}
+		if err := h.loop.Records.Put(membership.RecordRollout+h.deployment, o.Version, next); err != nil {
+			return err
+		}
 		h.loop.Decisions.Record("rollout", h.deployment, next.Reason, string(next.Phase)+" "+next.Target, nil)
 		h.state, h.version = next, o.Version
 	}
