Share the settings of property tests, name nodes repeatably

Test types named after simulation are fakes in virtual time and are named so. Node names held a random port, which placed prefixes elsewhere in each run. The service stand-in states that a refused call was not run, which the adapter asks for.

--- a/rudder/capacity/capacity_test.go
+++ b/rudder/capacity/capacity_test.go
@@ -1,28 +1,19 @@
 package capacity
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/internal/rapidtest"
 	"chestnutrudder.example/rudder/object"
 )
 
-// TestMain fixes the seed, so that each run gives the same verdict; -rapid.seed sets another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=1") }
 
 func offer(domain string, reclaimable bool, price int64) cloud.Offer {
 	return cloud.Offer{FailureDomain: domain, Class: "gpu-small", Reclaimable: reclaimable, PriceMicrosPerHour: price}
--- a/rudder/claim/claim_test.go
+++ b/rudder/claim/claim_test.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -15,19 +13,12 @@
 
 	"pgregory.net/rapid"
 
+	"chestnutrudder.example/rudder/internal/rapidtest"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/peer/peerpb"
 )
 
-// TestMain fixes the seed, so that each run gives the same verdict; -rapid.seed sets another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=1") }
 
 // faultyStore is an object API in memory. The next write can fail before it takes effect, lose its answer after it, or
 // be held back and take effect later.
--- a/rudder/dispatch/choose_test.go
+++ b/rudder/dispatch/choose_test.go
@@ -48,15 +48,15 @@
 // TestNoHerd guards against requests that all follow one load report: 12 requests at once, with one runner that has just
 // come back empty, have to spread as their prefill adds up.
 func TestNoHerd(t *testing.T) {
-	sim := newSimulation("predicted", 4, 64)
+	tl := newTimeline("predicted", 4, 64)
 	for i := range 12 {
-		ticket := newTicket(newRun("", "", "", 0), requestOf(i), 1, sim.now)
-		sim.s.push(ticket, sim.now)
-		if sim.s.next(sim.now) != ticket {
+		ticket := newTicket(newRun("", "", "", 0), requestOf(i), 1, tl.now)
+		tl.s.push(ticket, tl.now)
+		if tl.s.next(tl.now) != ticket {
 			t.Fatal("not placed")
 		}
 	}
-	for _, b := range sim.s.backends {
+	for _, b := range tl.s.backends {
 		if len(b.tickets) != 3 {
 			t.Errorf("%s got %d of 12 requests, expected 3", b.Host.Name, len(b.tickets))
 		}
--- a/rudder/dispatch/scheduler_test.go
+++ b/rudder/dispatch/scheduler_test.go
@@ -1,9 +1,7 @@
 package dispatch
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,21 +10,14 @@
 
 	"chestnutrudder.example/rudder/cloud"
 	"chestnutrudder.example/rudder/engine"
+	"chestnutrudder.example/rudder/internal/rapidtest"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/quarantine"
 )
 
-// TestMain fixes the seed, so that each run gives the same verdict; -rapid.seed sets another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=20261204") }
 
 // schedulerModel is the oracle: where every ticket is, in plain lists.
 type schedulerModel struct {
@@ -216,20 +207,20 @@
 		{"resumed without a slot", 33, 0, object.OrganisationSpec{}, request(resumed), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			sim := newSimulation("predicted", 2, 64)
-			sim.s.allRunners = 4 // half of them are elsewhere
+			tl := newTimeline("predicted", 2, 64)
+			tl.s.allRunners = 4 // half of them are elsewhere
 			for range c.others {
-				other := newTicket(newRun("", "", "", 0), request(func(*peerpb.RunRequest) {}), 1, sim.now)
-				sim.s.push(other, sim.now)
-				sim.s.next(sim.now)
+				other := newTicket(newRun("", "", "", 0), request(func(*peerpb.RunRequest) {}), 1, tl.now)
+				tl.s.push(other, tl.now)
+				tl.s.next(tl.now)
 			}
-			for _, b := range sim.s.backends {
-				b.report(engine.Load{Slots: 16, PrefillTokensPerSec: 8000, DecodeStepMillis: 18, Running: len(b.tickets), Epoch: 1}, sim.now, len(b.tickets))
+			for _, b := range tl.s.backends {
+				b.report(engine.Load{Slots: 16, PrefillTokensPerSec: 8000, DecodeStepMillis: 18, Running: len(b.tickets), Epoch: 1}, tl.now, len(b.tickets))
 			}
 			for range c.retries {
-				sim.s.retries.Retry(sim.now)
+				tl.s.retries.Retry(tl.now)
 			}
-			refusal := sim.s.admit(newTicket(newRun("", "", "", 0), c.request, 1, sim.now), c.spec, sim.now)
+			refusal := tl.s.admit(newTicket(newRun("", "", "", 0), c.request, 1, tl.now), c.spec, tl.now)
 			if (refusal != nil) != c.refused {
 				t.Errorf("refusal %v, expected one: %t", refusal, c.refused)
 			}
--- a/rudder/dispatch/timeline_test.go
+++ b/rudder/dispatch/timeline_test.go
@@ -14,31 +14,31 @@
 	"chestnutrudder.example/rudder/peer/peerpb"
 )
 
-// simulation runs a scheduler against engines in virtual time, so that its figures do not depend on the machine. The
+// timeline runs a scheduler against engines in virtual time, so that its figures do not depend on the machine. The
 // engines have the timing of the stand-in engine: serial prefill at 8000 tokens/s, during which the batch waits, and
 // decode steps of 10 ms plus 0.5 ms for each run.
-type simulation struct {
+type timeline struct {
 	s         *scheduler
-	engines   map[*Backend]*simEngine
+	engines   map[*Backend]*fakeEngine
 	now       time.Time
 	events    events
 	order     int
-	results   []*simRequest
+	results   []*fakeRequest
 	prefilled int
 	cacheSize int // blocks
 	spec      object.OrganisationSpec
 }
 
-type simRequest struct {
+type fakeRequest struct {
 	t       *ticket
 	first   time.Duration // to the first token; 0 if there was none
 	refused bool
 }
 
-type simEngine struct {
+type fakeEngine struct {
 	b     *Backend
-	queue []*simRequest
-	batch []*simRequest
+	queue []*fakeRequest
+	batch []*fakeRequest
 	cache map[uint64]int // block → last use
 	uses  int
 	busy  bool
@@ -64,86 +64,86 @@
 	return last
 }
 
-func newSimulation(policy string, runners, cacheBlocks int) *simulation {
+func newTimeline(policy string, runners, cacheBlocks int) *timeline {
 	start := time.Unix(1_000_000, 0)
-	sim := &simulation{s: newScheduler(policy, start), engines: map[*Backend]*simEngine{}, now: start, cacheSize: cacheBlocks}
-	sim.s.allRunners = runners
-	sim.s.spec.Target = object.Target{FirstTokenMilliseconds: 680, BetweenTokensMilliseconds: 27}
+	tl := &timeline{s: newScheduler(policy, start), engines: map[*Backend]*fakeEngine{}, now: start, cacheSize: cacheBlocks}
+	tl.s.allRunners = runners
+	tl.s.spec.Target = object.Target{FirstTokenMilliseconds: 680, BetweenTokensMilliseconds: 27}
 	for i := range runners {
 		b := newBackend(cloud.Host{Name: fmt.Sprintf("host-%02d", i), Backend: object.BackendModel, Address: "http://127.0.0.1:1"})
-		sim.s.add(b)
-		e := &simEngine{b: b, cache: map[uint64]int{}}
-		sim.engines[b] = e
-		sim.report(e)
+		tl.s.add(b)
+		e := &fakeEngine{b: b, cache: map[uint64]int{}}
+		tl.engines[b] = e
+		tl.report(e)
 	}
-	return sim
+	return tl
 }
 
-func (sim *simulation) after(d time.Duration, do func()) {
-	sim.order++
-	heap.Push(&sim.events, event{sim.now.Add(d), sim.order, do})
+func (tl *timeline) after(d time.Duration, do func()) {
+	tl.order++
+	heap.Push(&tl.events, event{tl.now.Add(d), tl.order, do})
 }
 
 // report gives a load report each 250 ms.
-func (sim *simulation) report(e *simEngine) {
+func (tl *timeline) report(e *fakeEngine) {
 	load := engine.Load{
 		Running: len(e.batch), Waiting: len(e.queue), Slots: 16, PrefillTokensPerSec: 8000, Epoch: 1,
 		DecodeStepMillis: e.step().Seconds() * 1000,
 	}
-	e.b.report(load, sim.now, len(e.b.tickets))
-	sim.after(refreshInterval, func() { sim.report(e); sim.pump() })
+	e.b.report(load, tl.now, len(e.b.tickets))
+	tl.after(refreshInterval, func() { tl.report(e); tl.pump() })
 }
 
-func (e *simEngine) step() time.Duration {
+func (e *fakeEngine) step() time.Duration {
 	return 10*time.Millisecond + time.Duration(len(e.batch))*500*time.Microsecond
 }
 
 // arrive sends a request after a delay.
-func (sim *simulation) arrive(delay time.Duration, request *peerpb.RunRequest, share int) {
-	sim.after(delay, func() {
+func (tl *timeline) arrive(delay time.Duration, request *peerpb.RunRequest, share int) {
+	tl.after(delay, func() {
 		run := newRun(request.Run, request.Organisation, "", 0)
-		r := &simRequest{t: newTicket(run, request, share, sim.now)}
-		sim.results = append(sim.results, r)
-		if sim.s.admit(r.t, sim.spec, sim.now) != nil {
+		r := &fakeRequest{t: newTicket(run, request, share, tl.now)}
+		tl.results = append(tl.results, r)
+		if tl.s.admit(r.t, tl.spec, tl.now) != nil {
 			r.refused = true
 			return
 		}
 		r.t.item.Value = r.t
-		sim.s.push(r.t, sim.now)
+		tl.s.push(r.t, tl.now)
 		if r.t.expireIn > 0 {
-			sim.after(r.t.expireIn, func() { r.refused = r.refused || sim.s.leave(r.t) })
+			tl.after(r.t.expireIn, func() { r.refused = r.refused || tl.s.leave(r.t) })
 		}
-		sim.pump()
+		tl.pump()
 	})
 }
 
-func (sim *simulation) find(t *ticket) *simRequest {
-	for i := len(sim.results) - 1; i >= 0; i-- {
-		if sim.results[i].t == t {
-			return sim.results[i]
+func (tl *timeline) find(t *ticket) *fakeRequest {
+	for i := len(tl.results) - 1; i >= 0; i-- {
+		if tl.results[i].t == t {
+			return tl.results[i]
 		}
 	}
 	return nil
 }
 
-func (sim *simulation) pump() {
-	for t := sim.s.next(sim.now); t != nil; t = sim.s.next(sim.now) {
-		e := sim.engines[t.backend]
-		e.queue = append(e.queue, sim.find(t))
+func (tl *timeline) pump() {
+	for t := tl.s.next(tl.now); t != nil; t = tl.s.next(tl.now) {
+		e := tl.engines[t.backend]
+		e.queue = append(e.queue, tl.find(t))
 		if !e.busy {
-			sim.work(e)
+			tl.work(e)
 		}
 	}
 }
 
 // work prefills the next run or does a decode step.
-func (sim *simulation) work(e *simEngine) {
+func (tl *timeline) work(e *fakeEngine) {
 	e.busy = len(e.queue)+len(e.batch) > 0
 	if !e.busy {
 		return
 	}
 	if len(e.queue) == 0 {
-		sim.after(e.step(), func() { sim.decode(e); sim.work(e) })
+		tl.after(e.step(), func() { tl.decode(e); tl.work(e) })
 		return
 	}
 	r := e.queue[0]
@@ -153,17 +153,17 @@
 		cached++
 	}
 	computed := r.t.tokens - cached*engine.BlockTokens
-	sim.prefilled += computed
-	sim.after(time.Duration(computed)*time.Second/8000, func() {
-		e.store(r.t.blocks, sim.cacheSize)
+	tl.prefilled += computed
+	tl.after(time.Duration(computed)*time.Second/8000, func() {
+		e.store(r.t.blocks, tl.cacheSize)
 		r.t.started = true
-		e.b.prefix.started(r.t.blocks, cached*engine.BlockTokens, sim.now)
+		e.b.prefix.started(r.t.blocks, cached*engine.BlockTokens, tl.now)
 		e.batch = append(e.batch, r)
-		sim.work(e)
+		tl.work(e)
 	})
 }
 
-func (e *simEngine) store(blocks []uint64, size int) {
+func (e *fakeEngine) store(blocks []uint64, size int) {
 	for _, b := range blocks {
 		e.uses++
 		e.cache[b] = e.uses
@@ -175,39 +175,39 @@
 	}
 }
 
-func (sim *simulation) decode(e *simEngine) {
+func (tl *timeline) decode(e *fakeEngine) {
 	kept := e.batch[:0]
 	for _, r := range e.batch {
 		length := r.t.run.length()
 		if length == 0 {
-			r.first = sim.now.Sub(r.t.item.Since)
+			r.first = tl.now.Sub(r.t.item.Since)
 		}
 		r.t.run.add(length, []string{"token"})
 		if length+1 >= provenTokens {
-			sim.s.prove(r.t)
+			tl.s.prove(r.t)
 		}
 		if length+1 < int(r.t.request.MaxTokens) {
 			kept = append(kept, r)
 		} else {
-			sim.s.answers.learn(r.t.item.Class, length+1, int(r.t.request.MaxTokens))
-			sim.s.release(r.t)
+			tl.s.answers.learn(r.t.item.Class, length+1, int(r.t.request.MaxTokens))
+			tl.s.release(r.t)
 		}
 	}
 	e.batch = kept
-	sim.pump()
+	tl.pump()
 }
 
-func (sim *simulation) run(d time.Duration) {
-	end := sim.now.Add(d)
-	for len(sim.events) > 0 && sim.events[0].at.Before(end) {
-		next := heap.Pop(&sim.events).(event)
-		sim.now = next.at
+func (tl *timeline) run(d time.Duration) {
+	end := tl.now.Add(d)
+	for len(tl.events) > 0 && tl.events[0].at.Before(end) {
+		next := heap.Pop(&tl.events).(event)
+		tl.now = next.at
 		next.do()
 	}
 }
 
 // poisson sends requests at a rate for a time.
-func (sim *simulation) poisson(random *rand.Rand, perSecond float64, d time.Duration, next func(i int) (*peerpb.RunRequest, int)) {
+func (tl *timeline) poisson(random *rand.Rand, perSecond float64, d time.Duration, next func(i int) (*peerpb.RunRequest, int)) {
 	at := time.Duration(0)
 	for i := 0; ; i++ {
 		at += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
@@ -215,13 +215,13 @@
 			return
 		}
 		request, share := next(i)
-		sim.arrive(at, request, share)
+		tl.arrive(at, request, share)
 	}
 }
 
 // firstTokens returns the sorted first-token times of the requests of a class and the number of requests.
-func (sim *simulation) firstTokens(class limit.Class) (times []time.Duration, requests int) {
-	for _, r := range sim.results {
+func (tl *timeline) firstTokens(class limit.Class) (times []time.Duration, requests int) {
+	for _, r := range tl.results {
 		if r.t.item.Class != class {
 			continue
 		}
--- a/rudder/entry/fuzz_test.go
+++ b/rudder/entry/fuzz_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand"
 	"net/http"
@@ -20,6 +19,7 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"chestnutrudder.example/rudder/internal/rapidtest"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/telemetry"
 )
@@ -79,15 +79,12 @@
 	problem string
 }
 
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=7", "checks=100") }
+
 // TestSessionsAgainstFaults guards against answers that are cut, doubled, mixed up or of another organisation, against
 // "not run" for a request that was run, and against accepted requests that do not complete, whatever happens to messages
 // and nodes.
 func TestSessionsAgainstFaults(t *testing.T) {
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "100", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
-	}
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		t.Fatal(err)
--- a/rudder/lease/lease_test.go
+++ b/rudder/lease/lease_test.go
@@ -2,28 +2,20 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"chestnutrudder.example/rudder/internal/rapidtest"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/objectapi/objectapitest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "1000")
-	_ = flag.Set("rapid.steps", "100")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=20261204", "checks=1000", "steps=100") }
 
 type fakeClock struct{ now time.Time }
 
--- a/rudder/limit/queue_test.go
+++ b/rudder/limit/queue_test.go
@@ -1,25 +1,17 @@
 package limit
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"chestnutrudder.example/rudder/internal/rapidtest"
 )
 
-// TestMain fixes the seed, so that each run gives the same verdict; -rapid.seed sets another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=20261204") }
 
 var start = time.Unix(1000, 0)
 
--- a/rudder/membership/membership_test.go
+++ b/rudder/membership/membership_test.go
@@ -76,7 +76,7 @@
 func TestResponsibleFallsBack(t *testing.T) {
 	n := newSimNetwork(1, 1, 3)
 	n.advance(2 * time.Second)
-	count := func() (responsible []*simNode) {
+	count := func() (responsible []*fakeNode) {
 		for _, node := range n.nodes {
 			if !node.paused && node.Table.Responsible(matterNodes) {
 				responsible = append(responsible, node)
--- a/rudder/membership/network_test.go
+++ b/rudder/membership/network_test.go
@@ -1,32 +1,26 @@
 package membership
 
 import (
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"chestnutrudder.example/rudder/internal/rapidtest"
 	"chestnutrudder.example/rudder/peer/peerpb"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=20") }
 
-const simStep = 250 * time.Millisecond
+const fakeStep = 250 * time.Millisecond
 
-// simNode is a node on the simulated network.
-type simNode struct {
+// fakeNode is a node on the in-memory network.
+type fakeNode struct {
 	*Exchanger
 	name, domain string
 	paused, down bool
@@ -34,8 +28,8 @@
 	pushed       bool
 }
 
-// simMessage is a heartbeat or its answer on the way.
-type simMessage struct {
+// fakeMessage is a heartbeat or its answer on the way.
+type fakeMessage struct {
 	from, to string
 	at       time.Time // of delivery
 	sentAt   time.Time // of the request
@@ -44,22 +38,22 @@
 	sequence int64
 }
 
-// simNetwork runs exchangers on a simulated clock over a network with faults.
-type simNetwork struct {
+// fakeNetwork runs exchangers on a virtual clock over a network with faults.
+type fakeNetwork struct {
 	now     time.Time
 	random  *rand.Rand
-	nodes   []*simNode
-	queue   []simMessage
+	nodes   []*fakeNode
+	queue   []fakeMessage
 	blocked map[string]bool // "a|b" for both directions
 	loss    float64
 	delay   time.Duration // highest
 }
 
-func newSimNetwork(seed uint64, domains, perDomain int) *simNetwork {
-	n := &simNetwork{now: time.UnixMilli(1_700_000_000_000), random: rand.New(rand.NewPCG(seed, 1)), blocked: map[string]bool{}}
+func newSimNetwork(seed uint64, domains, perDomain int) *fakeNetwork {
+	n := &fakeNetwork{now: time.UnixMilli(1_700_000_000_000), random: rand.New(rand.NewPCG(seed, 1)), blocked: map[string]bool{}}
 	for d := range domains {
 		for i := range perDomain {
-			node := &simNode{name: fmt.Sprintf("d%d-n%d", d, i), domain: fmt.Sprintf("d%d", d)}
+			node := &fakeNode{name: fmt.Sprintf("d%d-n%d", d, i), domain: fmt.Sprintf("d%d", d)}
 			n.nodes = append(n.nodes, node)
 			n.start(node)
 		}
@@ -72,7 +66,7 @@
 	return n
 }
 
-func (n *simNetwork) start(node *simNode) {
+func (n *fakeNetwork) start(node *fakeNode) {
 	table := NewTable(Node{Name: node.name, FailureDomain: node.domain, PeerAddress: node.name, Incarnation: n.now.UnixMilli()})
 	records := NewRecords()
 	table.now = func() time.Time { return n.now }
@@ -82,15 +76,15 @@
 	records.onPut(func() { node.pushed = true })
 }
 
-func (n *simNetwork) find(name string) *simNode {
-	i := slices.IndexFunc(n.nodes, func(s *simNode) bool { return s.name == name })
+func (n *fakeNetwork) find(name string) *fakeNode {
+	i := slices.IndexFunc(n.nodes, func(s *fakeNode) bool { return s.name == name })
 	return n.nodes[i]
 }
 
 func pair(a, b string) string { return min(a, b) + "|" + max(a, b) }
 
 // send puts a message on the way, or loses or doubles it.
-func (n *simNetwork) send(m simMessage) {
+func (n *fakeNetwork) send(m fakeMessage) {
 	copies := 1
 	if n.random.Float64() < n.loss {
 		copies = n.random.IntN(2) * 2
@@ -101,7 +95,7 @@
 	}
 }
 
-func (n *simNetwork) deliver() {
+func (n *fakeNetwork) deliver() {
 	queue := n.queue
 	n.queue = nil
 	for _, m := range queue {
@@ -112,7 +106,7 @@
 			n.queue = append(n.queue, m)
 		case m.request != nil:
 			answer := to.Answer(m.request)
-			n.send(simMessage{from: m.to, to: m.from, sentAt: m.sentAt, response: answer, request: nil, sequence: m.sequence})
+			n.send(fakeMessage{from: m.to, to: m.from, sentAt: m.sentAt, response: answer, request: nil, sequence: m.sequence})
 		case n.now.Sub(m.sentAt) <= heartbeatInterval && to.peers != nil:
 			if to.finish(m.sequence, false, m.response) {
 				n.heartbeat(to, Node{Name: m.from, PeerAddress: m.from}, true)
@@ -121,18 +115,18 @@
 	}
 }
 
-func (n *simNetwork) heartbeat(from *simNode, to Node, full bool) {
+func (n *fakeNetwork) heartbeat(from *fakeNode, to Node, full bool) {
 	if n.find(to.Name).name == from.name {
 		return
 	}
 	request, sequence := from.request(to, full)
-	n.send(simMessage{from: from.name, to: to.Name, sentAt: n.now, request: request, sequence: sequence})
+	n.send(fakeMessage{from: from.name, to: to.Name, sentAt: n.now, request: request, sequence: sequence})
 }
 
 // advance runs all nodes for a while.
-func (n *simNetwork) advance(d time.Duration) {
+func (n *fakeNetwork) advance(d time.Duration) {
 	for end := n.now.Add(d); n.now.Before(end); {
-		n.now = n.now.Add(simStep)
+		n.now = n.now.Add(fakeStep)
 		n.deliver()
 		for _, node := range n.nodes {
 			if node.paused || node.down {
@@ -147,7 +141,7 @@
 	}
 }
 
-func (n *simNetwork) beat(node *simNode) {
+func (n *fakeNetwork) beat(node *fakeNode) {
 	domains := map[string]bool{}
 	for _, other := range node.Table.All() {
 		if other.FailureDomain != node.domain {
@@ -173,7 +167,7 @@
 	}
 }
 
-func (n *simNetwork) heal() {
+func (n *fakeNetwork) heal() {
 	n.blocked = map[string]bool{}
 	n.loss, n.delay = 0, 0
 	for _, node := range n.nodes {
@@ -190,7 +184,7 @@
 	}
 }
 
-func (n *simNetwork) live(node *simNode) []string {
+func (n *fakeNetwork) live(node *fakeNode) []string {
 	var names []string
 	for _, l := range node.Table.Live() {
 		names = append(names, l.Name)
@@ -206,7 +200,7 @@
 	held     map[string]int   // node → notices held since its start
 }
 
-func (o *oracle) check(t *rapid.T, n *simNetwork) {
+func (o *oracle) check(t *rapid.T, n *fakeNetwork) {
 	for _, node := range n.nodes {
 		if node.down {
 			o.seen[node.name], o.held[node.name] = 0, 0
@@ -233,10 +227,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := newSimNetwork(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 3).Draw(t, "domains"), rapid.IntRange(2, 4).Draw(t, "nodes"))
 		o := &oracle{seen: map[string]int64{}, held: map[string]int{}}
-		pick := func(t *rapid.T) *simNode { return n.nodes[rapid.IntRange(0, len(n.nodes)-1).Draw(t, "node")] }
+		pick := func(t *rapid.T) *fakeNode { return n.nodes[rapid.IntRange(0, len(n.nodes)-1).Draw(t, "node")] }
 		t.Repeat(map[string]func(*rapid.T){
 			"advance": func(t *rapid.T) {
-				n.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "steps")) * simStep)
+				n.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "steps")) * fakeStep)
 			},
 			"degrade": func(t *rapid.T) {
 				n.loss = rapid.Float64Range(0, 0.4).Draw(t, "loss")
--- a/rudder/reclaim/reclaim_test.go
+++ b/rudder/reclaim/reclaim_test.go
@@ -1,21 +1,16 @@
 package reclaim
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"chestnutrudder.example/rudder/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=20") }
 
 func drawRuns(t *rapid.T) []Run {
 	count := rapid.IntRange(0, 30).Draw(t, "runs")
--- a/rudder/revision/acceptance_test.go
+++ b/rudder/revision/acceptance_test.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -16,6 +14,7 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"chestnutrudder.example/rudder/internal/rapidtest"
 	"chestnutrudder.example/rudder/lease"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/objectapi"
@@ -23,13 +22,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "100")
-	_ = flag.Set("rapid.steps", "60")
-	_ = flag.Set("rapid.shrinktime", "5s")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	rapidtest.Main(m, "seed=20261204", "checks=100", "steps=60", "shrinktime=5s")
 }
 
 var discard = slog.New(slog.NewTextHandler(io.Discard, nil))
--- a/rudder/rollout/rollout_test.go
+++ b/rudder/rollout/rollout_test.go
@@ -1,24 +1,16 @@
 package rollout
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"chestnutrudder.example/rudder/internal/rapidtest"
 )
 
-// TestMain fixes the seed, so that each run gives the same verdict; -rapid.seed sets another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=1") }
 
 // fakeRunner loads a version in a number of steps; bad versions never load or kill it.
 type fakeRunner struct {
--- a/rudder/route/select_test.go
+++ b/rudder/route/select_test.go
@@ -1,30 +1,21 @@
 package route
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"chestnutrudder.example/rudder/internal/rapidtest"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/peer/peerpb"
 )
 
-// TestMain fixes the seed, so that each run gives the same verdict; -rapid.seed sets another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=20261204") }
 
 func nodes(count int) []membership.Node {
 	var list []membership.Node
--- a/standin/process/cluster.go
+++ b/standin/process/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os/exec"
 	"path/filepath"
@@ -110,7 +111,8 @@
 
 // StartNode starts one more node in a failure domain, with further arguments besides those of the plan.
 func (c *Cluster) StartNode(domain string, more ...string) (*Node, error) {
-	name := domain + "-entry-" + strings.ReplaceAll(FreeAddress(), "127.0.0.1:", "")
+	// The number makes names repeatable, and with them the rendezvous hashes of runs that are compared.
+	name := fmt.Sprintf("%s-entry-%d", domain, len(c.Nodes)+1)
 	n := &Node{FailureDomain: domain, Caller: FreeAddress(), Peer: FreeAddress(), Admin: FreeAddress()}
 	args := []string{
 		"--node", name, "--region", c.plan.Region, "--failure-domain", domain,
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -46,7 +46,7 @@
 type Faults struct {
 	DelayMillis  int64 `json:"delay_ms"`      // added between effect and answer
 	LoseAnswers  int   `json:"lose_answers"`  // calls to run whose answer is dropped
-	Refuse       bool  `json:"refuse"`        // answer 503 before running
+	Refuse       bool  `json:"refuse"`        // answer 503 with X-Rudder-Not-Run before running
 	CrashOnCalls int   `json:"crash_on_call"` // calls to run that crash the runner before it answers
 }
 
@@ -84,7 +84,7 @@
 	}
 }
 
-// Leave makes the runner refuse new calls with 503.
+// Leave makes the runner refuse new calls with 503 and X-Rudder-Not-Run.
 func (s *Service) Leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,6 +140,7 @@
 		d, frozen = s.decide()
 	}
 	if d.refuse {
+		w.Header().Set("X-Rudder-Not-Run", "1")
 		http.Error(w, "refused before running", http.StatusServiceUnavailable)
 		return
 	}
