--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 GO ?= go
-PACKAGES = ./rudder/... ./standin/...
+PACKAGES = ./rudder/... ./platform/... ./standin/...
 
 .PHONY: build test demo soak bench lint format generate
 
--- /dev/null
+++ b/rudder/backend/choose.go
@@ -0,0 +1,333 @@
+package backend
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// initialPrefill is the prompt tokens that a runner is taken to read in a millisecond until its speed is measured.
+	initialPrefill = 60.0
+	// initialFirstMillis is the time to a first event without a prompt until it is measured.
+	initialFirstMillis = 60.0
+	// initialWorkMillis is the time of a plain request until it is measured.
+	initialWorkMillis = 40.0
+	// modelWeight is the weight of one measurement in the moving averages of the model.
+	modelWeight = 0.1
+	// ejectedPenalty is what being left out adds to the score in milliseconds, so that a server that fails is still
+	// used when all others fail too.
+	ejectedPenalty = 3000.0
+	// failurePenalty is what a failure rate of 1 adds to the score, as a multiple of the prediction.
+	failurePenalty = 4.0
+	// leavingMargin is the time before its end from which a leaving server is not used even if nothing else serves.
+	leavingMargin = time.Second
+	// maxRunningFactor bounds the requests at a plain server as a multiple of its slots; beyond it the server refuses.
+	maxRunningFactor = 3
+)
+
+// engineModel predicts times of one service from measurements.
+type engineModel struct {
+	prefill     float64 // prompt tokens in a millisecond
+	firstMillis float64 // to the first event, beside the prompt
+	workMillis  float64 // of a plain request
+}
+
+func (t *Table) model(service string) *engineModel {
+	m, found := t.engine[service]
+	if !found {
+		m = &engineModel{prefill: initialPrefill, firstMillis: initialFirstMillis, workMillis: initialWorkMillis}
+		t.engine[service] = m
+	}
+	return m
+}
+
+// Request is what the choice of a server depends on.
+type Request struct {
+	Service       string
+	Parts         []Part // shared parts of the prompt, in order
+	PromptTokens  int    // all tokens of the prompt, shared parts included
+	IsGeneration  bool
+	Urgency       int
+	Exclude       map[string]bool // servers that have had the request
+	FailureDomain string          // of this node; equal servers of it go first
+}
+
+func (r *Request) level() int { return min(max(r.Urgency, 0), UrgencyLevels-1) }
+
+// Candidate is one server with the inputs of the choice.
+type Candidate struct {
+	ID       string
+	Millis   float64 // predicted time to the first byte
+	Score    float64 // Millis with the cost of work that others have to wait for, and penalties
+	Uncached int     // prompt tokens that the server has to read
+	Running  int
+	Full     bool
+	Local    bool
+}
+
+// Pick returns the candidate with the lowest score that is not full. Of equal ones the local ones go first, then the
+// order given.
+func Pick(candidates []Candidate) (Candidate, bool) {
+	free := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Full })
+	if len(free) == 0 {
+		return Candidate{}, false
+	}
+	return slices.MinFunc(free, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Score, b.Score), compareBool(b.Local, a.Local))
+	}), true
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// Placement is a request's place at a server, from Place to Release.
+type Placement struct {
+	Server    *Server
+	ID        string
+	Address   string
+	Predicted time.Duration // to the first byte
+	Running   int           // requests at the server when it was chosen
+	Choices   int
+	Uncached  int
+
+	table    *Table
+	request  Request
+	pending  float64
+	placedAt time.Time
+	alone    bool // no other prompt waited at the server
+	answered bool
+}
+
+// Refusal says why no server was chosen and when it is worth trying again.
+type Refusal struct {
+	Reason    string
+	Wait      time.Duration // predicted until a server can take the request; 0 if unknown
+	NoServers bool
+}
+
+// Place chooses a server for a request and counts the request there. It refuses if all servers are full or if the
+// first byte is predicted later than limit (0 means no limit).
+func (t *Table) Place(r Request, limit time.Duration) (*Placement, *Refusal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	candidates := t.candidates(r, now)
+	if len(candidates) == 0 {
+		return nil, &Refusal{Reason: "no server of the service is left to try", NoServers: true}
+	}
+	best, found := Pick(candidates)
+	if !found {
+		return nil, &Refusal{Reason: "all servers are full", Wait: shortestWait(candidates)}
+	}
+	predicted := time.Duration(best.Millis * float64(time.Millisecond))
+	if limit > 0 && predicted > limit {
+		return nil, &Refusal{Reason: "predicted first byte is too late", Wait: predicted - limit/2}
+	}
+	s := t.servers[best.ID]
+	p := &Placement{
+		Server: s, ID: s.ID, Address: s.Address, Predicted: predicted, Running: best.Running, Choices: len(candidates),
+		Uncached: best.Uncached, table: t, request: r, placedAt: now,
+	}
+	if r.IsGeneration {
+		p.pending = float64(best.Uncached)
+		sum, _ := t.total(s, now)
+		p.alone = sum.ahead(UrgencyLevels-1) == 0
+		t.prefix.read(s.ID, r.Parts, now)
+	}
+	s.own.running++
+	s.own.pending[r.level()] += p.pending
+	s.health.placed(now)
+	return p, nil
+}
+
+// shortestWait returns the shortest predicted time to a first byte.
+func shortestWait(candidates []Candidate) time.Duration {
+	shortest := math.Inf(1)
+	for _, c := range candidates {
+		shortest = min(shortest, c.Millis)
+	}
+	return time.Duration(shortest * float64(time.Millisecond))
+}
+
+// candidates lists the servers that may take a request. The first is the rendezvous choice of the shared parts, which
+// is taken to have them cached: all nodes send these there first.
+func (t *Table) candidates(r Request, now time.Time) []Candidate {
+	var serving []*Server
+	for _, s := range t.servers {
+		if s.Service == r.Service && !r.Exclude[s.ID] && s.serves() {
+			serving = append(serving, s)
+		}
+	}
+	rankByPrefix(serving, r.Parts)
+	m := t.model(r.Service)
+	list := make([]Candidate, 0, len(serving))
+	for rank, s := range serving {
+		list = append(list, t.candidate(s, rank, r, m, now))
+	}
+	return list
+}
+
+func (t *Table) candidate(s *Server, rank int, r Request, m *engineModel, now time.Time) Candidate {
+	sum, failing := t.total(s, now)
+	c := Candidate{ID: s.ID, Running: sum.running, Local: s.FailureDomain == r.FailureDomain}
+	slots := max(s.Slots, 1)
+	if r.IsGeneration {
+		cached := t.prefix.cached(s.ID, r.Parts, now)
+		if rank == 0 {
+			cached = sumTokens(r.Parts)
+		}
+		c.Uncached = max(r.PromptTokens-cached, 0)
+		own := float64(c.Uncached) / m.prefill
+		c.Millis = m.firstMillis + sum.ahead(r.Urgency)/m.prefill + own
+		c.Full = sum.running >= slots
+		// What this prompt adds to the wait of others counts once more.
+		c.Score = c.Millis*s.speed.slowness() + own
+	} else {
+		c.Millis = m.workMillis * (1 + float64(sum.running)/float64(slots))
+		c.Full = sum.running >= maxRunningFactor*slots
+		c.Score = c.Millis * s.speed.slowness()
+	}
+	c.Millis *= s.speed.slowness()
+	c.Score += c.Millis * failurePenalty * s.health.rate
+	if s.health.ejected(now) || failing > 1 {
+		c.Score += ejectedPenalty
+	}
+	return c
+}
+
+func sumTokens(parts []Part) int {
+	sum := 0
+	for _, p := range parts {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// rankByPrefix sorts servers by the rendezvous hash of the shared parts, so that all nodes agree where prompts with a
+// common beginning meet.
+func rankByPrefix(servers []*Server, parts []Part) {
+	key := xxhash.New()
+	for _, p := range parts {
+		_, _ = key.WriteString(p.ID)
+		_, _ = key.WriteString(",")
+	}
+	seed := key.Sum64()
+	weight := func(s *Server) uint64 { return mix(seed ^ xxhash.Sum64String(s.ID)) }
+	slices.SortFunc(servers, func(a, b *Server) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// mix spreads the bits of two combined hashes (finalizer of MurmurHash3).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// Answered notes the first byte of a response.
+func (p *Placement) Answered() {
+	p.table.mu.Lock()
+	defer p.table.mu.Unlock()
+	if p.answered {
+		return
+	}
+	p.answered = true
+	p.Server.own.pending[p.request.level()] -= p.pending
+	took := time.Since(p.placedAt).Seconds() * 1000
+	m := p.table.model(p.request.Service)
+	if p.request.IsGeneration {
+		p.Server.speed.observe(took / max(p.Predicted.Seconds()*1000/p.Server.speed.slowness(), 1))
+		if p.alone {
+			m.learnPrompt(took, p.pending)
+		}
+		return
+	}
+	m.workMillis += modelWeight * (min(took, 10*initialWorkMillis) - m.workMillis)
+	p.Server.speed.observe(took / max(p.Predicted.Seconds()*1000/p.Server.speed.slowness(), 1))
+}
+
+const (
+	// longPromptTokens is from where on the time to the first event tells the speed of reading.
+	longPromptTokens = 3000
+	// shortPromptTokens is up to where it tells the time beside reading.
+	shortPromptTokens = 1000
+)
+
+// learnPrompt takes the time to the first event of a prompt that waited for no other.
+func (m *engineModel) learnPrompt(millis, tokens float64) {
+	switch {
+	case tokens >= longPromptTokens && millis > m.firstMillis:
+		m.prefill += modelWeight * (min(tokens/(millis-m.firstMillis), 4*initialPrefill) - m.prefill)
+	case tokens <= shortPromptTokens:
+		m.firstMillis += modelWeight * (max(millis-tokens/m.prefill, 5) - m.firstMillis)
+	}
+	m.prefill = max(m.prefill, initialPrefill/10)
+	m.firstMillis = min(m.firstMillis, 4*initialFirstMillis)
+}
+
+// Result says how a request ended at a server.
+type Result int
+
+// The results of a request at a server.
+const (
+	// Completed is a whole response.
+	Completed Result = iota
+	// Inconclusive says nothing about the server: the caller left or the time was over.
+	Inconclusive
+	// Rejected means that the server refused to run the request.
+	Rejected
+	// Failed is a response that reports a failure of the server.
+	Failed
+	// Broken is a failed connection, a cut or a silent response.
+	Broken
+)
+
+// Release ends the placement.
+func (p *Placement) Release(result Result) {
+	t := p.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	s := p.Server
+	if !p.answered {
+		p.answered = true
+		s.own.pending[p.request.level()] -= p.pending
+	}
+	s.own.running--
+	switch result {
+	case Completed:
+		s.health.succeeded()
+	case Failed:
+		s.health.failed(now, false)
+	case Broken:
+		s.health.failed(now, true)
+	default:
+		s.health.ended()
+	}
+	if s.gone && s.own.running == 0 && t.servers[s.ID] == s {
+		delete(t.servers, s.ID)
+	}
+}
+
+// Misdirected notes that another server answers at this server's address; the entry is used again when the registry
+// changes it.
+func (p *Placement) Misdirected() {
+	p.table.mu.Lock()
+	defer p.table.mu.Unlock()
+	p.Server.Draining = true
+}
--- /dev/null
+++ b/rudder/backend/health.go
@@ -0,0 +1,73 @@
+package backend
+
+import "time"
+
+const (
+	// failureWeight is the weight of one result in the moving failure rate: about the last 8 results count.
+	failureWeight = 0.12
+	// ejectRate is the failure rate above which a server gets no new work for a while.
+	ejectRate = 0.35
+	// firstEjection and longestEjection bound how long a failing server is left out before one request probes it.
+	firstEjection   = 500 * time.Millisecond
+	longestEjection = 4 * time.Second
+)
+
+// health is what this node has seen of a server's failures.
+type health struct {
+	rate     float64 // moving share of failed requests
+	until    time.Time
+	ejection time.Duration
+	probing  bool
+}
+
+// ejected reports whether the server is left out now.
+func (h *health) ejected(now time.Time) bool { return now.Before(h.until) || h.probing }
+
+// placed notes that a request goes to the server; the first one after an ejection is a probe.
+func (h *health) placed(now time.Time) {
+	if !h.until.IsZero() && !now.Before(h.until) {
+		h.probing = true
+	}
+}
+
+// succeeded takes a complete response.
+func (h *health) succeeded() {
+	h.rate -= h.rate * failureWeight
+	if h.probing || !h.until.IsZero() {
+		*h = health{}
+	}
+}
+
+// failed takes a failure. A failed connection or a broken one (hard) leaves the server out at once, a failed response
+// only when many fail.
+func (h *health) failed(now time.Time, hard bool) {
+	h.rate += (1 - h.rate) * failureWeight
+	if !hard && h.rate < ejectRate && !h.probing {
+		return
+	}
+	h.ejection = min(max(2*h.ejection, firstEjection), longestEjection)
+	h.until = now.Add(h.ejection)
+	h.probing = false
+}
+
+// ended notes the end of a request that says nothing about the server.
+func (h *health) ended() { h.probing = false }
+
+// speed is how slow a server is compared with what the model predicts.
+type speed struct{ factor float64 }
+
+const speedWeight = 0.2
+
+// slowness returns the factor by which the server is slower than predicted, 1 if unknown.
+func (s *speed) slowness() float64 {
+	if s.factor == 0 {
+		return 1
+	}
+	return s.factor
+}
+
+// observe takes the ratio of a measured to a predicted time.
+func (s *speed) observe(ratio float64) {
+	ratio = min(max(ratio, 0.2), 20)
+	s.factor = s.slowness() + speedWeight*(ratio-s.slowness())
+}
--- a/rudder/cmd/rudderd/main.go
+++ b/rudder/cmd/rudderd/main.go
@@ -11,11 +11,16 @@
 
 	"github.com/alexflint/go-arg"
 
+	"chestnutrudder.example/platform"
 	"chestnutrudder.example/rudder/daemon"
 	"chestnutrudder.example/rudder/settings"
 )
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == "platform" {
+		runOnPlatform()
+		return
+	}
 	s, err := settings.Parse(os.Args[1:])
 	if errors.Is(err, arg.ErrHelp) {
 		settings.WriteHelp(os.Stdout)
@@ -32,3 +37,21 @@
 		os.Exit(1)
 	}
 }
+
+// runOnPlatform runs the node with the settings, the store and the registry of the platform.
+func runOnPlatform() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	reload := make(chan struct{}, 1)
+	go func() {
+		for range hangup {
+			reload <- struct{}{}
+		}
+	}()
+	if err := platform.Run(ctx, reload, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "rudderd:", err)
+		os.Exit(1)
+	}
+}
--- a/rudder/lease/lease.go
+++ b/rudder/lease/lease.go
@@ -1,7 +1,7 @@
 // Package lease gives one node at a time the right to run a control loop, with fencing tokens kept in the object API.
 // The control loops (revision, capacity, rollout) run under a Manager.
 //
-// A holder trusts only its own monotonic clock: its right ends one lease duration, less a margin, after it sent the last
+// A holder trusts only its own clock, which suspensions don't stop: its right ends one lease duration, less a margin, after it sent the last
 // write that took effect. A successor trusts only what it has seen itself: it writes after the record has stood
 // unchanged for the whole duration plus the longest command. Clocks of two nodes are never compared.
 package lease
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/objectapi"
 )
 
@@ -27,11 +28,9 @@
 	Now() time.Time
 }
 
-// SystemClock reads the clock of the machine; differences of its times are monotonic.
-type SystemClock struct{}
-
-// Now implements Clock.
-func (SystemClock) Now() time.Time { return time.Now() }
+// SystemClock reads the clock of the machine that goes on during a suspension: a holder that was suspended must find
+// that its right has ended.
+type SystemClock = boottime.Clock
 
 // Timing is the timing of a lease.
 type Timing struct {
--- a/rudder/limit/retry.go
+++ b/rudder/limit/retry.go
@@ -13,22 +13,43 @@
 // RetryBudget bounds attempts that follow a refusal to a fraction of fresh requests, so that refusals under overload do
 // not multiply the load. It is a token bucket that fresh requests fill. It is not safe for concurrent use.
 type RetryBudget struct {
+	rate   RetryRate
 	tokens float64
 	at     time.Time
 }
 
+// RetryRate says how a budget fills.
+type RetryRate struct {
+	Fraction  float64 // retries for each fresh request
+	Burst     float64 // retries saved at most
+	PerSecond float64 // retries that do not depend on fresh requests
+}
+
 // NewRetryBudget returns a full budget.
-func NewRetryBudget(now time.Time) *RetryBudget { return &RetryBudget{tokens: retryBurst, at: now} }
+func NewRetryBudget(now time.Time) *RetryBudget {
+	return NewRetryBudgetAt(RetryRate{Fraction: retryFraction, Burst: retryBurst, PerSecond: retryPerSecond}, now)
+}
+
+// NewRetryBudgetAt returns a full budget that fills at the given rate.
+func NewRetryBudgetAt(rate RetryRate, now time.Time) *RetryBudget {
+	return &RetryBudget{rate: rate, tokens: rate.Burst, at: now}
+}
+
+// SetBurst changes what is saved at most. A node's part of a burst that all nodes share changes with their number.
+func (b *RetryBudget) SetBurst(burst float64) {
+	b.rate.Burst = burst
+	b.tokens = min(b.tokens, burst)
+}
 
 func (b *RetryBudget) fill(now time.Time) {
-	b.tokens = min(retryBurst, b.tokens+max(0, now.Sub(b.at).Seconds())*retryPerSecond)
+	b.tokens = min(b.rate.Burst, b.tokens+max(0, now.Sub(b.at).Seconds())*b.rate.PerSecond)
 	b.at = now
 }
 
 // Fresh counts a first attempt.
 func (b *RetryBudget) Fresh(now time.Time) {
 	b.fill(now)
-	b.tokens = min(retryBurst, b.tokens+retryFraction)
+	b.tokens = min(b.rate.Burst, b.tokens+b.rate.Fraction)
 }
 
 // Retry takes one retry and reports whether the budget allows it.
--- /dev/null
+++ b/rudder/mesh/mesh.go
@@ -0,0 +1,252 @@
+// Package mesh keeps the nodes of the relay in touch: each tells all others a few times a second how it is, in one
+// datagram. A digest holds running totals, so that a lost one is made good by the next and none is acknowledged.
+package mesh
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/quota"
+	"chestnutrudder.example/rudder/usage"
+)
+
+// State says what a node does for callers.
+type State string
+
+// The states of a node.
+const (
+	Starting State = "starting"
+	Ready    State = "ready"
+	Draining State = "draining"
+)
+
+// Digest is what a node tells its peers. Times between nodes are given as ages, since their clocks differ.
+type Digest struct {
+	Node          string                      `json:"n"`
+	Incarnation   int64                       `json:"i"` // differs for each start of a node's process
+	FailureDomain string                      `json:"d"`
+	Address       string                      `json:"a"` // IP:port for callers
+	State         State                       `json:"s"`
+	WallMillis    int64                       `json:"w"` // the sender's time of day
+	ConfigVersion int64                       `json:"v"`
+	ProofAge      int64                       `json:"p"` // milliseconds since its configuration was proved to be the newest; -1: never
+	HoldsLease    bool                        `json:"h,omitempty"`
+	Loads         map[string]backend.PeerLoad `json:"l,omitempty"`
+	Uses          map[string]quota.Use        `json:"q,omitempty"`
+	Runs          usage.Windows               `json:"u,omitempty"`
+	Peers         []string                    `json:"k,omitempty"` // some addresses that the sender knows
+}
+
+// Member is a peer as this node heard it last.
+type Member struct {
+	Digest
+	HeardAt boottime.Instant
+}
+
+const (
+	// Interval is the pause between two digests of a node.
+	Interval = 250 * time.Millisecond
+	// silentAfter is from where on a peer is taken to be out of touch, four digests later.
+	silentAfter = 1200 * time.Millisecond
+	// forgetAfter is how long a silent peer is still sent to and counted as a node that may serve.
+	forgetAfter = 20 * time.Second
+	// maxDatagramBytes is the largest UDP payload over IPv4.
+	maxDatagramBytes = 65507
+	// toldPeers is how many addresses a digest carries, in turn.
+	toldPeers = 4
+)
+
+// Mesh sends and receives digests.
+type Mesh struct {
+	Self    string // IP:port of this node's socket
+	Compose func() Digest
+	Learn   func(Member)
+	Log     *slog.Logger
+
+	mu      sync.Mutex
+	members map[string]Member           // by node name
+	targets map[string]boottime.Instant // addresses, with when they were last heard or learnt
+	turn    int
+	sent    int64 // bytes
+}
+
+// New returns a mesh that knows the addresses of some peers.
+func New(self string, seeds []string, compose func() Digest, learn func(Member), log *slog.Logger) *Mesh {
+	m := &Mesh{Self: self, Compose: compose, Learn: learn, Log: log, members: map[string]Member{}, targets: map[string]boottime.Instant{}}
+	m.Add(seeds)
+	return m
+}
+
+// Add takes addresses of peers.
+func (m *Mesh) Add(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := boottime.Now()
+	for _, a := range addresses {
+		if _, known := m.targets[a]; !known && a != m.Self && a != "" {
+			m.targets[a] = now
+		}
+	}
+}
+
+// Run sends and receives until ctx ends. It returns an error only if the socket cannot be opened.
+func (m *Mesh) Run(ctx context.Context, conn net.PacketConn) {
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	go m.receive(ctx, conn)
+	for ctx.Err() == nil {
+		m.tell(conn)
+		select {
+		case <-ctx.Done():
+		case <-time.After(Interval):
+		}
+	}
+}
+
+// Announce sends a digest at once, when the state of this node changes.
+func (m *Mesh) Announce(conn net.PacketConn) { m.tell(conn) }
+
+func (m *Mesh) tell(conn net.PacketConn) {
+	digest := m.Compose()
+	targets := m.aim()
+	digest.Peers = m.some(targets)
+	data, err := json.Marshal(digest)
+	if err != nil || len(data) > maxDatagramBytes {
+		m.Log.Error("Digest cannot be sent.", "bytes", len(data), "error", err)
+		return
+	}
+	for _, target := range targets {
+		address, err := netip.ParseAddrPort(target)
+		if err != nil {
+			continue // Add took it from a peer; receive logs malformed digests
+		}
+		// A datagram that cannot be sent is made good by the next one.
+		_, _ = conn.WriteTo(data, net.UDPAddrFromAddrPort(address))
+	}
+}
+
+// aim returns the addresses to send to and drops those that have been silent for too long.
+func (m *Mesh) aim() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := boottime.Now()
+	var list []string
+	for address, at := range m.targets {
+		if now.Sub(at) > forgetAfter {
+			delete(m.targets, address)
+			continue
+		}
+		list = append(list, address)
+	}
+	for name, member := range m.members {
+		if now.Sub(member.HeardAt) > forgetAfter {
+			m.Log.Info("Node is forgotten.", "peer", name)
+			delete(m.members, name)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (m *Mesh) some(targets []string) []string {
+	if len(targets) == 0 {
+		return nil
+	}
+	m.turn++
+	var list []string
+	for i := range min(toldPeers, len(targets)) {
+		list = append(list, targets[(m.turn*toldPeers+i)%len(targets)])
+	}
+	return list
+}
+
+func (m *Mesh) receive(ctx context.Context, conn net.PacketConn) {
+	buffer := make([]byte, maxDatagramBytes)
+	for ctx.Err() == nil {
+		n, from, err := conn.ReadFrom(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				m.Log.Warn("Digest could not be received.", "error", err)
+				time.Sleep(Interval)
+			}
+			continue
+		}
+		var d Digest
+		if err := json.Unmarshal(buffer[:n], &d); err != nil || d.Node == "" {
+			m.Log.Warn("Digest is malformed.", "from", from.String(), "error", err)
+			continue
+		}
+		m.take(d, from.String())
+	}
+}
+
+func (m *Mesh) take(d Digest, from string) {
+	member := Member{Digest: d, HeardAt: boottime.Now()}
+	m.mu.Lock()
+	before, known := m.members[d.Node]
+	if known && before.Incarnation > d.Incarnation {
+		m.mu.Unlock()
+		return // delayed, from before a restart
+	}
+	m.members[d.Node] = member
+	m.targets[from] = member.HeardAt
+	m.mu.Unlock()
+	if !known || before.Incarnation != d.Incarnation || before.State != d.State {
+		m.Log.Info("Node is heard.", "peer", d.Node, "state", d.State, "address", d.Address, "config_version", d.ConfigVersion)
+	}
+	m.Add(d.Peers)
+	m.Learn(member)
+}
+
+// Members returns the peers that are in touch, sorted by name.
+func (m *Mesh) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := boottime.Now()
+	var list []Member
+	for _, member := range m.members {
+		if now.Sub(member.HeardAt) <= silentAfter {
+			list = append(list, member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
+	return list
+}
+
+// Reach returns how many nodes are in touch and how many are known, this one included in both.
+func (m *Mesh) Reach() (heard, known int) {
+	heard = len(m.Members()) + 1
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known = 1
+	for _, member := range m.members {
+		if member.State != Draining || boottime.Since(member.HeardAt) <= silentAfter {
+			known++
+		}
+	}
+	return heard, known
+}
+
+// Time returns the time of day that most nodes agree on: this node's clock of the time since boot, corrected by the
+// median of all nodes' times of day. A clock that jumps on some nodes does not move it.
+func (m *Mesh) Time() time.Time {
+	now := boottime.Now()
+	offsets := []int64{time.Now().UnixMilli() - millis(now)}
+	m.mu.Lock()
+	for _, member := range m.members {
+		offsets = append(offsets, member.WallMillis-millis(member.HeardAt))
+	}
+	m.mu.Unlock()
+	slices.Sort(offsets)
+	return time.UnixMilli(millis(now) + offsets[len(offsets)/2])
+}
+
+func millis(i boottime.Instant) int64 { return time.Duration(i).Milliseconds() }
--- /dev/null
+++ b/rudder/quota/quota.go
@@ -0,0 +1,161 @@
+// Package quota holds organisations to limits that all nodes share. Every node keeps a token bucket for each organisation
+// and takes from it what it admits and what its peers say they admitted; nobody is asked before a request is admitted.
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"chestnutrudder.example/rudder/traffic"
+)
+
+// Use is what one node says of one organisation.
+type Use struct {
+	Taken float64 `json:"t"` // admitted since the node's start, in the unit of the limit
+	Level float64 `json:"l"` // what the node believes is left
+}
+
+const (
+	// settleTime is how long after its start a node lowers its levels to those of its peers.
+	settleTime = 2 * time.Second
+	// maxDebt bounds how far below zero a bucket falls, in seconds of its rate, so that an organisation that was admitted
+	// too much waits no longer than that.
+	maxDebt = 2.0
+)
+
+// Ledger holds the buckets of one node. It is safe for concurrent use.
+type Ledger struct {
+	mu       sync.Mutex
+	started  time.Time
+	full     bool // buckets begin full
+	share    float64
+	accounts map[string]*account
+	peers    map[string]map[string]float64 // taken, by peer incarnation and organisation
+	now      func() time.Time
+}
+
+type account struct {
+	rate, burst float64
+	level       float64
+	taken       float64
+	at          time.Time
+	settled     bool // a peer's level was taken
+}
+
+// NewLedger returns a ledger. Its buckets begin full where no node can have admitted anything yet, and else empty until
+// peers have told theirs.
+func NewLedger(full bool, now func() time.Time) *Ledger {
+	return &Ledger{started: now(), full: full, share: 1, accounts: map[string]*account{}, peers: map[string]map[string]float64{}, now: now}
+}
+
+// account returns the bucket, filled up to now, with the organisation's present limit. The caller holds the lock.
+func (l *Ledger) account(o *traffic.Organisation) *account {
+	a, found := l.accounts[o.Name]
+	now := l.now()
+	if !found {
+		a = &account{at: now}
+		if l.full {
+			a.level = o.Burst
+		}
+		l.accounts[o.Name] = a
+	}
+	a.rate, a.burst = o.RatePerSecond, o.Burst
+	a.fill(now, l.share)
+	return a
+}
+
+func (a *account) fill(now time.Time, share float64) {
+	a.level += max(0, now.Sub(a.at).Seconds()) * a.rate * share
+	a.level = min(max(a.level, -maxDebt*a.rate), a.burst)
+	a.at = now
+}
+
+// SetShare tells which part of the known nodes this node hears, itself included. A node that is cut off from others
+// admits only its part of a limit.
+func (l *Ledger) SetShare(share float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	for _, a := range l.accounts {
+		a.fill(now, l.share)
+	}
+	l.share = min(max(share, 0), 1)
+}
+
+// Take takes an amount if it is there, else returns when it will be. An amount above the burst is taken from a full
+// bucket, since it would never be admitted otherwise.
+func (l *Ledger) Take(o *traffic.Organisation, amount float64) (bool, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(o)
+	need := min(amount, a.burst)
+	if a.level < need {
+		rate := max(a.rate*l.share, 1)
+		return false, time.Duration((need - a.level) / rate * float64(time.Second))
+	}
+	a.level -= amount
+	a.taken += amount
+	return true, 0
+}
+
+// Return gives back what a request took that has not run.
+func (l *Ledger) Return(o *traffic.Organisation, amount float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.RatePerSecond <= 0 {
+		return
+	}
+	a := l.account(o)
+	a.level = min(a.level+amount, a.burst)
+	a.taken -= amount
+}
+
+// Own returns what this node has admitted, for its peers.
+func (l *Ledger) Own() map[string]Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	uses := map[string]Use{}
+	for name, a := range l.accounts {
+		a.fill(l.now(), l.share)
+		uses[name] = Use{Taken: a.taken, Level: a.level}
+	}
+	return uses
+}
+
+// Learn takes what a peer has admitted. peer names one start of its process.
+func (l *Ledger) Learn(peer string, uses map[string]Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before, found := l.peers[peer]
+	if !found {
+		before = map[string]float64{}
+		l.peers[peer] = before
+	}
+	settling := !l.full && l.now().Sub(l.started) < settleTime
+	for name, use := range uses {
+		a, known := l.accounts[name]
+		if !known {
+			a = &account{at: l.now(), burst: use.Level, level: use.Level, settled: true}
+			l.accounts[name] = a
+			before[name] = use.Taken
+			continue
+		}
+		if last, counted := before[name]; counted || found {
+			a.level -= use.Taken - last
+		}
+		before[name] = use.Taken
+		if settling && !a.settled {
+			a.level, a.settled = use.Level, true
+		}
+		if settling {
+			a.level = min(a.level, use.Level)
+		}
+	}
+}
+
+// Forget drops a peer incarnation that is gone.
+func (l *Ledger) Forget(peer string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.peers, peer)
+}
--- /dev/null
+++ b/rudder/relay/body.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+)
+
+// bodyTimeout is how long a caller may take to send a body beyond the time for its head.
+const bodyTimeout = 5 * time.Second
+
+func newBody(b []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(b)) }
+
+// readBody reads the whole body, so that a request can be sent again and a caller that stops midway occupies no backend
+// server. It returns the HTTP status of a failure, 0 if there is none.
+func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, int) {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil, 0
+	}
+	if maxBytes > 0 && r.ContentLength > maxBytes {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if maxBytes > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	var buffer bytes.Buffer
+	if r.ContentLength > 0 {
+		buffer.Grow(int(r.ContentLength) + bytes.MinRead)
+	}
+	if _, err := buffer.ReadFrom(r.Body); err != nil {
+		if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
+			return nil, http.StatusRequestEntityTooLarge
+		}
+		return nil, http.StatusRequestTimeout
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	return buffer.Bytes(), 0
+}
--- /dev/null
+++ b/rudder/relaynode/duties.go
@@ -0,0 +1,111 @@
+package relaynode
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutrudder.example/rudder/lease"
+	"chestnutrudder.example/rudder/mesh"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/usage"
+)
+
+const (
+	// dutyLease names the lease of the duties.
+	dutyLease = "duties"
+	// contenders is how many nodes look at the lease when nobody seems to hold it; the others cost no calls.
+	contenders = 3
+	// nodesPrefix is the prefix of the nodes' own records in the object API, from which nodes find each other.
+	nodesPrefix = "rudder-nodes/"
+	// nodesInterval is how often a node that hears too few others lists the records.
+	nodesInterval = 5 * time.Second
+)
+
+// contends reports whether this node should look at the lease: no peer says that it holds it, and this node is among
+// the first by name.
+func (n *node) contends(string) bool {
+	names := []string{n.settings.Node}
+	for _, m := range n.mesh.Members() {
+		if m.HoldsLease {
+			return false
+		}
+		if m.State == mesh.Ready {
+			names = append(names, m.Node)
+		}
+	}
+	slices.Sort(names)
+	return n.notReady() == "" && slices.Index(names, n.settings.Node) < contenders
+}
+
+// doDuties runs the duties while the lease is held.
+func (n *node) doDuties(ctx context.Context, held *lease.Lease) {
+	n.holdsLease.Store(true)
+	defer n.holdsLease.Store(false)
+	group, ctx := errgroup.WithContext(ctx)
+	if n.settings.ReportsUsage {
+		reporter := &usage.Reporter{
+			Counter: n.counter, Store: n.outside.Store, Send: n.outside.SendUsage, Late: n.settings.UsageLate, Now: n.mesh.Time,
+			Log: n.logger.Part("usage"),
+		}
+		group.Go(func() error { reporter.Run(ctx, held); return lease.ErrLost })
+	}
+	if n.settings.OrdersCapacity {
+		group.Go(func() error { n.orderCapacity(ctx, held); return lease.ErrLost })
+	}
+	_ = group.Wait()
+}
+
+// nodeRecord is a node's record in the object API.
+type nodeRecord struct {
+	MeshAddress string `json:"mesh_address"`
+}
+
+func decodeNode(o objectapi.Object) (nodeRecord, error) {
+	var record nodeRecord
+	return record, errors.Wrapf(json.Unmarshal(o.Value, &record), "decode %s", o.Key)
+}
+
+// register writes this node's record and reads those of others while it hears few of them.
+func (n *node) register(ctx context.Context) {
+	registered := false
+	for ctx.Err() == nil {
+		if !registered {
+			_, err := n.outside.Store.Put(ctx, nodesPrefix+n.settings.Node, nodeRecord{MeshAddress: n.settings.MeshAddress}, objectapi.Any)
+			registered = err == nil
+			if err != nil {
+				n.log.Warn("Node could not be registered.", "error", err)
+			}
+		}
+		heard, known := n.mesh.Reach()
+		if heard == 1 || heard < known {
+			n.readNodes(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(nodesInterval):
+		}
+	}
+}
+
+func (n *node) readNodes(ctx context.Context) {
+	listing, err := n.outside.Store.List(ctx, nodesPrefix)
+	if err != nil {
+		n.log.Warn("Nodes could not be listed.", "error", err)
+		return
+	}
+	var addresses []string
+	for _, o := range listing.Objects {
+		record, err := decodeNode(o)
+		if err != nil {
+			n.log.Warn("Node record cannot be read.", "key", o.Key, "error", err)
+			continue
+		}
+		addresses = append(addresses, record.MeshAddress)
+	}
+	n.mesh.Add(addresses)
+}
--- /dev/null
+++ b/rudder/relaynode/node.go
@@ -0,0 +1,325 @@
+package relaynode
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/lease"
+	"chestnutrudder.example/rudder/limit"
+	"chestnutrudder.example/rudder/mesh"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/quota"
+	"chestnutrudder.example/rudder/relay"
+	"chestnutrudder.example/rudder/telemetry"
+	"chestnutrudder.example/rudder/traffic"
+	"chestnutrudder.example/rudder/usage"
+)
+
+const (
+	// dialTimeout is how long a connection to a backend server may take; delays between hosts are a few milliseconds.
+	dialTimeout = 300 * time.Millisecond
+	// headerTimeout and idleTimeout hold until the first configuration tells the limits of callers.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	// maxHeaderBytes bounds a caller's header.
+	maxHeaderBytes = 64 << 10
+	// memoryShare is the part of the memory limit at which garbage is collected however fast the heap grows.
+	memoryShare = 0.6
+	// gcPercent trades processor time for a small peak of memory; both are paid for.
+	gcPercent = 100
+	// sendMargin and waitMargin are how much earlier than the revocation bound requests are no longer sent, and are
+	// cancelled at a server that has not begun with them.
+	sendMargin = 1800 * time.Millisecond
+	waitMargin = 700 * time.Millisecond
+	// retryShare is the part of the shared retry budget that nodes use, since they count apart.
+	retryShare = 0.75
+	// maintenanceInterval is how often idle connections are looked at.
+	maintenanceInterval = time.Second
+	// idleConnection is how long a connection to a backend server is kept without a request.
+	idleConnection = 10 * time.Second
+)
+
+// node is one running node.
+type node struct {
+	settings Settings
+	outside  Outside
+	logger   *telemetry.Logger
+	log      *slog.Logger
+
+	current  *traffic.Current
+	backends *backend.Table
+	ledger   *quota.Ledger
+	counter  *usage.Counter
+	relay    *relay.Server
+	mesh     *mesh.Mesh
+	leases   *lease.Manager
+
+	incarnation int64
+	draining    atomic.Bool
+	holdsLease  atomic.Bool
+}
+
+// Run runs a node until ctx ends and then stops it gracefully.
+func Run(ctx context.Context, s Settings, outside Outside, metrics *telemetry.Metrics, logs io.Writer) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimitBytes)))
+	n := newNode(s, outside, metrics, telemetry.NewLogger(logs, slog.LevelInfo, s.Node))
+	parts, stopParts := context.WithCancel(context.Background())
+	defer stopParts()
+	group, groupCtx := errgroup.WithContext(parts)
+	socket, err := net.ListenPacket("udp4", s.MeshAddress)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", s.MeshAddress)
+	}
+	for _, loop := range n.loops(socket) {
+		group.Go(func() error { loop(groupCtx); return nil })
+	}
+	callers := n.callerServer()
+	if err := n.listen(group, callers, metrics); err != nil {
+		return err
+	}
+	n.log.Info("Node is running.", "failure_domain", s.FailureDomain, "address", s.CallerAddress, "first_start", s.FirstStart)
+	n.await(ctx, groupCtx.Done())
+	n.stop(callers, socket)
+	stopParts()
+	return group.Wait()
+}
+
+func newNode(s Settings, outside Outside, metrics *telemetry.Metrics, logger *telemetry.Logger) *node {
+	n := &node{
+		settings: s, outside: outside, logger: logger, log: logger.Part("node"),
+		current: traffic.NewCurrent(), incarnation: time.Now().UnixMilli(),
+	}
+	n.backends = backend.NewTable(dialTimeout, logger.Part("backend"))
+	n.ledger = quota.NewLedger(s.FirstStart, time.Now)
+	n.mesh = mesh.New(s.MeshAddress, s.MeshSeeds, n.digest, n.learn, logger.Part("mesh"))
+	n.counter = usage.NewCounter(max(s.UsageWindow, time.Second), n.mesh.Time)
+	n.relay = &relay.Server{
+		Dialect: outside.Dialect, Current: n.current, Backends: n.backends, Quotas: n.ledger, Runs: n.counter,
+		FailureDomain: s.FailureDomain, Log: logger.Part("relay"),
+		Retries: limit.RetryRate{Fraction: retryShare * s.RetryFraction, Burst: retryShare * s.RetryBurst},
+	}
+	if s.RevocationBound > 0 {
+		n.relay.Freshness = relay.Freshness{Send: s.RevocationBound - sendMargin, Wait: s.RevocationBound - waitMargin}
+	}
+	n.relay.SetMetrics(metrics)
+	n.leases = &lease.Manager{
+		Store: outside.Store, Node: s.Node, Log: logger.Part("lease"), Contends: n.contends,
+		Timing: lease.Timing{Duration: s.LeaseDuration, Margin: s.LeaseDuration / 6, LongestCommand: longestDuty},
+	}
+	return n
+}
+
+// longestDuty is the longest time that a duty call is under way after the check of the lease.
+const longestDuty = time.Second
+
+// loops returns the tasks that run beside the servers.
+func (n *node) loops(socket net.PacketConn) []func(context.Context) {
+	config := &objectapi.Follower{
+		Store: n.outside.Store, Prefix: path.Dir(n.outside.ConfigKey) + "/", Log: n.logger.Part("config"),
+		List:   func(objects []objectapi.Object, _ boottime.Instant) { n.takeConfigs(objects) },
+		Change: func(e objectapi.Event) { n.takeConfigs([]objectapi.Object{e.Object}) },
+		Seen:   n.proved,
+	}
+	servers := &objectapi.Follower{
+		Store: n.outside.Store, Prefix: n.outside.ServersPrefix, Log: n.logger.Part("registry"),
+		List:   func(objects []objectapi.Object, _ boottime.Instant) { n.replaceServers(objects) },
+		Change: n.changeServer,
+		Seen:   func(boottime.Instant) {},
+	}
+	loops := []func(context.Context){
+		func(ctx context.Context) { n.mesh.Run(ctx, socket) },
+		config.Run, servers.Run, n.relay.Watch, n.maintain, n.register,
+	}
+	if n.settings.ReportsUsage || n.settings.OrdersCapacity {
+		loops = append(loops, func(ctx context.Context) { n.leases.Hold(ctx, dutyLease, n.doDuties) })
+	}
+	return loops
+}
+
+// takeConfigs applies the configuration if it is among the objects.
+func (n *node) takeConfigs(objects []objectapi.Object) {
+	for _, o := range objects {
+		if o.Key != n.outside.ConfigKey || len(o.Value) == 0 {
+			continue
+		}
+		config, err := n.outside.DecodeConfig(o.Value)
+		if err != nil {
+			n.log.Error("Configuration cannot be read.", "revision", o.Version, "error", err)
+			continue
+		}
+		if n.current.Apply(config) {
+			n.log.Info("Configuration is in force.", "config_version", config.Version, "revision", o.Version, "routes", len(config.Routes), "organisations", len(config.Organisations))
+		}
+	}
+}
+
+// proved notes that the configuration in force was the newest one when a call was sent.
+func (n *node) proved(sent boottime.Instant) {
+	if config := n.current.Config(); config != nil {
+		n.current.Prove(config.Version, sent)
+	}
+}
+
+func (n *node) replaceServers(objects []objectapi.Object) {
+	var entries []backend.Entry
+	for _, o := range objects {
+		e, err := n.outside.DecodeServer(o)
+		if err != nil {
+			n.log.Warn("Registry entry names no backend server.", "key", o.Key, "error", err)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	n.backends.Replace(entries)
+}
+
+func (n *node) changeServer(e objectapi.Event) {
+	if e.Deleted {
+		n.backends.Remove(path.Base(e.Object.Key))
+		return
+	}
+	entry, err := n.outside.DecodeServer(e.Object)
+	if err != nil {
+		n.log.Warn("Registry entry names no backend server.", "key", e.Object.Key, "error", err)
+		n.backends.Remove(path.Base(e.Object.Key))
+		return
+	}
+	n.backends.Put(entry)
+}
+
+// digest is what this node tells its peers.
+func (n *node) digest() mesh.Digest {
+	d := mesh.Digest{
+		Node: n.settings.Node, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain, Address: n.settings.CallerAddress,
+		State: n.state(), WallMillis: time.Now().UnixMilli(), ProofAge: -1, HoldsLease: n.holdsLease.Load(),
+		Loads: n.backends.Own(), Uses: n.ledger.Own(), Runs: n.counter.Own(),
+	}
+	if config := n.current.Config(); config != nil {
+		d.ConfigVersion = config.Version
+	}
+	if at := n.current.ProvedAt(); at > 0 {
+		d.ProofAge = boottime.Since(at).Milliseconds()
+	}
+	return d
+}
+
+// learn takes what a peer tells.
+func (n *node) learn(m mesh.Member) {
+	incarnation := incarnationName(m)
+	n.backends.SetRemote(m.Node, m.Loads)
+	n.ledger.Learn(incarnation, m.Uses)
+	n.counter.Learn(incarnation, m.Runs)
+	if m.ProofAge >= 0 {
+		// The time on the way is not known; it counts as proofDelay.
+		at := m.HeardAt.Add(-time.Duration(m.ProofAge)*time.Millisecond - proofDelay)
+		n.current.Prove(m.ConfigVersion, at)
+	}
+	heard, known := n.mesh.Reach()
+	n.ledger.SetShare(float64(heard) / float64(known))
+	n.relay.SetNodes(known)
+}
+
+// proofDelay is added to the age of a proof that a peer hands on, for its time on the way.
+const proofDelay = 300 * time.Millisecond
+
+func incarnationName(m mesh.Member) string {
+	return m.Node + "/" + time.UnixMilli(m.Incarnation).UTC().Format("150405.000")
+}
+
+func (n *node) state() mesh.State {
+	switch {
+	case n.draining.Load():
+		return mesh.Draining
+	case n.notReady() != "":
+		return mesh.Starting
+	default:
+		return mesh.Ready
+	}
+}
+
+// notReady returns why callers should not come here, empty if they should.
+func (n *node) notReady() string {
+	switch {
+	case n.draining.Load():
+		return "node is stopping"
+	case n.current.Config() == nil:
+		return "no configuration is known"
+	case !n.backends.Known():
+		return "backend servers are not known"
+	case n.relay.Freshness.Send > 0 && boottime.Since(n.current.ProvedAt()) > n.relay.Freshness.Send:
+		return "configuration is not proved to be the newest"
+	default:
+		return ""
+	}
+}
+
+func (n *node) maintain(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(maintenanceInterval):
+		}
+		n.backends.Maintain(idleConnection)
+		heard, known := n.mesh.Reach()
+		n.ledger.SetShare(float64(heard) / float64(known))
+	}
+}
+
+// callerServer returns the HTTP server for callers.
+func (n *node) callerServer() *http.Server {
+	return &http.Server{
+		Handler: n.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(n.logger.Part("http").Handler(), slog.LevelDebug),
+	}
+}
+
+// listen opens every socket before it serves any.
+func (n *node) listen(group *errgroup.Group, callers *http.Server, metrics *telemetry.Metrics) error {
+	servers := map[string]*http.Server{n.settings.CallerAddress: callers}
+	routers := map[string]*mux.Router{}
+	handle := func(address, path string, handler http.Handler) {
+		router, found := routers[address]
+		if !found {
+			router = mux.NewRouter()
+			routers[address] = router
+			servers[address] = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		}
+		router.Handle(path, handler).Methods(http.MethodGet)
+	}
+	handle(n.settings.ReadyAddress, n.outside.ReadyPath, http.HandlerFunc(n.serveReady))
+	handle(n.settings.DirectoryAddress, n.outside.AddressPath, http.HandlerFunc(n.serveAddresses))
+	handle(n.settings.MetricsAddress, "/metrics", metrics.Handler())
+	var listeners []net.Listener
+	var ordered []*http.Server
+	for address, server := range servers {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", address)
+		}
+		listeners, ordered = append(listeners, listener), append(ordered, server)
+	}
+	for i, server := range ordered {
+		group.Go(func() error {
+			if err := server.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Wrapf(err, "serve %s", listeners[i].Addr())
+			}
+			return nil
+		})
+	}
+	return nil
+}
--- /dev/null
+++ b/rudder/relaynode/stop.go
@@ -0,0 +1,120 @@
+package relaynode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"chestnutrudder.example/rudder/mesh"
+)
+
+const (
+	// acceptTime is how long a stopping node goes on to serve new requests: callers keep addresses for a while and find
+	// others only with their next question.
+	acceptTime = 3 * time.Second
+	// endMargin is kept free before the end of the stop time, for the closing of connections.
+	endMargin = 500 * time.Millisecond
+	// idleCheck is how often a stopping node looks whether it is done.
+	idleCheck = 100 * time.Millisecond
+)
+
+// await waits until the node is to stop; meanwhile it reads the settings again when asked to.
+func (n *node) await(ctx context.Context, failed <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-failed:
+			return
+		case <-n.outside.Reload:
+			n.reload()
+		}
+	}
+}
+
+// reload reads the settings again. Addresses stay as they are until the next start.
+func (n *node) reload() {
+	s, err := n.outside.LoadSettings()
+	if err != nil {
+		n.log.Error("Settings cannot be read again; the old ones stay in force.", "error", err)
+		return
+	}
+	n.log.Info("Settings are read again.", "changed", s.MemoryLimitBytes != n.settings.MemoryLimitBytes || s.StopTimeout != n.settings.StopTimeout)
+	n.mesh.Add(s.MeshSeeds)
+}
+
+// stop lets requests in progress end: first callers are sent elsewhere while new requests are still served, then new
+// requests are refused as not run.
+func (n *node) stop(callers *http.Server, socket net.PacketConn) {
+	begin := time.Now()
+	n.draining.Store(true)
+	n.relay.Drain()
+	callers.SetKeepAlivesEnabled(false)
+	n.mesh.Announce(socket)
+	n.log.Info("Node is stopping.", "requests", n.relay.InProgress(), "deadline_seconds", n.settings.StopTimeout.Seconds())
+	time.Sleep(min(acceptTime, n.settings.StopTimeout/2))
+	n.relay.Refuse()
+	deadline := begin.Add(n.settings.StopTimeout - endMargin)
+	for n.relay.InProgress() > 0 && time.Now().Before(deadline) {
+		time.Sleep(idleCheck)
+	}
+	n.log.Info("Node stops.", "requests_cut", n.relay.InProgress(), "after_ms", time.Since(begin).Milliseconds())
+	ctx, cancel := context.WithTimeout(context.Background(), endMargin/2)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		n.log.Warn("Connections of callers were closed before they were idle.", "error", err)
+	}
+}
+
+// serveReady answers the readiness check.
+func (n *node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := n.notReady(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+	}
+}
+
+const (
+	// addressLifetime is how long callers keep addresses; nodes that stop serve at least as long.
+	addressLifetime = 2 * time.Second
+	// minLocalNodes is how many ready nodes of a caller's failure domain there must be for it to get only these.
+	minLocalNodes = 2
+	// maxAddresses bounds an answer.
+	maxAddresses = 64
+)
+
+// serveAddresses answers the address question with the nodes that are ready, those of the caller's failure domain only
+// if there are enough.
+func (n *node) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	members := n.mesh.Members()
+	if n.notReady() == "" {
+		members = append(members, mesh.Member{Digest: mesh.Digest{Node: n.settings.Node, FailureDomain: n.settings.FailureDomain, Address: n.settings.CallerAddress, State: mesh.Ready}})
+	}
+	addresses := chooseAddresses(members, n.outside.CallerZone(r))
+	if len(addresses) == 0 {
+		http.Error(w, "no node is ready", http.StatusServiceUnavailable)
+		return
+	}
+	lifetime := min(addressLifetime, n.settings.AddressLifetime)
+	if err := n.outside.WriteAddresses(w, Addresses{Callers: addresses, Lifetime: lifetime}); err != nil {
+		n.log.Debug("Addresses could not be written.", "error", err)
+	}
+}
+
+// chooseAddresses returns the addresses of ready nodes.
+func chooseAddresses(members []mesh.Member, failureDomain string) []string {
+	var local, all []string
+	for _, m := range members {
+		if m.State != mesh.Ready {
+			continue
+		}
+		all = append(all, m.Address)
+		if m.FailureDomain == failureDomain {
+			local = append(local, m.Address)
+		}
+	}
+	if len(local) >= minLocalNodes {
+		all = local
+	}
+	return all[:min(len(all), maxAddresses)]
+}
--- /dev/null
+++ b/rudder/upstream/upstream.go
@@ -0,0 +1,260 @@
+// Package upstream exchanges HTTP/1.1 requests with a backend server over kept connections. Unlike the transport of
+// net/http it never repeats a request by itself, and it recognises responses that belong to an earlier request. The
+// relay uses it.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// readBufferBytes holds the head of a response and some events of a stream.
+	readBufferBytes = 4 << 10
+	// writeBufferBytes lets the head and a short body leave in one write.
+	writeBufferBytes = 16 << 10
+	// maxStrayResponses is how many responses to earlier requests are skipped on one connection.
+	maxStrayResponses = 2
+	// maxStrayBytes bounds the body of a response that is skipped.
+	maxStrayBytes = 1 << 20
+	// userTimeout ends a connection whose peer acknowledges nothing.
+	userTimeout = 2 * time.Second
+)
+
+// Errors of this layer.
+var (
+	// ErrNotSent means that no byte of the request left this process.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrForeign means that the connection delivered a response to another request.
+	ErrForeign = errors.New("response belongs to another request")
+)
+
+// Pool keeps connections to one address.
+type Pool struct {
+	Address     string
+	DialTimeout time.Duration
+
+	mu   sync.Mutex
+	idle []*Conn
+	open int
+}
+
+// Conn is one connection. It serves one request at a time.
+type Conn struct {
+	net.Conn
+	pool      *Pool
+	reader    *bufio.Reader
+	Reused    bool
+	idleSince time.Time
+	idleLimit time.Duration // as the peer announced it; 0 means unknown
+}
+
+// Get returns a kept connection that was idle for at most maxIdle, or a new one. An error wraps ErrNotSent.
+func (p *Pool) Get(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
+	for {
+		c := p.pop()
+		if c == nil {
+			break
+		}
+		if c.usable(maxIdle) {
+			c.Reused = true
+			return c, nil
+		}
+		c.Discard()
+	}
+	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", p.Address)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", p.Address, err)
+	}
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+	return &Conn{Conn: raw, pool: p, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+func (p *Pool) pop() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+// Open returns the number of connections, idle ones included.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// CloseIdle closes the connections that serve no request and were idle for at least the given time.
+func (p *Pool) CloseIdle(atLeast time.Duration) {
+	now := time.Now()
+	p.mu.Lock()
+	var kept, closed []*Conn
+	for _, c := range p.idle {
+		if now.Sub(c.idleSince) >= atLeast {
+			closed = append(closed, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range closed {
+		c.Discard()
+	}
+}
+
+// usable reports whether an idle connection may take a request: it was not idle for too long, the peer has not closed
+// it, and no byte has arrived that belongs to no request.
+func (c *Conn) usable(maxIdle time.Duration) bool {
+	if c.idleLimit > 0 {
+		// The peer's timer started before this side saw the response; half of the time is a safe margin.
+		maxIdle = min(maxIdle, c.idleLimit/2)
+	}
+	if time.Since(c.idleSince) > maxIdle || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = peekErr == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Discard closes the connection.
+func (c *Conn) Discard() {
+	if c.pool != nil {
+		c.pool.mu.Lock()
+		c.pool.open--
+		c.pool.mu.Unlock()
+		c.pool = nil
+	}
+	_ = c.Conn.Close()
+}
+
+// Keep returns the connection to its pool after a complete response, or closes it if the peer asked for that or has
+// sent more than its response.
+func (c *Conn) Keep(response *http.Response) {
+	if response.Close || c.reader.Buffered() > 0 || c.pool == nil {
+		c.Discard()
+		return
+	}
+	if limit, found := keepAliveTimeout(response.Header); found {
+		c.idleLimit = limit
+	}
+	c.idleSince = time.Now()
+	pool := c.pool
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.idle = append(pool.idle, c)
+}
+
+// keepAliveTimeout reads the timeout parameter of the Keep-Alive header, in whole seconds (RFC 2068, section 19.7.1).
+func keepAliveTimeout(h http.Header) (time.Duration, bool) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+			return time.Duration(seconds) * time.Second, true
+		}
+	}
+	return 0, false
+}
+
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
+// Send writes a request. An error that wraps ErrNotSent means that nothing left this process.
+func (c *Conn) Send(request *http.Request) error {
+	w := writers.Get().(*bufio.Writer)
+	counted := &countingWriter{conn: c.Conn}
+	w.Reset(counted)
+	defer func() {
+		w.Reset(nil)
+		writers.Put(w)
+	}()
+	err := request.Write(w)
+	if err == nil {
+		err = w.Flush()
+	}
+	switch {
+	case err == nil:
+		return nil
+	case counted.written == 0:
+		return errors.Wrapf(ErrNotSent, "write to %s: %v", c.Conn.RemoteAddr(), err)
+	default:
+		return errors.Wrapf(err, "write to %s", c.Conn.RemoteAddr())
+	}
+}
+
+type countingWriter struct {
+	conn    net.Conn
+	written int
+}
+
+func (w *countingWriter) Write(b []byte) (int, error) {
+	n, err := w.conn.Write(b)
+	w.written += n
+	return n, err
+}
+
+// Receive reads the head of the response to a request that carried id in the named header. Responses that carry another
+// id answer earlier requests of this connection and are skipped.
+func (c *Conn) Receive(request *http.Request, idHeader string) (*http.Response, error) {
+	id := request.Header.Get(idHeader)
+	for range maxStrayResponses + 1 {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, errors.Wrapf(err, "read response of %s", c.Conn.RemoteAddr())
+		}
+		if response.StatusCode == http.StatusContinue || response.StatusCode == http.StatusProcessing || response.StatusCode == http.StatusEarlyHints {
+			continue
+		}
+		// Refusals before a request is read carry no id.
+		if got := response.Header.Get(idHeader); got == id || got == "" && response.StatusCode >= 300 {
+			return response, nil
+		}
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil || n == maxStrayBytes {
+			break
+		}
+	}
+	return nil, errors.Wrapf(ErrForeign, "from %s", c.Conn.RemoteAddr())
+}
--- /dev/null
+++ b/rudder/usage/counter.go
@@ -0,0 +1,137 @@
+// Package usage counts the requests that backend servers began to run, by organisation and window of time, and reports
+// the sum over all nodes once for each window. Each node counts its own requests and tells its peers; the node that holds
+// the lease of the duty reports.
+package usage
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// Counts are runs by organisation.
+type Counts map[string]int
+
+// Windows are counts by window number. Window k begins k window lengths after the start of 1970.
+type Windows map[int64]Counts
+
+// keptWindows is how many windows a node remembers: a report is due within two windows after its own.
+const keptWindows = 8
+
+// Counter counts the runs of this node and keeps what peers said of theirs. It is safe for concurrent use.
+type Counter struct {
+	window time.Duration
+	now    func() time.Time // agreed time of all nodes
+
+	mu    sync.Mutex
+	own   Windows
+	peers map[string]Windows // by peer incarnation
+}
+
+// NewCounter returns a counter. now gives the time that the nodes agree on.
+func NewCounter(window time.Duration, now func() time.Time) *Counter {
+	return &Counter{window: window, now: now, own: Windows{}, peers: map[string]Windows{}}
+}
+
+// Index returns the number of the window of a time.
+func (c *Counter) Index(t time.Time) int64 { return t.UnixNano() / int64(c.window) }
+
+// End returns when a window ends.
+func (c *Counter) End(index int64) time.Time { return time.Unix(0, (index+1)*int64(c.window)) }
+
+// CountRun counts a run that begins now.
+func (c *Counter) CountRun(organisation string) {
+	if organisation == "" {
+		return
+	}
+	index := c.Index(c.now())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts, found := c.own[index]
+	if !found {
+		counts = Counts{}
+		c.own[index] = counts
+		trim(c.own, index)
+	}
+	counts[organisation]++
+}
+
+func trim(w Windows, newest int64) {
+	maps.DeleteFunc(w, func(index int64, _ Counts) bool { return index <= newest-keptWindows })
+}
+
+// recentWindows is how many windows a node tells its peers.
+const recentWindows = 3
+
+// Own returns the counts of this node's newest windows.
+func (c *Counter) Own() Windows {
+	newest := c.Index(c.now())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	recent := Windows{}
+	for index, counts := range c.own {
+		if index > newest-recentWindows {
+			recent[index] = maps.Clone(counts)
+		}
+	}
+	return recent
+}
+
+// Learn takes the counts of a peer; peer names one start of its process. Counts of one start only grow.
+func (c *Counter) Learn(peer string, windows Windows) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, found := c.peers[peer]
+	if !found {
+		known = Windows{}
+		c.peers[peer] = known
+	}
+	for index, counts := range windows {
+		merged := known[index]
+		if merged == nil {
+			merged = Counts{}
+			known[index] = merged
+		}
+		for organisation, n := range counts {
+			merged[organisation] = max(merged[organisation], n)
+		}
+		trim(known, index)
+	}
+}
+
+// Sum returns the counts of a window over this node and all peer incarnations.
+func (c *Counter) Sum(index int64) Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := maps.Clone(c.own[index])
+	if sum == nil {
+		sum = Counts{}
+	}
+	for _, windows := range c.peers {
+		for organisation, n := range windows[index] {
+			sum[organisation] += n
+		}
+	}
+	return sum
+}
+
+// raise makes the sums of windows at least those that an earlier holder saved: what nodes counted that are gone is lost
+// otherwise. The difference is kept as the counts of a peer of its own.
+func (c *Counter) raise(saved Windows) {
+	lost := Windows{}
+	for index, counts := range saved {
+		sum := c.Sum(index)
+		for organisation, n := range counts {
+			if missing := n - sum[organisation]; missing > 0 {
+				if lost[index] == nil {
+					lost[index] = Counts{}
+				}
+				lost[index][organisation] = missing
+			}
+		}
+	}
+	c.Learn(lostPeer, lost)
+}
+
+// lostPeer names the counts of nodes that ended before this node heard of them.
+const lostPeer = "lost"
--- /dev/null
+++ b/rudder/usage/reporter.go
@@ -0,0 +1,160 @@
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/lease"
+	"chestnutrudder.example/rudder/objectapi"
+)
+
+// Prefix is the prefix of reports in the object API. A report is written there before it is sent, so that a successor
+// sends the same counts.
+const Prefix = "usage-reports/"
+
+// progressKey holds the counts of unreported windows, for the case that all nodes end at once.
+const progressKey = "usage-progress/current"
+
+const (
+	// settleTime is how long after a window's end its counts are taken: the counts of all nodes have arrived by then.
+	settleTime = 1200 * time.Millisecond
+	// step is the pause between two looks at the windows.
+	step = 200 * time.Millisecond
+	// progressInterval is how often the counts are saved.
+	progressInterval = time.Second
+	// keptReports is how many reports stay in the object API; older ones are never sent again.
+	keptReports = 6
+)
+
+// Sender sends the report of one window. It returns nil if the report was accepted.
+type Sender func(ctx context.Context, fence, window int64, counts Counts) error
+
+// Reporter reports the counts of the windows while its node holds the lease.
+type Reporter struct {
+	Counter *Counter
+	Store   objectapi.Store
+	Send    Sender
+	Late    time.Duration // after the end of a window, when its report is overdue
+	Now     func() time.Time
+	Log     *slog.Logger
+}
+
+// report is a window's final counts in the object API.
+type report struct {
+	Counts Counts `json:"counts"`
+	Sent   bool   `json:"sent"`
+}
+
+// progress is what was counted by all nodes of windows that are not reported yet.
+type progress struct {
+	Windows Windows `json:"windows"`
+}
+
+// Run reports until ctx ends or the lease is lost.
+func (r *Reporter) Run(ctx context.Context, held *lease.Lease) {
+	r.recover(ctx)
+	next := r.Counter.Index(r.Now()) - keptWindows/2
+	var savedAt time.Time
+	for held.Check() == nil {
+		for r.Now().After(r.Counter.End(next).Add(settleTime)) {
+			if !r.reportWindow(ctx, held, next) {
+				break
+			}
+			next++
+		}
+		if time.Since(savedAt) >= progressInterval {
+			savedAt = time.Now()
+			r.save(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(step):
+		}
+	}
+}
+
+// recover takes the counts that an earlier holder saved.
+func (r *Reporter) recover(ctx context.Context) {
+	o, err := r.Store.Get(ctx, progressKey)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return
+	}
+	var saved progress
+	if err == nil {
+		err = json.Unmarshal(o.Value, &saved)
+	}
+	if err != nil {
+		r.Log.Warn("Saved counts could not be read.", "error", err)
+		return
+	}
+	r.Counter.raise(saved.Windows)
+}
+
+// save writes the sums of unreported windows.
+func (r *Reporter) save(ctx context.Context) {
+	newest := r.Counter.Index(r.Now())
+	windows := Windows{}
+	for index := newest - recentWindows + 1; index <= newest; index++ {
+		windows[index] = r.Counter.Sum(index)
+	}
+	if _, err := r.Store.Put(ctx, progressKey, progress{Windows: windows}, objectapi.Any); err != nil {
+		r.Log.Warn("Counts could not be saved.", "error", err)
+	}
+}
+
+// reportWindow sends one window and reports whether it is done with it.
+func (r *Reporter) reportWindow(ctx context.Context, held *lease.Lease, window int64) bool {
+	if r.Now().After(r.Counter.End(window).Add(r.Late)) {
+		r.Log.Warn("Usage window is overdue and not reported.", "window", window)
+		return true
+	}
+	key := Prefix + strconv.FormatInt(window, 10)
+	final, version, err := r.finalCounts(ctx, key, window)
+	if err != nil {
+		r.Log.Warn("Usage report could not be written.", "window", window, "error", err)
+		return false
+	}
+	if final.Sent || len(final.Counts) == 0 {
+		return true
+	}
+	if held.Check() != nil {
+		return false
+	}
+	if err := r.Send(ctx, held.Fence, window, final.Counts); err != nil {
+		r.Log.Warn("Usage report was not accepted.", "window", window, "fence", held.Fence, "error", err)
+		return false
+	}
+	r.Log.Info("Usage is reported.", "window", window, "fence", held.Fence, "counts", final.Counts)
+	if _, err := r.Store.Put(ctx, key, report{Counts: final.Counts, Sent: true}, version); err != nil {
+		r.Log.Warn("Usage report could not be marked as sent; a successor would repeat it.", "window", window, "error", err)
+	}
+	r.prune(ctx, window-keptReports)
+	return true
+}
+
+// finalCounts returns the counts of a window as they were first written; whoever writes first decides.
+func (r *Reporter) finalCounts(ctx context.Context, key string, window int64) (report, int64, error) {
+	final := report{Counts: r.Counter.Sum(window)}
+	o, err := r.Store.Put(ctx, key, final, objectapi.Absent)
+	if err == nil {
+		return final, o.Version, nil
+	}
+	if o, err = r.Store.Get(ctx, key); err != nil {
+		return report{}, 0, err
+	}
+	err = json.Unmarshal(o.Value, &final)
+	return final, o.Version, errors.Wrapf(err, "decode %s", key)
+}
+
+func (r *Reporter) prune(ctx context.Context, window int64) {
+	err := r.Store.Delete(ctx, Prefix+strconv.FormatInt(window, 10), objectapi.Any)
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		r.Log.Warn("Old usage report could not be deleted.", "window", window, "error", err)
+	}
+}
