--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -23,8 +23,6 @@
 	ejectedPenalty = 3000.0
 	// failurePenalty is what a failure rate of 1 adds to the score, as a multiple of the prediction.
 	failurePenalty = 4.0
-	// leavingMargin is the time before its end from which a leaving server is not used even if nothing else serves.
-	leavingMargin = time.Second
 	// maxRunningFactor bounds the requests at a plain server as a multiple of its slots; beyond it the server refuses.
 	maxRunningFactor = 3
 )
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -76,7 +76,6 @@
 	members map[string]Member           // by node name
 	targets map[string]boottime.Instant // addresses, with when they were last heard or learnt
 	turn    int
-	sent    int64 // bytes
 }
 
 // New returns a mesh that knows the addresses of some peers.
--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -8,10 +8,9 @@
 // eventReader splits a server-sent event stream into whole events without changing their bytes. Events end with an
 // empty line (WHATWG HTML, section 9.2).
 type eventReader struct {
-	source  io.Reader
-	buffer  []byte
-	lastID  string // id of the last whole event
-	maximum int    // bytes of one event
+	source io.Reader
+	buffer []byte
+	lastID string // id of the last whole event
 }
 
 // maxEventBytes bounds the memory of one unfinished event.
