--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -48,6 +48,7 @@
 	Service       string
 	Parts         []Part // shared parts of the prompt, in order
 	PromptTokens  int    // all tokens of the prompt, shared parts included
+	OutputTokens  int    // most tokens of the answer
 	IsGeneration  bool
 	Urgency       int
 	Exclude       map[string]bool // servers that have had the request
@@ -127,8 +128,10 @@
 	}
 	best, found := Pick(candidates)
 	if !found {
+		t.countDemand(r, max(r.PromptTokens-sumTokens(r.Parts), 0), t.model(r.Service), now)
 		return nil, &Refusal{Reason: "all servers are full", Wait: shortestWait(candidates)}
 	}
+	t.countDemand(r, best.Uncached, t.model(r.Service), now)
 	predicted := time.Duration(best.Millis * float64(time.Millisecond))
 	if limit > 0 && predicted > limit {
 		return nil, &Refusal{Reason: "predicted first byte is too late", Wait: predicted - limit/2}
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -65,6 +65,7 @@
 	remote  map[string]remoteLoad // by peer
 	prefix  prefixes
 	engine  map[string]*engineModel // by service
+	demands map[string]*demand      // by service
 	known   bool                    // a listing was read since the start
 }
 
@@ -89,7 +90,7 @@
 	return &Table{
 		DialTimeout: dialTimeout, Log: log,
 		servers: map[string]*Server{}, remote: map[string]remoteLoad{},
-		prefix: newPrefixes(), engine: map[string]*engineModel{},
+		prefix: newPrefixes(), engine: map[string]*engineModel{}, demands: map[string]*demand{},
 	}
 }
 
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -41,6 +41,7 @@
 	ProofAge      int64                       `json:"p"` // milliseconds since its configuration was proved to be the newest; -1: never
 	HoldsLease    bool                        `json:"h,omitempty"`
 	Loads         map[string]backend.PeerLoad `json:"l,omitempty"`
+	Demand        map[string]float64          `json:"m,omitempty"` // runners kept busy, by service
 	Uses          map[string]quota.Use        `json:"q,omitempty"`
 	Runs          usage.Windows               `json:"u,omitempty"`
 	Peers         []string                    `json:"k,omitempty"` // some addresses that the sender knows
--- a/rudder/relay/pursuit.go
+++ b/rudder/relay/pursuit.go
@@ -82,7 +82,7 @@
 func (p *pursuit) placementRequest() backend.Request {
 	c := p.call
 	return backend.Request{
-		Service: c.service, Parts: c.parts, PromptTokens: c.promptTokens, IsGeneration: c.generation, Urgency: c.urgency,
+		Service: c.service, Parts: c.parts, PromptTokens: c.promptTokens, OutputTokens: c.outputTokens, IsGeneration: c.generation, Urgency: c.urgency,
 		Exclude: p.exclude, FailureDomain: p.server.FailureDomain,
 	}
 }
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -29,6 +29,7 @@
 	tokens       float64
 	parts        []backend.Part // shared parts of the prompt
 	promptTokens int
+	outputTokens int // most tokens of the answer
 	generation   bool
 	urgency      int
 	header       http.Header
@@ -83,7 +84,7 @@
 	prompt, errIn := strconv.Atoi(strings.TrimSpace(in))
 	answer, errOut := strconv.Atoi(strings.TrimSpace(out))
 	if found && errIn == nil && errOut == nil && prompt >= 0 && answer >= 0 {
-		c.promptTokens, c.generation = prompt, true
+		c.promptTokens, c.outputTokens, c.generation = prompt, answer, true
 		c.tokens = float64(prompt + answer)
 	}
 	c.parts = sharedParts(h.Get(d.Prefix))
--- a/rudder/relaynode/capacity.go
+++ b/rudder/relaynode/capacity.go
@@ -2,9 +2,178 @@
 
 import (
 	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
 
+	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/capacity"
 	"chestnutrudder.example/rudder/lease"
+	"chestnutrudder.example/rudder/traffic"
 )
 
+const (
+	// planInterval is the pause between two looks at the runners. A reclaim leaves about two seconds.
+	planInterval = 250 * time.Millisecond
+	// orderRetry is the pause before an order that was refused or not answered is sent again.
+	orderRetry = 2 * time.Second
+	// reduceDelay is how long a lower number must be enough before runners are given back.
+	reduceDelay = 2 * time.Second
+	// spareReduceDelay is the same for reclaimable runners, which cost little.
+	spareReduceDelay = 20 * time.Second
+	// bootSlack is added to the time that runners take to start before their order counts as not carried out.
+	bootSlack = 3 * time.Second
+	// demandMemory is how long the highest demand counts.
+	demandMemory = 12 * time.Second
+)
+
+// orderKey names one number that can be ordered.
+type orderKey struct {
+	service, failureDomain string
+	reclaimable            bool
+}
+
+// order is what is known of one number.
+type order struct {
+	accepted   int // last number that the platform accepted; -1 if none yet
+	acceptedAt time.Time
+	triedAt    time.Time
+	refused    bool
+	lowerAt    time.Time // since when a lower number would be enough
+}
+
+// planner orders the runners of all services while its node holds the lease.
+type planner struct {
+	node   *node
+	log    *slog.Logger
+	orders map[orderKey]*order
+	floors map[string]int // runners to keep until the demand is known
+	peaks  map[string]peak
+}
+
+// peak is the highest demand of the last while.
+type peak struct {
+	busy float64
+	at   time.Time
+}
+
 // orderCapacity orders runners while the lease is held.
-func (n *node) orderCapacity(ctx context.Context, _ *lease.Lease) { <-ctx.Done() }
+func (n *node) orderCapacity(ctx context.Context, held *lease.Lease) {
+	p := &planner{node: n, log: n.logger.Part("capacity"), orders: map[orderKey]*order{}, floors: map[string]int{}, peaks: map[string]peak{}}
+	for held.Check() == nil {
+		if config := n.current.Config(); config != nil && n.backends.Known() {
+			for _, service := range config.Services {
+				if service.Scale != nil {
+					p.plan(ctx, held, service)
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(planInterval):
+		}
+	}
+}
+
+// plan compares the runners of one service with what its load needs and orders the difference.
+func (p *planner) plan(ctx context.Context, held *lease.Lease, service *traffic.Service) {
+	census := p.node.backends.Count(service.Name)
+	zones := p.zones(service, census)
+	busy := p.demand(service.Name)
+	targets := capacity.PlanZones(zones, busy, p.floor(service.Name, zones, busy), capacity.ZoneBounds{
+		Min: service.Scale.Min, Max: service.Scale.Max, SpotPrice: service.Scale.SpotPrice,
+	})
+	for _, t := range targets {
+		c := census[t.Name]
+		p.adjust(ctx, held, service, orderKey{service.Name, t.Name, true}, t.Reclaimable, c.Reclaimable, busy)
+		p.adjust(ctx, held, service, orderKey{service.Name, t.Name, false}, t.OnDemand, c.OnDemand, busy)
+	}
+}
+
+// zones returns the failure domains in which the service runs or may run.
+func (p *planner) zones(service *traffic.Service, census map[string]backend.Census) []capacity.ZoneState {
+	var zones []capacity.ZoneState
+	for name, price := range service.Scale.ZonePrices {
+		if !slices.Contains(p.node.settings.FailureDomains, name) {
+			continue
+		}
+		c := census[name]
+		zones = append(zones, capacity.ZoneState{Name: name, Price: price, OnDemand: c.OnDemand, Reclaimable: c.Reclaimable})
+	}
+	return zones
+}
+
+// demand returns the highest load of the last while in busy runners, over all nodes.
+func (p *planner) demand(service string) float64 {
+	busy := p.node.backends.Demand()[service]
+	for _, m := range p.node.mesh.Members() {
+		busy += m.Demand[service]
+	}
+	now := time.Now()
+	if before := p.peaks[service]; busy < before.busy && now.Sub(before.at) < demandMemory {
+		return before.busy
+	}
+	p.peaks[service] = peak{busy: busy, at: now}
+	return busy
+}
+
+// floor returns the runners to keep while there is no load to tell how many are needed: those found at first.
+func (p *planner) floor(service string, zones []capacity.ZoneState, busy float64) int {
+	if _, known := p.floors[service]; !known {
+		for _, z := range zones {
+			p.floors[service] += z.OnDemand + z.Reclaimable
+		}
+	}
+	if busy > 0 {
+		return 0
+	}
+	return p.floors[service]
+}
+
+// adjust orders a number if it differs from the accepted one.
+func (p *planner) adjust(ctx context.Context, held *lease.Lease, service *traffic.Service, key orderKey, target, serving int, busy float64) {
+	now := time.Now()
+	o, known := p.orders[key]
+	if !known {
+		o = &order{accepted: serving, acceptedAt: now}
+		p.orders[key] = o
+	}
+	if !p.due(o, key, target, serving, service.Scale.Boot, now) || held.Check() != nil {
+		return
+	}
+	o.triedAt = now
+	err := p.node.outside.Order(ctx, held.Fence, Order{Service: key.service, FailureDomain: key.failureDomain, Runners: target, Reclaimable: key.reclaimable})
+	o.refused = errors.Is(err, ErrRefused)
+	if err == nil {
+		o.accepted, o.acceptedAt, o.lowerAt = target, now, time.Time{}
+	}
+	p.log.Info("Runners are ordered.", "service", key.service, "failure_domain", key.failureDomain, "reclaimable", key.reclaimable,
+		"runners", target, "serving", serving, "busy_runners", busy, "fence", held.Fence, "error", err)
+}
+
+// due reports whether an order should be sent now.
+func (p *planner) due(o *order, key orderKey, target, serving int, boot time.Duration, now time.Time) bool {
+	if target >= o.accepted {
+		o.lowerAt = time.Time{}
+	}
+	if now.Sub(o.triedAt) < orderRetry && (o.refused || target == o.accepted || !o.acceptedAt.Equal(o.triedAt)) {
+		return false
+	}
+	switch {
+	case target > o.accepted:
+		return true
+	case target == o.accepted:
+		// Runners that the platform took away, or that it never started, are ordered anew.
+		return serving < target && now.Sub(o.acceptedAt) > boot+bootSlack
+	}
+	if o.lowerAt.IsZero() {
+		o.lowerAt = now
+	}
+	delay := reduceDelay
+	if key.reclaimable {
+		delay = spareReduceDelay
+	}
+	return now.Sub(o.lowerAt) >= delay
+}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -206,7 +206,7 @@
 	d := mesh.Digest{
 		Node: n.settings.Node, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain, Address: n.settings.CallerAddress,
 		State: n.state(), WallMillis: time.Now().UnixMilli(), ProofAge: -1, HoldsLease: n.holdsLease.Load(),
-		Loads: n.backends.Own(), Uses: n.ledger.Own(), Runs: n.counter.Own(),
+		Loads: n.backends.Own(), Demand: n.backends.Demand(), Uses: n.ledger.Own(), Runs: n.counter.Own(),
 	}
 	if config := n.current.Config(); config != nil {
 		d.ConfigVersion = config.Version
