Fill missing reclaimable runners by on-demand ones, prove the configuration by two nodes

Change: reclaimable runners in surplus, on-demand runners fill in; orders wait until the registry has settled; two nodes prove the configuration and the others take their word, with a watch of their own for changes; contenders poll the lease each 0.5 s.

--- a/rudder/backend/demand.go
+++ b/rudder/backend/demand.go
@@ -5,9 +5,9 @@
 const (
 	// demandHalf is half of the time over which demand is averaged.
 	demandHalf = 2 * time.Second
-	// decodeMillis is what one generated token adds to a runner's work in milliseconds: a step of some milliseconds is
-	// shared by the tokens of all requests in the batch.
-	decodeMillis = 0.15
+	// decodeMillis is what one generated token adds to a runner's work in milliseconds. A step is shared by the tokens of
+	// all requests in the batch and goes on beside the reading of prompts.
+	decodeMillis = 0.04
 )
 
 // demand measures the work that requests bring, as the number of runners that it keeps busy.
@@ -37,15 +37,17 @@
 	}
 }
 
-// busy returns the runners kept busy: the higher one of the last whole period and, once it is long enough to tell, the
-// present one.
+// busy returns the runners kept busy over the last whole period and the present one.
 func (d *demand) busy(now time.Time) float64 {
 	d.roll(now)
-	rate := d.before / float64(demandHalf.Milliseconds())
-	if age := now.Sub(d.since); age >= demandHalf/2 {
-		rate = max(rate, d.millis/float64(age.Milliseconds()))
+	span := now.Sub(d.since)
+	if d.known {
+		span += demandHalf
 	}
-	return rate
+	if span < demandHalf/2 {
+		return 0
+	}
+	return (d.before + d.millis) / float64(span.Milliseconds())
 }
 
 // Demand returns by service the runners that the requests to this node keep busy, refused requests included.
@@ -74,3 +76,10 @@
 	}
 	d.add(float64(uncached)/m.prefill+decodeMillis*float64(r.OutputTokens), now)
 }
+
+// PrefillRate returns the prompt tokens that a runner of the service reads in a millisecond, as measured.
+func (t *Table) PrefillRate(service string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.model(service).prefill
+}
--- a/rudder/capacity/zones.go
+++ b/rudder/capacity/zones.go
@@ -9,9 +9,11 @@
 const (
 	// normalBusy is the part of their time that runners should be busy: above it prompts that arrive together wait for
 	// each other longer than the objective of the first token allows.
-	normalBusy = 0.5
+	normalBusy = 0.35
 	// survivingBusy may be reached while the reclaimable runners of one failure domain are missing.
-	survivingBusy = 0.8
+	survivingBusy = 0.4
+	// fillBusy is where on-demand runners, which cost several times as much, fill in for missing ones.
+	fillBusy = 0.65
 )
 
 // ZoneState is a service's runners in one failure domain.
@@ -58,7 +60,7 @@
 	}
 	if b.SpotPrice > 0 && b.SpotPrice < 1 {
 		// Every failure domain has its reclaimable runners; on-demand ones replace those that are not there.
-		normal = min(normal, max(surviving, floor))
+		normal = max(int(math.Ceil(busy/fillBusy)), floor)
 	}
 	fillOnDemand(targets, zones, normal-serving, b)
 	return targets
--- a/rudder/lease/manager.go
+++ b/rudder/lease/manager.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// pollInterval is how often a node that does not hold a lease looks at it.
+	// pollInterval is how often a node that does not hold a lease looks at it, unless the manager says otherwise.
 	pollInterval = 2 * time.Second
 	// releaseTimeout bounds the release at a stop; without it the successor waits for the lease to run out.
 	releaseTimeout = 2 * time.Second
@@ -27,6 +27,15 @@
 	// Contends says whether this node should try to get a lease that it does not hold; nil means always. It bounds the
 	// reads of the object API, the safety of the lease does not depend on it.
 	Contends func(name string) bool
+	// PollInterval is how often a node that does not hold a lease looks at it; 0 means 2 s.
+	PollInterval time.Duration
+}
+
+func (m *Manager) pollInterval() time.Duration {
+	if m.PollInterval > 0 {
+		return m.PollInterval
+	}
+	return pollInterval
 }
 
 // Hold runs fn whenever this process holds the lease, until ctx ends. The context of fn ends when the lease is lost or
@@ -45,7 +54,7 @@
 		if c.held != nil {
 			m.run(ctx, c, fn)
 		}
-		wait(ctx, pollInterval)
+		wait(ctx, m.pollInterval())
 	}
 }
 
--- a/rudder/objectapi/follow.go
+++ b/rudder/objectapi/follow.go
@@ -4,8 +4,11 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"chestnutrudder.example/rudder/boottime"
 )
 
@@ -16,6 +19,9 @@
 	longestPause = time.Second
 )
 
+// WatchGrace is how much later than its wait the answer of a watch may come before its connection is taken to be dead.
+const WatchGrace = 500 * time.Millisecond
+
 // Follower keeps up with the objects of one prefix: it lists them, watches them, and lists again when the history is gone.
 type Follower struct {
 	Store  Store
@@ -25,7 +31,21 @@
 	Change func(e Event)
 	// Seen is told after each answer has been taken: everything that was acknowledged before the call was sent is known.
 	Seen func(sent boottime.Instant)
+	// Wait returns how long the next watch should wait for a change.
+	Wait func() time.Duration
 	Log  *slog.Logger
+
+	mu   sync.Mutex
+	stop context.CancelFunc // ends the watch in progress
+}
+
+// Renew ends a watch in progress, so that the next one begins at once.
+func (f *Follower) Renew() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stop != nil {
+		f.stop()
+	}
 }
 
 // Run follows until ctx ends.
@@ -75,8 +95,16 @@
 
 // watch waits for changes and returns the revision to go on from, -1 if the objects must be listed again.
 func (f *Follower) watch(ctx context.Context, revision int64) (int64, error) {
+	watchCtx, stop := context.WithTimeout(ctx, f.Wait()+WatchGrace)
+	defer stop()
+	f.mu.Lock()
+	f.stop = stop
+	f.mu.Unlock()
 	sent := boottime.Now()
-	changes, err := f.Store.Watch(ctx, f.Prefix, revision)
+	changes, err := f.Store.Watch(watchCtx, f.Prefix, revision)
+	if errors.Is(watchCtx.Err(), context.Canceled) {
+		return revision, nil
+	}
 	if err != nil {
 		return revision, err
 	}
--- a/rudder/relaynode/capacity.go
+++ b/rudder/relaynode/capacity.go
@@ -25,7 +25,7 @@
 	// bootSlack is added to the time that runners take to start before their order counts as not carried out.
 	bootSlack = 3 * time.Second
 	// demandMemory is how long the highest demand counts.
-	demandMemory = 12 * time.Second
+	demandMemory = 8 * time.Second
 )
 
 // orderKey names one number that can be ordered.
@@ -50,6 +50,33 @@
 	orders map[orderKey]*order
 	floors map[string]int // runners to keep until the demand is known
 	peaks  map[string]peak
+
+	censuses map[string]stableCensus
+}
+
+// stableCensus is the number of runners of a service and since when it has not grown.
+type stableCensus struct {
+	runners int
+	since   time.Time
+}
+
+// settleTime is how long the number of runners must not have grown before a new holder of the lease orders: runners write
+// to the registry one after the other, and an order for fewer would take away those that are not listed yet.
+const settleTime = 1500 * time.Millisecond
+
+// settled reports whether the registry lists all runners that were there when this node began to plan.
+func (p *planner) settled(service string, zones []capacity.ZoneState) bool {
+	total := 0
+	for _, z := range zones {
+		total += z.OnDemand + z.Reclaimable
+	}
+	now := time.Now()
+	c, known := p.censuses[service]
+	if !known || total > c.runners && c.since.Add(settleTime).After(now) {
+		c = stableCensus{runners: total, since: now}
+		p.censuses[service] = c
+	}
+	return total > 0 && now.Sub(c.since) >= settleTime
 }
 
 // peak is the highest demand of the last while.
@@ -60,7 +87,7 @@
 
 // orderCapacity orders runners while the lease is held.
 func (n *node) orderCapacity(ctx context.Context, held *lease.Lease) {
-	p := &planner{node: n, log: n.logger.Part("capacity"), orders: map[orderKey]*order{}, floors: map[string]int{}, peaks: map[string]peak{}}
+	p := &planner{node: n, log: n.logger.Part("capacity"), censuses: map[string]stableCensus{}, orders: map[orderKey]*order{}, floors: map[string]int{}, peaks: map[string]peak{}}
 	for held.Check() == nil {
 		if config := n.current.Config(); config != nil && n.backends.Known() {
 			for _, service := range config.Services {
@@ -81,6 +108,9 @@
 func (p *planner) plan(ctx context.Context, held *lease.Lease, service *traffic.Service) {
 	census := p.node.backends.Count(service.Name)
 	zones := p.zones(service, census)
+	if !p.settled(service.Name, zones) {
+		return
+	}
 	busy := p.demand(service.Name)
 	targets := capacity.PlanZones(zones, busy, p.floor(service.Name, zones, busy), capacity.ZoneBounds{
 		Min: service.Scale.Min, Max: service.Scale.Max, SpotPrice: service.Scale.SpotPrice,
@@ -121,11 +151,12 @@
 
 // floor returns the runners to keep while there is no load to tell how many are needed: those found at first.
 func (p *planner) floor(service string, zones []capacity.ZoneState, busy float64) int {
-	if _, known := p.floors[service]; !known {
-		for _, z := range zones {
-			p.floors[service] += z.OnDemand + z.Reclaimable
-		}
+	// The registry fills in the first seconds, and runners start before others are given back.
+	serving := 0
+	for _, z := range zones {
+		serving += z.OnDemand
 	}
+	p.floors[service] = max(p.floors[service], serving)
 	if busy > 0 {
 		return 0
 	}
@@ -150,7 +181,7 @@
 		o.accepted, o.acceptedAt, o.lowerAt = target, now, time.Time{}
 	}
 	p.log.Info("Runners are ordered.", "service", key.service, "failure_domain", key.failureDomain, "reclaimable", key.reclaimable,
-		"runners", target, "serving", serving, "busy_runners", busy, "fence", held.Fence, "error", err)
+		"runners", target, "serving", serving, "busy_runners", busy, "prefill_tokens_per_ms", p.node.backends.PrefillRate(key.service), "fence", held.Fence, "error", err)
 }
 
 // due reports whether an order should be sent now.
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -66,6 +66,7 @@
 	relay    *relay.Server
 	mesh     *mesh.Mesh
 	leases   *lease.Manager
+	config   *objectapi.Follower
 
 	incarnation int64
 	draining    atomic.Bool
@@ -118,31 +119,38 @@
 	n.relay.SetMetrics(metrics)
 	n.leases = &lease.Manager{
 		Store: outside.Store, Node: s.Node, Log: logger.Part("lease"), Contends: n.contends,
-		Timing: lease.Timing{Duration: s.LeaseDuration, Margin: s.LeaseDuration / 6, LongestCommand: longestDuty},
+		Timing:       lease.Timing{Duration: s.LeaseDuration, Margin: s.LeaseDuration / 6, LongestCommand: longestDuty},
+		PollInterval: leasePoll,
 	}
 	return n
 }
 
+// leasePoll is how often a node that contends for the duties looks at their lease. Nodes contend only while no peer says
+// that it holds the lease.
+const leasePoll = 500 * time.Millisecond
+
 // longestDuty is the longest time that a duty call is under way after the check of the lease.
 const longestDuty = time.Second
 
 // loops returns the tasks that run beside the servers.
 func (n *node) loops(socket net.PacketConn) []func(context.Context) {
-	config := &objectapi.Follower{
+	n.config = &objectapi.Follower{
 		Store: n.outside.Store, Prefix: path.Dir(n.outside.ConfigKey) + "/", Log: n.logger.Part("config"),
 		List:   func(objects []objectapi.Object, _ boottime.Instant) { n.takeConfigs(objects) },
 		Change: func(e objectapi.Event) { n.takeConfigs([]objectapi.Object{e.Object}) },
 		Seen:   n.proved,
+		Wait:   n.configWait,
 	}
 	servers := &objectapi.Follower{
 		Store: n.outside.Store, Prefix: n.outside.ServersPrefix, Log: n.logger.Part("registry"),
 		List:   func(objects []objectapi.Object, _ boottime.Instant) { n.replaceServers(objects) },
 		Change: n.changeServer,
 		Seen:   func(boottime.Instant) {},
+		Wait:   func() time.Duration { return registryWait },
 	}
 	loops := []func(context.Context){
 		func(ctx context.Context) { n.mesh.Run(ctx, socket) },
-		config.Run, servers.Run, n.relay.Watch, n.maintain, n.register,
+		n.config.Run, servers.Run, n.relay.Watch, n.maintain, n.guardProof, n.register,
 	}
 	if n.settings.ReportsUsage || n.settings.OrdersCapacity {
 		loops = append(loops, func(ctx context.Context) { n.leases.Hold(ctx, dutyLease, n.doDuties) })
@@ -150,6 +158,52 @@
 	return loops
 }
 
+const (
+	// provers is how many nodes ask the object API each proofInterval whether the configuration is the newest; the others
+	// take their word and only wait for changes.
+	provers       = 2
+	proofInterval = 800 * time.Millisecond
+	// longProof is the age of the proof from which on a node asks by itself.
+	longProof = 1600 * time.Millisecond
+	// configWait and registryWait are how long a watch waits that only has to tell changes.
+	configWait   = 20 * time.Second
+	registryWait = 5 * time.Second
+)
+
+// configWait returns how long the next watch of the configuration waits.
+func (n *node) configWait() time.Duration {
+	if n.relay.Freshness.Send > 0 && (n.proves() || boottime.Since(n.current.ProvedAt()) > longProof) {
+		return proofInterval
+	}
+	return configWait
+}
+
+// proves reports whether this node is one of those that prove the configuration for all.
+func (n *node) proves() bool {
+	before := 0
+	for _, m := range n.mesh.Members() {
+		if m.State == mesh.Ready && m.Node < n.settings.Node {
+			before++
+		}
+	}
+	return before < provers
+}
+
+// renewProof begins a new watch when the others' proofs have stopped or a peer knows a newer configuration.
+func (n *node) renewProof() {
+	if n.relay.Freshness.Send > 0 && boottime.Since(n.current.ProvedAt()) > longProof {
+		n.config.Renew()
+		return
+	}
+	config := n.current.Config()
+	for _, m := range n.mesh.Members() {
+		if config == nil || m.ConfigVersion > config.Version {
+			n.config.Renew()
+			return
+		}
+	}
+}
+
 // takeConfigs applies the configuration if it is among the objects.
 func (n *node) takeConfigs(objects []objectapi.Object) {
 	for _, o := range objects {
@@ -268,10 +322,9 @@
 }
 
 func (n *node) maintain(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			return
 		case <-time.After(maintenanceInterval):
 		}
 		n.backends.Maintain(idleConnection)
@@ -280,6 +333,17 @@
 	}
 }
 
+// guardProof looks after the proof of the configuration until ctx ends.
+func (n *node) guardProof(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(proofInterval):
+		}
+		n.renewProof()
+	}
+}
+
 // callerServer returns the HTTP server for callers.
 func (n *node) callerServer() *http.Server {
 	return &http.Server{
