--- a/rudder/objectapi/follow.go
+++ b/rudder/objectapi/follow.go
@@ -36,14 +36,16 @@
 	Log  *slog.Logger
 
 	mu   sync.Mutex
+	wait time.Duration      // of the watch in progress
 	stop context.CancelFunc // ends the watch in progress
 }
 
-// Renew ends a watch in progress, so that the next one begins at once.
-func (f *Follower) Renew() {
+// Renew ends a watch in progress that waits for longer than d, so that the next one begins at once. A shorter one goes
+// on: its answer comes soon, and ending it each time would leave the follower without any answer.
+func (f *Follower) Renew(d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.stop != nil {
+	if f.stop != nil && f.wait > d {
 		f.stop()
 	}
 }
@@ -95,10 +97,11 @@
 
 // watch waits for changes and returns the revision to go on from, -1 if the objects must be listed again.
 func (f *Follower) watch(ctx context.Context, revision int64) (int64, error) {
-	watchCtx, stop := context.WithTimeout(ctx, f.Wait()+WatchGrace)
+	wait := f.Wait()
+	watchCtx, stop := context.WithTimeout(ctx, wait+WatchGrace)
 	defer stop()
 	f.mu.Lock()
-	f.stop = stop
+	f.stop, f.wait = stop, wait
 	f.mu.Unlock()
 	sent := boottime.Now()
 	changes, err := f.Store.Watch(watchCtx, f.Prefix, revision)
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -89,13 +89,15 @@
 		group.Go(func() error { loop(groupCtx); return nil })
 	}
 	callers := n.callerServer()
-	if err := n.listen(group, callers, metrics); err != nil {
+	closeListeners, err := n.listen(group, callers, metrics)
+	if err != nil {
 		return err
 	}
 	n.log.Info("Node is running.", "failure_domain", s.FailureDomain, "address", s.CallerAddress, "first_start", s.FirstStart)
 	n.await(ctx, groupCtx.Done())
 	n.stop(callers, socket)
 	stopParts()
+	closeListeners()
 	return group.Wait()
 }
 
@@ -192,13 +194,13 @@
 // renewProof begins a new watch when the others' proofs have stopped or a peer knows a newer configuration.
 func (n *node) renewProof() {
 	if n.relay.Freshness.Send > 0 && boottime.Since(n.current.ProvedAt()) > longProof {
-		n.config.Renew()
+		n.config.Renew(proofInterval)
 		return
 	}
 	config := n.current.Config()
 	for _, m := range n.mesh.Members() {
 		if config == nil || m.ConfigVersion > config.Version {
-			n.config.Renew()
+			n.config.Renew(proofInterval)
 			return
 		}
 	}
@@ -352,8 +354,8 @@
 	}
 }
 
-// listen opens every socket before it serves any.
-func (n *node) listen(group *errgroup.Group, callers *http.Server, metrics *telemetry.Metrics) error {
+// listen opens every socket before it serves any. The returned function closes them.
+func (n *node) listen(group *errgroup.Group, callers *http.Server, metrics *telemetry.Metrics) (func(), error) {
 	servers := map[string]*http.Server{n.settings.CallerAddress: callers}
 	routers := map[string]*mux.Router{}
 	handle := func(address, path string, handler http.Handler) {
@@ -373,7 +375,7 @@
 	for address, server := range servers {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
-			return errors.Wrapf(err, "listen on %s", address)
+			return nil, errors.Wrapf(err, "listen on %s", address)
 		}
 		listeners, ordered = append(listeners, listener), append(ordered, server)
 	}
@@ -385,5 +387,9 @@
 			return nil
 		})
 	}
-	return nil
+	return func() {
+		for _, server := range ordered {
+			_ = server.Close() // the process ends, whatever an open connection says
+		}
+	}, nil
 }
--- a/rudder/usage/reporter.go
+++ b/rudder/usage/reporter.go
@@ -58,7 +58,7 @@
 // Run reports until ctx ends or the lease is lost.
 func (r *Reporter) Run(ctx context.Context, held *lease.Lease) {
 	r.recover(ctx)
-	next := r.Counter.Index(r.Now()) - keptWindows/2
+	next := r.Counter.Index(r.Now().Add(-r.Late)) // the first window whose report is not overdue
 	var savedAt time.Time
 	for held.Check() == nil {
 		for r.Now().After(r.Counter.End(next).Add(settleTime)) {
