Order runners when none is left

Cause: a holder of the duty lease waited for the registry to list a runner before its first order. Requests without any server did not count as demand either. Test: relaynode.TestOrdersWhenNoRunnerIsLeft.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -124,6 +124,7 @@
 	now := time.Now()
 	candidates := t.candidates(r, now)
 	if len(candidates) == 0 {
+		t.countDemand(r, max(r.PromptTokens-sumTokens(r.Parts), 0), t.model(r.Service), now)
 		return nil, &Refusal{Reason: "no server of the service is left to try", NoServers: true}
 	}
 	best, found := Pick(candidates)
--- a/rudder/relaynode/capacity.go
+++ b/rudder/relaynode/capacity.go
@@ -64,6 +64,10 @@
 // to the registry one after the other, and an order for fewer would take away those that are not listed yet.
 const settleTime = 1500 * time.Millisecond
 
+// emptySettleTime is the same where no runner is listed at all: either the first ones have not written yet or a reclaim
+// took all.
+const emptySettleTime = 4 * time.Second
+
 // settled reports whether the registry lists all runners that were there when this node began to plan.
 func (p *planner) settled(service string, zones []capacity.ZoneState) bool {
 	total := 0
@@ -72,11 +76,15 @@
 	}
 	now := time.Now()
 	c, known := p.censuses[service]
-	if !known || total > c.runners && c.since.Add(settleTime).After(now) {
+	if !known || total > c.runners && now.Sub(c.since) < settleTime {
 		c = stableCensus{runners: total, since: now}
 		p.censuses[service] = c
 	}
-	return total > 0 && now.Sub(c.since) >= settleTime
+	wait := settleTime
+	if total == 0 {
+		wait = emptySettleTime
+	}
+	return now.Sub(c.since) >= wait
 }
 
 // peak is the highest demand of the last while.
