--- a/rudder/quota/quota.go
+++ b/rudder/quota/quota.go
@@ -21,13 +21,27 @@
 	// maxDebt bounds how far below zero a bucket falls, in seconds of its rate, so that an organisation that was admitted
 	// too much waits no longer than that.
 	maxDebt = 2.0
+	// restartLevel is the part of the burst that a node starts with that may follow others: if all nodes started anew, an
+	// empty bucket would refuse what is within the limit.
+	restartLevel = 0.3
+	// rateShare and slackShare are the parts of the tolerance that nodes use up on purpose, so that the lag of what they
+	// tell each other does not refuse what is within a limit. The rest covers what all admit during that lag.
+	rateShare  = 0.5
+	slackShare = 0.25
 )
 
+// Tolerance is how far above a limit all nodes together may admit.
+type Tolerance struct {
+	Overage float64 // as a share of the limit
+	Slack   float64 // beyond that, in the unit of the limit
+}
+
 // Ledger holds the buckets of one node. It is safe for concurrent use.
 type Ledger struct {
 	mu       sync.Mutex
 	started  time.Time
 	full     bool // buckets begin full
+	allowed  Tolerance
 	share    float64
 	accounts map[string]*account
 	peers    map[string]map[string]float64 // taken, by peer incarnation and organisation
@@ -42,10 +56,10 @@
 	settled     bool // a peer's level was taken
 }
 
-// NewLedger returns a ledger. Its buckets begin full where no node can have admitted anything yet, and else empty until
+// NewLedger returns a ledger. Its buckets begin full where no node can have admitted anything yet, and else low until
 // peers have told theirs.
-func NewLedger(full bool, now func() time.Time) *Ledger {
-	return &Ledger{started: now(), full: full, share: 1, accounts: map[string]*account{}, peers: map[string]map[string]float64{}, now: now}
+func NewLedger(full bool, allowed Tolerance, now func() time.Time) *Ledger {
+	return &Ledger{started: now(), full: full, allowed: allowed, share: 1, accounts: map[string]*account{}, peers: map[string]map[string]float64{}, now: now}
 }
 
 // account returns the bucket, filled up to now, with the organisation's present limit. The caller holds the lock.
@@ -53,13 +67,17 @@
 	a, found := l.accounts[o.Name]
 	now := l.now()
 	if !found {
-		a = &account{at: now}
+		a = &account{at: now, level: restartLevel * o.Burst}
 		if l.full {
 			a.level = o.Burst
 		}
 		l.accounts[o.Name] = a
 	}
-	a.rate, a.burst = o.RatePerSecond, o.Burst
+	a.rate = o.RatePerSecond * (1 + rateShare*l.allowed.Overage)
+	a.burst = o.Burst
+	if o.CountsTokens {
+		a.burst += slackShare * l.allowed.Slack
+	}
 	a.fill(now, l.share)
 	return a
 }
@@ -82,20 +100,26 @@
 	l.share = min(max(share, 0), 1)
 }
 
-// Take takes an amount if it is there, else returns when it will be. An amount above the burst is taken from a full
+// Shortage is a request that is over its organisation's limit.
+type Shortage struct {
+	Needed, Level, Rate float64 // in the unit of the limit; rate for each second
+	Wait                time.Duration
+}
+
+// Take takes an amount if it is there, else returns what is missing. An amount above the burst is taken from a full
 // bucket, since it would never be admitted otherwise.
-func (l *Ledger) Take(o *traffic.Organisation, amount float64) (bool, time.Duration) {
+func (l *Ledger) Take(o *traffic.Organisation, amount float64) *Shortage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(o)
 	need := min(amount, a.burst)
 	if a.level < need {
 		rate := max(a.rate*l.share, 1)
-		return false, time.Duration((need - a.level) / rate * float64(time.Second))
+		return &Shortage{Needed: need, Level: a.level, Rate: rate, Wait: time.Duration((need - a.level) / rate * float64(time.Second))}
 	}
 	a.level -= amount
 	a.taken += amount
-	return true, 0
+	return nil
 }
 
 // Return gives back what a request took that has not run.
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -14,13 +14,14 @@
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/outcome"
+	"chestnutrudder.example/rudder/quota"
 	"chestnutrudder.example/rudder/traffic"
 )
 
 // Quotas admits the requests of organisations within their limits over all nodes.
 type Quotas interface {
-	// Take takes an amount from an organisation's limit and reports whether there was enough, else when there will be.
-	Take(o *traffic.Organisation, amount float64) (ok bool, wait time.Duration)
+	// Take takes an amount from an organisation's limit, or returns what is missing.
+	Take(o *traffic.Organisation, amount float64) *quota.Shortage
 	// Return gives back the amount of a request that did not run.
 	Return(o *traffic.Organisation, amount float64)
 }
@@ -85,8 +86,9 @@
 		s.refuse(w, c, problem)
 		return
 	}
-	if ok, wait := s.takeQuota(c); !ok {
-		s.refuse(w, c, outcome.Refuse(http.StatusTooManyRequests, wait, "organisation is over its limit"))
+	if missing := s.takeQuota(c); missing != nil {
+		s.refuse(w, c, outcome.Refuse(http.StatusTooManyRequests, missing.Wait,
+			"organisation is over its limit: request weighs %.0f, %.0f are left, %.0f come each second", missing.Needed, missing.Level, missing.Rate))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -186,9 +188,9 @@
 	return age <= 0 || boottime.Since(s.Current.ProvedAt()) <= age
 }
 
-func (s *Server) takeQuota(c *call) (bool, time.Duration) {
+func (s *Server) takeQuota(c *call) *quota.Shortage {
 	if c.organisation == nil || c.organisation.RatePerSecond <= 0 {
-		return true, 0
+		return nil
 	}
 	return s.Quotas.Take(c.organisation, c.tokens)
 }
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -42,8 +42,8 @@
 	gcPercent = 100
 	// sendMargin and waitMargin are how much earlier than the revocation bound requests are no longer sent, and are
 	// cancelled at a server that has not begun with them.
-	sendMargin = 1800 * time.Millisecond
-	waitMargin = 700 * time.Millisecond
+	sendMargin = 800 * time.Millisecond
+	waitMargin = 400 * time.Millisecond
 	// retryShare is the part of the shared retry budget that nodes use, since they count apart.
 	retryShare = 0.75
 	// maintenanceInterval is how often idle connections are looked at.
@@ -107,7 +107,7 @@
 		current: traffic.NewCurrent(), incarnation: time.Now().UnixMilli(),
 	}
 	n.backends = backend.NewTable(dialTimeout, logger.Part("backend"))
-	n.ledger = quota.NewLedger(s.FirstStart, time.Now)
+	n.ledger = quota.NewLedger(s.FirstStart, s.QuotaTolerance, time.Now)
 	n.mesh = mesh.New(s.MeshAddress, s.MeshSeeds, n.digest, n.learn, logger.Part("mesh"))
 	n.counter = usage.NewCounter(max(s.UsageWindow, time.Second), n.mesh.Time)
 	n.relay = &relay.Server{
--- a/rudder/relaynode/settings.go
+++ b/rudder/relaynode/settings.go
@@ -12,6 +12,7 @@
 
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/quota"
 	"chestnutrudder.example/rudder/relay"
 	"chestnutrudder.example/rudder/traffic"
 	"chestnutrudder.example/rudder/usage"
@@ -39,6 +40,7 @@
 	RevocationBound time.Duration // after which no request may run whose key was taken away; 0 means no bound
 	RetryFraction   float64       // retries of all nodes for each request for a service
 	RetryBurst      float64       // retries of all nodes beyond that
+	QuotaTolerance  quota.Tolerance
 	LeaseDuration   time.Duration
 
 	ReportsUsage   bool
