--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,6 +26,8 @@
 	failurePenalty = 4.0
 	// maxRunningFactor bounds the requests at a plain server as a multiple of its slots; beyond it the server refuses.
 	maxRunningFactor = 3
+	// plainSpread is how far chance moves the score of a server for plain requests.
+	plainSpread = 0.4
 )
 
 // engineModel predicts times of one service from measurements.
@@ -144,7 +147,7 @@
 	}
 	if r.IsGeneration {
 		p.pending = float64(best.Uncached)
-		sum, _ := t.total(s, now)
+		sum := s.total()
 		p.alone = sum.ahead(UrgencyLevels-1) == 0
 		t.prefix.read(s.ID, r.Parts, now)
 	}
@@ -163,8 +166,8 @@
 	return time.Duration(shortest * float64(time.Millisecond))
 }
 
-// candidates lists the servers that may take a request. The first is the rendezvous choice of the shared parts, which
-// is taken to have them cached: all nodes send these there first.
+// candidates lists the servers that may take a request. The home of the shared parts is taken to have them cached, since
+// all nodes send these there first.
 func (t *Table) candidates(r Request, now time.Time) []Candidate {
 	var serving []*Server
 	for _, s := range t.servers {
@@ -172,22 +175,22 @@
 			serving = append(serving, s)
 		}
 	}
-	rankByPrefix(serving, r.Parts)
+	home := homeOf(serving, r.Parts)
 	m := t.model(r.Service)
 	list := make([]Candidate, 0, len(serving))
-	for rank, s := range serving {
-		list = append(list, t.candidate(s, rank, r, m, now))
+	for _, s := range serving {
+		list = append(list, t.candidate(s, s == home, r, m, now))
 	}
 	return list
 }
 
-func (t *Table) candidate(s *Server, rank int, r Request, m *engineModel, now time.Time) Candidate {
-	sum, failing := t.total(s, now)
+func (t *Table) candidate(s *Server, isHome bool, r Request, m *engineModel, now time.Time) Candidate {
+	sum := s.total()
 	c := Candidate{ID: s.ID, Running: sum.running, Local: s.FailureDomain == r.FailureDomain}
 	slots := max(s.Slots, 1)
 	if r.IsGeneration {
 		cached := t.prefix.cached(s.ID, r.Parts, now)
-		if rank == 0 {
+		if isHome {
 			cached = sumTokens(r.Parts)
 		}
 		c.Uncached = max(r.PromptTokens-cached, 0)
@@ -199,11 +202,13 @@
 	} else {
 		c.Millis = m.workMillis * (1 + float64(sum.running)/float64(slots))
 		c.Full = sum.running >= maxRunningFactor*slots
-		c.Score = c.Millis * s.speed.slowness()
+		// Plain requests are shorter than the interval at which nodes tell their loads: all would run after the same old
+		// figures. Own requests and chance spread them better.
+		c.Score = m.workMillis * (1 + float64(s.own.running)/float64(slots)) * s.speed.slowness() * (1 - plainSpread*rand.Float64())
 	}
 	c.Millis *= s.speed.slowness()
 	c.Score += c.Millis * failurePenalty * s.health.rate
-	if s.health.ejected(now) || failing > 1 {
+	if s.health.ejected(now) || s.failingAt > 1 {
 		c.Score += ejectedPenalty
 	}
 	return c
@@ -217,19 +222,23 @@
 	return sum
 }
 
-// rankByPrefix sorts servers by the rendezvous hash of the shared parts, so that all nodes agree where prompts with a
-// common beginning meet.
-func rankByPrefix(servers []*Server, parts []Part) {
+// homeOf returns the server with the highest rendezvous hash for the shared parts: all nodes agree on it, so that prompts
+// with a common beginning meet there.
+func homeOf(servers []*Server, parts []Part) *Server {
 	key := xxhash.New()
 	for _, p := range parts {
 		_, _ = key.WriteString(p.ID)
 		_, _ = key.WriteString(",")
 	}
 	seed := key.Sum64()
-	weight := func(s *Server) uint64 { return mix(seed ^ xxhash.Sum64String(s.ID)) }
-	slices.SortFunc(servers, func(a, b *Server) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
-	})
+	var home *Server
+	highest := uint64(0)
+	for _, s := range servers {
+		if weight := mix(seed ^ s.hash); home == nil || weight > highest {
+			home, highest = s, weight
+		}
+	}
+	return home
 }
 
 // mix spreads the bits of two combined hashes (finalizer of MurmurHash3).
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutrudder.example/rudder/upstream"
 )
 
@@ -32,9 +34,12 @@
 	gone    bool      // the registry does not list it any more
 	leaving time.Time // when it was first seen draining or gone; zero while it serves
 
-	own    load // requests of this node
-	health health
-	speed  speed
+	own       load // requests of this node
+	peers     load // requests of the peers, as they told last
+	failingAt int  // peers that leave the server out
+	hash      uint64
+	health    health
+	speed     speed
 }
 
 // load is what runs or waits at a backend server.
@@ -147,7 +152,13 @@
 	}
 	if !found {
 		s = &Server{Pool: &upstream.Pool{Address: e.Address, DialTimeout: t.DialTimeout}}
+		s.hash = xxhash.Sum64String(e.ID)
 		t.servers[e.ID] = s
+		for _, r := range t.remote {
+			if l, told := r.loads[e.ID]; told {
+				s.addPeer(l, 1)
+			}
+		}
 		t.Log.Info("Backend server is known.", "server", e.ID, "service", e.Service, "address", e.Address, "failure_domain", e.FailureDomain, "draining", e.Draining, "reclaimable", e.Reclaimable)
 	}
 	if e.Draining && !s.Draining && found {
@@ -181,7 +192,40 @@
 func (t *Table) SetRemote(peer string, loads map[string]PeerLoad) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.addRemote(t.remote[peer].loads, -1)
 	t.remote[peer] = remoteLoad{at: time.Now(), loads: loads}
+	t.addRemote(loads, 1)
+}
+
+// addRemote adds the loads of a peer to its servers, or takes them away again. The caller holds the lock.
+func (t *Table) addRemote(loads map[string]PeerLoad, sign int) {
+	for id, l := range loads {
+		if s, found := t.servers[id]; found {
+			s.addPeer(l, sign)
+		}
+	}
+}
+
+func (s *Server) addPeer(l PeerLoad, sign int) {
+	s.peers.running += sign * l.Running
+	for level, tokens := range l.Pending {
+		if level < UrgencyLevels {
+			s.peers.pending[level] += float64(sign * tokens)
+		}
+	}
+	if l.Failing {
+		s.failingAt += sign
+	}
+}
+
+// forgetRemote drops the loads of peers that have fallen silent. The caller holds the lock.
+func (t *Table) forgetRemote(now time.Time) {
+	for peer, r := range t.remote {
+		if now.Sub(r.at) > remoteLoadTimeout {
+			t.addRemote(r.loads, -1)
+			delete(t.remote, peer)
+		}
+	}
 }
 
 // Own returns the loads of this node for its peers, without idle servers.
@@ -210,25 +254,14 @@
 	return list
 }
 
-// total returns the load of all nodes at a server and the number of peers that find it failing.
-func (t *Table) total(s *Server, now time.Time) (load, int) {
-	sum, failing := s.own, 0
-	for _, r := range t.remote {
-		if now.Sub(r.at) > remoteLoadTimeout {
-			continue
-		}
-		l := r.loads[s.ID]
-		sum.running += l.Running
-		for level, tokens := range l.Pending {
-			if level < UrgencyLevels {
-				sum.pending[level] += float64(tokens)
-			}
-		}
-		if l.Failing {
-			failing++
-		}
+// total returns the load of all nodes at a server.
+func (s *Server) total() load {
+	sum := s.own
+	sum.running += s.peers.running
+	for level := range sum.pending {
+		sum.pending[level] += s.peers.pending[level]
 	}
-	return sum, failing
+	return sum
 }
 
 // Census is the number of runners of a service in one failure domain.
@@ -268,6 +301,7 @@
 		pools = append(pools, s.Pool)
 	}
 	t.prefix.forget(time.Now())
+	t.forgetRemote(time.Now())
 	t.mu.Unlock()
 	for _, p := range pools {
 		p.CloseIdle(idle)
--- a/rudder/objectapi/follow.go
+++ b/rudder/objectapi/follow.go
@@ -33,7 +33,10 @@
 	Seen func(sent boottime.Instant)
 	// Wait returns how long the next watch should wait for a change.
 	Wait func() time.Duration
-	Log  *slog.Logger
+	// Pause returns how long to wait after changes before the next watch, so that those that follow come together; nil
+	// means no pause.
+	Pause func() time.Duration
+	Log   *slog.Logger
 
 	mu   sync.Mutex
 	wait time.Duration      // of the watch in progress
@@ -119,5 +122,11 @@
 		f.Change(e)
 	}
 	f.Seen(sent)
+	if len(changes.Events) > 0 && f.Pause != nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.Pause()):
+		}
+	}
 	return changes.Revision, nil
 }
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -82,7 +82,7 @@
 			}
 		}
 		heard, known := n.mesh.Reach()
-		if heard == 1 || heard < known {
+		if heard == 1 || 2*heard < known {
 			n.readNodes(ctx)
 		}
 		select {
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -149,6 +149,7 @@
 		Change: n.changeServer,
 		Seen:   func(boottime.Instant) {},
 		Wait:   func() time.Duration { return registryWait },
+		Pause:  n.registryPause,
 	}
 	loops := []func(context.Context){
 		func(ctx context.Context) { n.mesh.Run(ctx, socket) },
@@ -170,8 +171,18 @@
 	// configWait and registryWait are how long a watch waits that only has to tell changes.
 	configWait   = 20 * time.Second
 	registryWait = 5 * time.Second
+	// pausePerNode and maxRegistryPause space the watches of the registry: each change costs a call of every node, and a
+	// leaving backend server may get new work for two seconds.
+	pausePerNode     = 8 * time.Millisecond
+	maxRegistryPause = 600 * time.Millisecond
 )
 
+// registryPause returns how long changes of the registry are collected.
+func (n *node) registryPause() time.Duration {
+	_, known := n.mesh.Reach()
+	return min(time.Duration(known)*pausePerNode, maxRegistryPause)
+}
+
 // configWait returns how long the next watch of the configuration waits.
 func (n *node) configWait() time.Duration {
 	if n.relay.Freshness.Send > 0 && (n.proves() || boottime.Since(n.current.ProvedAt()) > longProof) {
