--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -63,8 +63,8 @@
 // Candidate is one server with the inputs of the choice.
 type Candidate struct {
 	ID       string
-	Millis   float64 // predicted time to the first byte
-	Score    float64 // Millis with the cost of work that others have to wait for, and penalties
+	Millis   float64 // predicted time to the first byte at a server of usual speed
+	Score    float64 // Millis with the server's slowness, the cost of work that others have to wait for, and penalties
 	Uncached int     // prompt tokens that the server has to read
 	Running  int
 	Full     bool
@@ -188,6 +188,7 @@
 	sum := s.total()
 	c := Candidate{ID: s.ID, Running: sum.running, Local: s.FailureDomain == r.FailureDomain}
 	slots := max(s.Slots, 1)
+	slowness := s.speed.slowness(now)
 	if r.IsGeneration {
 		cached := t.prefix.cached(s.ID, r.Parts, now)
 		if isHome {
@@ -198,16 +199,15 @@
 		c.Millis = m.firstMillis + sum.ahead(r.Urgency)/m.prefill + own
 		c.Full = sum.running >= slots
 		// What this prompt adds to the wait of others counts once more.
-		c.Score = c.Millis*s.speed.slowness() + own
+		c.Score = c.Millis*slowness + own
 	} else {
 		c.Millis = m.workMillis * (1 + float64(sum.running)/float64(slots))
 		c.Full = sum.running >= maxRunningFactor*slots
 		// Plain requests are shorter than the interval at which nodes tell their loads: all would run after the same old
 		// figures. Own requests and chance spread them better.
-		c.Score = m.workMillis * (1 + float64(s.own.running)/float64(slots)) * s.speed.slowness() * (1 - plainSpread*rand.Float64())
+		c.Score = m.workMillis * (1 + float64(s.own.running)/float64(slots)) * slowness * (1 - plainSpread*rand.Float64())
 	}
-	c.Millis *= s.speed.slowness()
-	c.Score += c.Millis * failurePenalty * s.health.rate
+	c.Score += c.Millis * slowness * failurePenalty * s.health.rate
 	if s.health.ejected(now) || s.failingAt > 1 {
 		c.Score += ejectedPenalty
 	}
@@ -259,17 +259,16 @@
 	}
 	p.answered = true
 	p.Server.own.pending[p.request.level()] -= p.pending
-	took := time.Since(p.placedAt).Seconds() * 1000
+	now := time.Now()
+	took := now.Sub(p.placedAt).Seconds() * 1000
+	p.Server.speed.observe(took/max(p.Predicted.Seconds()*1000, 1), now)
 	m := p.table.model(p.request.Service)
-	if p.request.IsGeneration {
-		p.Server.speed.observe(took / max(p.Predicted.Seconds()*1000/p.Server.speed.slowness(), 1))
-		if p.alone {
-			m.learnPrompt(took, p.pending)
-		}
-		return
+	switch {
+	case p.request.IsGeneration && p.alone:
+		m.learnPrompt(took, p.pending)
+	case !p.request.IsGeneration && p.Running < p.Server.Slots:
+		m.workMillis += modelWeight * (min(took, 10*initialWorkMillis) - m.workMillis)
 	}
-	m.workMillis += modelWeight * (min(took, 10*initialWorkMillis) - m.workMillis)
-	p.Server.speed.observe(took / max(p.Predicted.Seconds()*1000/p.Server.speed.slowness(), 1))
 }
 
 const (
--- a/rudder/backend/health.go
+++ b/rudder/backend/health.go
@@ -1,6 +1,9 @@
 package backend
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// failureWeight is the weight of one result in the moving failure rate: about the last 8 results count.
@@ -54,20 +57,29 @@
 func (h *health) ended() { h.probing = false }
 
 // speed is how slow a server is compared with what the model predicts.
-type speed struct{ factor float64 }
+type speed struct {
+	factor float64
+	at     time.Time // of the last measurement
+}
 
-const speedWeight = 0.2
+const (
+	speedWeight = 0.2
+	// speedMemory is after how long without a measurement half of a server's slowness is forgotten. A server that gets no
+	// requests because it was slow would otherwise stay without them.
+	speedMemory = 2 * time.Second
+)
 
 // slowness returns the factor by which the server is slower than predicted, 1 if unknown.
-func (s *speed) slowness() float64 {
+func (s *speed) slowness(now time.Time) float64 {
 	if s.factor == 0 {
 		return 1
 	}
-	return s.factor
+	return 1 + (s.factor-1)*math.Exp2(-now.Sub(s.at).Seconds()/speedMemory.Seconds())
 }
 
 // observe takes the ratio of a measured to a predicted time.
-func (s *speed) observe(ratio float64) {
+func (s *speed) observe(ratio float64, now time.Time) {
 	ratio = min(max(ratio, 0.2), 20)
-	s.factor = s.slowness() + speedWeight*(ratio-s.slowness())
+	before := s.slowness(now)
+	s.factor, s.at = before+speedWeight*(ratio-before), now
 }
