--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -278,11 +278,20 @@
 	shortPromptTokens = 1000
 )
 
-// learnPrompt takes the time to the first event of a prompt that waited for no other.
+// prefillStep is how far one measurement moves the speed of reading.
+const prefillStep = 0.02
+
+// learnPrompt takes the time to the first event of a prompt that waited for no other. The speed of reading follows the
+// median of the measurements: parts that were cached without this node's knowledge and prompts of other nodes that came
+// between make single ones far too high or too low.
 func (m *engineModel) learnPrompt(millis, tokens float64) {
 	switch {
 	case tokens >= longPromptTokens && millis > m.firstMillis:
-		m.prefill += modelWeight * (min(tokens/(millis-m.firstMillis), 4*initialPrefill) - m.prefill)
+		if tokens/(millis-m.firstMillis) > m.prefill {
+			m.prefill *= 1 + prefillStep
+		} else {
+			m.prefill /= 1 + prefillStep
+		}
 	case tokens <= shortPromptTokens:
 		m.firstMillis += modelWeight * (max(millis-tokens/m.prefill, 5) - m.firstMillis)
 	}
--- a/rudder/capacity/zones.go
+++ b/rudder/capacity/zones.go
@@ -13,7 +13,7 @@
 	// survivingBusy may be reached while the reclaimable runners of one failure domain are missing.
 	survivingBusy = 0.4
 	// fillBusy is where on-demand runners, which cost several times as much, fill in for missing ones.
-	fillBusy = 0.65
+	fillBusy = 0.5
 )
 
 // ZoneState is a service's runners in one failure domain.
