Forget failure rates with time, refuse by prediction only where others wait; tests of the relay's parts

Cause, found by new tests: a server that had broken a connection was never tried again beside two good ones; a slow spell of a plain service left a measured time above the admission limit, so that every later request was refused.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -68,6 +68,7 @@
 	Uncached int     // prompt tokens that the server has to read
 	Running  int
 	Full     bool
+	Waiting  bool // others wait there already
 	Local    bool
 }
 
@@ -137,7 +138,8 @@
 	}
 	t.countDemand(r, best.Uncached, t.model(r.Service), now)
 	predicted := time.Duration(best.Millis * float64(time.Millisecond))
-	if limit > 0 && predicted > limit {
+	// Where nothing waits, a prediction alone is no reason to refuse: it may rest on old measurements.
+	if limit > 0 && predicted > limit && best.Waiting {
 		return nil, &Refusal{Reason: "predicted first byte is too late", Wait: predicted - limit/2}
 	}
 	s := t.servers[best.ID]
@@ -198,16 +200,18 @@
 		own := float64(c.Uncached) / m.prefill
 		c.Millis = m.firstMillis + sum.ahead(r.Urgency)/m.prefill + own
 		c.Full = sum.running >= slots
+		c.Waiting = sum.ahead(UrgencyLevels-1) > 0
 		// What this prompt adds to the wait of others counts once more.
 		c.Score = c.Millis*slowness + own
 	} else {
 		c.Millis = m.workMillis * (1 + float64(sum.running)/float64(slots))
 		c.Full = sum.running >= maxRunningFactor*slots
+		c.Waiting = sum.running >= slots
 		// Plain requests are shorter than the interval at which nodes tell their loads: all would run after the same old
 		// figures. Own requests and chance spread them better.
 		c.Score = m.workMillis * (1 + float64(s.own.running)/float64(slots)) * slowness * (1 - plainSpread*rand.Float64())
 	}
-	c.Score += c.Millis * slowness * failurePenalty * s.health.rate
+	c.Score += c.Millis * slowness * failurePenalty * s.health.failureRate(now)
 	if s.health.ejected(now) || s.failingAt > 1 {
 		c.Score += ejectedPenalty
 	}
@@ -330,7 +334,7 @@
 	s.own.running--
 	switch result {
 	case Completed:
-		s.health.succeeded()
+		s.health.succeeded(now)
 	case Failed:
 		s.health.failed(now, false)
 	case Broken:
--- a/rudder/backend/health.go
+++ b/rudder/backend/health.go
@@ -17,12 +17,31 @@
 
 // health is what this node has seen of a server's failures.
 type health struct {
-	rate     float64 // moving share of failed requests
+	rate     float64 // moving share of failed requests, as of at
+	at       time.Time
 	until    time.Time
 	ejection time.Duration
 	probing  bool
 }
 
+// failureMemory is after how long without a result half of a failure rate is forgotten, so that a server that failed gets
+// work again also where the others are good enough.
+const failureMemory = 3 * time.Second
+
+// failureRate returns the share of failed requests, 0 to 1.
+func (h *health) failureRate(now time.Time) float64 {
+	if h.rate == 0 {
+		return 0
+	}
+	return h.rate * math.Exp2(-now.Sub(h.at).Seconds()/failureMemory.Seconds())
+}
+
+// result moves the failure rate towards 1 or 0.
+func (h *health) result(failure float64, now time.Time) {
+	before := h.failureRate(now)
+	h.rate, h.at = before+failureWeight*(failure-before), now
+}
+
 // ejected reports whether the server is left out now.
 func (h *health) ejected(now time.Time) bool { return now.Before(h.until) || h.probing }
 
@@ -34,8 +53,8 @@
 }
 
 // succeeded takes a complete response.
-func (h *health) succeeded() {
-	h.rate -= h.rate * failureWeight
+func (h *health) succeeded(now time.Time) {
+	h.result(0, now)
 	if h.probing || !h.until.IsZero() {
 		*h = health{}
 	}
@@ -44,7 +63,7 @@
 // failed takes a failure. A failed connection or a broken one (hard) leaves the server out at once, a failed response
 // only when many fail.
 func (h *health) failed(now time.Time, hard bool) {
-	h.rate += (1 - h.rate) * failureWeight
+	h.result(1, now)
 	if !hard && h.rate < ejectRate && !h.probing {
 		return
 	}
--- /dev/null
+++ b/rudder/quota/quota_test.go
@@ -0,0 +1,109 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/traffic"
+)
+
+// nodes simulates ledgers that tell each other what they admitted.
+type nodes struct {
+	ledgers []*Ledger
+	now     time.Time
+}
+
+func newNodes(n int, full bool) *nodes {
+	s := &nodes{now: time.Unix(1000, 0)}
+	for range n {
+		s.ledgers = append(s.ledgers, NewLedger(full, Tolerance{}, func() time.Time { return s.now }))
+	}
+	return s
+}
+
+func (s *nodes) tell() {
+	for i, from := range s.ledgers {
+		for j, to := range s.ledgers {
+			if i != j {
+				to.Learn(string(rune('A'+i)), from.Own())
+			}
+		}
+	}
+}
+
+// run asks each node for the given amount every 50 ms and returns what was admitted after the first period.
+func (s *nodes) run(o *traffic.Organisation, amount float64, d time.Duration, tells bool) float64 {
+	admitted := 0.0
+	for step := range int(d / (50 * time.Millisecond)) {
+		for _, l := range s.ledgers {
+			if l.Take(o, amount) == nil {
+				admitted += amount
+			}
+		}
+		if tells && step%5 == 4 {
+			s.tell()
+		}
+		s.now = s.now.Add(50 * time.Millisecond)
+	}
+	return admitted
+}
+
+var limited = &traffic.Organisation{Name: "o", CountsTokens: true, RatePerSecond: 10000, Burst: 10000}
+
+// Pattern: one organisation sends many times its limit through all nodes. Together they must admit the limit, neither far
+// more nor far less.
+func TestSharedLimitHoldsOverNodes(t *testing.T) {
+	s := newNodes(9, true)
+	admitted := s.run(limited, 400, 8*time.Second, true)
+	limit := 8*limited.RatePerSecond + limited.Burst
+	if admitted > 1.5*limit || admitted < 0.8*limit {
+		t.Fatalf("%.0f tokens admitted, the limit is %.0f", admitted, limit)
+	}
+}
+
+// Pattern: nodes that are cut off from each other. Each must keep to its part; else every fragment admits the whole limit.
+func TestCutOffNodesKeepToTheirPart(t *testing.T) {
+	s := newNodes(9, true)
+	s.tell()
+	for _, l := range s.ledgers {
+		l.SetShare(1.0 / 9)
+	}
+	admitted := s.run(limited, 400, 8*time.Second, false)
+	if limit := 8*limited.RatePerSecond + 9*limited.Burst; admitted > limit {
+		t.Fatalf("%.0f tokens admitted by nodes that hear nobody, want at most %.0f", admitted, limit)
+	}
+}
+
+// Pattern: a node restarts while its organisation is at the limit. It must not begin with a full bucket of its own.
+func TestRestartedNodeTakesPeersLevel(t *testing.T) {
+	s := newNodes(3, true)
+	s.run(limited, 1000, 2*time.Second, true)
+	restarted := NewLedger(false, Tolerance{}, func() time.Time { return s.now })
+	restarted.Learn("A", s.ledgers[0].Own())
+	if restarted.Take(limited, 5000) == nil {
+		t.Fatal("5000 tokens were admitted although the peers have none left")
+	}
+}
+
+// A request larger than the burst would never be admitted if it needed its whole amount at once.
+func TestLargeRequestIsAdmittedFromFullBucket(t *testing.T) {
+	s := newNodes(1, true)
+	if missing := s.ledgers[0].Take(limited, 50000); missing != nil {
+		t.Fatalf("refused: %+v", missing)
+	}
+	missing := s.ledgers[0].Take(limited, 100)
+	if missing == nil || missing.Wait <= 0 || missing.Wait > 5*time.Second {
+		t.Fatalf("after it: %+v, want a wait of some seconds", missing)
+	}
+}
+
+// A request that has not run gives back what it took.
+func TestReturn(t *testing.T) {
+	s := newNodes(1, true)
+	l := s.ledgers[0]
+	l.Take(limited, 10000)
+	l.Return(limited, 10000)
+	if missing := l.Take(limited, 10000); missing != nil {
+		t.Fatalf("refused after a return: %+v", missing)
+	}
+}
--- /dev/null
+++ b/rudder/upstream/upstream_test.go
@@ -0,0 +1,164 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/upstream"
+)
+
+// serve answers the requests of each connection by the given function and returns the address and the count of connections.
+func serve(t *testing.T, answer func(conn net.Conn, number int, r *http.Request) bool) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	var connections atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for number := 1; ; number++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if !answer(conn, number, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), &connections
+}
+
+func request(id string) *http.Request {
+	return &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/a/b?c"}, Host: "h", Header: http.Header{"Id": {id}}}
+}
+
+func reply(conn net.Conn, id, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// exchange sends one request and returns the body of its response.
+func exchange(t *testing.T, pool *upstream.Pool, id string) (string, bool) {
+	t.Helper()
+	conn, err := pool.Get(context.Background(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := request(id)
+	if err := conn.Send(r); err != nil {
+		t.Fatal(err)
+	}
+	response, err := conn.Receive(r, "Id")
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reused := conn.Reused
+	conn.Keep(response)
+	return string(body), reused
+}
+
+// A server that answers twice must not have its second response taken for that to the next request.
+func TestResponseToEarlierRequestIsSkipped(t *testing.T) {
+	release := make(chan struct{})
+	address, _ := serve(t, func(conn net.Conn, number int, r *http.Request) bool {
+		if number == 2 {
+			reply(conn, "first", "late copy")
+			close(release)
+		}
+		reply(conn, r.Header.Get("Id"), "answer to "+r.Header.Get("Id"))
+		return true
+	})
+	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
+	exchange(t, pool, "first")
+	body, reused := exchange(t, pool, "second")
+	<-release
+	if body != "answer to second" || !reused {
+		t.Fatalf("got %q on a reused connection: %v, want the answer to the second request on a reused one", body, reused)
+	}
+}
+
+// Bytes that arrive while no request waits belong to nobody: the connection must not serve another request.
+func TestConnectionWithUnaskedBytesIsNotReused(t *testing.T) {
+	extra := make(chan struct{}, 2)
+	address, connections := serve(t, func(conn net.Conn, _ int, r *http.Request) bool {
+		reply(conn, r.Header.Get("Id"), "x")
+		reply(conn, r.Header.Get("Id"), "y")
+		extra <- struct{}{}
+		return true
+	})
+	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
+	exchange(t, pool, "first")
+	<-extra
+	if _, reused := exchange(t, pool, "second"); reused || connections.Load() != 2 {
+		t.Fatalf("%d connections, want a second one", connections.Load())
+	}
+}
+
+// A request that was sent on a kept connection and is not answered may have run. net/http would repeat a GET by itself.
+func TestBrokenConnectionIsNotRepeated(t *testing.T) {
+	var requests atomic.Int64
+	address, _ := serve(t, func(conn net.Conn, number int, r *http.Request) bool {
+		requests.Add(1)
+		if number == 2 {
+			return false
+		}
+		reply(conn, r.Header.Get("Id"), "x")
+		return true
+	})
+	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
+	exchange(t, pool, "first")
+	conn, err := pool.Get(context.Background(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := request("second")
+	if err := conn.Send(r); err != nil {
+		t.Fatal(err)
+	}
+	if _, err = conn.Receive(r, "Id"); err == nil || errors.Is(err, upstream.ErrNotSent) {
+		t.Fatalf("error %v, want one that leaves open whether the request ran", err)
+	}
+	if requests.Load() != 2 {
+		t.Fatalf("%d requests arrived, want 2", requests.Load())
+	}
+}
+
+// Only a connection that was never made lets the relay say that a request has not run.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
+	if _, err := pool.Get(context.Background(), time.Minute); !errors.Is(err, upstream.ErrNotSent) {
+		t.Fatalf("error %v, want ErrNotSent", err)
+	}
+}
--- /dev/null
+++ b/rudder/usage/usage_test.go
@@ -0,0 +1,90 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutrudder.example/rudder/lease"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/objectapi/objectapitest"
+)
+
+type sent struct {
+	fence, window int64
+	counts        Counts
+}
+
+// runReporter runs a reporter under a lease for a while and returns what it sent.
+func runReporter(t *testing.T, store objectapi.Store, counter *Counter, d time.Duration, fail bool) []sent {
+	t.Helper()
+	var reports []sent
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	r := &Reporter{
+		Counter: counter, Store: store, Late: 10 * time.Second, Now: time.Now, Log: slog.New(slog.DiscardHandler),
+		Send: func(_ context.Context, fence, window int64, counts Counts) error {
+			reports = append(reports, sent{fence, window, maps.Clone(counts)})
+			if fail {
+				return errors.New("no answer")
+			}
+			return nil
+		},
+	}
+	m := &lease.Manager{Store: store, Node: "n", Log: slog.New(slog.DiscardHandler), Timing: lease.Timing{Duration: time.Hour, Margin: time.Second}}
+	m.Hold(ctx, "duties", r.Run)
+	return reports
+}
+
+// A window is reported once, after its end, with the runs of all nodes.
+func TestWindowIsReportedWithAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counter := NewCounter(5*time.Second, time.Now)
+		window := counter.Index(time.Now())
+		counter.CountRun("o")
+		counter.Learn("n2/1", Windows{window: {"o": 2, "p": 1}})
+		counter.Learn("n2/1", Windows{window: {"o": 1}}) // an older digest that comes late
+		reports := runReporter(t, objectapitest.NewMemory(), counter, 12*time.Second, false)
+		if len(reports) != 1 || reports[0].window != window || reports[0].counts["o"] != 3 || reports[0].counts["p"] != 1 {
+			t.Fatalf("reports %+v", reports)
+		}
+	})
+}
+
+// A successor of a holder whose report was not answered must send the same counts, whatever it counted itself: the first
+// report may have been accepted.
+func TestSuccessorRepeatsTheSameCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectapitest.NewMemory()
+		first := NewCounter(5*time.Second, time.Now)
+		first.CountRun("o")
+		before := runReporter(t, store, first, 8*time.Second, true)
+		second := NewCounter(5*time.Second, time.Now)
+		second.Learn("x", Windows{before[0].window: {"o": 9}})
+		after := runReporter(t, store, second, 4*time.Second, false)
+		if len(after) == 0 || !maps.Equal(after[0].counts, before[0].counts) || after[0].window != before[0].window {
+			t.Fatalf("first %+v, then %+v", before, after)
+		}
+	})
+}
+
+// When all nodes end at once, what the last holder saved is not lost.
+func TestSavedCountsAreRecovered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectapitest.NewMemory()
+		first := NewCounter(5*time.Second, time.Now)
+		window := first.Index(time.Now())
+		for range 7 {
+			first.CountRun("o")
+		}
+		runReporter(t, store, first, 2*time.Second, false)
+		reports := runReporter(t, store, NewCounter(5*time.Second, time.Now), 9*time.Second, false)
+		if len(reports) == 0 || reports[0].window != window || reports[0].counts["o"] != 7 {
+			t.Fatalf("reports %+v, want 7 runs in window %d", reports, window)
+		}
+	})
+}
