--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -156,10 +156,13 @@
 	return list
 }
 
+// some returns a few addresses of peers, others each time.
 func (m *Mesh) some(targets []string) []string {
 	if len(targets) == 0 {
 		return nil
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.turn++
 	var list []string
 	for i := range min(toldPeers, len(targets)) {
