--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -143,7 +143,7 @@
 		if !c.organisation.CountsTokens {
 			c.tokens = 1
 		} else if !c.generation {
-			c.tokens = c.organisation.PlainTokens
+			c.tokens = c.organisation.DefaultTokens
 		}
 	}
 	c.urgency = min(max(c.urgency, 0), backend.UrgencyLevels-1)
