--- a/rudder/traffic/traffic.go
+++ b/rudder/traffic/traffic.go
@@ -85,7 +85,7 @@
 	Keys          []string
 	Priority      *int    // goes before the route's priority if set
 	CountsTokens  bool    // the limit counts tokens rather than requests
-	DefaultTokens   float64 // what a request without a token count weighs
+	DefaultTokens float64 // what a request without a token count weighs
 	RatePerSecond float64 // 0 means no limit
 	Burst         float64
 }
