--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -77,7 +77,12 @@
 func Run(ctx context.Context, s Settings, outside Outside, metrics *telemetry.Metrics, logs io.Writer) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimitBytes)))
-	n := newNode(s, outside, metrics, telemetry.NewLogger(logs, slog.LevelInfo, s.Node))
+	writer := telemetry.NewLogWriter(logs)
+	defer writer.Close()
+	if err := metrics.CountDroppedLines(writer.Dropped); err != nil {
+		return err
+	}
+	n := newNode(s, outside, metrics, telemetry.NewLogger(writer, slog.LevelInfo, s.Node))
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	group, groupCtx := errgroup.WithContext(parts)
--- /dev/null
+++ b/rudder/telemetry/logwriter.go
@@ -0,0 +1,98 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+const (
+	// logBufferBytes is how much of the log waits for the output at most.
+	logBufferBytes = 128 << 10
+	// logBytesPerSecond bounds the volume of the log under load, and logBurstBytes what may come at once.
+	logBytesPerSecond = 256 << 10
+	logBurstBytes     = 1 << 20
+	// logFlushInterval is how long a line waits at most, so that many leave in one write.
+	logFlushInterval = 100 * time.Millisecond
+)
+
+// LogWriter passes log lines on without ever waiting for the output. Lines that find the buffer full, or the volume above
+// its bound, are dropped and counted.
+type LogWriter struct {
+	out     io.Writer
+	mu      sync.Mutex
+	buffer  bytes.Buffer
+	credit  float64 // bytes that may still be written
+	at      time.Time
+	dropped int64
+	total   int64
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+// NewLogWriter returns a writer that passes lines on to out until Close.
+func NewLogWriter(out io.Writer) *LogWriter {
+	w := &LogWriter{out: out, credit: logBurstBytes, at: time.Now(), stop: make(chan struct{}), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write takes one line. It never fails and never waits.
+func (w *LogWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.credit = min(w.credit+now.Sub(w.at).Seconds()*logBytesPerSecond, logBurstBytes)
+	w.at = now
+	if w.buffer.Len()+len(line) > logBufferBytes || w.credit < float64(len(line)) {
+		w.dropped++
+		w.total++
+		return len(line), nil
+	}
+	w.credit -= float64(len(line))
+	w.buffer.Write(line)
+	return len(line), nil
+}
+
+// Dropped returns the number of lines dropped since the start.
+func (w *LogWriter) Dropped() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.total
+}
+
+// Close writes what waits and ends the writer.
+func (w *LogWriter) Close() {
+	close(w.stop)
+	<-w.done
+}
+
+func (w *LogWriter) run() {
+	defer close(w.done)
+	for {
+		select {
+		case <-w.stop:
+			w.flush()
+			return
+		case <-time.After(logFlushInterval):
+			w.flush()
+		}
+	}
+}
+
+// flush writes the lines that wait. The output may block; lines that come meanwhile fill the buffer.
+func (w *LogWriter) flush() {
+	w.mu.Lock()
+	if w.dropped > 0 {
+		fmt.Fprintf(&w.buffer, "time=%s level=WARN msg=\"Log lines were dropped.\" part=telemetry lines=%d\n", time.Now().UTC().Format(time.RFC3339Nano), w.dropped)
+		w.dropped = 0
+	}
+	lines := bytes.Clone(w.buffer.Bytes())
+	w.buffer.Reset()
+	w.mu.Unlock()
+	if len(lines) > 0 {
+		_, _ = w.out.Write(lines) // there is nowhere else to tell of it
+	}
+}
--- a/rudder/telemetry/telemetry.go
+++ b/rudder/telemetry/telemetry.go
@@ -2,6 +2,7 @@
 package telemetry
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net/http"
@@ -40,6 +41,7 @@
 	QueueLength      metric.Int64UpDownCounter
 	Decisions        metric.Int64Counter
 	handler          http.Handler
+	meter            metric.Meter
 }
 
 // NewMetrics returns the instruments and registers them for reading over HTTP.
@@ -50,7 +52,7 @@
 		return nil, errors.Wrap(err, "create metrics exporter")
 	}
 	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("chestnutrudder")
-	m := &Metrics{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	m := &Metrics{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: meter}
 	firstTokenBounds := metric.WithExplicitBucketBoundaries(.05, .1, .2, .3, .4, .5, .6, .68, .8, 1, 2, 5, 10)
 	betweenBounds := metric.WithExplicitBucketBoundaries(.005, .01, .015, .02, .025, .027, .03, .04, .06, .1, .5, 1)
 	var errs [9]error
@@ -71,5 +73,14 @@
 	return m, nil
 }
 
+// CountDroppedLines serves the number of dropped log lines.
+func (m *Metrics) CountDroppedLines(dropped func() int64) error {
+	_, err := m.meter.Int64ObservableCounter("log_lines_dropped", metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(dropped())
+		return nil
+	}))
+	return errors.Wrap(err, "create instrument")
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler { return m.handler }
