Refuse requests that crashed three backend servers

Cause: the relay had no memory of requests under which servers crash; one that is sent again reaches server after server. Change: a broken connection is followed by a probe of the server; a refused one counts as a crash of the request's fingerprint (organisation, target, body), digests add the counts of all nodes, a whole answer clears them. Test: relay.TestCrashingRequestIsRefused.

--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -43,6 +43,7 @@
 	Loads         map[string]backend.PeerLoad `json:"l,omitempty"`
 	Demand        map[string]float64          `json:"m,omitempty"` // runners kept busy, by service
 	Uses          map[string]quota.Use        `json:"q,omitempty"`
+	Crashes       map[string]int              `json:"c,omitempty"` // crashed servers by fingerprint of the request
 	Runs          usage.Windows               `json:"u,omitempty"`
 	Peers         []string                    `json:"k,omitempty"` // some addresses that the sender knows
 }
--- a/rudder/relay/pursuit.go
+++ b/rudder/relay/pursuit.go
@@ -63,6 +63,7 @@
 			"route", c.route.Name, "service", c.service, "config_version", c.version, "proof_age_ms", boottime.Since(s.Current.ProvedAt()).Milliseconds())
 		a := &attempt{server: s, call: c, placement: placement, pursuit: p}
 		result := a.run(ctx)
+		result.address = placement.Address
 		placement.Release(result.backend)
 		p.note(placement.ID, result)
 		if result.final {
@@ -103,6 +104,7 @@
 	sent    bool // at least a byte reached the network
 	notRun  bool // nothing was sent or the server says that it has not run the request
 	backend backend.Result
+	address string // of the server
 	reason  string
 	// response is a failure response of the server that is passed on if the request goes nowhere else.
 	response *bufferedResponse
@@ -119,12 +121,18 @@
 		p.mayHaveRun = true
 		p.runs++
 	}
+	switch {
+	case r.backend == backend.Broken && !r.notRun:
+		p.server.probes.Go(func() { p.server.suspect(p.call, server, r.address) })
+	case r.backend == backend.Completed && !p.server.Crashes.Empty():
+		p.server.Crashes.Clear(p.call.fingerprint())
+	}
 	if !r.final {
 		p.server.Log.Info("Attempt failed.", "request", p.call.id, "server", server, "send", p.sends, "not_run", r.notRun, "sent", r.sent, "reason", r.reason)
 	}
 }
 
-// mayGoOn returns nil if the request may be sent once more, else the final answer.
+// mayGoOn returns nil if the request may be sent once more, else the final answer, or answered if the caller has it.
 func (p *pursuit) mayGoOn(r result) *outcome.Error {
 	c := p.call
 	switch {
@@ -144,7 +152,7 @@
 func (p *pursuit) givenUp(r result, reason string) *outcome.Error {
 	if r.response != nil && !p.headSent {
 		p.pass(r.response)
-		return nil2
+		return answered
 	}
 	if p.mayHaveRun {
 		return outcome.Lost(http.StatusBadGateway, errors.New(r.reason), "%s", reason)
@@ -152,8 +160,8 @@
 	return outcome.Refuse(http.StatusServiceUnavailable, p.returnAfter(0), "%s: %s", reason, r.reason)
 }
 
-// nil2 marks an answer that has been given already.
-var nil2 = &outcome.Error{}
+// answered marks a final answer that has been given already.
+var answered = &outcome.Error{}
 
 func (p *pursuit) failRefused(refusal *backend.Refusal) {
 	if p.mayHaveRun {
@@ -179,7 +187,7 @@
 // fail gives the final answer, or cuts the connection if a response has begun.
 func (p *pursuit) fail(problem *outcome.Error) {
 	switch {
-	case problem == nil2:
+	case problem == answered:
 		return
 	case p.headSent:
 		p.cut(problem.Reason)
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -48,6 +48,7 @@
 	Freshness     Freshness
 	Retries       limit.RetryRate // of this node, for each service
 	Log           *slog.Logger
+	Crashes       CrashList
 
 	mu        sync.Mutex
 	budgets   map[string]*limit.RetryBudget
@@ -56,6 +57,7 @@
 	closing   atomic.Bool
 	active    atomic.Int64
 	metrics   Metrics
+	probes    sync.WaitGroup // of servers that may have crashed
 }
 
 // InProgress returns the number of requests in progress.
@@ -148,6 +150,9 @@
 	}
 	c.urgency = min(max(c.urgency, 0), backend.UrgencyLevels-1)
 	c.setDeadline(r.Header.Get(s.Dialect.Deadline))
+	if !s.Crashes.Empty() && s.Crashes.Count(c.fingerprint()) >= maxCrashes {
+		return outcome.Refuse(http.StatusServiceUnavailable, 0, "request has crashed %d backend servers", maxCrashes)
+	}
 	return nil
 }
 
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -278,7 +278,7 @@
 	d := mesh.Digest{
 		Node: n.settings.Node, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain, Address: n.settings.CallerAddress,
 		State: n.state(), WallMillis: time.Now().UnixMilli(), ProofAge: -1, HoldsLease: n.holdsLease.Load(),
-		Loads: n.backends.Own(), Demand: n.backends.Demand(), Uses: n.ledger.Own(), Runs: n.counter.Own(),
+		Loads: n.backends.Own(), Demand: n.backends.Demand(), Uses: n.ledger.Own(), Crashes: n.relay.Crashes.Own(time.Now()), Runs: n.counter.Own(),
 	}
 	if config := n.current.Config(); config != nil {
 		d.ConfigVersion = config.Version
@@ -295,6 +295,7 @@
 	n.backends.SetRemote(m.Node, m.Loads)
 	n.ledger.Learn(incarnation, m.Uses)
 	n.counter.Learn(incarnation, m.Runs)
+	n.relay.Crashes.Learn(m.Node, m.Crashes)
 	if m.ProofAge >= 0 {
 		// The time on the way is not known; it counts as proofDelay.
 		at := m.HeardAt.Add(-time.Duration(m.ProofAge)*time.Millisecond - proofDelay)
