--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -55,10 +55,15 @@
 }
 
 const (
-	// Interval is the pause between two digests of a node.
+	// Interval is the pause between two digests of a node where there are few nodes.
 	Interval = 250 * time.Millisecond
-	// silentAfter is from where on a peer is taken to be out of touch, four digests later.
-	silentAfter = 1200 * time.Millisecond
+	// fewNodes is up to how many peers the pause stays; each further one makes it longer by intervalPerNode, so that the
+	// processor time for digests grows less than the number of nodes.
+	fewNodes        = 12
+	intervalPerNode = 5 * time.Millisecond
+	maxInterval     = time.Second
+	// silentIntervals is after how many missing digests a peer is taken to be out of touch.
+	silentIntervals = 4.8
 	// forgetAfter is how long a silent peer is still sent to and counted as a node that may serve.
 	forgetAfter = 20 * time.Second
 	// maxDatagramBytes is the largest UDP payload over IPv4.
@@ -107,11 +112,27 @@
 		m.tell(conn)
 		select {
 		case <-ctx.Done():
-		case <-time.After(Interval):
+		case <-time.After(m.interval()):
 		}
 	}
 }
 
+// interval returns the pause between two digests for the number of peers known.
+func (m *Mesh) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return intervalFor(len(m.members))
+}
+
+func intervalFor(peers int) time.Duration {
+	return min(Interval+time.Duration(max(peers-fewNodes, 0))*intervalPerNode, maxInterval)
+}
+
+// silentAfter returns the time without a digest after which a peer is out of touch. The caller holds the lock.
+func (m *Mesh) silentAfter() time.Duration {
+	return time.Duration(silentIntervals * float64(intervalFor(len(m.members))))
+}
+
 // Announce sends a digest at once, when the state of this node changes.
 func (m *Mesh) Announce(conn net.PacketConn) { m.tell(conn) }
 
@@ -215,6 +236,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := boottime.Now()
+	silentAfter := m.silentAfter()
 	var list []Member
 	for _, member := range m.members {
 		if now.Sub(member.HeardAt) <= silentAfter {
@@ -231,6 +253,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known = 1
+	silentAfter := m.silentAfter()
 	for _, member := range m.members {
 		if member.State != Draining || boottime.Since(member.HeardAt) <= silentAfter {
 			known++
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -27,7 +27,8 @@
 )
 
 // contends reports whether this node should look at the lease: no peer says that it holds it, and this node is among
-// the first by name.
+// the first by name. A node that is not ready yet looks too: the time that it has to see the lease unchanged passes
+// meanwhile.
 func (n *node) contends(string) bool {
 	names := []string{n.settings.Node}
 	for _, m := range n.mesh.Members() {
@@ -39,7 +40,7 @@
 		}
 	}
 	slices.Sort(names)
-	return n.notReady() == "" && slices.Index(names, n.settings.Node) < contenders
+	return !n.draining.Load() && slices.Index(names, n.settings.Node) < contenders
 }
 
 // doDuties runs the duties while the lease is held.
