Add a fault soak of nodes as processes before stand-ins of the platform

make fault-soak runs rudderd processes and puts in faults drawn from a seed: signals, store outages and lost answers, revoked keys, runners cut, silenced, slowed, drained, replaced at their addresses. Promises are checked from what callers and runners see.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
 GO ?= go
 PACKAGES = ./rudder/... ./platform/... ./standin/...
 
-.PHONY: build test demo soak bench lint format generate
+.PHONY: build test demo soak fault-soak bench lint format generate
 
 build:
 	mkdir -p bin
-	$(GO) build -o bin/ ./rudder/cmd/rudderd ./rudder/cmd/rudderctl ./standin/cmd/...
+	$(GO) build -o bin/ ./rudder/cmd/rudderd ./rudder/cmd/rudderctl ./standin/cmd/... ./platform/cmd/...
 
 lint:
 	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "not gofmt clean: $$files"; exit 1; fi
@@ -21,6 +21,9 @@
 soak: build
 	./bin/soak $(SOAK_ARGS)
 
+fault-soak: build
+	./bin/faultsoak $(FAULT_SOAK_ARGS)
+
 bench: build
 	./bin/bench $(BENCH_ARGS)
 
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -58,13 +58,13 @@
 
 func (p *Proxy) connect(near net.Conn) {
 	p.mu.Lock()
-	refuse := p.refuse
+	refuse, target := p.refuse, p.target
 	p.mu.Unlock()
 	if refuse {
 		_ = near.Close()
 		return
 	}
-	far, err := net.DialTimeout("tcp", p.target, time.Second)
+	far, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
 		_ = near.Close()
 		return
@@ -129,6 +129,14 @@
 	_ = l.far.Close()
 }
 
+// SetTarget makes new connections go to another IP:port and closes the open ones.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	p.target = target
+	p.mu.Unlock()
+	p.Cut()
+}
+
 // SetDelay delays each piece of data in both directions.
 func (p *Proxy) SetDelay(d time.Duration) {
 	p.mu.Lock()
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -35,11 +35,17 @@
 
 // Start starts a program and writes its output to a file in dir.
 func Start(dir, name, program string, args ...string) (*Process, error) {
+	return StartWithEnvironment(dir, name, nil, program, args...)
+}
+
+// StartWithEnvironment is Start with further environment variables, each NAME=VALUE.
+func StartWithEnvironment(dir, name string, variables []string, program string, args ...string) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return nil, errors.Wrap(err, "open log file")
 	}
 	cmd := exec.Command(program, args...)
+	cmd.Env = append(os.Environ(), variables...)
 	cmd.Stdout = log
 	cmd.Stderr = log
 	// The child ends with its parent, so that an aborted test leaves no processes behind.
