--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -31,8 +31,10 @@
 	Entry
 	Pool *upstream.Pool
 
-	gone    bool      // the registry does not list it any more
-	leaving time.Time // when it was first seen draining or gone; zero while it serves
+	notice  chan struct{} // closed when the server tells when it will be gone
+	endsAt  time.Time     // when it will be gone, valid once notice is closed
+	gone    bool          // the registry does not list it any more
+	leaving time.Time     // when it was first seen draining or gone; zero while it serves
 
 	own       load // requests of this node
 	peers     load // requests of the peers, as they told last
@@ -151,7 +153,7 @@
 		found = false
 	}
 	if !found {
-		s = &Server{Pool: &upstream.Pool{Address: e.Address, DialTimeout: t.DialTimeout}}
+		s = &Server{notice: make(chan struct{}), Pool: &upstream.Pool{Address: e.Address, DialTimeout: t.DialTimeout}}
 		s.hash = xxhash.Sum64String(e.ID)
 		t.servers[e.ID] = s
 		for _, r := range t.remote {
@@ -165,6 +167,10 @@
 		t.Log.Info("Backend server is leaving.", "server", e.ID, "leaves_in_seconds", e.LeavesIn.Seconds())
 	}
 	s.Entry, s.gone = e, false
+	if e.Draining && e.LeavesIn > 0 && s.endsAt.IsZero() {
+		s.endsAt = time.Now().Add(e.LeavesIn)
+		close(s.notice)
+	}
 	if e.Draining && s.leaving.IsZero() {
 		s.leaving = time.Now()
 	}
--- a/rudder/usage/reporter.go
+++ b/rudder/usage/reporter.go
@@ -27,8 +27,8 @@
 	step = 200 * time.Millisecond
 	// progressInterval is how often the counts are saved.
 	progressInterval = time.Second
-	// keptReports is how many reports stay in the object API; older ones are never sent again.
-	keptReports = 6
+	// keptReports is how many reports stay in the object API beyond those that a successor may still send again.
+	keptReports = 3
 )
 
 // Sender sends the report of one window. It returns nil if the report was accepted.
@@ -134,7 +134,7 @@
 	if _, err := r.Store.Put(ctx, key, report{Counts: final.Counts, Sent: true}, version); err != nil {
 		r.Log.Warn("Usage report could not be marked as sent; a successor would repeat it.", "window", window, "error", err)
 	}
-	r.prune(ctx, window-keptReports)
+	r.prune(ctx, window-keptReports-int64(r.Late/r.Counter.window))
 	return true
 }
 
--- a/rudder/usage/usage_test.go
+++ b/rudder/usage/usage_test.go
@@ -88,3 +88,33 @@
 		}
 	})
 }
+
+// The final counts of a window must outlast the time in which a successor may send it again. When older reports were
+// deleted after a fixed number of windows, a successor counted the window anew (fault soak, seed 101).
+func TestFinalCountsOutlastTheLateTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectapitest.NewMemory()
+		first := NewCounter(time.Second, time.Now)
+		ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				first.CountRun("o")
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		sentCounts := map[int64]Counts{}
+		for _, s := range runReporter(t, store, first, 9*time.Second, false) {
+			sentCounts[s.window] = s.counts
+		}
+		second := NewCounter(time.Second, time.Now)
+		for window := range sentCounts {
+			second.Learn("x", Windows{window: {"o": 99}})
+		}
+		for _, s := range runReporter(t, store, second, 2*time.Second, false) {
+			if before, known := sentCounts[s.window]; known && !maps.Equal(before, s.counts) {
+				t.Fatalf("window %d was sent as %v and %v", s.window, before, s.counts)
+			}
+		}
+	})
+}
