--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -56,7 +56,6 @@
 	Urgency       int
 	Exclude       map[string]bool // servers that have had the request
 	FailureDomain string          // of this node; equal servers of it go first
-	GoesOn        bool            // the request goes on from memory that is moved: there is no prompt to read
 }
 
 func (r *Request) level() int { return min(max(r.Urgency, 0), UrgencyLevels-1) }
@@ -152,9 +151,7 @@
 		p.pending = float64(best.Uncached)
 		sum := s.total()
 		p.alone = sum.ahead(UrgencyLevels-1) == 0
-		if !r.GoesOn {
-			t.prefix.read(s.ID, r.Parts, now)
-		}
+		t.prefix.read(s.ID, r.Parts, now)
 	}
 	s.own.running++
 	s.own.pending[r.level()] += p.pending
@@ -200,9 +197,6 @@
 			cached = sumTokens(r.Parts)
 		}
 		c.Uncached = max(r.PromptTokens-cached, 0)
-		if r.GoesOn {
-			c.Uncached = 0
-		}
 		own := float64(c.Uncached) / m.prefill
 		c.Millis = m.firstMillis + sum.ahead(r.Urgency)/m.prefill + own
 		c.Full = sum.running >= slots
@@ -269,9 +263,6 @@
 	}
 	p.answered = true
 	p.Server.own.pending[p.request.level()] -= p.pending
-	if p.request.GoesOn {
-		return // its first event follows a move, not the reading of a prompt
-	}
 	now := time.Now()
 	took := now.Sub(p.placedAt).Seconds() * 1000
 	p.Server.speed.observe(took/max(p.Predicted.Seconds()*1000, 1), now)
@@ -356,16 +347,6 @@
 	}
 }
 
-// Notice returns a channel that is closed when the server has told when it will be gone.
-func (p *Placement) Notice() <-chan struct{} { return p.Server.notice }
-
-// EndsAt returns when the server will be gone; it is valid once Notice is closed.
-func (p *Placement) EndsAt() time.Time {
-	p.table.mu.Lock()
-	defer p.table.mu.Unlock()
-	return p.Server.endsAt
-}
-
 // Misdirected notes that another server answers at this server's address; the entry is used again when the registry
 // changes it.
 func (p *Placement) Misdirected() {
@@ -373,13 +354,3 @@
 	defer p.table.mu.Unlock()
 	p.Server.Draining = true
 }
-
-// Stay counts a request at the server where it is once more: it goes on there from its own memory.
-func (t *Table) Stay(p *Placement) *Placement {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	again := *p
-	again.request.GoesOn, again.pending, again.answered, again.placedAt = true, 0, false, time.Now()
-	p.Server.own.running++
-	return &again
-}
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -23,7 +23,6 @@
 	Reclaimable   bool
 	BornMillis    int64         // Unix time of its start, 0 if unknown
 	Warming       time.Duration // how much longer it stays slow after its start
-	LeavesIn      time.Duration // time until it is gone, 0 if unknown
 }
 
 // Server is one incarnation of a backend server as this node sees it. Its fields are guarded by the table's lock.
@@ -31,10 +30,8 @@
 	Entry
 	Pool *upstream.Pool
 
-	notice  chan struct{} // closed when the server tells when it will be gone
-	endsAt  time.Time     // when it will be gone, valid once notice is closed
-	gone    bool          // the registry does not list it any more
-	leaving time.Time     // when it was first seen draining or gone; zero while it serves
+	gone    bool      // the registry does not list it any more
+	leaving time.Time // when it was first seen draining or gone; zero while it serves
 
 	own       load // requests of this node
 	peers     load // requests of the peers, as they told last
@@ -153,7 +150,7 @@
 		found = false
 	}
 	if !found {
-		s = &Server{notice: make(chan struct{}), Pool: &upstream.Pool{Address: e.Address, DialTimeout: t.DialTimeout}}
+		s = &Server{Pool: &upstream.Pool{Address: e.Address, DialTimeout: t.DialTimeout}}
 		s.hash = xxhash.Sum64String(e.ID)
 		t.servers[e.ID] = s
 		for _, r := range t.remote {
@@ -164,13 +161,9 @@
 		t.Log.Info("Backend server is known.", "server", e.ID, "service", e.Service, "address", e.Address, "failure_domain", e.FailureDomain, "draining", e.Draining, "reclaimable", e.Reclaimable)
 	}
 	if e.Draining && !s.Draining && found {
-		t.Log.Info("Backend server is leaving.", "server", e.ID, "leaves_in_seconds", e.LeavesIn.Seconds())
+		t.Log.Info("Backend server is leaving.", "server", e.ID, "reclaimable", e.Reclaimable, "running", s.own.running)
 	}
 	s.Entry, s.gone = e, false
-	if e.Draining && e.LeavesIn > 0 && s.endsAt.IsZero() {
-		s.endsAt = time.Now().Add(e.LeavesIn)
-		close(s.notice)
-	}
 	if e.Draining && s.leaving.IsZero() {
 		s.leaving = time.Now()
 	}
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,9 +38,6 @@
 	pursuit   *pursuit
 	conn      *upstream.Conn
 	cancel    context.CancelFunc
-	goOnFrom  string // memory that the request goes on from
-	move      *move  // of a stream, nil while none was begun
-	moveMu    sync.Mutex
 }
 
 // bufferedResponse is a whole response.
@@ -70,7 +66,7 @@
 	}()
 	a.watch()
 	defer a.unwatch()
-	request := a.call.outgoing(a.server.Dialect, a.placement.ID, time.Until(a.leftUntil()), a.pursuit.lastEvent, a.goOnFrom)
+	request := a.call.outgoing(a.server.Dialect, a.placement.ID, time.Until(a.leftUntil()), a.pursuit.lastEvent)
 	sent, err := a.send(request)
 	if err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -243,9 +239,6 @@
 	skipUpTo := p.lastEvent
 	controller := http.NewResponseController(p.writer)
 	chunk := make([]byte, streamChunkBytes)
-	streaming, ended := context.WithCancel(ctx)
-	defer ended()
-	a.moveOnNotice(streaming)
 	for {
 		a.limitSilence(p.gapLimit())
 		whole, err := events.next(chunk)
@@ -260,8 +253,6 @@
 			p.lastEvent = events.lastID
 		}
 		switch {
-		case err != nil && a.awaitMove() != nil:
-			return result{backend: backend.Inconclusive, moved: a.move, reason: "server is leaving, the request goes on elsewhere"}
 		case err == io.EOF:
 			return a.streamEnd(events, response, controller)
 		case err != nil:
--- a/rudder/relay/dialect.go
+++ b/rudder/relay/dialect.go
@@ -15,7 +15,6 @@
 	Urgency        string // set by this system: 0 (first) to 9
 	NotRun         string // of a backend server that has not run the request
 	Stamp          string // of a backend server's response; one without it is not passed on as a success
-	GoOnFrom       string // set by this system: memory from which a request goes on
 	KeyScheme      string // authorization scheme of API keys
 	// Reserved are headers that only this system may set; a caller's are removed.
 	Reserved []string
@@ -25,7 +24,7 @@
 var NativeDialect = Dialect{
 	RequestID: "X-Rudder-Request", Deadline: "X-Rudder-Timeout-Ms", Tokens: "X-Rudder-Tokens", Prefix: "X-Rudder-Prefix",
 	Organisation: "X-Rudder-Organisation", ExpectInstance: "X-Rudder-Instance", Urgency: "X-Rudder-Urgency",
-	GoOnFrom: "X-Rudder-Go-On-From", NotRun: "X-Rudder-Not-Run", Stamp: "X-Rudder-Signature", KeyScheme: "Bearer",
+	NotRun: "X-Rudder-Not-Run", Stamp: "X-Rudder-Signature", KeyScheme: "Bearer",
 }
 
 const (
--- a/rudder/relay/pursuit.go
+++ b/rudder/relay/pursuit.go
@@ -48,24 +48,24 @@
 func (p *pursuit) run(ctx context.Context) {
 	s, c := p.server, p.call
 	s.countFresh(c.service)
-	var from *move
 	for {
 		if problem := s.mayRun(c, s.Freshness.Send); problem != nil {
 			p.fail(problem)
 			return
 		}
-		a, refusal := p.nextAttempt(from)
+		placement, refusal := s.Backends.Place(p.placementRequest(), p.admissionLimit())
 		if refusal != nil {
 			p.failRefused(refusal)
 			return
 		}
+		s.Log.Info("Request is placed.", "request", c.id, "server", placement.ID, "send", p.sends+1, "choices", placement.Choices,
+			"predicted_ms", placement.Predicted.Milliseconds(), "running", placement.Running, "uncached_tokens", placement.Uncached,
+			"route", c.route.Name, "service", c.service, "config_version", c.version, "proof_age_ms", boottime.Since(s.Current.ProvedAt()).Milliseconds())
+		a := &attempt{server: s, call: c, placement: placement, pursuit: p}
 		result := a.run(ctx)
-		result.address = a.placement.Address
-		a.placement.Release(result.backend)
-		p.note(a.placement.ID, result)
-		if from = result.moved; from != nil {
-			continue
-		}
+		result.address = placement.Address
+		placement.Release(result.backend)
+		p.note(placement.ID, result)
 		if result.final {
 			return
 		}
@@ -80,25 +80,6 @@
 	}
 }
 
-// nextAttempt places the request, or takes the place that a move has made.
-func (p *pursuit) nextAttempt(from *move) (*attempt, *backend.Refusal) {
-	s, c := p.server, p.call
-	a := &attempt{server: s, call: c, pursuit: p}
-	if from != nil {
-		a.placement, a.goOnFrom = from.placement, from.memory
-	} else {
-		var refusal *backend.Refusal
-		if a.placement, refusal = s.Backends.Place(p.placementRequest(), p.admissionLimit()); refusal != nil {
-			return nil, refusal
-		}
-	}
-	s.Log.Info("Request is placed.", "request", c.id, "server", a.placement.ID, "send", p.sends+1, "choices", a.placement.Choices,
-		"predicted_ms", a.placement.Predicted.Milliseconds(), "running", a.placement.Running, "uncached_tokens", a.placement.Uncached,
-		"route", c.route.Name, "service", c.service, "config_version", c.version, "proof_age_ms", boottime.Since(s.Current.ProvedAt()).Milliseconds(),
-		"goes_on_from", a.goOnFrom, "last_event", p.lastEvent)
-	return a, nil
-}
-
 func (p *pursuit) placementRequest() backend.Request {
 	c := p.call
 	return backend.Request{
@@ -124,7 +105,6 @@
 	notRun  bool // nothing was sent or the server says that it has not run the request
 	backend backend.Result
 	address string // of the server
-	moved   *move  // the request goes on at another server
 	reason  string
 	// response is a failure response of the server that is passed on if the request goes nowhere else.
 	response *bufferedResponse
@@ -139,9 +119,7 @@
 	p.lastReason = r.reason
 	if !r.notRun {
 		p.mayHaveRun = true
-	}
-	if !r.notRun && r.moved == nil {
-		p.runs++ // a request that goes on from its memory is the same run
+		p.runs++
 	}
 	switch {
 	case r.backend == backend.Broken && !r.notRun:
@@ -158,7 +136,7 @@
 func (p *pursuit) mayGoOn(r result) *outcome.Error {
 	c := p.call
 	switch {
-	case !r.notRun && !c.route.Repeatable():
+	case p.mayHaveRun && !c.route.Repeatable():
 		return p.givenUp(r, "request may have run and must not be repeated")
 	case !r.notRun && p.runs >= c.route.MaxAttempts():
 		return p.givenUp(r, "all attempts are used")
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -59,7 +59,7 @@
 	for _, name := range d.Reserved {
 		out.Del(name)
 	}
-	for _, name := range []string{authorization, d.Organisation, d.ExpectInstance, d.Urgency, d.Deadline, d.GoOnFrom} {
+	for _, name := range []string{authorization, d.Organisation, d.ExpectInstance, d.Urgency, d.Deadline} {
 		out.Del(name)
 	}
 	if _, found := out["User-Agent"]; !found {
@@ -120,7 +120,7 @@
 func point(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
 // outgoing builds the request for a backend server. The deadline is what is left of the caller's.
-func (c *call) outgoing(d *Dialect, server string, left time.Duration, lastEvent, goOnFrom string) *http.Request {
+func (c *call) outgoing(d *Dialect, server string, left time.Duration, lastEvent string) *http.Request {
 	header := c.header.Clone()
 	header.Set(d.ExpectInstance, server)
 	header.Set(d.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
@@ -133,9 +133,6 @@
 	if lastEvent != "" {
 		header.Set(lastEventID, lastEvent)
 	}
-	if goOnFrom != "" {
-		header.Set(d.GoOnFrom, goOnFrom)
-	}
 	request := &http.Request{
 		Method: c.method, URL: &url.URL{Opaque: c.target}, Host: c.host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -49,7 +49,6 @@
 	Retries       limit.RetryRate // of this node, for each service
 	Log           *slog.Logger
 	Crashes       CrashList
-	Mover         Mover // nil: memory of requests is not moved
 
 	mu        sync.Mutex
 	budgets   map[string]*limit.RetryBudget
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -117,7 +117,7 @@
 	n.counter = usage.NewCounter(max(s.UsageWindow, time.Second), n.mesh.Time)
 	n.relay = &relay.Server{
 		Dialect: outside.Dialect, Current: n.current, Backends: n.backends, Quotas: n.ledger, Runs: n.counter,
-		FailureDomain: s.FailureDomain, Log: logger.Part("relay"), Mover: outside.Mover,
+		FailureDomain: s.FailureDomain, Log: logger.Part("relay"),
 		Retries: limit.RetryRate{Fraction: retryShare * s.RetryFraction, Burst: retryShare * s.RetryBurst},
 	}
 	if s.RevocationBound > 0 {
--- a/rudder/relaynode/settings.go
+++ b/rudder/relaynode/settings.go
@@ -79,8 +79,6 @@
 	SendUsage usage.Sender
 	Order     func(ctx context.Context, fence int64, o Order) error
 
-	Mover relay.Mover // nil if runners move no memory
-
 	ReadyPath      string
 	AddressPath    string
 	WriteAddresses func(w http.ResponseWriter, a Addresses) error
--- a/rudder/traffic/traffic.go
+++ b/rudder/traffic/traffic.go
@@ -67,9 +67,8 @@
 
 // Engine describes the model runners of a service.
 type Engine struct {
-	Slots    int  // requests that a runner processes at once
-	KVTokens int  // tokens that a runner's KV cache holds
-	Moves    bool // runners move the memory of a request to each other
+	Slots    int // requests that a runner processes at once
+	KVTokens int // tokens that a runner's KV cache holds
 }
 
 // Scale bounds the capacity orders of a service.
