Bound the connections kept to a server, drop fields that nothing uses

Cause: a server accepts a number of connections from all nodes together; each node kept as many as it had ever used. Now each keeps half of its part. Test: upstream.TestIdleConnectionsAreBounded.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -80,21 +80,16 @@
 		return Candidate{}, false
 	}
 	return slices.MinFunc(free, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(a.Score, b.Score), compareBool(b.Local, a.Local))
+		if a.Score == b.Score && a.Local != b.Local {
+			if a.Local {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Score, b.Score)
 	}), true
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // Placement is a request's place at a server, from Place to Release.
 type Placement struct {
 	Server    *Server
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -21,8 +21,7 @@
 	Slots         int
 	Draining      bool
 	Reclaimable   bool
-	BornMillis    int64         // Unix time of its start, 0 if unknown
-	Warming       time.Duration // how much longer it stays slow after its start
+	BornMillis    int64 // Unix time of its start, 0 if unknown
 }
 
 // Server is one incarnation of a backend server as this node sees it. Its fields are guarded by the table's lock.
@@ -63,6 +62,8 @@
 type Table struct {
 	DialTimeout time.Duration
 	Log         *slog.Logger
+	// IdleLimit returns how many connections to one server of a service may be kept without a request; nil means any.
+	IdleLimit func(service string) int
 
 	mu      sync.Mutex
 	servers map[string]*Server
@@ -297,6 +298,9 @@
 	t.mu.Lock()
 	var pools []*upstream.Pool
 	for _, s := range t.servers {
+		if t.IdleLimit != nil {
+			s.Pool.SetMaxIdle(t.IdleLimit(s.Service))
+		}
 		pools = append(pools, s.Pool)
 	}
 	t.prefix.forget(time.Now())
--- a/rudder/relay/metrics.go
+++ b/rudder/relay/metrics.go
@@ -14,7 +14,6 @@
 // Metrics are the relay's instruments; the zero value records nothing.
 type Metrics struct {
 	instruments *telemetry.Metrics
-	nodes       int
 }
 
 // SetMetrics gives the server its instruments.
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -51,6 +51,7 @@
 	Crashes       CrashList
 
 	mu        sync.Mutex
+	nodes     int // that share the retry budget
 	budgets   map[string]*limit.RetryBudget
 	unstarted map[*attempt]struct{}
 	draining  atomic.Bool
@@ -247,7 +248,7 @@
 	for _, b := range s.budgets {
 		b.SetBurst(s.Retries.Burst / float64(max(n, 1)))
 	}
-	s.metrics.nodes = max(n, 1)
+	s.nodes = max(n, 1)
 }
 
 // budget returns the retry budget of a service. The caller holds the lock.
@@ -258,7 +259,7 @@
 	b, found := s.budgets[service]
 	if !found {
 		rate := s.Retries
-		rate.Burst /= float64(max(s.metrics.nodes, 1))
+		rate.Burst /= float64(max(s.nodes, 1))
 		b = limit.NewRetryBudgetAt(rate, time.Now())
 		s.budgets[service] = b
 	}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -112,6 +112,7 @@
 		current: traffic.NewCurrent(), incarnation: time.Now().UnixMilli(),
 	}
 	n.backends = backend.NewTable(dialTimeout, logger.Part("backend"))
+	n.backends.IdleLimit = n.idleLimit
 	n.ledger = quota.NewLedger(s.FirstStart, s.QuotaTolerance, time.Now)
 	n.mesh = mesh.New(s.MeshAddress, s.MeshSeeds, n.digest, n.learn, logger.Part("mesh"))
 	n.counter = usage.NewCounter(max(s.UsageWindow, time.Second), n.mesh.Time)
@@ -166,113 +167,6 @@
 	return loops
 }
 
-const (
-	// provers is how many nodes ask the object API each proofInterval whether the configuration is the newest; the others
-	// take their word and only wait for changes.
-	provers       = 2
-	proofInterval = 800 * time.Millisecond
-	// longProof is the age of the proof from which on a node asks by itself.
-	longProof = 1600 * time.Millisecond
-	// configWait and registryWait are how long a watch waits that only has to tell changes.
-	configWait   = 20 * time.Second
-	registryWait = 5 * time.Second
-	// pausePerNode and maxRegistryPause space the watches of the registry: each change costs a call of every node, and a
-	// leaving backend server may get new work for two seconds.
-	pausePerNode     = 8 * time.Millisecond
-	maxRegistryPause = 600 * time.Millisecond
-)
-
-// registryPause returns how long changes of the registry are collected.
-func (n *node) registryPause() time.Duration {
-	_, known := n.mesh.Reach()
-	return min(time.Duration(known)*pausePerNode, maxRegistryPause)
-}
-
-// configWait returns how long the next watch of the configuration waits.
-func (n *node) configWait() time.Duration {
-	if n.relay.Freshness.Send > 0 && (n.proves() || boottime.Since(n.current.ProvedAt()) > longProof) {
-		return proofInterval
-	}
-	return configWait
-}
-
-// proves reports whether this node is one of those that prove the configuration for all.
-func (n *node) proves() bool {
-	before := 0
-	for _, m := range n.mesh.Members() {
-		if m.State == mesh.Ready && m.Node < n.settings.Node {
-			before++
-		}
-	}
-	return before < provers
-}
-
-// renewProof begins a new watch when the others' proofs have stopped or a peer knows a newer configuration.
-func (n *node) renewProof() {
-	if n.relay.Freshness.Send > 0 && boottime.Since(n.current.ProvedAt()) > longProof {
-		n.config.Renew(proofInterval)
-		return
-	}
-	config := n.current.Config()
-	for _, m := range n.mesh.Members() {
-		if config == nil || m.ConfigVersion > config.Version {
-			n.config.Renew(proofInterval)
-			return
-		}
-	}
-}
-
-// takeConfigs applies the configuration if it is among the objects.
-func (n *node) takeConfigs(objects []objectapi.Object) {
-	for _, o := range objects {
-		if o.Key != n.outside.ConfigKey || len(o.Value) == 0 {
-			continue
-		}
-		config, err := n.outside.DecodeConfig(o.Value)
-		if err != nil {
-			n.log.Error("Configuration cannot be read.", "revision", o.Version, "error", err)
-			continue
-		}
-		if n.current.Apply(config) {
-			n.log.Info("Configuration is in force.", "config_version", config.Version, "revision", o.Version, "routes", len(config.Routes), "organisations", len(config.Organisations))
-		}
-	}
-}
-
-// proved notes that the configuration in force was the newest one when a call was sent.
-func (n *node) proved(sent boottime.Instant) {
-	if config := n.current.Config(); config != nil {
-		n.current.Prove(config.Version, sent)
-	}
-}
-
-func (n *node) replaceServers(objects []objectapi.Object) {
-	var entries []backend.Entry
-	for _, o := range objects {
-		e, err := n.outside.DecodeServer(o)
-		if err != nil {
-			n.log.Warn("Registry entry names no backend server.", "key", o.Key, "error", err)
-			continue
-		}
-		entries = append(entries, e)
-	}
-	n.backends.Replace(entries)
-}
-
-func (n *node) changeServer(e objectapi.Event) {
-	if e.Deleted {
-		n.backends.Remove(path.Base(e.Object.Key))
-		return
-	}
-	entry, err := n.outside.DecodeServer(e.Object)
-	if err != nil {
-		n.log.Warn("Registry entry names no backend server.", "key", e.Object.Key, "error", err)
-		n.backends.Remove(path.Base(e.Object.Key))
-		return
-	}
-	n.backends.Put(entry)
-}
-
 // digest is what this node tells its peers.
 func (n *node) digest() mesh.Digest {
 	d := mesh.Digest{
@@ -352,15 +246,15 @@
 	}
 }
 
-// guardProof looks after the proof of the configuration until ctx ends.
-func (n *node) guardProof(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(proofInterval):
-		}
-		n.renewProof()
+// idleLimit returns how many connections to one backend server of a service this node keeps without a request: half of its
+// part of what the server accepts from all nodes.
+func (n *node) idleLimit(service string) int {
+	config := n.current.Config()
+	if config == nil || config.Services[service] == nil || config.Services[service].MaxConnections == 0 {
+		return 0
 	}
+	_, known := n.mesh.Reach()
+	return max(1, config.Services[service].MaxConnections/(2*known))
 }
 
 // callerServer returns the HTTP server for callers.
--- a/rudder/traffic/traffic.go
+++ b/rudder/traffic/traffic.go
@@ -59,7 +59,6 @@
 // Service is a group of backend servers that run the same program.
 type Service struct {
 	Name           string
-	HealthPath     string
 	MaxConnections int     // that a backend server accepts from all callers together; 0 means unknown
 	Engine         *Engine // nil for a plain service
 	Scale          *Scale  // nil if its capacity is not ordered by this system
@@ -67,8 +66,7 @@
 
 // Engine describes the model runners of a service.
 type Engine struct {
-	Slots    int // requests that a runner processes at once
-	KVTokens int // tokens that a runner's KV cache holds
+	Slots int // requests that a runner processes at once
 }
 
 // Scale bounds the capacity orders of a service.
@@ -92,10 +90,7 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	MaxBodyBytes int64
 }
 
 // Config is one version of the configuration. It is immutable once Index has been called.
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -45,9 +45,17 @@
 	Address     string
 	DialTimeout time.Duration
 
-	mu   sync.Mutex
-	idle []*Conn
-	open int
+	mu      sync.Mutex
+	idle    []*Conn
+	maxIdle int // 0 means no limit
+}
+
+// SetMaxIdle bounds the connections that are kept without a request. A server accepts a number of connections from all
+// nodes together.
+func (p *Pool) SetMaxIdle(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = n
 }
 
 // Conn is one connection. It serves one request at a time.
@@ -78,9 +86,6 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", p.Address, err)
 	}
-	p.mu.Lock()
-	p.open++
-	p.mu.Unlock()
 	return &Conn{Conn: raw, pool: p, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
@@ -106,13 +111,6 @@
 	return c
 }
 
-// Open returns the number of connections, idle ones included.
-func (p *Pool) Open() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 // CloseIdle closes the connections that serve no request and were idle for at least the given time.
 func (p *Pool) CloseIdle(atLeast time.Duration) {
 	now := time.Now()
@@ -161,20 +159,12 @@
 }
 
 // Discard closes the connection.
-func (c *Conn) Discard() {
-	if c.pool != nil {
-		c.pool.mu.Lock()
-		c.pool.open--
-		c.pool.mu.Unlock()
-		c.pool = nil
-	}
-	_ = c.Conn.Close()
-}
+func (c *Conn) Discard() { _ = c.Conn.Close() }
 
 // Keep returns the connection to its pool after a complete response, or closes it if the peer asked for that or has
 // sent more than its response.
 func (c *Conn) Keep(response *http.Response) {
-	if response.Close || c.reader.Buffered() > 0 || c.pool == nil {
+	if response.Close || c.reader.Buffered() > 0 {
 		c.Discard()
 		return
 	}
@@ -182,10 +172,20 @@
 		c.idleLimit = limit
 	}
 	c.idleSince = time.Now()
-	pool := c.pool
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	pool.idle = append(pool.idle, c)
+	if !c.pool.push(c) {
+		c.Discard()
+	}
+}
+
+// push keeps a connection unless as many are kept as may be.
+func (p *Pool) push(c *Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.maxIdle > 0 && len(p.idle) >= p.maxIdle {
+		return false
+	}
+	p.idle = append(p.idle, c)
+	return true
 }
 
 // keepAliveTimeout reads the timeout parameter of the Keep-Alive header, in whole seconds (RFC 2068, section 19.7.1).
--- a/rudder/upstream/upstream_test.go
+++ b/rudder/upstream/upstream_test.go
@@ -162,3 +162,44 @@
 		t.Fatalf("error %v, want ErrNotSent", err)
 	}
 }
+
+// A server accepts a number of connections from all nodes together; a node must not keep more than its part.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	address, _ := serve(t, func(conn net.Conn, _ int, r *http.Request) bool {
+		reply(conn, r.Header.Get("Id"), "x")
+		return true
+	})
+	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
+	pool.SetMaxIdle(1)
+	var held []*upstream.Conn
+	var responses []*http.Response
+	for i := range 3 {
+		conn, err := pool.Get(context.Background(), time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := request(fmt.Sprint(i))
+		if err := conn.Send(r); err != nil {
+			t.Fatal(err)
+		}
+		response, err := conn.Receive(r, "Id")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(response.Body); err != nil {
+			t.Fatal(err)
+		}
+		held, responses = append(held, conn), append(responses, response)
+	}
+	for i, conn := range held {
+		conn.Keep(responses[i])
+	}
+	first, err := pool.Get(context.Background(), time.Minute)
+	if err != nil || !first.Reused {
+		t.Fatalf("the kept connection is not used: %v", err)
+	}
+	second, err := pool.Get(context.Background(), time.Minute)
+	if err != nil || second.Reused {
+		t.Fatalf("a second connection was kept: %v", err)
+	}
+}
