Keep or close a connection in one place, delete the record of a stopping node

Cause: the record of a node stayed in the store after its stop, and starting nodes sent to its address; the end of an attempt decided twice about its connection.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -47,6 +47,7 @@
 	body   []byte
 }
 
+// run sends the request, passes the response on as far as it can, and keeps or closes the connection.
 func (a *attempt) run(parent context.Context) result {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
@@ -58,15 +59,15 @@
 	a.conn = conn
 	// Closing the connection on cancellation makes the server drop the request.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Conn.Close() })
-	keep := false
+	kept := false
 	defer func() {
-		if !stop() || !keep {
+		if !kept {
 			conn.Discard()
 		}
 	}()
 	a.watch()
 	defer a.unwatch()
-	request := a.call.outgoing(a.server.Dialect, a.placement.ID, time.Until(a.leftUntil()), a.pursuit.lastEvent)
+	request := a.call.outgoing(a.server.Dialect, a.placement.ID, time.Until(a.call.deadline), a.pursuit.lastEvent)
 	sent, err := a.send(request)
 	if err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -82,15 +83,10 @@
 	}
 	r := a.answer(parent, response)
 	r.sent = true
-	keep = a.mayKeep(response, r) && <-sent == nil && ctx.Err() == nil
-	if keep {
-		stopped := stop()
-		if stopped {
-			a.clearDeadline()
-			conn.Keep(response)
-		}
-		keep = stopped
-		stop = func() bool { return true }
+	if a.mayKeep(response, r) && <-sent == nil && stop() {
+		a.clearDeadline()
+		conn.Keep(response)
+		kept = true
 	}
 	return r
 }
@@ -102,9 +98,6 @@
 	return maxIdleOnce
 }
 
-// leftUntil is when the server stops to work on the request.
-func (a *attempt) leftUntil() time.Time { return a.call.deadline }
-
 // send writes the request; a large body goes out beside the reading of the response. The channel yields the error of
 // the write when it has ended.
 func (a *attempt) send(request *http.Request) (<-chan error, error) {
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -24,6 +24,8 @@
 	nodesPrefix = "rudder-nodes/"
 	// nodesInterval is how often a node that hears too few others lists the records.
 	nodesInterval = 5 * time.Second
+	// unregisterTimeout bounds the deletion of a stopping node's record; the node stops without it too.
+	unregisterTimeout = 300 * time.Millisecond
 )
 
 // contends reports whether this node should look at the lease: no peer says that it holds it, and this node is among
@@ -93,6 +95,17 @@
 	}
 }
 
+// unregister deletes the node's record, so that starting nodes do not send to an address that nobody has.
+func (n *node) unregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), unregisterTimeout)
+	defer cancel()
+	err := n.outside.Store.Delete(ctx, nodesPrefix+n.settings.Node, objectapi.Any)
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		n.log.Warn("Node record could not be deleted.", "error", err)
+	}
+}
+
+// readNodes learns the addresses of the nodes that have a record.
 func (n *node) readNodes(ctx context.Context) {
 	listing, err := n.outside.Store.List(ctx, nodesPrefix)
 	if err != nil {
--- a/rudder/relaynode/stop.go
+++ b/rudder/relaynode/stop.go
@@ -59,6 +59,7 @@
 	for n.relay.InProgress() > 0 && time.Now().Before(deadline) {
 		time.Sleep(idleCheck)
 	}
+	n.unregister()
 	n.log.Info("Node stops.", "requests_cut", n.relay.InProgress(), "after_ms", time.Since(begin).Milliseconds())
 	ctx, cancel := context.WithTimeout(context.Background(), endMargin/2)
 	defer cancel()
