Delete a stopping node's record beside its requests, correct comments

Cause: with a slow store the deletion came after the last request and could reach past the stop time. The reload logs the seeds that it takes; the comment on callers' timeouts said what the code does not do.

--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -31,7 +31,7 @@
 const (
 	// dialTimeout is how long a connection to a backend server may take; delays between hosts are a few milliseconds.
 	dialTimeout = 300 * time.Millisecond
-	// headerTimeout and idleTimeout hold until the first configuration tells the limits of callers.
+	// headerTimeout and idleTimeout hold for all callers; of the configuration's limits only that of the body is applied.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
 	// maxHeaderBytes bounds a caller's header.
--- a/rudder/relaynode/stop.go
+++ b/rudder/relaynode/stop.go
@@ -40,7 +40,7 @@
 		n.log.Error("Settings cannot be read again; the old ones stay in force.", "error", err)
 		return
 	}
-	n.log.Info("Settings are read again.", "changed", s.MemoryLimitBytes != n.settings.MemoryLimitBytes || s.StopTimeout != n.settings.StopTimeout)
+	n.log.Info("Settings are read again.", "mesh_seeds", s.MeshSeeds)
 	n.mesh.Add(s.MeshSeeds)
 }
 
@@ -52,6 +52,7 @@
 	n.relay.Drain()
 	callers.SetKeepAlivesEnabled(false)
 	n.mesh.Announce(socket)
+	go n.unregister() // beside the requests: the store may be slow
 	n.log.Info("Node is stopping.", "requests", n.relay.InProgress(), "deadline_seconds", n.settings.StopTimeout.Seconds())
 	time.Sleep(min(acceptTime, n.settings.StopTimeout/2))
 	n.relay.Refuse()
@@ -59,7 +60,6 @@
 	for n.relay.InProgress() > 0 && time.Now().Before(deadline) {
 		time.Sleep(idleCheck)
 	}
-	n.unregister()
 	n.log.Info("Node stops.", "requests_cut", n.relay.InProgress(), "after_ms", time.Since(begin).Milliseconds())
 	ctx, cancel := context.WithTimeout(context.Background(), endMargin/2)
 	defer cancel()
