Say nothing about the run when a repeat is no longer allowed

Cause, found by reading: a repeatable request that may have run at one server and whose key or proof was gone before the next send was answered 401 or 503, and 503 promises that it has not run.

--- a/rudder/relay/pursuit.go
+++ b/rudder/relay/pursuit.go
@@ -50,6 +50,9 @@
 	s.countFresh(c.service)
 	for {
 		if problem := s.mayRun(c, s.Freshness.Send); problem != nil {
+			if p.mayHaveRun {
+				problem = outcome.Lost(http.StatusBadGateway, errors.New(p.lastReason), "%s", problem.Reason)
+			}
 			p.fail(problem)
 			return
 		}
--- a/rudder/relay/relay_test.go
+++ b/rudder/relay/relay_test.go
@@ -315,3 +315,21 @@
 		}
 	}
 }
+
+// A request that may have run and may not go on, because its key is gone by then, must not be answered as if it had not
+// run.
+func TestRefusalAfterARunIsNoPromise(t *testing.T) {
+	w := newWorld(t)
+	for _, name := range []string{"a", "b"} {
+		w.backendServer(name, func(net.Conn, *http.Request) bool {
+			next := *w.config
+			next.Version, next.Organisations = 2, []*traffic.Organisation{{Name: "o", Keys: []string{"another"}}}
+			next.Index()
+			w.server.Current.Apply(&next)
+			return false
+		})
+	}
+	if answer := w.get("/safe/x"); answer.status != http.StatusBadGateway || w.total() != 1 {
+		t.Fatalf("answer %+v after %d sends, want 502 after 1", answer, w.total())
+	}
+}
