Let a holder that knows the registry order at once

Cause: each new holder of the duties waited until the registry had settled, 4 s where it listed no runner. The wait is for runners that start with the nodes; a node that knows the registry for 8 s skips it.

--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -71,7 +71,7 @@
 	prefix  prefixes
 	engine  map[string]*engineModel // by service
 	demands map[string]*demand      // by service
-	known   bool                    // a listing was read since the start
+	knownAt time.Time               // when a listing was first read since the start
 }
 
 // remoteLoad is what a peer has at each backend server.
@@ -113,7 +113,9 @@
 			t.remove(id, s)
 		}
 	}
-	t.known = true
+	if t.knownAt.IsZero() {
+		t.knownAt = time.Now()
+	}
 }
 
 // Put takes one entry.
@@ -136,7 +138,17 @@
 func (t *Table) Known() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.known
+	return !t.knownAt.IsZero()
+}
+
+// KnownFor returns how long ago the table was first filled, 0 if it was not.
+func (t *Table) KnownFor() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.knownAt.IsZero() {
+		return 0
+	}
+	return time.Since(t.knownAt)
 }
 
 func (t *Table) put(e Entry) {
--- a/rudder/relaynode/capacity.go
+++ b/rudder/relaynode/capacity.go
@@ -68,8 +68,14 @@
 // took all.
 const emptySettleTime = 4 * time.Second
 
+// youngRegistry is how long after its start a node takes into account that runners may not have written yet.
+const youngRegistry = 8 * time.Second
+
 // settled reports whether the registry lists all runners that were there when this node began to plan.
 func (p *planner) settled(service string, zones []capacity.ZoneState) bool {
+	if p.node.backends.KnownFor() >= youngRegistry {
+		return true
+	}
 	total := 0
 	for _, z := range zones {
 		total += z.OnDemand + z.Reclaimable
--- a/rudder/relaynode/capacity_test.go
+++ b/rudder/relaynode/capacity_test.go
@@ -117,3 +117,18 @@
 		}
 	})
 }
+
+// A holder that takes over in the middle of a reclaim knows the registry since long: each second that it waits is one
+// without runners (duwende-route trouble-1, 24 to 30 s).
+func TestSuccessorOrdersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, orders := planningNode(t, nil)
+		n.backends.Replace(nil)
+		time.Sleep(time.Minute)
+		n.backends.Place(backend.Request{Service: "model", IsGeneration: true, PromptTokens: 50000}, 0)
+		runDuty(t, n, time.Second)
+		if len(orders()) == 0 {
+			t.Fatal("no order was sent within a second")
+		}
+	})
+}
