Forget ended incarnations of peers

Incarnations are dropped when all their windows are over, and after a minute of silence. Tests: TestEndedPeersAreForgotten in usage and quota.

--- a/rudder/quota/quota.go
+++ b/rudder/quota/quota.go
@@ -44,10 +44,19 @@
 	allowed  Tolerance
 	share    float64
 	accounts map[string]*account
-	peers    map[string]map[string]float64 // taken, by peer incarnation and organisation
+	peers    map[string]*peer // by incarnation
 	now      func() time.Time
 }
 
+// peer is what one incarnation of a peer has told.
+type peer struct {
+	taken   map[string]float64 // by organisation
+	heardAt time.Time
+}
+
+// peerMemory is how long a silent incarnation is remembered.
+const peerMemory = time.Minute
+
 type account struct {
 	rate, burst float64
 	level       float64
@@ -59,7 +68,7 @@
 // NewLedger returns a ledger. Its buckets begin full where no node can have admitted anything yet, and else low until
 // peers have told theirs.
 func NewLedger(full bool, allowed Tolerance, now func() time.Time) *Ledger {
-	return &Ledger{started: now(), full: full, allowed: allowed, share: 1, accounts: map[string]*account{}, peers: map[string]map[string]float64{}, now: now}
+	return &Ledger{started: now(), full: full, allowed: allowed, share: 1, accounts: map[string]*account{}, peers: map[string]*peer{}, now: now}
 }
 
 // account returns the bucket, filled up to now, with the organisation's present limit. The caller holds the lock.
@@ -138,6 +147,11 @@
 func (l *Ledger) Own() map[string]Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for name, p := range l.peers {
+		if l.now().Sub(p.heardAt) > peerMemory {
+			delete(l.peers, name)
+		}
+	}
 	uses := map[string]Use{}
 	for name, a := range l.accounts {
 		a.fill(l.now(), l.share)
@@ -146,28 +160,29 @@
 	return uses
 }
 
-// Learn takes what a peer has admitted. peer names one start of its process.
-func (l *Ledger) Learn(peer string, uses map[string]Use) {
+// Learn takes what a peer has admitted. incarnation names one start of its process.
+func (l *Ledger) Learn(incarnation string, uses map[string]Use) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before, found := l.peers[peer]
+	p, found := l.peers[incarnation]
 	if !found {
-		before = map[string]float64{}
-		l.peers[peer] = before
+		p = &peer{taken: map[string]float64{}}
+		l.peers[incarnation] = p
 	}
+	p.heardAt = l.now()
 	settling := !l.full && l.now().Sub(l.started) < settleTime
 	for name, use := range uses {
 		a, known := l.accounts[name]
 		if !known {
 			a = &account{at: l.now(), burst: use.Level, level: use.Level, settled: true}
 			l.accounts[name] = a
-			before[name] = use.Taken
+			p.taken[name] = use.Taken
 			continue
 		}
-		if last, counted := before[name]; counted || found {
+		if last, counted := p.taken[name]; counted || found {
 			a.level -= use.Taken - last
 		}
-		before[name] = use.Taken
+		p.taken[name] = use.Taken
 		if settling && !a.settled {
 			a.level, a.settled = use.Level, true
 		}
@@ -176,10 +191,3 @@
 		}
 	}
 }
-
-// Forget drops a peer incarnation that is gone.
-func (l *Ledger) Forget(peer string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.peers, peer)
-}
--- a/rudder/quota/quota_test.go
+++ b/rudder/quota/quota_test.go
@@ -107,3 +107,17 @@
 		t.Fatalf("refused after a return: %+v", missing)
 	}
 }
+
+// Each restart of a peer is a new incarnation; those that have ended must not add up in memory.
+func TestEndedPeersAreForgotten(t *testing.T) {
+	s := newNodes(1, true)
+	l := s.ledgers[0]
+	for i := range 50 {
+		l.Learn(string(rune('a'+i)), map[string]Use{"o": {Taken: 1, Level: 1}})
+	}
+	s.now = s.now.Add(2 * peerMemory)
+	l.Own()
+	if n := len(l.peers); n != 0 {
+		t.Fatalf("%d ended peers are remembered", n)
+	}
+}
--- a/rudder/usage/counter.go
+++ b/rudder/usage/counter.go
@@ -52,10 +52,21 @@
 		counts = Counts{}
 		c.own[index] = counts
 		trim(c.own, index)
+		c.prunePeers(index)
 	}
 	counts[organisation]++
 }
 
+// prunePeers drops incarnations of peers whose windows are all too old, so that restarts do not add up. The caller holds
+// the lock.
+func (c *Counter) prunePeers(newest int64) {
+	for peer, windows := range c.peers {
+		if trim(windows, newest); len(windows) == 0 {
+			delete(c.peers, peer)
+		}
+	}
+}
+
 func trim(w Windows, newest int64) {
 	maps.DeleteFunc(w, func(index int64, _ Counts) bool { return index <= newest-keptWindows })
 }
--- a/rudder/usage/usage_test.go
+++ b/rudder/usage/usage_test.go
@@ -118,3 +118,19 @@
 		}
 	})
 }
+
+// Each restart of a peer is a new incarnation; those whose windows are over must not add up in memory.
+func TestEndedPeersAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCounter(time.Second, time.Now)
+		window := c.Index(time.Now())
+		for _, peer := range []string{"n2/1", "n2/2", "n2/3"} {
+			c.Learn(peer, Windows{window: {"o": 1}})
+		}
+		time.Sleep(2 * keptWindows * time.Second)
+		c.CountRun("o")
+		if n := len(c.peers); n != 0 {
+			t.Fatalf("%d ended peers are remembered", n)
+		}
+	})
+}
