Date digests by the sender's clock

Cause: a proof of the configuration that a peer hands on was dated by when its digest was read, less 300 ms. Digests wait in the socket of a node that is stopped or suspended, so that after the pause their proofs looked younger than they were by up to its length, and a request whose key was taken away meanwhile could run after the bound.

Change: a digest carries the sender's reading of the clock that goes on during suspensions. The receiver keeps the least difference between reading and sending for each start of a peer, over one to two minutes, and dates the digest by it. A peer grants no proof in the first second that it is heard.

Ruled out: ignoring proofs for a while after a gap between digests; a node that is only slow reads a full socket without any gap.

--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -36,6 +36,7 @@
 	FailureDomain string                      `json:"d"`
 	Address       string                      `json:"a"` // IP:port for callers
 	State         State                       `json:"s"`
+	BootMillis    int64                       `json:"b"` // the sender's reading of package boottime; 0: not known
 	WallMillis    int64                       `json:"w"` // the sender's time of day
 	ConfigVersion int64                       `json:"v"`
 	ProofAge      int64                       `json:"p"` // milliseconds since its configuration was proved to be the newest; -1: never
@@ -52,6 +53,20 @@
 type Member struct {
 	Digest
 	HeardAt boottime.Instant
+	SentAt  boottime.Instant // by this node's clock; HeardAt while Dated is false
+	Dated   bool             // whether SentAt is known well enough to grant rights
+}
+
+// proofDelay is added to the age of a proof that a peer hands on, for the time on the way that SentAt does not show.
+const proofDelay = 300 * time.Millisecond
+
+// ProvedAt returns when the peer's configuration was last proved to be the newest, by this node's clock; false if the
+// digest does not show it.
+func (m Member) ProvedAt() (boottime.Instant, bool) {
+	if m.ProofAge < 0 || !m.Dated {
+		return 0, false
+	}
+	return m.SentAt.Add(-time.Duration(m.ProofAge)*time.Millisecond - proofDelay), true
 }
 
 const (
@@ -81,13 +96,14 @@
 
 	mu      sync.Mutex
 	members map[string]Member           // by node name
+	clocks  map[string]*peerClock       // by node name
 	targets map[string]boottime.Instant // addresses, with when they were last heard or learnt
 	turn    int
 }
 
 // New returns a mesh that knows the addresses of some peers.
 func New(self string, seeds []string, compose func() Digest, learn func(Member), log *slog.Logger) *Mesh {
-	m := &Mesh{Self: self, Compose: compose, Learn: learn, Log: log, members: map[string]Member{}, targets: map[string]boottime.Instant{}}
+	m := &Mesh{Self: self, Compose: compose, Learn: learn, Log: log, members: map[string]Member{}, clocks: map[string]*peerClock{}, targets: map[string]boottime.Instant{}}
 	m.Add(seeds)
 	return m
 }
@@ -172,6 +188,7 @@
 		if now.Sub(member.HeardAt) > forgetAfter {
 			m.Log.Info("Node is forgotten.", "peer", name)
 			delete(m.members, name)
+			delete(m.clocks, name)
 		}
 	}
 	slices.Sort(list)
@@ -209,18 +226,26 @@
 			m.Log.Warn("Digest is malformed.", "from", from.String(), "error", err)
 			continue
 		}
-		m.take(d, from.String())
+		m.take(d, from.String(), boottime.Now())
 	}
 }
 
-func (m *Mesh) take(d Digest, from string) {
-	member := Member{Digest: d, HeardAt: boottime.Now()}
+// take takes a digest that was read at the given time.
+func (m *Mesh) take(d Digest, from string, heard boottime.Instant) {
+	member := Member{Digest: d, HeardAt: heard, SentAt: heard}
 	m.mu.Lock()
 	before, known := m.members[d.Node]
 	if known && before.Incarnation > d.Incarnation {
 		m.mu.Unlock()
 		return // delayed, from before a restart
 	}
+	if d.BootMillis > 0 {
+		if m.clocks[d.Node] == nil {
+			m.clocks[d.Node] = &peerClock{}
+		}
+		sent := boottime.Instant(time.Duration(d.BootMillis) * time.Millisecond)
+		member.SentAt, member.Dated = m.clocks[d.Node].observe(d.Incarnation, sent, heard)
+	}
 	m.members[d.Node] = member
 	m.targets[from] = member.HeardAt
 	m.mu.Unlock()
@@ -269,7 +294,7 @@
 	offsets := []int64{time.Now().UnixMilli() - millis(now)}
 	m.mu.Lock()
 	for _, member := range m.members {
-		offsets = append(offsets, member.WallMillis-millis(member.HeardAt))
+		offsets = append(offsets, member.WallMillis-millis(member.SentAt))
 	}
 	m.mu.Unlock()
 	slices.Sort(offsets)
--- a/rudder/mesh/mesh_test.go
+++ b/rudder/mesh/mesh_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"testing"
 	"time"
+
+	"chestnutrudder.example/rudder/boottime"
 )
 
 // member adds a peer whose clock is off by the given time.
 func (m *Mesh) addForTest(name string, off time.Duration, incarnation int64) {
-	m.take(Digest{Node: name, Incarnation: incarnation, State: Ready, WallMillis: time.Now().Add(off).UnixMilli()}, "127.0.0.1:1")
+	m.take(Digest{Node: name, Incarnation: incarnation, State: Ready, WallMillis: time.Now().Add(off).UnixMilli()}, "127.0.0.1:1", boottime.Now())
 }
 
 func newTestMesh() *Mesh {
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -171,7 +171,9 @@
 func (n *node) digest() mesh.Digest {
 	d := mesh.Digest{
 		Node: n.settings.Node, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain, Address: n.settings.CallerAddress,
-		State: n.state(), WallMillis: time.Now().UnixMilli(), ProofAge: -1, HoldsLease: n.holdsLease.Load(),
+		// The clock is read before the age of the proof: a pause between the two makes the proof look older, not younger.
+		State: n.state(), BootMillis: time.Duration(boottime.Now()).Milliseconds(), WallMillis: time.Now().UnixMilli(),
+		ProofAge: -1, HoldsLease: n.holdsLease.Load(),
 		Loads: n.backends.Own(), Demand: n.backends.Demand(), Uses: n.ledger.Own(), Crashes: n.relay.Crashes.Own(time.Now()), Runs: n.counter.Own(),
 	}
 	if config := n.current.Config(); config != nil {
@@ -190,9 +192,7 @@
 	n.ledger.Learn(incarnation, m.Uses)
 	n.counter.Learn(incarnation, m.Runs)
 	n.relay.Crashes.Learn(m.Node, m.Crashes)
-	if m.ProofAge >= 0 {
-		// The time on the way is not known; it counts as proofDelay.
-		at := m.HeardAt.Add(-time.Duration(m.ProofAge)*time.Millisecond - proofDelay)
+	if at, found := m.ProvedAt(); found {
 		n.current.Prove(m.ConfigVersion, at)
 	}
 	heard, known := n.mesh.Reach()
@@ -200,9 +200,6 @@
 	n.relay.SetNodes(known)
 }
 
-// proofDelay is added to the age of a proof that a peer hands on, for its time on the way.
-const proofDelay = 300 * time.Millisecond
-
 func incarnationName(m mesh.Member) string {
 	return m.Node + "/" + time.UnixMilli(m.Incarnation).UTC().Format("150405.000")
 }
