Apply the configuration's limits to callers' connections

Cause: header time, idle time and header size were constants. Callers reuse connections for up to four fifths of the configured idle time; where that is longer than 18.75 s, the fixed 15 s closed connections on them.

Change: callerServer serves connections under the limits in force when they are opened, with one http.Server for each set of limits, since net/http reads them when a server starts. Bodies of requests before the first configuration are bounded.

--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -103,11 +103,14 @@
 	}
 }
 
+// unconfiguredBodyBytes bounds the bodies of requests that come before the configuration is known; they are refused.
+const unconfiguredBodyBytes = 1 << 20
+
 func (s *Server) maxBodyBytes() int64 {
 	if config := s.Current.Config(); config != nil {
 		return config.Limits.MaxBodyBytes
 	}
-	return 0
+	return unconfiguredBodyBytes
 }
 
 // admit finds the route and the organisation of a request.
--- /dev/null
+++ b/rudder/relaynode/callers.go
@@ -0,0 +1,188 @@
+package relaynode
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/traffic"
+)
+
+// Limits of callers that the configuration does not set, or that hold until it is known.
+const (
+	defaultHeaderTimeout  = 3 * time.Second
+	defaultIdleTimeout    = 15 * time.Second
+	defaultMaxHeaderBytes = 64 << 10
+)
+
+// callerServer serves callers under the limits of the configuration. A connection keeps the limits that were in force when
+// it was opened: net/http reads them when a server starts, so that there is one http.Server for each set of limits.
+type callerServer struct {
+	listener net.Listener
+	handler  http.Handler
+	limits   func() traffic.Limits
+	log      *slog.Logger
+
+	mu      sync.Mutex
+	servers map[connectionLimits]*limitedServer
+	closing bool
+}
+
+// connectionLimits are the limits that net/http enforces.
+type connectionLimits struct {
+	maxHeaderBytes             int
+	headerTimeout, idleTimeout time.Duration
+}
+
+// limitedServer is an HTTP server that gets its connections from the callerServer.
+type limitedServer struct {
+	*http.Server
+	connections *handedListener
+}
+
+func newCallerServer(listener net.Listener, handler http.Handler, limits func() traffic.Limits, log *slog.Logger) *callerServer {
+	return &callerServer{listener: listener, handler: handler, limits: limits, log: log, servers: map[connectionLimits]*limitedServer{}}
+}
+
+// Serve accepts connections until the listener is closed. It returns nil after Shutdown or Close.
+func (s *callerServer) Serve() error {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.closing {
+				return nil
+			}
+			return errors.Wrapf(err, "serve %s", s.listener.Addr())
+		}
+		s.serverFor(connectionLimitsOf(s.limits())).connections.hand(conn)
+	}
+}
+
+func connectionLimitsOf(l traffic.Limits) connectionLimits {
+	c := connectionLimits{maxHeaderBytes: defaultMaxHeaderBytes, headerTimeout: defaultHeaderTimeout, idleTimeout: defaultIdleTimeout}
+	if l.MaxHeaderBytes > 0 {
+		c.maxHeaderBytes = l.MaxHeaderBytes
+	}
+	if l.HeaderTimeout > 0 {
+		c.headerTimeout = l.HeaderTimeout
+	}
+	if l.IdleTimeout > 0 {
+		c.idleTimeout = l.IdleTimeout
+	}
+	return c
+}
+
+// serverFor returns the server for new connections under the given limits.
+func (s *callerServer) serverFor(l connectionLimits) *limitedServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if server, found := s.servers[l]; found {
+		return server
+	}
+	server := &limitedServer{
+		Server: &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: l.headerTimeout, IdleTimeout: l.idleTimeout, MaxHeaderBytes: l.maxHeaderBytes,
+			ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+		},
+		connections: newHandedListener(s.listener.Addr()),
+	}
+	s.servers[l] = server
+	s.log.Info("Limits of callers' connections are in force.", "max_header_bytes", l.maxHeaderBytes,
+		"header_timeout_seconds", l.headerTimeout.Seconds(), "idle_timeout_seconds", l.idleTimeout.Seconds())
+	if s.closing {
+		server.SetKeepAlivesEnabled(false)
+	}
+	go func() {
+		if err := server.Server.Serve(server.connections); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("Callers are not served any more.", "error", err)
+		}
+	}()
+	return server
+}
+
+// all returns the servers and keeps those that are made later from reusing connections.
+func (s *callerServer) all() []*limitedServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	var list []*limitedServer
+	for _, server := range s.servers {
+		list = append(list, server)
+	}
+	return list
+}
+
+// StopReuse closes connections after their current response. New ones are still accepted.
+func (s *callerServer) StopReuse() {
+	for _, server := range s.all() {
+		server.SetKeepAlivesEnabled(false)
+	}
+}
+
+// Shutdown accepts nothing more and waits until connections are idle. It returns the error of ctx if that ends first.
+func (s *callerServer) Shutdown(ctx context.Context) error {
+	servers := s.all()
+	_ = s.listener.Close() // the process ends
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close closes the listener and all connections.
+func (s *callerServer) Close() {
+	servers := s.all()
+	_ = s.listener.Close() // the process ends, whatever an open connection says
+	for _, server := range servers {
+		_ = server.Close()
+	}
+}
+
+// handedListener is a listener whose connections were accepted elsewhere.
+type handedListener struct {
+	address net.Addr
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func newHandedListener(address net.Addr) *handedListener {
+	return &handedListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// hand passes on a connection, or closes it after the listener was closed.
+func (l *handedListener) hand(conn net.Conn) {
+	select {
+	case l.conns <- conn:
+	case <-l.closed:
+		_ = conn.Close()
+	}
+}
+
+// Accept implements net.Listener.
+func (l *handedListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *handedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *handedListener) Addr() net.Addr { return l.address }
--- /dev/null
+++ b/rudder/relaynode/callers_test.go
@@ -0,0 +1,128 @@
+package relaynode
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/traffic"
+)
+
+// startCallerServer serves an empty answer under limits that the test may change.
+func startCallerServer(t *testing.T, first traffic.Limits) (address string, limits *atomic.Pointer[traffic.Limits], server *callerServer) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits = &atomic.Pointer[traffic.Limits]{}
+	limits.Store(&first)
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	server = newCallerServer(listener, handler, func() traffic.Limits { return *limits.Load() }, slog.New(slog.DiscardHandler))
+	served := make(chan error, 1)
+	go func() { served <- server.Serve() }()
+	t.Cleanup(func() {
+		server.Close()
+		if err := <-served; err != nil {
+			t.Errorf("Serve returned %v after Close", err)
+		}
+	})
+	return listener.Addr().String(), limits, server
+}
+
+func dialCaller(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// request sends one request and returns the status of its answer.
+func request(t *testing.T, conn net.Conn, header string) int {
+	t.Helper()
+	if _, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: x\r\n%s\r\n", header); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode
+}
+
+// closedWithin reports whether the server closes the connection in the given time.
+func closedWithin(t *testing.T, conn net.Conn, d time.Duration) bool {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(d))
+	_, err := io.Copy(io.Discard, conn)
+	return err == nil
+}
+
+// Callers reuse connections that are idle for less than the configured time. A fixed idle time that is shorter closes the
+// connection on them.
+func TestIdleTimeoutFollowsTheConfiguration(t *testing.T) {
+	address, limits, _ := startCallerServer(t, traffic.Limits{IdleTimeout: 200 * time.Millisecond})
+	early := dialCaller(t, address)
+	request(t, early, "")
+	if !closedWithin(t, early, 10*time.Second) {
+		t.Error("connection is open after the idle time")
+	}
+	limits.Store(&traffic.Limits{IdleTimeout: time.Hour})
+	late := dialCaller(t, address)
+	request(t, late, "")
+	if closedWithin(t, late, 600*time.Millisecond) {
+		t.Error("connection is closed before the new idle time")
+	}
+}
+
+// A header that takes too long or is too large must not hold a connection.
+func TestHeaderLimitsFollowTheConfiguration(t *testing.T) {
+	address, _, _ := startCallerServer(t, traffic.Limits{HeaderTimeout: 200 * time.Millisecond, MaxHeaderBytes: 10_000})
+	slow := dialCaller(t, address)
+	if _, err := io.WriteString(slow, "GET / HTTP/1.1\r\nHost: "); err != nil {
+		t.Fatal(err)
+	}
+	if !closedWithin(t, slow, 10*time.Second) {
+		t.Error("connection with half a header is open after the header time")
+	}
+	if status := request(t, dialCaller(t, address), "A: "+strings.Repeat("a", 9_000)+"\r\n"); status != http.StatusOK {
+		t.Errorf("header within the limit is answered with %d", status)
+	}
+	// net/http allows 4 KiB beyond the limit.
+	if status := request(t, dialCaller(t, address), "A: "+strings.Repeat("a", 20_000)+"\r\n"); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("header beyond the limit is answered with %d", status)
+	}
+}
+
+// A stopping node serves new connections for a while, and none of them may be reused; after Shutdown nothing is served.
+func TestStoppingServerClosesConnectionsAfterTheirResponse(t *testing.T) {
+	address, limits, server := startCallerServer(t, traffic.Limits{})
+	server.StopReuse()
+	limits.Store(&traffic.Limits{IdleTimeout: time.Hour}) // new limits make a new http.Server
+	conn := dialCaller(t, address)
+	if status := request(t, conn, ""); status != http.StatusOK {
+		t.Errorf("new connection is answered with %d", status)
+	}
+	if !closedWithin(t, conn, 10*time.Second) {
+		t.Error("connection stays open after its response")
+	}
+	if err := server.Shutdown(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if conn, err := net.Dial("tcp4", address); err == nil {
+		_ = conn.Close()
+		t.Error("connection is accepted after the shutdown")
+	}
+}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -31,11 +31,6 @@
 const (
 	// dialTimeout is how long a connection to a backend server may take; delays between hosts are a few milliseconds.
 	dialTimeout = 300 * time.Millisecond
-	// headerTimeout and idleTimeout hold for all callers; of the configuration's limits only that of the body is applied.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 15 * time.Second
-	// maxHeaderBytes bounds a caller's header.
-	maxHeaderBytes = 64 << 10
 	// memoryShare is the part of the memory limit at which garbage is collected however fast the heap grows.
 	memoryShare = 0.6
 	// gcPercent trades processor time for a small peak of memory; both are paid for.
@@ -93,8 +88,7 @@
 	for _, loop := range n.loops(socket) {
 		group.Go(func() error { loop(groupCtx); return nil })
 	}
-	callers := n.callerServer()
-	closeListeners, err := n.listen(group, callers, metrics)
+	callers, closeServers, err := n.listen(group, metrics)
 	if err != nil {
 		return err
 	}
@@ -102,7 +96,7 @@
 	n.await(ctx, groupCtx.Done())
 	n.stop(callers, socket)
 	stopParts()
-	closeListeners()
+	closeServers()
 	return group.Wait()
 }
 
@@ -254,49 +248,51 @@
 	return max(1, config.Services[service].MaxConnections/(2*known))
 }
 
-// callerServer returns the HTTP server for callers.
-func (n *node) callerServer() *http.Server {
-	return &http.Server{
-		Handler: n.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(n.logger.Part("http").Handler(), slog.LevelDebug),
+// callerLimits returns the limits of the configuration in force.
+func (n *node) callerLimits() traffic.Limits {
+	if config := n.current.Config(); config != nil {
+		return config.Limits
 	}
+	return traffic.Limits{}
 }
 
 // listen opens every socket before it serves any. The returned function closes them.
-func (n *node) listen(group *errgroup.Group, callers *http.Server, metrics *telemetry.Metrics) (func(), error) {
-	servers := map[string]*http.Server{n.settings.CallerAddress: callers}
+func (n *node) listen(group *errgroup.Group, metrics *telemetry.Metrics) (*callerServer, func(), error) {
 	routers := map[string]*mux.Router{}
 	handle := func(address, path string, handler http.Handler) {
-		router, found := routers[address]
-		if !found {
-			router = mux.NewRouter()
-			routers[address] = router
-			servers[address] = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		if routers[address] == nil {
+			routers[address] = mux.NewRouter()
 		}
-		router.Handle(path, handler).Methods(http.MethodGet)
+		routers[address].Handle(path, handler).Methods(http.MethodGet)
 	}
 	handle(n.settings.ReadyAddress, n.outside.ReadyPath, http.HandlerFunc(n.serveReady))
 	handle(n.settings.DirectoryAddress, n.outside.AddressPath, http.HandlerFunc(n.serveAddresses))
 	handle(n.settings.MetricsAddress, "/metrics", metrics.Handler())
-	var listeners []net.Listener
-	var ordered []*http.Server
-	for address, server := range servers {
+	listener, err := net.Listen("tcp4", n.settings.CallerAddress)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "listen on %s", n.settings.CallerAddress)
+	}
+	callers := newCallerServer(listener, n.relay, n.callerLimits, n.logger.Part("http"))
+	listeners := map[net.Listener]*http.Server{}
+	for address, router := range routers {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
-			return nil, errors.Wrapf(err, "listen on %s", address)
+			return nil, nil, errors.Wrapf(err, "listen on %s", address)
 		}
-		listeners, ordered = append(listeners, listener), append(ordered, server)
+		listeners[listener] = &http.Server{Handler: router, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	}
-	for i, server := range ordered {
+	group.Go(callers.Serve)
+	for listener, server := range listeners {
 		group.Go(func() error {
-			if err := server.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
-				return errors.Wrapf(err, "serve %s", listeners[i].Addr())
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Wrapf(err, "serve %s", listener.Addr())
 			}
 			return nil
 		})
 	}
-	return func() {
-		for _, server := range ordered {
+	return callers, func() {
+		callers.Close()
+		for _, server := range listeners {
 			_ = server.Close() // the process ends, whatever an open connection says
 		}
 	}, nil
--- a/rudder/relaynode/stop.go
+++ b/rudder/relaynode/stop.go
@@ -46,11 +46,11 @@
 
 // stop lets requests in progress end: first callers are sent elsewhere while new requests are still served, then new
 // requests are refused as not run.
-func (n *node) stop(callers *http.Server, socket net.PacketConn) {
+func (n *node) stop(callers *callerServer, socket net.PacketConn) {
 	begin := time.Now()
 	n.draining.Store(true)
 	n.relay.Drain()
-	callers.SetKeepAlivesEnabled(false)
+	callers.StopReuse()
 	n.mesh.Announce(socket)
 	go n.unregister() // beside the requests: the store may be slow
 	n.log.Info("Node is stopping.", "requests", n.relay.InProgress(), "deadline_seconds", n.settings.StopTimeout.Seconds())
--- a/rudder/traffic/traffic.go
+++ b/rudder/traffic/traffic.go
@@ -88,9 +88,12 @@
 	Burst         float64
 }
 
-// Limits bound what a caller may send.
+// Limits bound what a caller may send and how long it may take. Values of 0 are not set.
 type Limits struct {
-	MaxBodyBytes int64
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
+	HeaderTimeout  time.Duration // for the header of a request
+	IdleTimeout    time.Duration // for a connection without a request
 }
 
 // Config is one version of the configuration. It is immutable once Index has been called.
