Share waits, JSON requests and the list of leases

Change: packages sleep and jsonhttp, lease.Manager.HoldEach and settings.ListMistakes replace the copies. followReach sets the shares each 250 ms instead of with each digest, which sorted all members each time.

--- a/rudder/capacity/loop.go
+++ b/rudder/capacity/loop.go
@@ -4,7 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"sync"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,26 +67,8 @@
 // Run holds the lease of each deployment, when it gets it, and rents hosts until ctx ends. Deployments that appear later
 // are taken up with the next look at the configuration.
 func (l *Loop) Run(ctx context.Context) {
-	var tasks sync.WaitGroup
-	defer tasks.Wait()
-	known := map[string]bool{}
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		for name := range l.Current.Index().Deployments {
-			if !known[name] {
-				known[name] = true
-				tasks.Go(func() {
-					l.Leases.Hold(ctx, "capacity-"+name, func(ctx context.Context, held *lease.Lease) { l.hold(ctx, name, held) })
-				})
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	names := func() []string { return slices.Collect(maps.Keys(l.Current.Index().Deployments)) }
+	l.Leases.HoldEach(ctx, interval, "capacity-", names, l.hold)
 }
 
 // holder is the work of one lease.
--- a/rudder/claim/client.go
+++ b/rudder/claim/client.go
@@ -10,6 +10,7 @@
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -63,10 +64,8 @@
 				return true
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep.For(ctx, settlePause) {
 			return false
-		case <-time.After(settlePause):
 		}
 	}
 	return false
--- a/rudder/cloud/api.go
+++ b/rudder/cloud/api.go
@@ -1,7 +1,6 @@
 package cloud
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -12,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/jsonhttp"
 	"chestnutrudder.example/rudder/object"
 )
 
@@ -99,17 +99,9 @@
 }
 
 func (a *API) call(ctx context.Context, method, path string, in, out any) error {
-	var body io.Reader
-	if in != nil {
-		raw, err := json.Marshal(in)
-		if err != nil {
-			return errors.Wrap(err, "encode request")
-		}
-		body = bytes.NewReader(raw)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, a.base+path, body)
+	request, err := jsonhttp.NewRequest(ctx, method, a.base+path, in)
 	if err != nil {
-		return errors.Wrap(err, "build request")
+		return err
 	}
 	reply, err := a.http.Do(request)
 	if err != nil {
--- a/rudder/daemon/stop.go
+++ b/rudder/daemon/stop.go
@@ -10,6 +10,7 @@
 	"chestnutrudder.example/rudder/dispatch"
 	"chestnutrudder.example/rudder/entry"
 	"chestnutrudder.example/rudder/membership"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -53,10 +54,7 @@
 		d.dispatcher.HandOver()
 		d.callers.HandOver()
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(min(settleTime, left/4)):
-	}
+	sleep.For(ctx, min(settleTime, left/4))
 }
 
 // notice is the body of POST /drain.
--- a/rudder/dispatch/execute.go
+++ b/rudder/dispatch/execute.go
@@ -12,6 +12,7 @@
 	"chestnutrudder.example/rudder/peer"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/quarantine"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 // Priorities on the engine.
@@ -273,10 +274,8 @@
 				return true
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep.For(ctx, probePause) {
 			return errors.Is(err, engine.ErrDown)
-		case <-time.After(probePause):
 		}
 	}
 	return true
--- a/rudder/engine/client.go
+++ b/rudder/engine/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/jsonhttp"
 )
 
 // Errors of this layer.
@@ -182,17 +184,9 @@
 
 // exchange is call without a time limit of its own.
 func (c *Client) exchange(ctx context.Context, method, path string, in, out any) error {
-	var body io.Reader
-	if in != nil {
-		raw, err := json.Marshal(in)
-		if err != nil {
-			return errors.Wrap(err, "encode request")
-		}
-		body = bytes.NewReader(raw)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	request, err := jsonhttp.NewRequest(ctx, method, c.base+path, in)
 	if err != nil {
-		return errors.Wrap(err, "build request")
+		return err
 	}
 	reply, err := c.http.Do(request)
 	if err != nil {
--- a/rudder/entry/call.go
+++ b/rudder/entry/call.go
@@ -23,6 +23,7 @@
 	"chestnutrudder.example/rudder/peer"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/route"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -207,7 +208,7 @@
 	request := &peerpb.ClaimRequest{Organisation: c.organisation, Key: c.key, Fingerprint: c.fingerprint(), Claimant: c.id}
 	response := c.server.Claims.Claim(ctx, request)
 	for wait := firstClaimWait; wait <= lastClaimWait; wait *= 2 {
-		if response.State != peerpb.ClaimState_CLAIM_STATE_CLAIMED || pause(ctx, wait) != nil {
+		if response.State != peerpb.ClaimState_CLAIM_STATE_CLAIMED || !sleep.For(ctx, wait) {
 			break
 		}
 		response = c.server.Claims.Claim(ctx, request)
--- a/rudder/entry/pursue.go
+++ b/rudder/entry/pursue.go
@@ -14,6 +14,7 @@
 	"chestnutrudder.example/rudder/peer"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -205,7 +206,10 @@
 		d = min(max(d, p.wait), longPause)
 	}
 	p.wait = 0
-	return pause(ctx, d)
+	if !sleep.For(ctx, d) {
+		return context.Cause(ctx)
+	}
+	return nil
 }
 
 func (s *session) setPending(node string) {
@@ -370,12 +374,3 @@
 }
 
 var _ nodeView = (*Server)(nil)
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/rudder/fleet/notices.go
+++ b/rudder/fleet/notices.go
@@ -14,6 +14,7 @@
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/peer/peerpb"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -116,7 +117,7 @@
 	failing := false
 	for ctx.Err() == nil {
 		if !n.Members.Responsible(matterNotices) {
-			pause(ctx, checkPause)
+			sleep.For(ctx, checkPause)
 			continue
 		}
 		page, err := n.Source.Notices(ctx, from)
@@ -125,7 +126,7 @@
 				n.Log.Warn("Notices could not be read from the cloud.", "error", err)
 			}
 			failing = true
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		failing = false
@@ -146,12 +147,12 @@
 	for ctx.Err() == nil {
 		if !n.Members.Responsible(matterNotices) {
 			after = -1
-			pause(ctx, checkPause)
+			sleep.For(ctx, checkPause)
 			continue
 		}
 		next, err := n.readObjects(ctx, after)
 		if err != nil {
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		after = next
@@ -221,10 +222,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/rudder/lease/manager.go
+++ b/rudder/lease/manager.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -54,7 +56,26 @@
 		if c.held != nil {
 			m.run(ctx, c, fn)
 		}
-		wait(ctx, m.pollInterval())
+		sleep.For(ctx, m.pollInterval())
+	}
+}
+
+// HoldEach holds the lease of each name as Hold does, with the name passed to fn, and looks for new names each interval
+// until ctx ends. It returns when all have ended.
+func (m *Manager) HoldEach(ctx context.Context, interval time.Duration, prefix string, names func() []string, fn func(ctx context.Context, name string, lease *Lease)) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	known := map[string]bool{}
+	for ctx.Err() == nil {
+		for _, name := range names() {
+			if !known[name] {
+				known[name] = true
+				tasks.Go(func() {
+					m.Hold(ctx, prefix+name, func(ctx context.Context, lease *Lease) { fn(ctx, name, lease) })
+				})
+			}
+		}
+		sleep.For(ctx, interval)
 	}
 }
 
@@ -101,7 +122,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			m.Log.Warn("Lease could not be renewed.", "lease", held.Name, "error", err)
-			wait(ctx, min(time.Second, m.Timing.Duration/10))
+			sleep.For(ctx, min(time.Second, m.Timing.Duration/10))
 		}
 	}
 }
@@ -114,10 +135,3 @@
 	}
 	return c.renew(ctx)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/quota"
+	"chestnutrudder.example/rudder/sleep"
 	"chestnutrudder.example/rudder/usage"
 )
 
@@ -126,10 +127,7 @@
 	go m.receive(ctx, conn)
 	for ctx.Err() == nil {
 		m.tell(conn)
-		select {
-		case <-ctx.Done():
-		case <-time.After(m.interval()):
-		}
+		sleep.For(ctx, m.interval())
 	}
 }
 
@@ -274,13 +272,17 @@
 
 // Reach returns how many nodes are in touch and how many are known, this one included in both.
 func (m *Mesh) Reach() (heard, known int) {
-	heard = len(m.Members()) + 1
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known = 1
+	heard, known = 1, 1
+	now := boottime.Now()
 	silentAfter := m.silentAfter()
 	for _, member := range m.members {
-		if member.State != Draining || boottime.Since(member.HeardAt) <= silentAfter {
+		inTouch := now.Sub(member.HeardAt) <= silentAfter
+		if inTouch {
+			heard++
+		}
+		if inTouch || member.State != Draining {
 			known++
 		}
 	}
--- a/rudder/objectapi/client.go
+++ b/rudder/objectapi/client.go
@@ -1,7 +1,6 @@
 package objectapi
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,6 +13,9 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/jsonhttp"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -97,10 +99,8 @@
 // lost write may be on its way, so that the same write is sent again: its condition lets it take effect only once.
 func (c *Client) settlePut(ctx context.Context, key string, body PutBody) (Object, error) {
 	for range settleTries {
-		select {
-		case <-ctx.Done():
+		if !sleep.For(ctx, settleDelay) {
 			return Object{}, ErrUnsettled
-		case <-time.After(settleDelay):
 		}
 		current, err := c.Get(ctx, key)
 		switch {
@@ -158,17 +158,9 @@
 // was sent and not answered.
 func (c *Client) call(ctx context.Context, kind, method, path string, in, out any) error {
 	c.count(kind)
-	var body io.Reader
-	if in != nil {
-		raw, err := json.Marshal(in)
-		if err != nil {
-			return errors.Wrap(err, "encode request")
-		}
-		body = bytes.NewReader(raw)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	request, err := jsonhttp.NewRequest(ctx, method, c.base+path, in)
 	if err != nil {
-		return errors.Wrap(err, "build request")
+		return err
 	}
 	reply, err := c.http.Do(request)
 	if err != nil {
--- a/rudder/objectapi/follow.go
+++ b/rudder/objectapi/follow.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -79,10 +80,7 @@
 			f.Log.Warn("Object API does not answer.", "prefix", f.Prefix, "error", err)
 		}
 		lost = true
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
-		}
+		sleep.For(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, longestPause)
 	}
 }
@@ -123,10 +121,7 @@
 	}
 	f.Seen(sent)
 	if len(changes.Events) > 0 && f.Pause != nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(f.Pause()):
-		}
+		sleep.For(ctx, f.Pause())
 	}
 	return changes.Revision, nil
 }
--- a/rudder/relaynode/capacity.go
+++ b/rudder/relaynode/capacity.go
@@ -10,6 +10,7 @@
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/capacity"
 	"chestnutrudder.example/rudder/lease"
+	"chestnutrudder.example/rudder/sleep"
 	"chestnutrudder.example/rudder/traffic"
 )
 
@@ -110,10 +111,8 @@
 				}
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep.For(ctx, planInterval) {
 			return
-		case <-time.After(planInterval):
 		}
 	}
 }
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -12,6 +12,7 @@
 	"chestnutrudder.example/rudder/lease"
 	"chestnutrudder.example/rudder/mesh"
 	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/sleep"
 	"chestnutrudder.example/rudder/usage"
 )
 
@@ -88,10 +89,7 @@
 		if heard == 1 || 2*heard < known {
 			n.readNodes(ctx)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(nodesInterval):
-		}
+		sleep.For(ctx, nodesInterval)
 	}
 }
 
--- a/rudder/relaynode/follow.go
+++ b/rudder/relaynode/follow.go
@@ -9,6 +9,7 @@
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/mesh"
 	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -121,10 +122,7 @@
 // guardProof looks after the proof of the configuration until ctx ends.
 func (n *node) guardProof(ctx context.Context) {
 	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(proofInterval):
-		}
+		sleep.For(ctx, proofInterval)
 		n.renewProof()
 	}
 }
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -23,6 +23,7 @@
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/quota"
 	"chestnutrudder.example/rudder/relay"
+	"chestnutrudder.example/rudder/sleep"
 	"chestnutrudder.example/rudder/telemetry"
 	"chestnutrudder.example/rudder/traffic"
 	"chestnutrudder.example/rudder/usage"
@@ -153,7 +154,7 @@
 	}
 	loops := []func(context.Context){
 		func(ctx context.Context) { n.mesh.Run(ctx, socket) },
-		n.config.Run, servers.Run, n.relay.Watch, n.maintain, n.guardProof, n.register,
+		n.config.Run, servers.Run, n.relay.Watch, n.maintain, n.followReach, n.guardProof, n.register,
 	}
 	if n.settings.ReportsUsage || n.settings.OrdersCapacity {
 		loops = append(loops, func(ctx context.Context) { n.leases.Hold(ctx, dutyLease, n.doDuties) })
@@ -189,9 +190,6 @@
 	if at, found := m.ProvedAt(); found {
 		n.current.Prove(m.ConfigVersion, at)
 	}
-	heard, known := n.mesh.Reach()
-	n.ledger.SetShare(float64(heard) / float64(known))
-	n.relay.SetNodes(known)
 }
 
 func incarnationName(m mesh.Member) string {
@@ -227,13 +225,18 @@
 
 func (n *node) maintain(ctx context.Context) {
 	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(maintenanceInterval):
-		}
+		sleep.For(ctx, maintenanceInterval)
 		n.backends.Maintain(idleConnection)
+	}
+}
+
+// followReach divides what all nodes share by the nodes that are in touch.
+func (n *node) followReach(ctx context.Context) {
+	for ctx.Err() == nil {
 		heard, known := n.mesh.Reach()
 		n.ledger.SetShare(float64(heard) / float64(known))
+		n.relay.SetNodes(known)
+		sleep.For(ctx, mesh.Interval)
 	}
 }
 
--- a/rudder/relaynode/settings.go
+++ b/rudder/relaynode/settings.go
@@ -21,7 +21,6 @@
 // Settings are the settings of a relaying node.
 type Settings struct {
 	Node           string
-	Region         string
 	FailureDomain  string
 	FailureDomains []string // all of them
 
--- a/rudder/revision/acceptor.go
+++ b/rudder/revision/acceptor.go
@@ -15,6 +15,7 @@
 	"chestnutrudder.example/rudder/lease"
 	"chestnutrudder.example/rudder/object"
 	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 // LeaseName is the name of the lease that the acceptor runs under.
@@ -77,7 +78,7 @@
 		if err != nil {
 			a.Log.Warn("Configuration could not be accepted.", "error", err)
 			after = -1
-			sleep(ctx, retryDelay)
+			sleep.For(ctx, retryDelay)
 			continue
 		}
 		if s.changed(ctx, &after) {
@@ -92,11 +93,11 @@
 	defer cancel()
 	changes, err := a.Store.Watch(watchCtx, object.SpecPrefix, *after)
 	if err != nil {
-		sleep(ctx, retryDelay)
+		sleep.For(ctx, retryDelay)
 		return true
 	}
 	if changes.Reset || changes.Revision < *after || len(changes.Events) > 0 {
-		sleep(ctx, coalesceDelay)
+		sleep.For(ctx, coalesceDelay)
 		return true
 	}
 	*after = changes.Revision
@@ -277,10 +278,3 @@
 	}
 	return snapshot, errors.Wrapf(json.Unmarshal(o.Value, &snapshot), "decode snapshot %q", key)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/rudder/revision/follower.go
+++ b/rudder/revision/follower.go
@@ -14,6 +14,7 @@
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/peer/peerpb/peerpbconnect"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -334,7 +335,7 @@
 		}
 		f.Log.Warn("Revision pointer could not be read.", "error", err)
 		after = -1
-		sleep(ctx, pause/2+rand.N(pause/2+1))
+		sleep.For(ctx, pause/2+rand.N(pause/2+1))
 		pause = min(2*pause, maxWatchPause)
 	}
 }
--- a/rudder/rollout/loop.go
+++ b/rudder/rollout/loop.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,26 +48,18 @@
 
 // Run holds the lease of each model deployment, when it gets it, until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
-	var tasks sync.WaitGroup
-	defer tasks.Wait()
-	known := map[string]bool{}
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		for name, spec := range l.Current.Index().Deployments {
-			if !known[name] && spec.Backend == object.BackendModel {
-				known[name] = true
-				tasks.Go(func() {
-					l.Leases.Hold(ctx, "rollout-"+name, func(ctx context.Context, held *lease.Lease) { l.hold(ctx, name, held) })
-				})
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+	l.Leases.HoldEach(ctx, interval, "rollout-", l.modelDeployments, l.hold)
+}
+
+// modelDeployments returns the names of the deployments of models.
+func (l *Loop) modelDeployments() []string {
+	var names []string
+	for name, spec := range l.Current.Index().Deployments {
+		if spec.Backend == object.BackendModel {
+			names = append(names, name)
 		}
 	}
+	return names
 }
 
 // runner is what the holder remembers of a model runner.
--- a/rudder/settings/settings.go
+++ b/rudder/settings/settings.go
@@ -116,10 +116,11 @@
 	if !slices.Contains([]string{"risk", "on-demand", "off"}, s.Capacity) {
 		add("--capacity", s.Capacity, "risk, on-demand, off")
 	}
-	return listMistakes(mistakes)
+	return ListMistakes(mistakes)
 }
 
-func listMistakes(mistakes []string) error {
+// ListMistakes returns one error that lists all mistakes, nil if there are none.
+func ListMistakes(mistakes []string) error {
 	if len(mistakes) == 0 {
 		return nil
 	}
--- a/rudder/usage/reporter.go
+++ b/rudder/usage/reporter.go
@@ -11,6 +11,7 @@
 
 	"chestnutrudder.example/rudder/lease"
 	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 // Prefix is the prefix of reports in the object API. A report is written there before it is sent, so that a successor
@@ -71,10 +72,8 @@
 			savedAt = time.Now()
 			r.save(ctx)
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep.For(ctx, step) {
 			return
-		case <-time.After(step):
 		}
 	}
 }
