Watch the registry at one node of each failure domain

Change: the first ready node of a failure domain watches, 400 ms at a time, and its digests tell the changes of the last 4 s with the revisions between which they are complete. The others take them (objectapi.Follower.Advance) and call only when they start, miss changes or have heard nothing for 0.8 to 1.4 s, so that a leaving server is known within its two seconds also when the watching nodes are cut off or frozen.

Ruled out: the version of an object as the position in the history; the product's own object API counts versions for each object.

--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -14,6 +14,7 @@
 
 // Entry is what a backend server says of itself in the registry.
 type Entry struct {
+	_             struct{} `cbor:",toarray"`
 	ID            string
 	Service       string
 	Address       string // IP:port
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -51,6 +51,25 @@
 	Crashes       map[string]int              `cbor:"14,keyasint,omitempty"` // crashed servers by fingerprint of the request
 	Runs          usage.Windows               `cbor:"15,keyasint,omitempty"`
 	Peers         []string                    `cbor:"16,keyasint,omitempty"` // some addresses that the sender knows
+	Registry      Registry                    `cbor:"17,keyasint,omitempty"`
+}
+
+// Registry is what a node knows of the outside registry of backend servers.
+type Registry struct {
+	_        struct{} `cbor:",toarray"`
+	From     int64    // Changes are all changes after this revision
+	Revision int64    // up to this one; 0: none is known
+	Age      int64    // milliseconds since Revision was the newest
+	CallAge  int64    // milliseconds since the node's last answered call
+	Changes  []RegistryChange
+}
+
+// RegistryChange is one change of the registry.
+type RegistryChange struct {
+	_        struct{} `cbor:",toarray"`
+	Revision int64    // at which the sender learnt it
+	Server   backend.Entry
+	Removed  bool // only the server's ID is given
 }
 
 // Member is a peer as this node heard it last.
--- a/rudder/relaynode/follow.go
+++ b/rudder/relaynode/follow.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"path"
 	"time"
 
-	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/mesh"
 	"chestnutrudder.example/rudder/objectapi"
@@ -19,21 +17,10 @@
 	proofInterval = 800 * time.Millisecond
 	// longProof is the age of the proof from which on a node asks by itself.
 	longProof = 1600 * time.Millisecond
-	// configWait and registryWait are how long a watch waits that only has to tell changes.
-	configWait   = 20 * time.Second
-	registryWait = 5 * time.Second
-	// pausePerNode and maxRegistryPause space the watches of the registry: each change costs a call of every node, and a
-	// leaving backend server may get new work for two seconds.
-	pausePerNode     = 8 * time.Millisecond
-	maxRegistryPause = 600 * time.Millisecond
+	// configWait is how long a watch of the configuration waits that only has to tell changes.
+	configWait = 20 * time.Second
 )
 
-// registryPause returns how long changes of the registry are collected.
-func (n *node) registryPause() time.Duration {
-	_, known := n.mesh.Reach()
-	return min(time.Duration(known)*pausePerNode, maxRegistryPause)
-}
-
 // configWait returns how long the next watch of the configuration waits.
 func (n *node) configWait() time.Duration {
 	if n.relay.Freshness.Send > 0 && (n.proves() || boottime.Since(n.current.ProvedAt()) > longProof) {
@@ -86,39 +73,12 @@
 }
 
 // proved notes that the configuration in force was the newest one when a call was sent.
-func (n *node) proved(sent boottime.Instant) {
+func (n *node) proved(sent boottime.Instant, _ int64) {
 	if config := n.current.Config(); config != nil {
 		n.current.Prove(config.Version, sent)
 	}
 }
 
-func (n *node) replaceServers(objects []objectapi.Object) {
-	var entries []backend.Entry
-	for _, o := range objects {
-		e, err := n.outside.DecodeServer(o)
-		if err != nil {
-			n.log.Warn("Registry entry names no backend server.", "key", o.Key, "error", err)
-			continue
-		}
-		entries = append(entries, e)
-	}
-	n.backends.Replace(entries)
-}
-
-func (n *node) changeServer(e objectapi.Event) {
-	if e.Deleted {
-		n.backends.Remove(path.Base(e.Object.Key))
-		return
-	}
-	entry, err := n.outside.DecodeServer(e.Object)
-	if err != nil {
-		n.log.Warn("Registry entry names no backend server.", "key", e.Object.Key, "error", err)
-		n.backends.Remove(path.Base(e.Object.Key))
-		return
-	}
-	n.backends.Put(entry)
-}
-
 // guardProof looks after the proof of the configuration until ctx ends.
 func (n *node) guardProof(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -63,6 +63,7 @@
 	mesh     *mesh.Mesh
 	leases   *lease.Manager
 	config   *objectapi.Follower
+	registry *registry
 
 	incarnation int64
 	draining    atomic.Bool
@@ -109,6 +110,7 @@
 	n.backends = backend.NewTable(dialTimeout, logger.Part("backend"))
 	n.backends.IdleLimit = n.idleLimit
 	n.ledger = quota.NewLedger(s.FirstStart, s.QuotaTolerance, time.Now)
+	n.registry = newRegistry(n)
 	n.mesh = mesh.New(s.MeshAddress, s.MeshSeeds, n.digest, n.learn, logger.Part("mesh"))
 	n.counter = usage.NewCounter(max(s.UsageWindow, time.Second), n.mesh.Time)
 	n.relay = &relay.Server{
@@ -144,17 +146,9 @@
 		Seen:   n.proved,
 		Wait:   n.configWait,
 	}
-	servers := &objectapi.Follower{
-		Store: n.outside.Store, Prefix: n.outside.ServersPrefix, Log: n.logger.Part("registry"),
-		List:   func(objects []objectapi.Object, _ boottime.Instant) { n.replaceServers(objects) },
-		Change: n.changeServer,
-		Seen:   func(boottime.Instant) {},
-		Wait:   func() time.Duration { return registryWait },
-		Pause:  n.registryPause,
-	}
 	loops := []func(context.Context){
 		func(ctx context.Context) { n.mesh.Run(ctx, socket) },
-		n.config.Run, servers.Run, n.relay.Watch, n.maintain, n.followReach, n.guardProof, n.register,
+		n.config.Run, n.registry.follower.Run, n.relay.Watch, n.maintain, n.followReach, n.guardProof, n.register,
 	}
 	if n.settings.ReportsUsage || n.settings.OrdersCapacity {
 		loops = append(loops, func(ctx context.Context) { n.leases.Hold(ctx, dutyLease, n.doDuties) })
@@ -170,6 +164,7 @@
 		State: n.state(), BootMillis: time.Duration(boottime.Now()).Milliseconds(), WallMillis: time.Now().UnixMilli(),
 		ProofAge: -1, HoldsLease: n.holdsLease.Load(),
 		Loads: n.backends.Own(), Demand: n.backends.Demand(), Uses: n.ledger.Own(), Crashes: n.relay.Crashes.Own(time.Now()), Runs: n.counter.Own(),
+		Registry: n.registry.news(),
 	}
 	if config := n.current.Config(); config != nil {
 		d.ConfigVersion = config.Version
@@ -187,6 +182,7 @@
 	n.ledger.Learn(incarnation, m.Uses)
 	n.counter.Learn(incarnation, m.Runs)
 	n.relay.Crashes.Learn(m.Node, m.Crashes)
+	n.registry.take(m)
 	if at, found := m.ProvedAt(); found {
 		n.current.Prove(m.ConfigVersion, at)
 	}
