Serve idle connections until the node ends

SetKeepAlivesEnabled(false) closes connections that net/http counts as idle; one is counted so until its request has been read and its state changed, which takes long on a machine with a fifth of a processor.

Change: a stopping node no longer calls it. The relay already closes connections with their next response; the idle ones end with the node, when new requests are no longer passed on.

--- a/rudder/relaynode/callers.go
+++ b/rudder/relaynode/callers.go
@@ -96,9 +96,6 @@
 	s.servers[l] = server
 	s.log.Info("Limits of callers' connections are in force.", "max_header_bytes", l.maxHeaderBytes,
 		"header_timeout_seconds", l.headerTimeout.Seconds(), "idle_timeout_seconds", l.idleTimeout.Seconds())
-	if s.closing {
-		server.SetKeepAlivesEnabled(false)
-	}
 	go func() {
 		if err := server.Server.Serve(server.connections); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("Callers are not served any more.", "error", err)
@@ -107,7 +104,7 @@
 	return server
 }
 
-// all returns the servers and keeps those that are made later from reusing connections.
+// all returns the servers and makes Serve end without an error.
 func (s *callerServer) all() []*limitedServer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,13 +116,6 @@
 	return list
 }
 
-// StopReuse closes connections after their current response. New ones are still accepted.
-func (s *callerServer) StopReuse() {
-	for _, server := range s.all() {
-		server.SetKeepAlivesEnabled(false)
-	}
-}
-
 // Shutdown accepts nothing more and waits until connections are idle. It returns the error of ctx if that ends first.
 func (s *callerServer) Shutdown(ctx context.Context) error {
 	servers := s.all()
--- a/rudder/relaynode/stop.go
+++ b/rudder/relaynode/stop.go
@@ -49,8 +49,9 @@
 func (n *node) stop(callers *callerServer, socket net.PacketConn) {
 	begin := time.Now()
 	n.draining.Store(true)
+	// Connections end with their next response. SetKeepAlivesEnabled(false) would close the idle ones at once, and with them
+	// requests that are read but not yet handled.
 	n.relay.Drain()
-	callers.StopReuse()
 	n.mesh.Announce(socket)
 	go n.unregister() // beside the requests: the store may be slow
 	n.log.Info("Node is stopping.", "requests", n.relay.InProgress(), "deadline_seconds", n.settings.StopTimeout.Seconds())
