Let few nodes look at the lease during an outage

Change: all nodes in touch that are not stopping count. The logger writes the message of an error only.

--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,21 +28,25 @@
 	unregisterTimeout = 300 * time.Millisecond
 )
 
-// contends reports whether this node should look at the lease: no peer says that it holds it, and this node is among
-// the first by name. A node that is not ready yet looks too: the time that it has to see the lease unchanged passes
-// meanwhile.
+// contends reports whether this node should look at the lease.
 func (n *node) contends(string) bool {
-	names := []string{n.settings.Node}
-	for _, m := range n.mesh.Members() {
+	return !n.draining.Load() && contends(n.settings.Node, n.mesh.Members())
+}
+
+// contends reports whether a node should look at the lease: no peer says that it holds it, and the node is among the
+// first by name. Nodes that are not ready count too: the time that they have to see the lease unchanged passes meanwhile,
+// and while the object API is down no node is ready.
+func contends(node string, peers []mesh.Member) bool {
+	before := 0
+	for _, m := range peers {
 		if m.HoldsLease {
 			return false
 		}
-		if m.State == mesh.Ready {
-			names = append(names, m.Node)
+		if m.State != mesh.Draining && m.Node < node {
+			before++
 		}
 	}
-	slices.Sort(names)
-	return !n.draining.Load() && slices.Index(names, n.settings.Node) < contenders
+	return before < contenders
 }
 
 // doDuties runs the duties while the lease is held.
--- /dev/null
+++ b/rudder/relaynode/duties_test.go
@@ -0,0 +1,31 @@
+package relaynode
+
+import (
+	"fmt"
+	"testing"
+
+	"chestnutrudder.example/rudder/mesh"
+)
+
+// While the object API is down no node is ready. When only ready nodes counted, all 75 looked at the lease twice a second.
+func TestFewNodesContendWhileNoneIsReady(t *testing.T) {
+	var members []mesh.Member
+	for i := range 9 {
+		members = append(members, mesh.Member{Digest: mesh.Digest{Node: fmt.Sprintf("n%d", i), State: mesh.Starting}})
+	}
+	members[0].State = mesh.Draining
+	contending := 0
+	for i, m := range members[1:] {
+		peers := append(append([]mesh.Member{}, members[:i+1]...), members[i+2:]...)
+		if contends(m.Node, peers) {
+			contending++
+		}
+	}
+	if contending != contenders {
+		t.Errorf("%d nodes contend, want %d", contending, contenders)
+	}
+	members[8].HoldsLease = true
+	if contends("n1", members) {
+		t.Error("a node contends for a lease that a peer holds")
+	}
+}
--- a/rudder/telemetry/telemetry.go
+++ b/rudder/telemetry/telemetry.go
@@ -22,10 +22,19 @@
 
 // NewLogger returns a logger that writes text lines at or above level to w.
 func NewLogger(w io.Writer, level slog.Level, node string) *Logger {
-	handler := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})
+	handler := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: errorText})
 	return &Logger{base: slog.New(handler).With("node", node)}
 }
 
+// errorText writes errors by their message. TextHandler would write those of github.com/pkg/errors with the stack of each
+// wrapping, several hundred bytes a line.
+func errorText(_ []string, a slog.Attr) slog.Attr {
+	if err, isError := a.Value.Any().(error); isError {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 // Part returns the logger of one part; every line carries its name.
 func (l *Logger) Part(name string) *slog.Logger { return l.base.With("part", name) }
 
