--- /dev/null
+++ b/rudder/relay/bench_test.go
@@ -0,0 +1,42 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// benchmark sends one request after the other with a body of the given size.
+func benchmark(b *testing.B, path string, bodyBytes int, answer func(conn net.Conn, r *http.Request) bool) {
+	w := newWorld(b)
+	w.backendServer("a", answer)
+	body := strings.Repeat("x", bodyBytes)
+	b.ReportAllocs()
+	for b.Loop() {
+		request, err := http.NewRequest(http.MethodPost, "http://"+w.address+path, strings.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		request.Host = "h"
+		request.Header.Set("X-Rudder-Request", "1")
+		request.Header.Set("Authorization", "Bearer key")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+			b.Fatalf("status %d, error %v", response.StatusCode, err)
+		}
+		response.Body.Close()
+	}
+}
+
+// BenchmarkPlain measures a short request and response.
+func BenchmarkPlain(b *testing.B) { benchmark(b, "/once/x", 200, succeed) }
+
+// BenchmarkStream measures a prompt of 12 kB whose answer has 64 events.
+func BenchmarkStream(b *testing.B) {
+	benchmark(b, "/stream/x", 12_000, func(conn net.Conn, r *http.Request) bool { return events(conn, r, 1, 64, true) })
+}
--- a/rudder/relay/world_test.go
+++ b/rudder/relay/world_test.go
@@ -23,7 +23,7 @@
 
 // world is a relay with fake backend servers of one service "s".
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	server  *Server
 	address string
 	config  *traffic.Config
@@ -37,7 +37,7 @@
 
 func (countRuns) CountRun(string) {}
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	t.Helper()
 	w := &world{t: t, runs: map[string]int{}}
 	w.config = &traffic.Config{
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"path"
 	"runtime/debug"
 	"strconv"
@@ -269,6 +270,8 @@
 	handle(n.settings.ReadyAddress, n.outside.ReadyPath, http.HandlerFunc(n.serveReady))
 	handle(n.settings.DirectoryAddress, n.outside.AddressPath, http.HandlerFunc(n.serveAddresses))
 	handle(n.settings.MetricsAddress, "/metrics", metrics.Handler())
+	handle(n.settings.MetricsAddress, "/debug/pprof/profile", http.HandlerFunc(pprof.Profile))
+	handle(n.settings.MetricsAddress, "/debug/pprof/heap", pprof.Handler("heap"))
 	listener, err := net.Listen("tcp4", n.settings.CallerAddress)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "listen on %s", n.settings.CallerAddress)
