Let a node that took a watch over keep it

Cause: TestWatchersThatAreCutOffAreReplaced failed once beside other load (load average 17): not two but a changing number of nodes called within its 30 s. A node in the place of one that is cut off rested after each call until its knowledge was 0.85 s old, so that at times no node counted as watching and others called too.

Change: a node that has called in the last 1.3 s, and is needed, goes on.

--- a/rudder/relaynode/registry.go
+++ b/rudder/relaynode/registry.go
@@ -196,13 +196,17 @@
 // rests reports whether other nodes keep this one up to date.
 func (r *registry) rests() bool {
 	r.mu.Lock()
-	age := boottime.Since(r.seenAt)
+	age, callAge := boottime.Since(r.seenAt), boottime.Since(r.calledAt)
 	r.mu.Unlock()
-	if age > longestRest {
+	before, callers := r.before()
+	switch {
+	case before < wantedCallers || age > longestRest:
 		return false
+	case callers >= wantedCallers:
+		return true
 	}
-	before, callers := r.before()
-	return callers >= wantedCallers || before >= wantedCallers && age < restTime+time.Duration(before)*restStep
+	// A node that has taken the place of one that does not call goes on, so that the others can rely on it.
+	return callAge > callerSilence && age < restTime+time.Duration(before)*restStep
 }
 
 // before returns how many nodes go before this one as callers, and how many of them call. The first nodes of all failure
