Tell at once what is admitted near a limit

Change: a node that has admitted something where less than half of the burst is left, or where all together may have taken a fifth of it, tells that within 100 ms in a short digest. All that a peer has admitted counts if the peer is in its first 2 s. Nodes that start anew begin with 0.05 of the burst, and nodes use 0.4 instead of 0.5 of the overage on purpose.

--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -52,6 +52,9 @@
 	Runs          usage.Windows               `cbor:"15,keyasint,omitempty"`
 	Peers         []string                    `cbor:"16,keyasint,omitempty"` // some addresses that the sender knows
 	Registry      Registry                    `cbor:"17,keyasint,omitempty"`
+	Young         bool                        `cbor:"18,keyasint,omitempty"` // what quota.Ledger.Young says
+	// Urgent digests hold Node, Incarnation, Young and some Uses only. They come between two others.
+	Urgent bool `cbor:"19,keyasint,omitempty"`
 }
 
 // Registry is what a node knows of the outside registry of backend servers.
@@ -123,8 +126,10 @@
 type Mesh struct {
 	Self    string // IP:port of this node's socket
 	Compose func() Digest
-	Learn   func(Member)
-	Log     *slog.Logger
+	// ComposeUrgent returns a digest that cannot wait; false if there is none. It is asked each quota.UrgentInterval.
+	ComposeUrgent func() (Digest, bool)
+	Learn         func(Member)
+	Log           *slog.Logger
 
 	mu      sync.Mutex
 	members map[string]Member           // by node name
@@ -156,12 +161,26 @@
 func (m *Mesh) Run(ctx context.Context, conn net.PacketConn) {
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go m.receive(ctx, conn)
+	if m.ComposeUrgent != nil {
+		go m.tellUrgent(ctx, conn)
+	}
 	for ctx.Err() == nil {
 		m.tell(conn)
 		sleep.For(ctx, m.interval())
 	}
 }
 
+// tellUrgent sends urgent digests until ctx ends.
+func (m *Mesh) tellUrgent(ctx context.Context, conn net.PacketConn) {
+	for ctx.Err() == nil {
+		if digest, found := m.ComposeUrgent(); found {
+			m.send(conn, digest, m.aim())
+		}
+		// With many nodes the interval grows like that of the other digests, for the sake of the receivers.
+		sleep.For(ctx, quota.UrgentInterval*m.interval()/Interval)
+	}
+}
+
 // interval returns the pause between two digests for the number of peers known.
 func (m *Mesh) interval() time.Duration {
 	m.mu.Lock()
@@ -185,6 +204,10 @@
 	digest := m.Compose()
 	targets := m.aim()
 	digest.Peers = m.some(targets)
+	m.send(conn, digest, targets)
+}
+
+func (m *Mesh) send(conn net.PacketConn, digest Digest, targets []string) {
 	data, err := encoding.Marshal(digest)
 	if err != nil || len(data) > maxDatagramBytes {
 		m.Log.Error("Digest cannot be sent.", "bytes", len(data), "error", err)
@@ -273,6 +296,11 @@
 		m.mu.Unlock()
 		return // delayed, from before a restart
 	}
+	if d.Urgent {
+		m.mu.Unlock()
+		m.Learn(member)
+		return
+	}
 	if d.BootMillis > 0 {
 		if m.clocks[d.Node] == nil {
 			m.clocks[d.Node] = &peerClock{}
--- a/rudder/mesh/mesh_test.go
+++ b/rudder/mesh/mesh_test.go
@@ -160,3 +160,19 @@
 		t.Fatalf("digest is read back as %+v, error %v", d, err)
 	}
 }
+
+// An urgent digest must not replace what the peer's last whole digest said, its state above all.
+func TestUrgentDigestKeepsTheWholeOne(t *testing.T) {
+	var learnt []Member
+	m := New("127.0.0.1:2", nil, nil, func(m Member) { learnt = append(learnt, m) }, slog.New(slog.DiscardHandler))
+	now := boottime.Now()
+	m.take(Digest{Node: "b", Incarnation: 1, State: Ready, Address: "127.0.0.1:3"}, "127.0.0.1:1", now)
+	m.take(Digest{Node: "b", Incarnation: 1, Urgent: true, Uses: map[string]quota.Use{"o": {Taken: 1}}}, "127.0.0.1:1", now)
+	m.take(Digest{Node: "b", Incarnation: 0, Urgent: true}, "127.0.0.1:1", now) // from before a restart
+	if members := m.Members(); len(members) != 1 || members[0].State != Ready || members[0].Address == "" {
+		t.Fatalf("members %+v", members)
+	}
+	if len(learnt) != 2 || learnt[1].Uses["o"].Taken != 1 {
+		t.Fatalf("learnt %+v", learnt)
+	}
+}
--- a/rudder/quota/quota.go
+++ b/rudder/quota/quota.go
@@ -25,13 +25,23 @@
 	maxDebt = 2.0
 	// restartLevel is the part of the burst that a node starts with that may follow others: if all nodes started anew, an
 	// empty bucket would refuse what is within the limit.
-	restartLevel = 0.3
+	restartLevel = 0.05
 	// rateShare and slackShare are the parts of the tolerance that nodes use up on purpose, so that the lag of what they
 	// tell each other does not refuse what is within a limit. The rest covers what all admit during that lag.
-	rateShare  = 0.5
+	rateShare  = 0.4
 	slackShare = 0.25
+	// What all nodes admit before they hear of each other goes beyond the limit. It is told at once where less than
+	// urgentLevel of the burst is left, and where all nodes together admit urgentShare of what is left if all admit as much
+	// as this one.
+	urgentLevel = 0.5
+	urgentShare = 0.2
+	// recentPeer is how long ago a peer was heard that is counted as a node.
+	recentPeer = 3 * time.Second
 )
 
+// UrgentInterval is how often a node tells its peers what it admitted of organisations that are near their limits.
+const UrgentInterval = 100 * time.Millisecond
+
 // Tolerance is how far above a limit all nodes together may admit.
 type Tolerance struct {
 	Overage float64 // as a share of the limit
@@ -63,6 +73,7 @@
 	rate, burst float64
 	level       float64
 	taken       float64
+	told        float64 // of taken
 	at          time.Time
 	settled     bool // a peer's level was taken
 }
@@ -159,12 +170,49 @@
 		a.fill(l.now(), l.share)
 		// Whole numbers take fewer bytes; the rounding of a total does not add up.
 		uses[name] = Use{Taken: math.Round(a.taken), Level: math.Round(a.level)}
+		a.told = a.taken
 	}
 	return uses
 }
 
-// Learn takes what a peer has admitted. incarnation names one start of its process.
-func (l *Ledger) Learn(incarnation string, uses map[string]Use) {
+// nodes returns the number of nodes, this one included. The caller holds the lock.
+func (l *Ledger) nodes() float64 {
+	nodes := 1.0
+	for _, p := range l.peers {
+		if l.now().Sub(p.heardAt) < recentPeer {
+			nodes++
+		}
+	}
+	return nodes
+}
+
+// Urgent returns what this node has admitted of organisations that are near their limits, if it has not told it yet.
+func (l *Ledger) Urgent() map[string]Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var uses map[string]Use
+	nodes := l.nodes()
+	for name, a := range l.accounts {
+		untold := a.taken - a.told
+		if untold <= 0 || a.level >= urgentLevel*a.burst && nodes*untold < urgentShare*a.level {
+			continue
+		}
+		if uses == nil {
+			uses = map[string]Use{}
+		}
+		uses[name] = Use{Taken: math.Round(a.taken), Level: math.Round(a.level)}
+		a.told = a.taken
+	}
+	return uses
+}
+
+// Young reports whether the node has started so lately that it may not have heard of all that was admitted before.
+func (l *Ledger) Young() bool { return l.now().Sub(l.started) < settleTime }
+
+// Learn takes what a peer has admitted. incarnation names one start of its process, young is what its ledger says. All
+// that a young peer has admitted is new, also where it is heard for the first time; what another one had admitted by then
+// is part of its level.
+func (l *Ledger) Learn(incarnation string, young bool, uses map[string]Use) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, found := l.peers[incarnation]
@@ -173,7 +221,7 @@
 		l.peers[incarnation] = p
 	}
 	p.heardAt = l.now()
-	settling := !l.full && l.now().Sub(l.started) < settleTime
+	settling := !l.full && l.Young()
 	for name, use := range uses {
 		a, known := l.accounts[name]
 		if !known {
@@ -182,14 +230,14 @@
 			p.taken[name] = use.Taken
 			continue
 		}
-		if last, counted := p.taken[name]; counted || found {
+		if last, counted := p.taken[name]; counted || found || young {
 			a.level -= use.Taken - last
 		}
 		p.taken[name] = use.Taken
-		if settling && !a.settled {
+		if settling && !young && !a.settled {
 			a.level, a.settled = use.Level, true
 		}
-		if settling {
+		if settling && !young {
 			a.level = min(a.level, use.Level)
 		}
 	}
--- a/rudder/quota/quota_test.go
+++ b/rudder/quota/quota_test.go
@@ -25,7 +25,7 @@
 	for i, from := range s.ledgers {
 		for j, to := range s.ledgers {
 			if i != j {
-				to.Learn(string(rune('A'+i)), from.Own())
+				to.Learn(string(rune('A'+i)), from.Young(), from.Own())
 			}
 		}
 	}
@@ -79,7 +79,7 @@
 	s := newNodes(3, true)
 	s.run(limited, 1000, 2*time.Second, true)
 	restarted := NewLedger(false, Tolerance{}, func() time.Time { return s.now })
-	restarted.Learn("A", s.ledgers[0].Own())
+	restarted.Learn("A", s.ledgers[0].Young(), s.ledgers[0].Own())
 	if restarted.Take(limited, 5000) == nil {
 		t.Fatal("5000 tokens were admitted although the peers have none left")
 	}
@@ -113,7 +113,7 @@
 	s := newNodes(1, true)
 	l := s.ledgers[0]
 	for i := range 50 {
-		l.Learn(string(rune('a'+i)), map[string]Use{"o": {Taken: 1, Level: 1}})
+		l.Learn(string(rune('a'+i)), false, map[string]Use{"o": {Taken: 1, Level: 1}})
 	}
 	s.now = s.now.Add(2 * peerMemory)
 	l.Own()
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -114,6 +114,7 @@
 	n.ledger = quota.NewLedger(s.FirstStart, s.QuotaTolerance, time.Now)
 	n.registry = newRegistry(n)
 	n.mesh = mesh.New(s.MeshAddress, s.MeshSeeds, n.digest, n.learn, logger.Part("mesh"))
+	n.mesh.ComposeUrgent = n.urgentDigest
 	n.counter = usage.NewCounter(incarnationName(s.Node, n.incarnation), max(s.UsageWindow, time.Second), n.mesh.Time)
 	n.relay = &relay.Server{
 		Dialect: outside.Dialect, Current: n.current, Backends: n.backends, Quotas: n.ledger, Runs: n.counter,
@@ -166,7 +167,7 @@
 		State: n.state(), BootMillis: time.Duration(boottime.Now()).Milliseconds(), WallMillis: time.Now().UnixMilli(),
 		ProofAge: -1, HoldsLease: n.holdsLease.Load(),
 		Loads: n.backends.Own(), Demand: n.backends.Demand(), Uses: n.ledger.Own(), Crashes: n.relay.Crashes.Own(time.Now()), Runs: n.counter.Own(),
-		Registry: n.registry.news(),
+		Registry: n.registry.news(), Young: n.ledger.Young(),
 	}
 	if config := n.current.Config(); config != nil {
 		d.ConfigVersion = config.Version
@@ -177,11 +178,20 @@
 	return d
 }
 
+// urgentDigest is what this node tells its peers between two digests; false if there is nothing.
+func (n *node) urgentDigest() (mesh.Digest, bool) {
+	uses := n.ledger.Urgent()
+	return mesh.Digest{Node: n.settings.Node, Incarnation: n.incarnation, Young: n.ledger.Young(), Urgent: true, Uses: uses}, len(uses) > 0
+}
+
 // learn takes what a peer tells.
 func (n *node) learn(m mesh.Member) {
 	incarnation := incarnationName(m.Node, m.Incarnation)
+	n.ledger.Learn(incarnation, m.Young, m.Uses)
+	if m.Urgent {
+		return
+	}
 	n.backends.SetRemote(m.Node, m.Loads)
-	n.ledger.Learn(incarnation, m.Uses)
 	n.counter.Learn(incarnation, m.Runs)
 	n.relay.Crashes.Learn(m.Node, m.Crashes)
 	n.registry.take(m)
