--- a/rudder/relaynode/registry.go
+++ b/rudder/relaynode/registry.go
@@ -48,6 +48,7 @@
 	revision int64        // and up to this one
 	calledAt boottime.Instant
 	seenAt   boottime.Instant // what was acknowledged before is known
+	resting  bool
 }
 
 // toldChange is a change with when it was learnt. Its revision is 0 until the answer that told it is taken as a whole.
@@ -195,6 +196,21 @@
 
 // rests reports whether other nodes keep this one up to date.
 func (r *registry) rests() bool {
+	resting := r.mayRest()
+	r.mu.Lock()
+	changed := r.resting != resting
+	r.resting = resting
+	r.mu.Unlock()
+	if changed && resting {
+		r.log.Info("Peers watch the registry.")
+	}
+	if changed && !resting {
+		r.log.Info("This node watches the registry.")
+	}
+	return resting
+}
+
+func (r *registry) mayRest() bool {
 	r.mu.Lock()
 	age, callAge := boottime.Since(r.seenAt), boottime.Since(r.calledAt)
 	r.mu.Unlock()
