Read saved usage until it is known

Change: a holder reports and saves only once it has read what was saved.

TestSavedCountsAreReadAgain fails before (1 run reported, 2 counted).

--- a/rudder/usage/reporter.go
+++ b/rudder/usage/reporter.go
@@ -60,7 +60,12 @@
 
 // Run reports until ctx ends or the lease is lost.
 func (r *Reporter) Run(ctx context.Context, held *lease.Lease) {
-	r.recover(ctx)
+	// Without the saved counts a report would be too low, and saving would overwrite them.
+	for !r.recover(ctx) {
+		if held.Check() != nil || !sleep.For(ctx, step) {
+			return
+		}
+	}
 	next := r.Counter.Index(r.Now().Add(-r.Late)) // the first window whose report is not overdue
 	var savedAt time.Time
 	for held.Check() == nil {
@@ -80,23 +85,24 @@
 	}
 }
 
-// recover takes the counts that an earlier holder saved.
-func (r *Reporter) recover(ctx context.Context) {
+// recover takes the counts that an earlier holder saved, and reports whether all is known that there is.
+func (r *Reporter) recover(ctx context.Context) bool {
 	o, err := r.Store.Get(ctx, progressKey)
 	if errors.Is(err, objectapi.ErrNotFound) {
-		return
-	}
-	var saved progress
-	if err == nil {
-		err = json.Unmarshal(o.Value, &saved)
+		return true
 	}
 	if err != nil {
 		r.Log.Warn("Saved counts could not be read.", "error", err)
-		return
+		return false
+	}
+	var saved progress
+	if err := json.Unmarshal(o.Value, &saved); err != nil {
+		r.Log.Error("Saved counts are malformed and left out.", "error", err)
 	}
 	for incarnation, windows := range saved.Nodes {
 		r.Counter.Learn(incarnation, windows)
 	}
+	return true
 }
 
 // save writes the counts of the windows from a first one on.
--- a/rudder/usage/usage_test.go
+++ b/rudder/usage/usage_test.go
@@ -111,6 +111,32 @@
 	})
 }
 
+// The store may fail when a successor reads the saved counts. When it went on without them, its report was off by a quarter
+// and it overwrote them (trouble-3 of zlatospoj-grown).
+func TestSavedCountsAreReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectapitest.NewMemory()
+		first := NewCounter("n1/1", 5*time.Second, time.Now)
+		window := first.Index(time.Now())
+		first.CountRun("o")
+		runReporter(t, store, first, time.Second, false)
+		failures := 3
+		store.Before = func(kind, key string) error {
+			if kind == "get" && key == progressKey && failures > 0 {
+				failures--
+				return objectapi.ErrUnavailable
+			}
+			return nil
+		}
+		second := NewCounter("n1/2", 5*time.Second, time.Now)
+		second.CountRun("o")
+		reports := runReporter(t, store, second, 9*time.Second, false)
+		if failures > 0 || len(reports) == 0 || reports[0].window != window || reports[0].counts["o"] != 2 {
+			t.Fatalf("reports %+v with %d failures left, want 2 runs in window %d", reports, failures, window)
+		}
+	})
+}
+
 // The final counts of a window must outlast the time in which a successor may send it again. When older reports were
 // deleted after a fixed number of windows, a successor counted the window anew (fault soak, seed 101).
 func TestFinalCountsOutlastTheLateTime(t *testing.T) {
