Tell the holder of the duties of runs at once

Cause 3, found on reading: an organisation that first came in a whole digest after a partial one was charged with all that its peer had ever admitted.

Change: nodes tell the holder alone the windows that changed, each 100 ms. Limits are told at once only below half of the burst. Ledgers distinguish partial digests from whole ones.

--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -53,7 +53,7 @@
 	Peers         []string                    `cbor:"16,keyasint,omitempty"` // some addresses that the sender knows
 	Registry      Registry                    `cbor:"17,keyasint,omitempty"`
 	Young         bool                        `cbor:"18,keyasint,omitempty"` // what quota.Ledger.Young says
-	// Urgent digests hold Node, Incarnation, Young and some Uses only. They come between two others.
+	// Urgent digests hold Node, Incarnation and either some Uses with Young or some Runs. They come between two others.
 	Urgent bool `cbor:"19,keyasint,omitempty"`
 }
 
@@ -81,6 +81,7 @@
 	HeardAt boottime.Instant
 	SentAt  boottime.Instant // by this node's clock; HeardAt while Dated is false
 	Dated   bool             // whether SentAt is known well enough to grant rights
+	from    string           // address of its socket
 }
 
 // proofDelay is added to the age of a proof that a peer hands on, for the least time on the way, which SentAt does not
@@ -104,6 +105,8 @@
 	fewNodes        = 12
 	intervalPerNode = 5 * time.Millisecond
 	maxInterval     = time.Second
+	// urgentInterval is the pause between two urgent digests of a node where there are few nodes.
+	urgentInterval = 100 * time.Millisecond
 	// silentIntervals is after how many missing digests a peer is taken to be out of touch.
 	silentIntervals = 4.8
 	// forgetAfter is how long a silent peer is still sent to and counted as a node that may serve.
@@ -130,8 +133,8 @@
 	// Often reports whether peers rely on this node's digests for what it asks the object API; it then tells them each
 	// Interval, however many they are. Nil means that they do not.
 	Often func() bool
-	// ComposeUrgent returns a digest that cannot wait; false if there is none. It is asked each quota.UrgentInterval.
-	ComposeUrgent func() (Digest, bool)
+	// ComposeUrgent returns digests that cannot wait. It is asked each urgentInterval.
+	ComposeUrgent func() []Urgent
 	Learn         func(Member)
 	Log           *slog.Logger
 
@@ -178,17 +181,34 @@
 	}
 }
 
+// Urgent is a digest for all peers or for one of them.
+type Urgent struct {
+	Digest
+	Only string // name of the peer; empty for all
+}
+
 // tellUrgent sends urgent digests until ctx ends.
 func (m *Mesh) tellUrgent(ctx context.Context, conn net.PacketConn) {
 	for ctx.Err() == nil {
-		if digest, found := m.ComposeUrgent(); found {
-			m.send(conn, digest, m.aim())
+		for _, u := range m.ComposeUrgent() {
+			targets := []string{m.addressOf(u.Only)}
+			if u.Only == "" {
+				targets = m.aim()
+			}
+			m.send(conn, u.Digest, targets)
 		}
 		// With many nodes the interval grows like that of the other digests, for the sake of the receivers.
-		sleep.For(ctx, quota.UrgentInterval*m.interval()/Interval)
+		sleep.For(ctx, urgentInterval*m.interval()/Interval)
 	}
 }
 
+// addressOf returns the address from which a peer tells, empty if it is not known.
+func (m *Mesh) addressOf(name string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members[name].from
+}
+
 // interval returns the pause between two digests for the number of peers known.
 func (m *Mesh) interval() time.Duration {
 	m.mu.Lock()
@@ -297,7 +317,7 @@
 
 // take takes a digest that was read at the given time.
 func (m *Mesh) take(d Digest, from string, heard boottime.Instant) {
-	member := Member{Digest: d, HeardAt: heard, SentAt: heard}
+	member := Member{Digest: d, HeardAt: heard, SentAt: heard, from: from}
 	m.mu.Lock()
 	before, known := m.members[d.Node]
 	if known && before.Incarnation > d.Incarnation {
--- a/rudder/quota/quota.go
+++ b/rudder/quota/quota.go
@@ -30,18 +30,11 @@
 	// tell each other does not refuse what is within a limit. The rest covers what all admit during that lag.
 	rateShare  = 0.4
 	slackShare = 0.25
-	// What all nodes admit before they hear of each other goes beyond the limit. It is told at once where less than
-	// urgentLevel of the burst is left, and where all nodes together admit urgentShare of what is left if all admit as much
-	// as this one.
+	// urgentLevel is the part of the burst below which what is admitted is told at once: what all nodes admit before they
+	// hear of each other goes beyond the limit.
 	urgentLevel = 0.5
-	urgentShare = 0.2
-	// recentPeer is how long ago a peer was heard that is counted as a node.
-	recentPeer = 3 * time.Second
 )
 
-// UrgentInterval is how often a node tells its peers what it admitted of organisations that are near their limits.
-const UrgentInterval = 100 * time.Millisecond
-
 // Tolerance is how far above a limit all nodes together may admit.
 type Tolerance struct {
 	Overage float64 // as a share of the limit
@@ -62,8 +55,9 @@
 
 // peer is what one incarnation of a peer has told.
 type peer struct {
-	taken   map[string]float64 // by organisation
-	heardAt time.Time
+	taken    map[string]float64 // by organisation
+	heardAt  time.Time
+	heardAll bool // what it does not have in taken, it had not admitted when it was last heard
 }
 
 // peerMemory is how long a silent incarnation is remembered.
@@ -175,26 +169,13 @@
 	return uses
 }
 
-// nodes returns the number of nodes, this one included. The caller holds the lock.
-func (l *Ledger) nodes() float64 {
-	nodes := 1.0
-	for _, p := range l.peers {
-		if l.now().Sub(p.heardAt) < recentPeer {
-			nodes++
-		}
-	}
-	return nodes
-}
-
 // Urgent returns what this node has admitted of organisations that are near their limits, if it has not told it yet.
 func (l *Ledger) Urgent() map[string]Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var uses map[string]Use
-	nodes := l.nodes()
 	for name, a := range l.accounts {
-		untold := a.taken - a.told
-		if untold <= 0 || a.level >= urgentLevel*a.burst && nodes*untold < urgentShare*a.level {
+		if a.taken <= a.told || a.level >= urgentLevel*a.burst {
 			continue
 		}
 		if uses == nil {
@@ -209,10 +190,16 @@
 // Young reports whether the node has started so lately that it may not have heard of all that was admitted before.
 func (l *Ledger) Young() bool { return l.now().Sub(l.started) < settleTime }
 
-// Learn takes what a peer has admitted. incarnation names one start of its process, young is what its ledger says. All
-// that a young peer has admitted is new, also where it is heard for the first time; what another one had admitted by then
-// is part of its level.
-func (l *Ledger) Learn(incarnation string, young bool, uses map[string]Use) {
+// Told is what a peer tells of its ledger.
+type Told struct {
+	Young   bool // what Young says there
+	Partial bool // Uses holds some organisations only
+	Uses    map[string]Use
+}
+
+// Learn takes what a peer has admitted. incarnation names one start of its process. All that a young peer has admitted is
+// new, also where it is heard for the first time; what another one had admitted by then is part of its level.
+func (l *Ledger) Learn(incarnation string, t Told) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, found := l.peers[incarnation]
@@ -221,8 +208,10 @@
 		l.peers[incarnation] = p
 	}
 	p.heardAt = l.now()
+	heardAll := p.heardAll
+	p.heardAll = heardAll || !t.Partial
 	settling := !l.full && l.Young()
-	for name, use := range uses {
+	for name, use := range t.Uses {
 		a, known := l.accounts[name]
 		if !known {
 			a = &account{at: l.now(), burst: use.Level, level: use.Level, settled: true}
@@ -230,14 +219,14 @@
 			p.taken[name] = use.Taken
 			continue
 		}
-		if last, counted := p.taken[name]; counted || found || young {
+		if last, counted := p.taken[name]; counted || heardAll || t.Young {
 			a.level -= use.Taken - last
 		}
 		p.taken[name] = use.Taken
-		if settling && !young && !a.settled {
+		if settling && !t.Young && !a.settled {
 			a.level, a.settled = use.Level, true
 		}
-		if settling && !young {
+		if settling && !t.Young {
 			a.level = min(a.level, use.Level)
 		}
 	}
--- a/rudder/quota/quota_test.go
+++ b/rudder/quota/quota_test.go
@@ -25,7 +25,7 @@
 	for i, from := range s.ledgers {
 		for j, to := range s.ledgers {
 			if i != j {
-				to.Learn(string(rune('A'+i)), from.Young(), from.Own())
+				to.Learn(string(rune('A'+i)), Told{Young: from.Young(), Uses: from.Own()})
 			}
 		}
 	}
@@ -79,7 +79,7 @@
 	s := newNodes(3, true)
 	s.run(limited, 1000, 2*time.Second, true)
 	restarted := NewLedger(false, Tolerance{}, func() time.Time { return s.now })
-	restarted.Learn("A", s.ledgers[0].Young(), s.ledgers[0].Own())
+	restarted.Learn("A", Told{Young: s.ledgers[0].Young(), Uses: s.ledgers[0].Own()})
 	if restarted.Take(limited, 5000) == nil {
 		t.Fatal("5000 tokens were admitted although the peers have none left")
 	}
@@ -113,7 +113,7 @@
 	s := newNodes(1, true)
 	l := s.ledgers[0]
 	for i := range 50 {
-		l.Learn(string(rune('a'+i)), false, map[string]Use{"o": {Taken: 1, Level: 1}})
+		l.Learn(string(rune('a'+i)), Told{Uses: map[string]Use{"o": {Taken: 1, Level: 1}}})
 	}
 	s.now = s.now.Add(2 * peerMemory)
 	l.Own()
@@ -121,3 +121,20 @@
 		t.Fatalf("%d ended peers are remembered", n)
 	}
 }
+
+// What a node had admitted of an organisation long before this one started is part of its level. It must not be taken from
+// the bucket because a partial digest of another organisation came first.
+func TestPartialDigestFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLedger(false, Tolerance{}, func() time.Time { return now })
+	l.Learn("A", Told{Partial: true, Uses: map[string]Use{"other": {Taken: 5000, Level: 100}}})
+	l.Take(limited, 1) // makes the account
+	l.Learn("A", Told{Uses: map[string]Use{"o": {Taken: 1e9, Level: 9000}}})
+	if missing := l.Take(limited, 8000); missing != nil {
+		t.Fatalf("refused though a peer has 9000 tokens left: %+v", missing)
+	}
+	l.Learn("A", Told{Uses: map[string]Use{"o": {Taken: 1e9 + 5000, Level: 9000}}})
+	if missing := l.Take(limited, 5000); missing == nil {
+		t.Fatal("admitted though a peer has admitted 5000 tokens since")
+	}
+}
--- a/rudder/quota/scale_test.go
+++ b/rudder/quota/scale_test.go
@@ -18,7 +18,10 @@
 	admitted     []float64 // by step
 }
 
-const crowdStep = 10 * time.Millisecond
+const (
+	crowdStep      = 10 * time.Millisecond
+	urgentInterval = 100 * time.Millisecond // of package mesh
+)
 
 func newCrowd(n int, full bool, allowed Tolerance) *crowd {
 	c := &crowd{random: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1000, 0)}
@@ -51,11 +54,11 @@
 			}
 		}
 		for i, l := range c.ledgers {
-			if urgent := l.Urgent(); len(urgent) > 0 && step%int(UrgentInterval/crowdStep) == 0 {
-				c.tell(i, urgent)
+			if urgent := l.Urgent(); len(urgent) > 0 && step%int(urgentInterval/crowdStep) == 0 {
+				c.tell(i, Told{Young: l.Young(), Partial: true, Uses: urgent})
 			}
 			if (step+i)%steps == 0 {
-				c.tell(i, l.Own())
+				c.tell(i, Told{Young: l.Young(), Uses: l.Own()})
 			}
 		}
 		c.admitted = append(c.admitted, sum)
@@ -63,10 +66,10 @@
 	}
 }
 
-func (c *crowd) tell(from int, uses map[string]Use) {
+func (c *crowd) tell(from int, t Told) {
 	for j, to := range c.ledgers {
 		if j != from {
-			to.Learn(c.incarnations[from], c.ledgers[from].Young(), uses)
+			to.Learn(c.incarnations[from], t)
 		}
 	}
 }
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -114,7 +114,7 @@
 	n.ledger = quota.NewLedger(s.FirstStart, s.QuotaTolerance, time.Now)
 	n.registry = newRegistry(n)
 	n.mesh = mesh.New(s.MeshAddress, s.MeshSeeds, n.digest, n.learn, logger.Part("mesh"))
-	n.mesh.ComposeUrgent = n.urgentDigest
+	n.mesh.ComposeUrgent = n.urgentDigests
 	n.mesh.Often = func() bool { return n.proves() || n.registry.watches() }
 	n.counter = usage.NewCounter(incarnationName(s.Node, n.incarnation), max(s.UsageWindow, time.Second), n.mesh.Time)
 	n.relay = &relay.Server{
@@ -179,21 +179,45 @@
 	return d
 }
 
-// urgentDigest is what this node tells its peers between two digests; false if there is nothing.
-func (n *node) urgentDigest() (mesh.Digest, bool) {
-	uses := n.ledger.Urgent()
-	return mesh.Digest{Node: n.settings.Node, Incarnation: n.incarnation, Young: n.ledger.Young(), Urgent: true, Uses: uses}, len(uses) > 0
+// urgentDigests is what this node tells between two digests: to all what it admitted near a limit, and to the holder of the
+// duties the runs since, which would be lost if all nodes ended.
+func (n *node) urgentDigests() []mesh.Urgent {
+	var list []mesh.Urgent
+	digest := mesh.Digest{Node: n.settings.Node, Incarnation: n.incarnation, Young: n.ledger.Young(), Urgent: true}
+	if uses := n.ledger.Urgent(); len(uses) > 0 {
+		toAll := digest
+		toAll.Uses = uses
+		list = append(list, mesh.Urgent{Digest: toAll})
+	}
+	if holder := n.holder(); holder != "" {
+		if runs := n.counter.Changed(); len(runs) > 0 {
+			toHolder := digest
+			toHolder.Runs = runs
+			list = append(list, mesh.Urgent{Digest: toHolder, Only: holder})
+		}
+	}
+	return list
+}
+
+// holder returns the peer that says that it holds the lease of the duties, empty if none does.
+func (n *node) holder() string {
+	for _, m := range n.mesh.Members() {
+		if m.HoldsLease {
+			return m.Node
+		}
+	}
+	return ""
 }
 
 // learn takes what a peer tells.
 func (n *node) learn(m mesh.Member) {
 	incarnation := incarnationName(m.Node, m.Incarnation)
-	n.ledger.Learn(incarnation, m.Young, m.Uses)
+	n.ledger.Learn(incarnation, quota.Told{Young: m.Young, Partial: m.Urgent, Uses: m.Uses})
+	n.counter.Learn(incarnation, m.Runs)
 	if m.Urgent {
 		return
 	}
 	n.backends.SetRemote(m.Node, m.Loads)
-	n.counter.Learn(incarnation, m.Runs)
 	n.relay.Crashes.Learn(m.Node, m.Crashes)
 	n.registry.take(m)
 	if at, found := m.ProvedAt(); found {
--- a/rudder/usage/counter.go
+++ b/rudder/usage/counter.go
@@ -28,12 +28,13 @@
 	own   Windows
 	peers map[string]Windows // by peer incarnation
 	told  int                // calls of Own
+	fresh map[int64]bool     // windows that have changed since the last call of Changed
 }
 
 // NewCounter returns a counter. self names this start of the node's process as peers do in Learn, now gives the time that
 // the nodes agree on.
 func NewCounter(self string, window time.Duration, now func() time.Time) *Counter {
-	return &Counter{self: self, window: window, now: now, own: Windows{}, peers: map[string]Windows{}}
+	return &Counter{self: self, window: window, now: now, own: Windows{}, peers: map[string]Windows{}, fresh: map[int64]bool{}}
 }
 
 // Index returns the number of the window of a time.
@@ -58,6 +59,19 @@
 		c.prunePeers(index)
 	}
 	counts[organisation]++
+	c.fresh[index] = true
+}
+
+// Changed returns the counts of this node's windows that have changed since the last call.
+func (c *Counter) Changed() Windows {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := Windows{}
+	for index := range c.fresh {
+		changed[index] = maps.Clone(c.own[index])
+	}
+	clear(c.fresh)
+	return changed
 }
 
 // prunePeers drops incarnations of peers whose windows are all too old, so that restarts do not add up. The caller holds
--- a/rudder/usage/usage_test.go
+++ b/rudder/usage/usage_test.go
@@ -183,6 +183,25 @@
 	})
 }
 
+// The holder of the duty hears of runs soon after them; windows that have not changed are not told again.
+func TestChanged(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := NewCounter("n1/1", 5*time.Second, func() time.Time { return now })
+	c.CountRun("o")
+	c.CountRun("o")
+	if changed := c.Changed(); len(changed) != 1 || changed[c.Index(now)]["o"] != 2 {
+		t.Fatalf("changed %v", changed)
+	}
+	if changed := c.Changed(); len(changed) != 0 {
+		t.Fatalf("changed again %v", changed)
+	}
+	now = now.Add(5 * time.Second)
+	c.CountRun("o")
+	if changed := c.Changed(); len(changed) != 1 || changed[c.Index(now)]["o"] != 1 {
+		t.Fatalf("changed in the next window %v", changed)
+	}
+}
+
 // A peer that missed the digests around the end of a window must still get its counts, though they are not told each time.
 func TestOwnRepeatsEndedWindows(t *testing.T) {
 	now := time.Unix(1000, 0)
