Keep changes of an answer that is being taken

Cause, found on reading: after a listing of revision 0, which only a store without any object has, a digest composed while the first answer was taken dropped its changes, and peers went on to its revision without them.

Change: only changes of a known revision are dropped. A test and a comment get right names.

TestChangesOfAnAnswerInProgressAreKept fails before (no change told).

--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -164,7 +164,7 @@
 	}
 }
 
-// Run sends and receives until ctx ends. It returns an error only if the socket cannot be opened.
+// Run sends and receives until ctx ends; then it closes the connection.
 func (m *Mesh) Run(ctx context.Context, conn net.PacketConn) {
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go m.receive(ctx, conn)
--- a/rudder/relaynode/registry.go
+++ b/rudder/relaynode/registry.go
@@ -135,7 +135,7 @@
 		old++
 	}
 	// The rest of an answer whose first changes are dropped is of no use.
-	for old < len(r.told) && r.told[old].Revision == r.from {
+	for old < len(r.told) && r.told[old].Revision > 0 && r.told[old].Revision == r.from {
 		old++
 	}
 	r.told = r.told[old:]
--- a/rudder/relaynode/registry_test.go
+++ b/rudder/relaynode/registry_test.go
@@ -146,9 +146,9 @@
 	}
 }
 
-// A watch at every node costs a call of every node for each change. One node in each failure domain watches; the others
-// must learn of a leaving server in time all the same.
-func TestOneNodeOfEachFailureDomainWatches(t *testing.T) {
+// A watch at every node costs a call of every node for each change. Two nodes watch; the others must learn of a leaving
+// server in time all the same.
+func TestTwoNodesWatchTheRegistry(t *testing.T) {
 	nodes, store := startRegistryNodes(t, 8)
 	if _, err := store.Put(context.Background(), "servers/s1", "a", objectapi.Absent); err != nil {
 		t.Fatal(err)
@@ -186,3 +186,21 @@
 		t.Fatalf("revision is %d, listed %t", revision, listed)
 	}
 }
+
+// A digest may be composed while the changes of an answer are taken. Where the listing was of revision 0 it dropped them,
+// and the peers went on without.
+func TestChangesOfAnAnswerInProgressAreKept(t *testing.T) {
+	n := &node{logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, "n"), backends: backend.NewTable(time.Second, slog.New(slog.DiscardHandler))}
+	n.outside.DecodeServer = func(o objectapi.Object) (backend.Entry, error) { return backend.Entry{ID: path.Base(o.Key)}, nil }
+	r := newRegistry(n)
+	r.replace(nil, boottime.Now())
+	r.seen(boottime.Now(), 0)
+	r.change(objectapi.Event{Object: objectapi.Object{Key: "servers/s1"}})
+	if news := r.news(); len(news.Changes) != 0 || news.Revision != 0 {
+		t.Fatalf("told before the answer is taken: %+v", news)
+	}
+	r.seen(boottime.Now(), 5)
+	if news := r.news(); len(news.Changes) != 1 || news.From != 0 || news.Revision != 5 {
+		t.Fatalf("told %+v, want the change from revision 0 to 5", news)
+	}
+}
