Count runs of requests that servers answered or ended

Requests counted as run that a server held in its queue, or left hanging, until this node gave up.

Change: only an answer, or a connection that the server ends, counts.

TestRunsOfSilentServersAreNotCounted fails before (1 run counted for 0).

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -78,7 +80,11 @@
 	a.limitSilence(a.pursuit.silenceLimit(a.placement.Predicted))
 	response, err := conn.Receive(request, a.server.Dialect.RequestID)
 	if err != nil {
-		a.pursuit.countRun()
+		// A server that ends the connection without an answer has mostly run the request. One that is silent until this node
+		// gives up has mostly not begun: its queue was too long, or it hangs.
+		if !gaveUp(err) {
+			a.pursuit.countRun()
+		}
 		return result{sent: true, backend: a.blame(parent, backend.Broken), reason: err.Error()}
 	}
 	r := a.answer(parent, response)
@@ -91,6 +97,11 @@
 	return r
 }
 
+// gaveUp reports whether reading a response failed because this node closed the connection or a time was over.
+func gaveUp(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
+}
+
 func (a *attempt) maxIdle() time.Duration {
 	if a.call.route.Repeatable() {
 		return maxIdleRepeatable
--- a/rudder/relay/relay_test.go
+++ b/rudder/relay/relay_test.go
@@ -209,6 +209,30 @@
 	}
 }
 
+// Usage counts the requests that servers began. When those counted too that a server held in its queue until the time was
+// over, reports of an overloaded service were a tenth too high.
+func TestRunsOfSilentServersAreNotCounted(t *testing.T) {
+	for name, c := range map[string]struct {
+		path    string
+		answer  func(done <-chan struct{}) bool
+		counted int64
+	}{
+		"silent until the time is over": {path: "/short/x", answer: func(done <-chan struct{}) bool { <-done; return false }},
+		"closed after the request":      {path: "/once/x", answer: func(<-chan struct{}) bool { return false }, counted: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			done := make(chan struct{})
+			t.Cleanup(func() { close(done) })
+			w.backendServer("a", func(net.Conn, *http.Request) bool { return c.answer(done) })
+			w.get(c.path)
+			if n := w.counted.runs.Load(); n != c.counted {
+				t.Fatalf("%d runs are counted, want %d", n, c.counted)
+			}
+		})
+	}
+}
+
 // Without a fresh proof of the configuration no request runs, and the answer is 503, not 401: the key may be valid.
 func TestStaleConfigurationRefuses(t *testing.T) {
 	w := newWorld(t)
--- a/rudder/relay/world_test.go
+++ b/rudder/relay/world_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,19 +28,21 @@
 	server  *Server
 	address string
 	config  *traffic.Config
+	counted *runCounter
 
 	mu   sync.Mutex
 	runs map[string]int // requests that a backend server read, by its name
 	seen []*http.Request
 }
 
-type countRuns struct{}
+// runCounter counts the runs that the server under test counts.
+type runCounter struct{ runs atomic.Int64 }
 
-func (countRuns) CountRun(string) {}
+func (c *runCounter) CountRun(string) { c.runs.Add(1) }
 
 func newWorld(t testing.TB) *world {
 	t.Helper()
-	w := &world{t: t, runs: map[string]int{}}
+	w := &world{t: t, runs: map[string]int{}, counted: &runCounter{}}
 	w.config = &traffic.Config{
 		Version: 1, Services: map[string]*traffic.Service{"s": {Name: "s"}},
 		Routes: []*traffic.Route{
@@ -58,7 +61,7 @@
 	log := slog.New(slog.DiscardHandler)
 	w.server = &Server{
 		Dialect: &NativeDialect, Current: current, Backends: backend.NewTable(time.Second, log),
-		Quotas: quota.NewLedger(true, quota.Tolerance{}, time.Now), Runs: countRuns{}, Log: log,
+		Quotas: quota.NewLedger(true, quota.Tolerance{}, time.Now), Runs: w.counted, Log: log,
 		Retries: limit.RetryRate{Fraction: 0.2, Burst: 100},
 	}
 	front := httptest.NewServer(w.server)
