Steady the pace of plain requests

The median of four responses is above 0.4 of the objective by chance in a tenth of the cases.

Change: six responses and 0.6 of the objective.

--- a/rudder/backend/pace.go
+++ b/rudder/backend/pace.go
@@ -7,15 +7,17 @@
 
 const (
 	// paceInterval and paceSamples are the least time and the least number of responses between two changes of the share.
+	// Fewer responses have a high median by chance too often.
 	paceInterval = 500 * time.Millisecond
-	paceSamples  = 4
+	paceSamples  = 6
 	// maxPaceSamples bounds the responses that are remembered.
 	maxPaceSamples = 256
-	// paceTarget is the part of the objective that the median response may take. Beyond it the slower half comes late.
-	paceTarget = 0.4
+	// paceTarget is the part of the objective that the median response may take. With 0.4 a few slow responses by chance
+	// refused some requests of a service at half of its load.
+	paceTarget = 0.6
 	// paceDown and paceUp are how far the share falls and rises: it falls within a second to what a third less servers
 	// carry, and comes back within some seconds.
-	paceDown = 0.94
+	paceDown = 0.93
 	paceUp   = 0.05
 	// minPace is the least share: a service that is slow for another reason than its load is not shut.
 	minPace = 0.4
