Fill the first bucket of an organisation since the start

The second node now hears within 100 ms what the first one admitted, and both began at the burst alone, though they use a quarter of the tolerance on purpose. Besides, a node that had run for long began with a twentieth of the burst when an organisation asked for the first time.

Change: a bucket that begins full holds its part of the tolerance too; others fill from the node's start on.

TestFirstRequestOfAnOrganisation fails before in both parts.

--- a/rudder/quota/quota.go
+++ b/rudder/quota/quota.go
@@ -81,12 +81,9 @@
 // account returns the bucket, filled up to now, with the organisation's present limit. The caller holds the lock.
 func (l *Ledger) account(o *traffic.Organisation) *account {
 	a, found := l.accounts[o.Name]
-	now := l.now()
 	if !found {
-		a = &account{at: now, level: restartLevel * o.Burst}
-		if l.full {
-			a.level = o.Burst
-		}
+		// No peer has told of it since the start: what this node began with has filled up meanwhile.
+		a = &account{at: l.started, level: restartLevel * o.Burst}
 		l.accounts[o.Name] = a
 	}
 	a.rate = o.RatePerSecond * (1 + rateShare*l.allowed.Overage)
@@ -94,7 +91,10 @@
 	if o.CountsTokens {
 		a.burst += slackShare * l.allowed.Slack
 	}
-	a.fill(now, l.share)
+	if !found && l.full {
+		a.level = a.burst
+	}
+	a.fill(l.now(), l.share)
 	return a
 }
 
--- a/rudder/quota/quota_test.go
+++ b/rudder/quota/quota_test.go
@@ -108,6 +108,21 @@
 	}
 }
 
+// The first request of an organisation must not find the low level of a node's start when the node has run for long, nor
+// less than the burst where nothing can have been admitted yet.
+func TestFirstRequestOfAnOrganisation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	restarted := NewLedger(false, Tolerance{}, func() time.Time { return now })
+	now = now.Add(10 * time.Second)
+	if missing := restarted.Take(limited, 10000); missing != nil {
+		t.Errorf("refused 10 s after the start: %+v", missing)
+	}
+	first := NewLedger(true, Tolerance{Slack: 40000}, func() time.Time { return now })
+	if missing := first.Take(limited, 20000); missing != nil {
+		t.Errorf("a quarter of the tolerance is refused at the first start: %+v", missing)
+	}
+}
+
 // Each restart of a peer is a new incarnation; those that have ended must not add up in memory.
 func TestEndedPeersAreForgotten(t *testing.T) {
 	s := newNodes(1, true)
