Go on after connections that cannot be accepted

Change: only a closed listener ends it; other errors are logged and tried again after 50 ms.

TestAcceptFailuresDoNotEndTheServer fails before (the request is never answered).

--- a/rudder/relaynode/callers.go
+++ b/rudder/relaynode/callers.go
@@ -20,6 +20,9 @@
 	defaultMaxHeaderBytes = 64 << 10
 )
 
+// acceptPause is the pause after a connection that could not be accepted.
+const acceptPause = 50 * time.Millisecond
+
 // callerServer serves callers under the limits of the configuration. A connection keeps the limits that were in force when
 // it was opened: net/http reads them when a server starts, so that there is one http.Server for each set of limits.
 type callerServer struct {
@@ -53,18 +56,27 @@
 func (s *callerServer) Serve() error {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.closing {
-				return nil
-			}
+		switch {
+		case err != nil && s.isClosing():
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			return errors.Wrapf(err, "serve %s", s.listener.Addr())
+		case err != nil:
+			// Mostly there are too many open files; connections end meanwhile.
+			s.log.Warn("Connection cannot be accepted.", "error", err)
+			time.Sleep(acceptPause)
+			continue
 		}
 		s.serverFor(connectionLimitsOf(s.limits())).connections.hand(conn)
 	}
 }
 
+func (s *callerServer) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
 func connectionLimitsOf(l traffic.Limits) connectionLimits {
 	c := connectionLimits{maxHeaderBytes: defaultMaxHeaderBytes, headerTimeout: defaultHeaderTimeout, idleTimeout: defaultIdleTimeout}
 	if l.MaxHeaderBytes > 0 {
--- a/rudder/relaynode/callers_test.go
+++ b/rudder/relaynode/callers_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -131,6 +132,40 @@
 	}
 }
 
+// fullListener fails as a process does that has too many open files, and then accepts.
+type fullListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// A node that has too many open files for a moment must go on, not end.
+func TestAcceptFailuresDoNotEndTheServer(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	full := &fullListener{Listener: listener}
+	full.failures.Store(3)
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	server := newCallerServer(full, handler, func() traffic.Limits { return traffic.Limits{} }, slog.New(slog.DiscardHandler))
+	served := make(chan error, 1)
+	go func() { served <- server.Serve() }()
+	if status := request(t, dialCaller(t, listener.Addr().String()), ""); status != http.StatusOK {
+		t.Errorf("request after failures is answered with %d", status)
+	}
+	server.Close()
+	if err := <-served; err != nil {
+		t.Errorf("Serve returned %v after Close", err)
+	}
+}
+
 // A request may be on its way on a connection that is idle when a node is told to stop. On trouble-2 of 75 nodes one was
 // cut that had just been passed on to a backend server.
 func TestStoppingNodeAnswersOnIdleConnections(t *testing.T) {
