Lower the pace only after two late medians

Cause: TestPlainServiceBelowItsCapacityRefusesNothing failed in 2 of 300 runs (1.0 % refused at half load): bursts by chance make one median late.

Change: the share falls below 1 only when two medians in a row are late.

--- a/rudder/backend/pace.go
+++ b/rudder/backend/pace.go
@@ -32,6 +32,7 @@
 	share   float64
 	millis  []float64 // of the responses since the last change
 	changed time.Time
+	wasLate bool // at the last change
 }
 
 func newPace() *pace { return &pace{share: 1} }
@@ -49,10 +50,13 @@
 		return
 	}
 	slices.Sort(p.millis)
-	if median := p.millis[len(p.millis)/2]; median > paceTarget*objective.Seconds()*1000 {
-		p.share = max(p.share*paceDown, minPace)
-	} else {
+	isLate := p.millis[len(p.millis)/2] > paceTarget*objective.Seconds()*1000
+	switch {
+	case !isLate:
 		p.share = min(p.share+paceUp, 1)
+	case p.share < 1 || p.wasLate: // a single late median comes with chance bursts at half load too
+		p.share = max(p.share*paceDown, minPace)
 	}
+	p.wasLate = isLate
 	p.millis, p.changed = p.millis[:0], now
 }
