--- a/rudder/relaynode/registry.go
+++ b/rudder/relaynode/registry.go
@@ -24,10 +24,10 @@
 	restTime    = 800 * time.Millisecond
 	restStep    = 25 * time.Millisecond
 	longestRest = 1400 * time.Millisecond
-	// callerSilence is the age of its last call from which on a node is no longer taken to watch the registry.
-	callerSilence = 1300 * time.Millisecond
-	// wantedCallers is how many nodes watch the registry, in different failure domains where there are several.
-	wantedCallers = 2
+	// watcherSilence is the age of its last call from which on a node is no longer taken to watch the registry.
+	watcherSilence = 1300 * time.Millisecond
+	// wantedWatchers is how many nodes watch the registry, in different failure domains where there are several.
+	wantedWatchers = 2
 	// toldFor is how long a change is told: four digests at the longest interval, since datagrams get lost.
 	toldFor = 4 * time.Second
 	// maxTold bounds the changes in one digest. A node that misses some asks the object API.
@@ -214,15 +214,15 @@
 	r.mu.Lock()
 	age, callAge := boottime.Since(r.seenAt), boottime.Since(r.calledAt)
 	r.mu.Unlock()
-	before, callers := r.before()
+	before, watchers := r.before()
 	switch {
-	case before < wantedCallers || age > longestRest:
+	case before < wantedWatchers || age > longestRest:
 		return false
-	case callers >= wantedCallers:
+	case watchers >= wantedWatchers:
 		return true
 	}
 	// A node that has taken the place of one that does not call goes on, so that the others can rely on it.
-	return callAge > callerSilence && age < restTime+time.Duration(before)*restStep
+	return callAge > watcherSilence && age < restTime+time.Duration(before)*restStep
 }
 
 // watches reports whether this node watches the registry.
@@ -232,9 +232,9 @@
 	return !r.resting
 }
 
-// before returns how many nodes go before this one as callers, and how many of them call. The first nodes of all failure
-// domains go before the second ones, so that the callers are in different ones.
-func (r *registry) before() (before, callers int) {
+// before returns how many nodes go before this one as watchers, and how many of them watch. The first nodes of all failure
+// domains go before the second ones, so that the watchers are in different ones.
+func (r *registry) before() (before, watchers int) {
 	self := r.node.settings
 	members := r.node.mesh.Members() // by name
 	rank := 0                        // of this node in its failure domain
@@ -255,9 +255,9 @@
 		}
 		before++
 		called := m.SentAt.Add(-time.Duration(m.Registry.CallAge) * time.Millisecond)
-		if m.Dated && m.Registry.Revision > 0 && boottime.Since(called) < callerSilence {
-			callers++
+		if m.Dated && m.Registry.Revision > 0 && boottime.Since(called) < watcherSilence {
+			watchers++
 		}
 	}
-	return before, callers
+	return before, watchers
 }
