Remove a dead condition and copies found on reading

Cause: the reading of the whole change found that whether requests wait at a plain server is computed and, since the pace bounds plain requests, decides nothing; that Place counts the demand at three places; and that three places end a connection of a node that drains.

Change: Candidate.Waiting is set for prompts only, Place counts the demand once, Server.endConnection serves the three places. Behaviour stays as it is.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -70,7 +70,7 @@
 	Uncached int     // prompt tokens that the server has to read
 	Running  int
 	Full     bool
-	Waiting  bool // others wait there already
+	Waiting  bool // other prompts wait there already
 	Local    bool
 }
 
@@ -124,20 +124,22 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	candidates := t.candidates(r, now)
-	if len(candidates) == 0 {
-		t.countDemand(r, max(r.PromptTokens-sumTokens(r.Parts), 0), t.model(r.Service), now)
-		return nil, &Refusal{Reason: "no server of the service is left to try", NoServers: true}
-	}
 	best, found := Pick(candidates)
-	if !found {
-		t.countDemand(r, max(r.PromptTokens-sumTokens(r.Parts), 0), t.model(r.Service), now)
+	uncached := max(r.PromptTokens-sumTokens(r.Parts), 0)
+	if found {
+		uncached = best.Uncached
+	}
+	t.countDemand(r, uncached, t.model(r.Service), now)
+	switch {
+	case len(candidates) == 0:
+		return nil, &Refusal{Reason: "no server of the service is left to try", NoServers: true}
+	case !found:
 		return nil, &Refusal{Reason: "all servers are full", Wait: shortestWait(candidates)}
 	}
-	t.countDemand(r, best.Uncached, t.model(r.Service), now)
 	predicted := time.Duration(best.Millis * float64(time.Millisecond))
 	// Where nothing waits, a prediction alone is no reason to refuse: it may rest on old measurements. Plain requests are
 	// shorter than the age of the peers' loads; the pace bounds them.
-	if limit > 0 && predicted > limit && best.Waiting && r.IsGeneration {
+	if limit > 0 && predicted > limit && best.Waiting {
 		return nil, &Refusal{Reason: "predicted first byte is too late", Wait: predicted - limit/2}
 	}
 	if limit > 0 && !r.IsGeneration && !t.isPaced(r, now) {
@@ -227,7 +229,6 @@
 	} else {
 		c.Millis = m.workMillis * (1 + float64(sum.running)/float64(slots))
 		c.Full = s.own.running >= maxRunningFactor*slots
-		c.Waiting = sum.running >= slots
 		// Plain requests are shorter than the interval at which nodes tell their loads: all would run after the same old
 		// figures. Own requests and chance spread them better.
 		c.Score = m.workMillis * (1 + float64(s.own.running)/float64(slots)) * slowness * (1 - plainSpread*rand.Float64())
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -299,9 +299,7 @@
 	h := p.writer.Header()
 	copyHeader(h, response.Header)
 	h.Del("Content-Length")
-	if p.server.draining.Load() {
-		h.Set("Connection", "close")
-	}
+	p.server.endConnection(h)
 	p.headSent = true
 	p.writer.WriteHeader(response.StatusCode)
 }
--- a/rudder/relay/pursuit.go
+++ b/rudder/relay/pursuit.go
@@ -235,9 +235,7 @@
 	h := p.writer.Header()
 	copyHeader(h, b.header)
 	h.Set("Content-Length", strconv.Itoa(len(b.body)))
-	if p.server.draining.Load() {
-		h.Set("Connection", "close")
-	}
+	p.server.endConnection(h)
 	p.headSent = true
 	p.writer.WriteHeader(b.status)
 	if p.call.method != http.MethodHead {
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -67,6 +67,13 @@
 // Drain makes responses close their connections, so that callers go elsewhere.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// endConnection makes a response with the given header the last one of its connection if the node drains.
+func (s *Server) endConnection(h http.Header) {
+	if s.draining.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // Refuse makes the node refuse new requests as not run.
 func (s *Server) Refuse() { s.closing.Store(true) }
 
@@ -288,9 +295,7 @@
 	if problem.RetryAfter > 0 {
 		h.Set(retryAfter, strconv.FormatFloat(problem.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	if s.draining.Load() {
-		h.Set("Connection", "close")
-	}
+	s.endConnection(h)
 	h.Set("Content-Length", "0")
 	w.WriteHeader(problem.Status)
 	s.Log.Info("Request is refused.", "request", c.id, "status", problem.Status, "run", problem.Outcome.String(), "reason", problem.Reason,
