Start child processes of tests and tools on a lasting thread

A stopped process ends by SIGKILL only.

Change: all children with a parent-death signal are started by one goroutine that is locked to a thread that never ends.

Result: TestProcessOutlivesTheThreadOfItsStart fails before ("child ended with the thread that started it") and passes after.

--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -51,7 +52,7 @@
 	cmd.Stderr = logFile
 	// The kernel kills the child when its parent ends, so that an aborted test leaves no processes behind.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	if err := startOnLastingThread(cmd); err != nil {
 		_ = logFile.Close()
 		return nil, errors.Wrapf(err, "start %s", name)
 	}
@@ -64,6 +65,32 @@
 	return p, nil
 }
 
+// lastingThread starts the commands that it receives, on one thread that lasts as long as this process.
+var lastingThread = sync.OnceValue(func() chan<- startRequest {
+	requests := make(chan startRequest)
+	go func() {
+		runtime.LockOSThread()
+		for r := range requests {
+			r.result <- r.cmd.Start()
+		}
+	}()
+	return requests
+})
+
+// startRequest is a command to start and the channel for the result.
+type startRequest struct {
+	cmd    *exec.Cmd
+	result chan error
+}
+
+// startOnLastingThread starts a command with a parent-death signal. The kernel sends that signal when the starting thread
+// ends, even if the process goes on.
+func startOnLastingThread(cmd *exec.Cmd) error {
+	r := startRequest{cmd: cmd, result: make(chan error, 1)}
+	lastingThread() <- r
+	return <-r.result
+}
+
 // LogPath returns the path of the file that has the output of the process.
 func (p *Process) LogPath() string { return p.logFile.Name() }
 
--- /dev/null
+++ b/standin/process/process_test.go
@@ -0,0 +1,55 @@
+package process
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// runOnEndingThread runs f on a thread that ends afterwards, and returns when f has returned.
+func runOnEndingThread(f func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		runtime.LockOSThread() // without UnlockOSThread the thread ends with this goroutine
+		if syscall.Gettid() != syscall.Getpid() {
+			f()
+			return
+		}
+		// The main thread never ends. It stays with this goroutine, so that the next one gets another thread.
+		defer runtime.UnlockOSThread()
+		runOnEndingThread(f)
+	}()
+	<-done
+}
+
+// The kernel sends the parent-death signal when the thread that started the child ends, which can be long before the
+// parent process does.
+func TestProcessOutlivesTheThreadOfItsStart(t *testing.T) {
+	var p *Process
+	var err error
+	threadID := 0
+	runOnEndingThread(func() {
+		threadID = syscall.Gettid()
+		p, err = Start(t.TempDir(), "child", "sleep", "60")
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Kill()
+	err = WaitFor("the end of the starting thread", func() bool {
+		_, statErr := os.Stat(fmt.Sprintf("/proc/self/task/%d", threadID))
+		return os.IsNotExist(statErr)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-p.done:
+		t.Fatal("child ended with the thread that started it")
+	case <-time.After(200 * time.Millisecond):
+	}
+}
