Reset the connection of a request that is given up

Change: upstream.Conn.Abort sets SO_LINGER to 0 before it closes; the relay uses it for every connection whose response was not read to its end, and on cancellation. Bytes that have not arrived are dropped with the reset.

Result: TestGivenUpRequestIsReset (timeout of the route, caller disconnects, no first byte in time) fails before, "ended with EOF, want a reset", and passes after.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -60,12 +60,12 @@
 		return attemptResult{isKnownNotRun: true, backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
 	a.conn = conn
-	// Closing the connection on cancellation makes the server cancel the request.
-	stop := context.AfterFunc(ctx, func() { _ = conn.Conn.Close() })
+	// The end of the connection makes the server cancel the request.
+	stop := context.AfterFunc(ctx, conn.Abort)
 	isReleased := false
 	defer func() {
 		if !isReleased {
-			conn.Discard()
+			conn.Abort()
 		}
 	}()
 	a.addAwaitingResponse()
--- a/rudder/relay/relay_test.go
+++ b/rudder/relay/relay_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -202,6 +204,41 @@
 	}
 }
 
+// After an orderly close, a request that was held up on its way reaches the server and runs although the node has given it
+// up (check DRAIN, duwende-route-grown trouble-1, seed 2: 3.5 s after the server's leaving was acknowledged). A reset
+// discards it.
+func TestGivenUpRequestIsReset(t *testing.T) {
+	for name, giveUp := range map[string]func(h *harness, received <-chan struct{}){
+		"timeout of the route": func(h *harness, _ <-chan struct{}) { h.get("/short/x") },
+		"caller disconnects": func(h *harness, received <-chan struct{}) {
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() { <-received; cancel() }()
+			h.call(ctx, http.MethodGet, "/once/x", "", nil)
+		},
+		"no first byte in time": func(h *harness, _ <-chan struct{}) { h.get("/safe/x") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			received, ended := make(chan struct{}, 2), make(chan error, 2)
+			h.backendServer("a", func(conn net.Conn, _ *http.Request) bool {
+				received <- struct{}{}
+				_, err := conn.Read(make([]byte, 1))
+				ended <- err
+				return false
+			})
+			giveUp(h, received)
+			select {
+			case err := <-ended:
+				if !errors.Is(err, syscall.ECONNRESET) {
+					t.Fatalf("connection of the given-up request ended with %v, want a reset", err)
+				}
+			case <-time.After(10 * time.Second):
+				t.Fatal("connection of the given-up request is still open after 10 s")
+			}
+		})
+	}
+}
+
 // At the route's timeout the caller must get a response. Once the request was sent, the status must not imply that it has
 // not run.
 func TestRouteTimeoutIsAnsweredWith504(t *testing.T) {
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -159,9 +159,18 @@
 	return err == nil && isIdle
 }
 
-// Discard closes the connection.
+// Discard closes an idle connection or one whose response was read completely.
 func (c *Conn) Discard() { _ = c.Conn.Close() }
 
+// Abort resets the connection. Bytes of a request that are still on their way are dropped: after an orderly close, a
+// delayed request would reach the server and run long after this node gave it up.
+func (c *Conn) Abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails on a closed connection only
+	}
+	_ = c.Conn.Close()
+}
+
 // Release returns the connection to its pool after the response was read completely. It closes the connection if the
 // server asked for that or sent more than the response, or if the pool is full.
 func (c *Conn) Release(response *http.Response) {
