Read the configuration of a peer instead of watching it at each node

Cause: every node watched the configuration, so that one change cost a call of each node, and an idle watch of 20 s ten calls a second at 195 nodes. While the object API is down no node is ready; only ready nodes counted as coming before another one, so all nodes took the place of the pollers and watchers and called more than once a second. Every node wrote and deleted a record.

Change: nodes that peers keep confirmed make no watch. Nodes that are not ready count in the order of the nodes; the age from which a node asks by itself grows with its place, and beyond the first 16 nodes the pause between two calls during an outage grows by 50 ms for each node. Records are kept by three nodes of each failure domain.

Tests: TestNewerConfigurationOfPeerIsReadWithoutWatch, TestOldConfigurationIsNotAccepted, TestCallsDuringOutageAreBounded, TestFirstNodesOfFailureDomainHaveRecords.

--- a/rudder/quota/scale_test.go
+++ b/rudder/quota/scale_test.go
@@ -186,7 +186,9 @@
 
 // run sends requests of the given size at a rate of tokens per second for the duration d.
 func (c *summarizedCluster) run(o *traffic.Organisation, rate, size float64, d time.Duration) {
-	isDue := func(step, offset int, interval time.Duration) bool { return (step+offset)%int(interval/simulationStep) == 0 }
+	isDue := func(step, offset int, interval time.Duration) bool {
+		return (step+offset)%int(interval/simulationStep) == 0
+	}
 	for range int(d / simulationStep) {
 		step, sum := len(c.admitted), 0.0
 		for asked := rate * simulationStep.Seconds(); asked > 0; asked -= size {
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"chestnutrudder.example/rudder/boottime"
@@ -12,49 +14,140 @@
 
 const (
 	// configPollers is the number of nodes that ask the object API each configPollInterval whether the configuration is
-	// the newest. The other nodes rely on the confirmations in their digests and only wait for changes.
+	// the newest. The other nodes rely on the confirmations in their digests, and read the configuration when a peer has a
+	// newer one.
 	configPollers      = 2
 	configPollInterval = 800 * time.Millisecond
-	// maxConfirmationAge is the age of the last confirmation above which a node asks the object API itself. Confirmations
-	// from the pollers are up to configPollInterval, mesh.BaseInterval and two lost digests old; at 1.6 s, with pollers
-	// that sent a digest each 0.56 s, most of 75 nodes asked.
-	maxConfirmationAge = 2200 * time.Millisecond
+	// maxConfirmationAge is the age of the last confirmation above which a node asks the object API itself; each node that
+	// precedes it adds confirmationAgeStep, up to maxExtraConfirmationAge, so that the first ones can tell the others.
+	// Confirmations from the pollers are up to configPollInterval, mesh.BaseInterval and two lost digests old.
+	maxConfirmationAge      = 2200 * time.Millisecond
+	confirmationAgeStep     = 8 * time.Millisecond
+	maxExtraConfirmationAge = 1200 * time.Millisecond
 	// changeWatchTimeout is how long a watch of the configuration waits if it only has to report changes.
 	changeWatchTimeout = 20 * time.Second
+	// staleReadTimeout is how long after a read that may return old data a node asks the object API for the newer
+	// configuration that a peer has.
+	staleReadTimeout = 300 * time.Millisecond
+	// maxStaleReadDelay bounds the random delay before that read, so that not all nodes read at the same time.
+	maxStaleReadDelay = 100 * time.Millisecond
 )
 
+// configSync decides when this node asks the object API for the configuration. Each call is paid for.
+type configSync struct {
+	mu             sync.Mutex
+	calledAt       boottime.Instant // when the last call was sent
+	wantedVersion  int64            // the newest version that a peer has told of
+	staleReadUntil boottime.Instant // end of the time for the read of wantedVersion
+	newerVersion   chan struct{}    // has a value when wantedVersion has changed
+}
+
 // configWatchTimeout returns how long the next watch of the configuration waits for a change.
 func (n *node) configWatchTimeout() time.Duration {
-	if n.relay.StalenessLimits.Send > 0 && (n.isConfigPoller() || boottime.Since(n.currentConfig.ConfirmedAt()) > maxConfirmationAge) {
+	n.configSync.mu.Lock()
+	n.configSync.calledAt = boottime.Now()
+	n.configSync.mu.Unlock()
+	if n.mustProveConfig() {
 		return configPollInterval
 	}
 	return changeWatchTimeout
 }
 
+// mustProveConfig reports whether requests are refused unless the configuration is proved to be the newest.
+func (n *node) mustProveConfig() bool { return n.relay.StalenessLimits.Send > 0 }
+
 // isConfigPoller reports whether this node is one of those that confirm the configuration for all nodes.
-func (n *node) isConfigPoller() bool {
-	precedingNodes := 0
+func (n *node) isConfigPoller() bool { return n.countPrecedingByName() < configPollers }
+
+// countPrecedingByName returns how many nodes come before this one by name. Nodes that are not ready count too: while the
+// object API is down none is, and if all nodes then took the place of the first ones, all would call it.
+func (n *node) countPrecedingByName() int {
+	count := 0
 	for _, m := range n.mesh.ReachableMembers() {
-		if m.State == mesh.Ready && m.Node < n.settings.Node {
-			precedingNodes++
+		if m.State != mesh.Draining && m.Node < n.settings.Node {
+			count++
 		}
 	}
-	return precedingNodes < configPollers
+	return count
 }
 
-// restartConfigWatchIfStale ends a long watch of the configuration, so that the next one begins at once, when
-// confirmations from peers have stopped or a peer has a newer configuration.
-func (n *node) restartConfigWatchIfStale() {
-	if n.relay.StalenessLimits.Send > 0 && boottime.Since(n.currentConfig.ConfirmedAt()) > maxConfirmationAge {
-		n.configWatcher.RestartWatch(configPollInterval)
-		return
+// isConfigWatchSuspended reports whether this node need not call the object API for the configuration, because peers confirm
+// that it is the newest.
+func (n *node) isConfigWatchSuspended() bool {
+	if !n.mustProveConfig() {
+		return false
 	}
+	n.configSync.mu.Lock()
+	sinceCall, wantedVersion, staleReadUntil := boottime.Since(n.configSync.calledAt), n.configSync.wantedVersion, n.configSync.staleReadUntil
+	n.configSync.mu.Unlock()
+	preceding := n.countPrecedingByName()
 	config := n.currentConfig.Config()
-	for _, m := range n.mesh.ReachableMembers() {
-		if config == nil || m.ConfigVersion > config.Version {
-			n.configWatcher.RestartWatch(configPollInterval)
+	switch {
+	case preceding < configPollers || config == nil:
+		return false
+	case wantedVersion > config.Version && boottime.Now() > staleReadUntil:
+		return false
+	case boottime.Since(n.currentConfig.ConfirmedAt()) <= maxConfirmationAge+min(time.Duration(preceding)*confirmationAgeStep, maxExtraConfirmationAge):
+		return true
+	}
+	return sinceCall < outageCallInterval(preceding)
+}
+
+// outageProbers is the number of nodes that go on calling the object API at their usual rate while no node gets answers.
+const outageProbers = 16
+
+// outageCallInterval returns the least pause between two calls of a node while neither it nor its peers get answers from the
+// object API. The first nodes find out that it is back and tell the others; all nodes together make a bounded number of
+// calls.
+func outageCallInterval(preceding int) time.Duration {
+	if preceding < outageProbers {
+		return 0
+	}
+	return time.Duration(preceding) * outageIntervalPerNode
+}
+
+// outageIntervalPerNode lengthens the pause between two calls during an outage for each node that comes before.
+const outageIntervalPerNode = 50 * time.Millisecond
+
+// noteConfigVersion records that a peer has a version of the configuration.
+func (n *node) noteConfigVersion(version int64) {
+	config := n.currentConfig.Config()
+	n.configSync.mu.Lock()
+	defer n.configSync.mu.Unlock()
+	if version <= n.configSync.wantedVersion || config != nil && version <= config.Version {
+		return
+	}
+	n.configSync.wantedVersion, n.configSync.staleReadUntil = version, boottime.Now()
+	if n.platform.GetStale != nil {
+		n.configSync.staleReadUntil = boottime.Now().Add(maxStaleReadDelay + staleReadTimeout)
+	}
+	n.configWatcher.RestartWatch(configPollInterval) // a long watch over a dead connection would not return
+	select {
+	case n.configSync.newerVersion <- struct{}{}:
+	default: // the last one is still to be handled
+	}
+}
+
+// readNewerConfigs reads the configuration when a peer has told of a newer one, until ctx ends. The read may return an old
+// one; after staleReadTimeout the watch asks for the newest.
+func (n *node) readNewerConfigs(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-n.configSync.newerVersion:
+		}
+		if n.isConfigPoller() || n.platform.GetStale == nil || !sleep.For(ctx, rand.N(maxStaleReadDelay)) {
+			continue
+		}
+		readCtx, cancel := context.WithTimeout(ctx, staleReadTimeout)
+		o, err := n.platform.GetStale(readCtx, n.platform.ConfigKey)
+		cancel()
+		if err != nil {
+			n.log.Info("Reading the newer configuration of a peer failed; it will be watched.", "error", err)
+			continue
 		}
+		n.applyConfigObjects([]objectapi.Object{o})
 	}
 }
 
@@ -81,11 +174,3 @@
 		n.currentConfig.ConfirmNewest(config.Version, sentAt)
 	}
 }
-
-// monitorConfigAge calls restartConfigWatchIfStale regularly until ctx ends.
-func (n *node) monitorConfigAge(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep.For(ctx, configPollInterval/2)
-		n.restartConfigWatchIfStale()
-	}
-}
--- /dev/null
+++ b/rudder/relaynode/config_sync_test.go
@@ -0,0 +1,149 @@
+package relaynode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/mesh"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/relay"
+	"chestnutrudder.example/rudder/telemetry"
+	"chestnutrudder.example/rudder/traffic"
+)
+
+// followingNode is a node that relies on two peers, which come before it by name, for the configuration. It has version 1,
+// confirmed now.
+type followingNode struct {
+	*node
+	staleReads   atomic.Int64
+	staleVersion atomic.Int64 // version that GetStale returns
+}
+
+func startFollowingNode(t *testing.T) *followingNode {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	t.Cleanup(func() { cancel(); tasks.Wait() })
+	f := &followingNode{node: &node{
+		settings: Settings{Node: "n2"}, log: slog.New(slog.DiscardHandler), logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, "n2"),
+		currentConfig: traffic.NewCurrentConfig(), relay: &relay.Server{StalenessLimits: relay.StalenessLimits{Send: 4 * time.Second}},
+		configSync: configSync{newerVersion: make(chan struct{}, 1)}, configWatcher: &objectapi.Watcher{},
+	}}
+	f.currentConfig.Apply(&traffic.Config{Version: 1})
+	f.currentConfig.ConfirmNewest(1, boottime.Now())
+	f.platform = Platform{
+		ConfigKey: "config/main",
+		DecodeConfig: func(raw json.RawMessage) (*traffic.Config, error) {
+			var version int64
+			err := json.Unmarshal(raw, &version)
+			return &traffic.Config{Version: version}, err
+		},
+		GetStale: func(context.Context, string) (objectapi.Object, error) {
+			f.staleReads.Add(1)
+			return objectapi.Object{Key: "config/main", Value: json.RawMessage(fmt.Sprint(f.staleVersion.Load()))}, nil
+		},
+	}
+	listen := func() (net.PacketConn, string) {
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn, conn.LocalAddr().String()
+	}
+	conn, address := listen()
+	digestOf := func(name string) func() mesh.Digest {
+		return func() mesh.Digest { return mesh.Digest{Node: name, Incarnation: 1, State: mesh.Ready} }
+	}
+	f.mesh = mesh.New(address, nil, digestOf("n2"), func(*mesh.Member) {}, slog.New(slog.DiscardHandler))
+	tasks.Go(func() { f.mesh.Run(ctx, conn) })
+	for _, name := range []string{"n0", "n1"} {
+		peerConn, peerAddress := listen()
+		peer := mesh.New(peerAddress, []string{address}, digestOf(name), func(*mesh.Member) {}, slog.New(slog.DiscardHandler))
+		tasks.Go(func() { peer.Run(ctx, peerConn) })
+	}
+	tasks.Go(func() { f.readNewerConfigs(ctx) })
+	waitFor(t, 30*time.Second, "the node hears from both peers", func() bool { return f.countPrecedingByName() == 2 })
+	return f
+}
+
+// Pattern: the configuration changes while hundreds of nodes watch it. A watch at each node costs one call of each node for
+// each change. Nodes that rely on pollers must not call, and must take a newer configuration from a cheap read.
+func TestNewerConfigurationOfPeerIsReadWithoutWatch(t *testing.T) {
+	f := startFollowingNode(t)
+	f.currentConfig.ConfirmNewest(1, boottime.Now())
+	if !f.isConfigWatchSuspended() {
+		t.Fatal("node watches the configuration while peers confirm it")
+	}
+	f.staleVersion.Store(3)
+	f.noteConfigVersion(3)
+	f.noteConfigVersion(3)
+	f.noteConfigVersion(2)
+	waitFor(t, 30*time.Second, "version 3 is in force", func() bool { return f.currentConfig.Config().Version == 3 })
+	f.currentConfig.ConfirmNewest(3, boottime.Now())
+	if !f.isConfigWatchSuspended() {
+		t.Error("node watches the configuration although it has the newest one")
+	}
+	if reads := f.staleReads.Load(); reads != 1 {
+		t.Errorf("node made %d reads for one newer version, want 1", reads)
+	}
+}
+
+// A read that may return old data can miss the newer configuration. The node must then ask for the newest.
+func TestOldConfigurationIsNotAccepted(t *testing.T) {
+	f := startFollowingNode(t)
+	f.staleVersion.Store(1)
+	f.noteConfigVersion(2)
+	waitFor(t, 30*time.Second, "the node watches the configuration", func() bool {
+		f.currentConfig.ConfirmNewest(1, boottime.Now())
+		return !f.isConfigWatchSuspended()
+	})
+	if reads := f.staleReads.Load(); reads != 1 {
+		t.Errorf("node made %d reads before it watches, want 1", reads)
+	}
+}
+
+// Pattern: the object API is down and hundreds of nodes find that nobody confirms the configuration. When no node is ready,
+// each of 195 nodes called more than once a second.
+func TestCallsDuringOutageAreBounded(t *testing.T) {
+	const nodes = 195
+	callsPerSecond := 0.0
+	for preceding := outageProbers; preceding < nodes; preceding++ {
+		callsPerSecond += 1 / outageCallInterval(preceding).Seconds()
+	}
+	if callsPerSecond > nodes/3 {
+		t.Errorf("nodes that come after the first %d make %.0f calls per second, want at most %d", outageProbers, callsPerSecond, nodes/3)
+	}
+	if outageCallInterval(outageProbers-1) != 0 {
+		t.Error("the first nodes wait between two calls")
+	}
+	if longest := outageCallInterval(nodes); longest > 10*time.Second {
+		t.Errorf("the last node waits %s between two calls, want at most 10 s", longest)
+	}
+}
+
+// Three nodes of each failure domain have records, so that a starting node finds one of them.
+func TestFirstNodesOfFailureDomainHaveRecords(t *testing.T) {
+	var members []*mesh.Member
+	for i := range 10 {
+		members = append(members, &mesh.Member{Digest: mesh.Digest{Node: fmt.Sprintf("n%d", i), FailureDomain: []string{"a", "b"}[i%2], State: mesh.Ready}})
+	}
+	members[0].State = mesh.Draining
+	var withRecord []string
+	for _, m := range members {
+		if needsRecord(m.Node, m.FailureDomain, members) {
+			withRecord = append(withRecord, m.Node)
+		}
+	}
+	if got := fmt.Sprint(withRecord); got != "[n0 n1 n2 n3 n4 n5 n6]" {
+		t.Errorf("nodes with records are %s, want the first three that do not stop of each failure domain, and n0 itself", got)
+	}
+}
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -28,6 +28,11 @@
 	nodeRecordPrefix = "rudder-nodes/"
 	// nodeDiscoveryInterval is the pause between two listings of the records by a node that reaches too few others.
 	nodeDiscoveryInterval = 5 * time.Second
+	// registrationDelay is how long after its start a node decides whether it needs a record: by then it has heard from the
+	// nodes that its seeds know.
+	registrationDelay = 3 * time.Second
+	// recordsPerFailureDomain is the number of nodes of a failure domain that have records.
+	recordsPerFailureDomain = 3
 	// unregisterTimeout bounds the deletion of a stopping node's record; the node stops without it too.
 	unregisterTimeout = 300 * time.Millisecond
 )
@@ -81,29 +86,58 @@
 	return record, errors.Wrapf(json.Unmarshal(o.Value, &record), "decode node record %s", o.Key)
 }
 
-// registerAndDiscover writes this node's record, and reads those of other nodes while it reaches few of them, until ctx
-// ends.
+// registerAndDiscover keeps a record of this node if few others of its failure domain have one, and reads the records while
+// this node reaches few others, until ctx ends.
 func (n *node) registerAndDiscover(ctx context.Context) {
-	isRegistered := false
+	pause := registrationDelay
 	for ctx.Err() == nil {
-		if !isRegistered {
-			_, err := n.platform.Store.Put(ctx, nodeRecordPrefix+n.settings.Node, nodeRecord{MeshAddress: n.settings.MeshAddress}, objectapi.AnyVersion)
-			isRegistered = err == nil
-			if err != nil {
-				n.log.Warn("Writing the node record failed; trying again.", "error", err)
-			}
-		}
 		reachable, known := n.mesh.CountNodes()
 		if reachable == 1 || 2*reachable < known {
 			n.discoverNodes(ctx)
 		}
-		sleep.For(ctx, nodeDiscoveryInterval)
+		sleep.For(ctx, pause)
+		pause = nodeDiscoveryInterval
+		if needsRecord(n.settings.Node, n.settings.FailureDomain, n.mesh.ReachableMembers()) {
+			n.register(ctx)
+		}
 	}
 }
 
-// unregister deletes this node's record, so that starting nodes do not send digests to an address that is no longer in
+// needsRecord reports whether a node should have a record: fewer than recordsPerFailureDomain nodes of its failure domain
+// come before it by name. A starting node needs to reach only one other.
+func needsRecord(node, failureDomain string, peers []*mesh.Member) bool {
+	preceding := 0
+	for _, m := range peers {
+		if m.FailureDomain == failureDomain && m.State != mesh.Draining && m.Node < node {
+			preceding++
+		}
+	}
+	return preceding < recordsPerFailureDomain
+}
+
+// register writes this node's record if it has none and is not stopping.
+func (n *node) register(ctx context.Context) {
+	n.recordMu.Lock()
+	defer n.recordMu.Unlock()
+	if n.isRegistered || n.isDraining.Load() {
+		return
+	}
+	_, err := n.platform.Store.Put(ctx, nodeRecordPrefix+n.settings.Node, nodeRecord{MeshAddress: n.settings.MeshAddress}, objectapi.AnyVersion)
+	if err != nil {
+		n.log.Warn("Writing the node record failed; trying again.", "error", err)
+		return
+	}
+	n.isRegistered = true
+}
+
+// unregister deletes this node's record if it has one, so that starting nodes do not send digests to an address that is no longer in
 // use.
 func (n *node) unregister() {
+	n.recordMu.Lock()
+	defer n.recordMu.Unlock()
+	if !n.isRegistered {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), unregisterTimeout)
 	defer cancel()
 	err := n.platform.Store.Delete(ctx, nodeRecordPrefix+n.settings.Node, objectapi.AnyVersion)
@@ -114,7 +148,11 @@
 
 // discoverNodes adds the mesh addresses of all nodes that have a record.
 func (n *node) discoverNodes(ctx context.Context) {
-	listing, err := n.platform.Store.List(ctx, nodeRecordPrefix)
+	list := n.platform.Store.List
+	if n.platform.ListStale != nil {
+		list = n.platform.ListStale
+	}
+	listing, err := list(ctx, nodeRecordPrefix)
 	if err != nil {
 		n.log.Warn("Listing the node records failed.", "error", err)
 		return
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -10,6 +10,7 @@
 	"path"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,12 +72,16 @@
 	mesh          *mesh.Mesh
 	leases        *lease.Manager
 	configWatcher *objectapi.Watcher
+	configSync    configSync
 	registry      *registrySync
 
 	incarnation    int64 // start of the process in Unix milliseconds; identifies this start
 	isDraining     atomic.Bool
 	holdsDutyLease atomic.Bool
 
+	recordMu     sync.Mutex
+	isRegistered bool // this node has a record in the object API; guarded by recordMu
+
 	holderUpdatedAt boottime.Instant // when windowsForDutyHolder last returned counts; used by one task
 }
 
@@ -118,6 +123,7 @@
 	n := &node{
 		settings: s, platform: platform, logger: logger, log: logger.Part("node"),
 		currentConfig: traffic.NewCurrentConfig(), incarnation: time.Now().UnixMilli(),
+		configSync: configSync{newerVersion: make(chan struct{}, 1)},
 	}
 	n.backends = backend.NewTable(dialTimeout, logger.Part("backend"))
 	n.backends.MaxIdleConns = n.maxIdleConnections
@@ -161,12 +167,12 @@
 		OnList:       func(objects []objectapi.Object, _ boottime.Instant) { n.applyConfigObjects(objects) },
 		OnChange:     func(e objectapi.Event) { n.applyConfigObjects([]objectapi.Object{e.Object}) },
 		OnSync:       n.confirmConfig,
-		WatchTimeout: n.configWatchTimeout,
+		WatchTimeout: n.configWatchTimeout, IsSuspended: n.isConfigWatchSuspended,
 	}
 	tasks := []func(context.Context){
 		func(ctx context.Context) { n.mesh.Run(ctx, meshConn) },
 		n.configWatcher.Run, n.registry.objectWatcher.Run, n.relay.WatchWaitingRequests, n.closeIdleConnections, n.updateShares,
-		n.monitorConfigAge, n.registerAndDiscover,
+		n.readNewerConfigs, n.registerAndDiscover,
 	}
 	if n.settings.ReportsUsage || n.settings.OrdersCapacity {
 		tasks = append(tasks, func(ctx context.Context) { n.leases.Hold(ctx, dutyLeaseName, n.runDuties) })
@@ -243,7 +249,7 @@
 // needsShortInterval reports whether other nodes rely on the digests of this one: to follow the registry and to know that
 // the configuration is the newest, and, where summaries would tell it late, who holds the duty lease.
 func (n *node) needsShortInterval() bool {
-	return n.isConfigPoller() || n.registry.isWatching() || n.holdsDutyLease.Load() && n.mesh.UsesSummaries()
+	return n.mustProveConfig() && !n.isConfigWatchSuspended() || n.registry.isWatching() || n.holdsDutyLease.Load() && n.mesh.UsesSummaries()
 }
 
 // handleDigest updates this node's knowledge of its peers from a digest, which may be an urgent or a brief one.
@@ -261,6 +267,7 @@
 		n.relay.Crashes.SetPeerCounts(m.Node, m.CrashCounts)
 	}
 	n.registry.applyDelta(m)
+	n.noteConfigVersion(m.ConfigVersion)
 	if confirmedAt, found := m.ConfigConfirmedAt(); found {
 		n.currentConfig.ConfirmNewest(m.ConfigVersion, confirmedAt)
 	}
@@ -276,6 +283,9 @@
 			IsWarmingUp: peer.IsWarmingUp, IsPartial: !peer.HasAllUsages, Usages: s.UsagesOf(peer),
 		})
 	}
+	for i := range s.Nodes {
+		n.noteConfigVersion(s.Nodes[i].ConfigVersion)
+	}
 	n.backends.SetPeerLoads(failureDomainPeer(s.FailureDomain), s.Loads)
 	n.relay.Crashes.SetPeerCounts(failureDomainPeer(s.FailureDomain), s.CrashCounts)
 }
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -26,6 +26,9 @@
 	passiveMaxAge      = 800 * time.Millisecond
 	passiveMaxAgeStep  = 25 * time.Millisecond
 	passiveMaxAgeLimit = 1400 * time.Millisecond
+	// passiveMaxAgeExtraStep is added to passiveMaxAgeLimit for each preceding node, so that hundreds of nodes do not begin
+	// to call at the same time.
+	passiveMaxAgeExtraStep = 4 * time.Millisecond
 	// watcherTimeout is the age of its last call from which on a node no longer counts as a watcher of the registry.
 	watcherTimeout = 1300 * time.Millisecond
 	// wantedWatchers is the number of nodes that watch the registry, in different failure domains where there are
@@ -51,6 +54,7 @@
 	fromRevision  int64            // recentChanges holds all changes after this revision
 	revision      int64            // up to and including this one
 	lastCallAt    boottime.Instant // when the last answered call was sent
+	attemptedAt   boottime.Instant // when the last watch was sent, answered or not
 	currentAsOf   boottime.Instant // all changes that the object API acknowledged before this time are known
 	isPassive     bool             // result of the last updatePassive
 }
@@ -67,12 +71,20 @@
 	r.objectWatcher = &objectapi.Watcher{
 		Store: n.platform.Store, Prefix: n.platform.ServerPrefix, Log: r.log,
 		OnList: r.applyListing, OnChange: r.applyEvent, OnSync: r.recordAnswer,
-		WatchTimeout: func() time.Duration { return registryWatchTimeout },
+		WatchTimeout: r.beginWatch,
 		BatchDelay:   registryBatchDelay, IsSuspended: r.updatePassive,
 	}
 	return r
 }
 
+// beginWatch records that a watch is sent now and returns how long it waits for a change.
+func (r *registrySync) beginWatch() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attemptedAt = boottime.Now()
+	return registryWatchTimeout
+}
+
 // applyListing replaces the table of backend servers by a listing of the whole registry.
 func (r *registrySync) applyListing(objects []objectapi.Object, _ boottime.Instant) {
 	var entries []backend.Entry
@@ -226,12 +238,14 @@
 // canBePassive reports whether peers keep this node up to date, so that it need not call the object API.
 func (r *registrySync) canBePassive() bool {
 	r.mu.Lock()
-	age, callAge := boottime.Since(r.currentAsOf), boottime.Since(r.lastCallAt)
+	age, callAge, attemptedAt := boottime.Since(r.currentAsOf), boottime.Since(r.lastCallAt), r.attemptedAt
 	r.mu.Unlock()
 	preceding, watchers := r.countPrecedingNodes()
 	switch {
-	case preceding < wantedWatchers || age > passiveMaxAgeLimit:
+	case preceding < wantedWatchers:
 		return false
+	case age > passiveMaxAgeLimit+time.Duration(preceding)*passiveMaxAgeExtraStep:
+		return boottime.Since(attemptedAt) < outageCallInterval(preceding)
 	case watchers >= wantedWatchers:
 		return true
 	}
@@ -246,21 +260,21 @@
 	return !r.isPassive
 }
 
-// countPrecedingNodes returns how many ready nodes precede this one in the order in which nodes become watchers, and how
-// many of these watch. The first nodes by name of all failure domains precede the second ones, so that the watchers are
+// countPrecedingNodes returns how many nodes precede this one in the order in which nodes become watchers, and how
+// many of these watch. Nodes that are not ready count too; see countPrecedingByName. The first nodes by name of all failure domains precede the second ones, so that the watchers are
 // in different failure domains.
 func (r *registrySync) countPrecedingNodes() (preceding, watchers int) {
 	self := r.node.settings
 	members := r.node.mesh.ReachableMembers() // sorted by name
 	rank := 0                                 // of this node in its failure domain
 	for _, m := range members {
-		if m.State == mesh.Ready && m.FailureDomain == self.FailureDomain && m.Node < self.Node {
+		if m.State != mesh.Draining && m.FailureDomain == self.FailureDomain && m.Node < self.Node {
 			rank++
 		}
 	}
 	ranks := map[string]int{}
 	for _, m := range members {
-		if m.State != mesh.Ready {
+		if m.State == mesh.Draining {
 			continue
 		}
 		ranks[m.FailureDomain]++
--- a/rudder/relaynode/settings.go
+++ b/rudder/relaynode/settings.go
@@ -70,6 +70,10 @@
 type Platform struct {
 	Dialect *relay.Dialect
 	Store   objectapi.Store
+	// GetStale is Store.Get at a lower price; it may return data that is seconds old. Nil if there is no such call.
+	GetStale func(ctx context.Context, key string) (objectapi.Object, error)
+	// ListStale is likewise for Store.List. Nil means Store.List.
+	ListStale func(ctx context.Context, prefix string) (objectapi.Listing, error)
 
 	ConfigKey    string // key of the object with the configuration
 	DecodeConfig func(json.RawMessage) (*traffic.Config, error)
