Bound endless bytes, dripping streams and partial responses of servers

Receive reads at most 256 KiB for heads, skips at most 16 interim responses (they counted as mismatched ones before) and fails then; - endless bodies: a response that is not a stream is cut after MaxResponseBytes (64 MiB) and its server charged; - a stream that sent a byte now and then was never moved: each read extended the time limit. Only whole events do now; - a stream without a length that ended within an event reached the caller as complete; - a large response that broke off panicked past Placement.Release: the server's place stayed taken for good, and nothing was charged. It ends as a partial result now and is never sent again; - a refusal without an id on a reused connection was taken for the answer to the next request, also if it belonged to the one before; - skipEvents split at LF only, so a resumed stream with CRLF repeated events; - any request without a verdict ended the probe that another one made.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -110,6 +110,7 @@
 	placedAt      time.Time
 	isUncontended bool // no other prompt waited for prefill at the server
 	hasFirstByte  bool // the first byte came or the placement was released
+	isProbe       bool // the request shows whether the server has recovered after an ejection
 }
 
 // Refusal says why no server was chosen and when to retry.
@@ -161,7 +162,7 @@
 	}
 	s.ownLoad.running++
 	s.ownLoad.pendingTokens[r.urgencyLevel()] += p.pendingTokens
-	s.health.recordPlacement(now)
+	p.isProbe = s.health.recordPlacement(now)
 	return p, nil
 }
 
@@ -371,7 +372,9 @@
 	case ResultConnectionFailure:
 		s.health.recordFailure(now, true)
 	default:
-		s.health.recordInconclusive()
+		if p.isProbe {
+			s.health.recordInconclusiveProbe()
+		}
 	}
 	if s.isUnlisted && s.ownLoad.running == 0 && t.servers[s.ID] == s {
 		delete(t.servers, s.ID)
--- a/rudder/backend/health.go
+++ b/rudder/backend/health.go
@@ -46,11 +46,12 @@
 // isEjected reports whether the server is ejected or being probed.
 func (h *health) isEjected(now time.Time) bool { return now.Before(h.ejectedUntil) || h.isProbing }
 
-// recordPlacement records that a request is placed on the server. The first one after an ejection is the probe.
-func (h *health) recordPlacement(now time.Time) {
-	if !h.ejectedUntil.IsZero() && !now.Before(h.ejectedUntil) {
-		h.isProbing = true
-	}
+// recordPlacement records that a request is placed on the server, and reports whether it is the probe: the first one after an
+// ejection.
+func (h *health) recordPlacement(now time.Time) (isProbe bool) {
+	isProbe = !h.isProbing && !h.ejectedUntil.IsZero() && !now.Before(h.ejectedUntil)
+	h.isProbing = h.isProbing || isProbe
+	return isProbe
 }
 
 // recordSuccess records a complete response. If the server was ejected, this ends the ejection and resets its state.
@@ -73,9 +74,9 @@
 	h.isProbing = false
 }
 
-// recordInconclusive records the end of a request whose result says nothing about the server. The next request after
-// the ejection is then the probe.
-func (h *health) recordInconclusive() { h.isProbing = false }
+// recordInconclusiveProbe records the end of a probe whose result says nothing about the server. The next request is then
+// the probe.
+func (h *health) recordInconclusiveProbe() { h.isProbing = false }
 
 // slowdown is the moving average of a server's times to the first byte relative to those that the latency model predicts.
 type slowdown struct {
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -29,6 +28,9 @@
 	// asyncBodyBytes is the body size from which on the request is sent in a goroutine while the response is read, since
 	// the response may arrive before the end of the body.
 	asyncBodyBytes = 32 << 10
+	// defaultMaxResponseBytes bounds the body of a response that is not an event stream, which a server in trouble may go on
+	// sending without end.
+	defaultMaxResponseBytes = 64 << 20
 	// streamChunkBytes bounds one read from an event stream.
 	streamChunkBytes = 8 << 10
 )
@@ -228,21 +230,51 @@
 	return false
 }
 
-// forwardLarge forwards a response that exceeds maxBufferedBytes; buffered is the part of its body that was read already. It
-// aborts the response to the caller if the rest fails.
+// errResponseTooLarge means that the body of a response exceeds the limit.
+var errResponseTooLarge = errors.New("response body is too large")
+
+// forwardLarge forwards a response that exceeds maxBufferedBytes; buffered is the part of its body that was read already. If
+// the rest fails, the result is partial.
 func (a *attempt) forwardLarge(ctx context.Context, response *http.Response, buffered []byte) attemptResult {
-	a.forwarder.writeHead(response)
-	_, err := a.forwarder.writer.Write(buffered)
+	f := a.forwarder
+	limit := f.server.MaxResponseBytes
+	if limit == 0 {
+		limit = defaultMaxResponseBytes
+	}
+	f.writeHead(response)
+	rest := &io.LimitedReader{R: response.Body, N: limit - int64(len(buffered)) + 1}
+	caller := &callerWriter{ResponseWriter: f.writer}
+	_, err := caller.Write(buffered)
 	if err == nil {
-		_, err = io.Copy(a.forwarder.writer, response.Body)
+		_, err = io.Copy(caller, rest)
 	}
-	if err != nil {
-		a.forwarder.abort("forward large response: " + err.Error())
+	if err == nil && rest.N <= 0 {
+		err = errors.Wrapf(errResponseTooLarge, "more than %d bytes", limit)
 	}
-	a.forwarder.finishResponse(response.StatusCode)
+	switch {
+	case caller.err != nil:
+		return attemptResult{isPartial: true, backendResult: backend.ResultInconclusive, reason: "write large response to caller: " + caller.err.Error()}
+	case err != nil:
+		return attemptResult{isPartial: true, backendResult: a.resultUnlessCancelled(ctx, backend.ResultConnectionFailure), reason: "read large response: " + err.Error()}
+	}
+	f.finishResponse(response.StatusCode)
 	return attemptResult{isFinal: true, backendResult: backend.ResultCompleted}
 }
 
+// callerWriter writes to a caller and keeps the error, which tells failures of the caller from those of the server.
+type callerWriter struct {
+	http.ResponseWriter
+	err error
+}
+
+func (w *callerWriter) Write(b []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(b)
+	if err != nil {
+		w.err = err
+	}
+	return n, err
+}
+
 // forwardStream forwards events as they arrive. The head is sent with the first complete event, so that a stream that breaks
 // before can be started again on another server.
 func (a *attempt) forwardStream(ctx context.Context, response *http.Response) attemptResult {
@@ -251,8 +283,8 @@
 	skipUpTo := f.lastEventID
 	controller := http.NewResponseController(f.writer)
 	chunk := make([]byte, streamChunkBytes)
+	a.setReadTimeout(f.eventTimeout())
 	for {
-		a.setReadTimeout(f.eventTimeout())
 		events, err := reader.next(chunk)
 		if skipUpTo != "" {
 			events = skipEvents(events, skipUpTo)
@@ -263,8 +295,12 @@
 				return attemptResult{isFinal: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + writeErr.Error()}
 			}
 			f.lastEventID = reader.lastID
+			// Bytes that complete no event do not extend the time for the next one.
+			a.setReadTimeout(f.eventTimeout())
 		}
 		switch {
+		case err == io.EOF && len(reader.remainder()) > 0 && endsWithConnection(response):
+			return attemptResult{backendResult: a.resultUnlessCancelled(ctx, backend.ResultConnectionFailure), reason: "event stream without a length ended within an event"}
 		case err == io.EOF:
 			return a.finishStream(reader, response, controller)
 		case err != nil:
@@ -273,6 +309,12 @@
 	}
 }
 
+// endsWithConnection reports whether only the end of the connection marks the end of a response, so that it does not show
+// whether the response is complete.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // finishStream forwards the rest of a stream that the backend server has ended.
 func (a *attempt) finishStream(reader *eventReader, response *http.Response, controller *http.ResponseController) attemptResult {
 	f := a.forwarder
@@ -328,16 +370,13 @@
 		return events
 	}
 	for len(events) > 0 {
-		end := bytes.Index(events, []byte("\n\n"))
-		if end < 0 {
-			return events
-		}
-		id, found := parseLastEventID(events[:end+1])
+		end := firstEventEnd(events)
+		id, found := parseLastEventID(events[:end])
 		number, err := strconv.ParseInt(id, 10, 64)
-		if !found || err != nil || number > lastNumber {
+		if end == 0 || !found || err != nil || number > lastNumber {
 			return events
 		}
-		events = events[end+2:]
+		events = events[end:]
 	}
 	return nil
 }
--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -52,6 +52,17 @@
 	return end
 }
 
+// firstEventEnd returns the offset after the first empty line, or 0 if there is none.
+func firstEventEnd(b []byte) int {
+	end := 0
+	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.Index(b, []byte(separator)); i >= 0 && (end == 0 || i+len(separator) < end) {
+			end = i + len(separator)
+		}
+	}
+	return end
+}
+
 // parseLastEventID returns the value of the last id field and whether there is one.
 func parseLastEventID(events []byte) (string, bool) {
 	id, found := "", false
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -72,6 +72,9 @@
 		if result.isFinal {
 			return
 		}
+		if result.isPartial {
+			f.abort(result.reason)
+		}
 		if ctx.Err() != nil {
 			f.fail(f.deadlineError())
 			return
@@ -106,6 +109,7 @@
 // attemptResult is the result of an attempt.
 type attemptResult struct {
 	isFinal       bool           // the caller has a complete response, has disconnected, or does not read
+	isPartial     bool           // the caller has a part of a response that cannot be continued
 	isSent        bool           // at least one byte of the request was sent
 	isKnownNotRun bool           // nothing was sent, or the server stated that it has not run the request
 	backendResult backend.Result // for the statistics of the server
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -46,9 +46,11 @@
 	Runs            RunCounter
 	FailureDomain   string // of this node
 	StalenessLimits StalenessLimits
-	RetryRate       limit.RetryRate // retry budget of each service; the burst is divided among the nodes
-	Log             *slog.Logger
-	Crashes         CrashList
+	// MaxResponseBytes bounds the body of a response that is not an event stream; 0 means defaultMaxResponseBytes.
+	MaxResponseBytes int64
+	RetryRate        limit.RetryRate // retry budget of each service; the burst is divided among the nodes
+	Log              *slog.Logger
+	Crashes          CrashList
 
 	mu               sync.Mutex
 	nodeCount        int                           // nodes that share the retry budgets
--- /dev/null
+++ b/rudder/upstream/faulty_server_test.go
@@ -0,0 +1,118 @@
+package upstream_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/upstream"
+)
+
+// receive sends a request on a new connection of the pool and returns what Receive returns.
+func receive(t *testing.T, pool *upstream.Pool, id string) (*http.Response, error) {
+	t.Helper()
+	conn, err := pool.Get(context.Background(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(conn.Abort)
+	_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	r := request(id)
+	if err := conn.Send(r); err != nil {
+		t.Fatal(err)
+	}
+	return conn.Receive(r, "Id")
+}
+
+// A refusal without an id that arrives on a reused connection may belong to an earlier request. Taken for the answer to the
+// next one, it would tell a caller that a request has not run that may be running.
+func TestRefusalWithoutIDOnReusedConnectionIsNotAccepted(t *testing.T) {
+	address, _ := serve(t, func(conn net.Conn, number int, r *http.Request) bool {
+		if number == 1 {
+			writeResponse(conn, r.Header.Get("Id"), "x")
+		} else {
+			fmt.Fprint(conn, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+		return true
+	})
+	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
+	exchange(t, pool, "first")
+	if response, err := receive(t, pool, "second"); !errors.Is(err, upstream.ErrMismatchedResponse) {
+		t.Fatalf("response %v, error %v, want ErrMismatchedResponse", response, err)
+	}
+}
+
+// Interim responses (RFC 9110, section 15.2) may precede the final one in any number that a server sensibly sends.
+func TestInterimResponsesAreSkipped(t *testing.T) {
+	address, _ := serve(t, func(conn net.Conn, _ int, r *http.Request) bool {
+		for range 6 {
+			fmt.Fprint(conn, "HTTP/1.1 103 Early Hints\r\n\r\n")
+		}
+		writeResponse(conn, r.Header.Get("Id"), "x")
+		return true
+	})
+	response, err := receive(t, &upstream.Pool{Address: address, DialTimeout: time.Second}, "first")
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("response %v, error %v, want status 200", response, err)
+	}
+}
+
+// A server in trouble may send bytes that are no answer, without end. Receive must fail after a bounded number of them, in
+// constant memory.
+func TestEndlessBytesAreNotAccepted(t *testing.T) {
+	for name, c := range map[string]struct{ start, repeated string }{
+		"zeros":             {repeated: "\x00"},
+		"line without end":  {start: "HTTP/1.1 200 OK\r\nId: ", repeated: "a"},
+		"headers":           {start: "HTTP/1.1 200 OK\r\n", repeated: "X-Name: value\r\n"},
+		"interim responses": {repeated: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"other responses":   {repeated: "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n"},
+		"body of another response": {
+			start: "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", repeated: "data: x\n\n",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{})
+			address, _ := serve(t, func(conn net.Conn, _ int, _ *http.Request) bool {
+				defer close(closed)
+				_, err := conn.Write([]byte(c.start))
+				block := bytes.Repeat([]byte(c.repeated), 1+64<<10/len(c.repeated))
+				for sent := 0; err == nil && sent < 1<<30; sent += len(block) {
+					_, err = conn.Write(block)
+				}
+				return false
+			})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
+			conn, err := pool.Get(context.Background(), time.Minute)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := request("first")
+			if err := conn.Send(r); err != nil {
+				t.Fatal(err)
+			}
+			response, err := conn.Receive(r, "Id")
+			conn.Abort()
+			if err == nil {
+				t.Fatalf("response %+v, want an error", response)
+			}
+			select {
+			case <-closed:
+			case <-time.After(20 * time.Second):
+				t.Fatal("the server can still send after 20 s")
+			}
+			runtime.ReadMemStats(&after)
+			const maxAllocated = 16 << 20
+			if allocated := after.TotalAlloc - before.TotalAlloc; allocated > maxAllocated {
+				t.Errorf("%d bytes were allocated, want at most %d", allocated, maxAllocated)
+			}
+		})
+	}
+}
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -28,6 +28,10 @@
 	maxMismatchedResponses = 2
 	// maxMismatchedBodyBytes bounds the body of a skipped response.
 	maxMismatchedBodyBytes = 1 << 20
+	// maxInterimResponses is how many interim responses one Receive call skips.
+	maxInterimResponses = 16
+	// maxHeadBytes bounds what one Receive call reads from the connection for the heads of responses.
+	maxHeadBytes = 256 << 10
 	// tcpUserTimeout is how long sent data may stay unacknowledged before the kernel closes the connection.
 	tcpUserTimeout = 2 * time.Second
 )
@@ -38,6 +42,8 @@
 	ErrNotSent = errors.New("request was not sent")
 	// ErrMismatchedResponse means that the connection delivered only responses to other requests.
 	ErrMismatchedResponse = errors.New("response belongs to another request")
+	// ErrHeadTooLarge means that the connection delivered too many bytes without the head of the response.
+	ErrHeadTooLarge = errors.New("head of the response is too large")
 )
 
 // Pool holds the idle connections to one address. It is safe for concurrent use.
@@ -62,6 +68,7 @@
 type Conn struct {
 	net.Conn
 	pool              *Pool
+	source            *headLimiter // of reader
 	reader            *bufio.Reader
 	Reused            bool // the connection came from the pool
 	idleSince         time.Time
@@ -87,7 +94,28 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", p.Address, err)
 	}
-	return &Conn{Conn: raw, pool: p, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	source := &headLimiter{conn: raw}
+	return &Conn{Conn: raw, pool: p, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
+}
+
+// headLimiter reads from a connection. While a head is expected, it bounds the bytes, since http.ReadResponse would collect
+// a head of any size in memory.
+type headLimiter struct {
+	conn      net.Conn
+	isLimited bool
+	remaining int // bytes that may still be read while isLimited is true
+}
+
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.isLimited {
+		return l.conn.Read(b)
+	}
+	if l.remaining <= 0 {
+		return 0, errors.Wrapf(ErrHeadTooLarge, "more than %d bytes", maxHeadBytes)
+	}
+	n, err := l.conn.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -250,24 +278,39 @@
 
 // Receive reads the head of the response to a request whose id is in the header idHeader. Responses with another id belong
 // to earlier requests on this connection and are skipped; after too many of them, or one with too long a body, the error
-// wraps ErrMismatchedResponse.
+// wraps ErrMismatchedResponse. Bytes without end that contain no head give ErrHeadTooLarge.
 func (c *Conn) Receive(request *http.Request, idHeader string) (*http.Response, error) {
 	id := request.Header.Get(idHeader)
-	for range maxMismatchedResponses + 1 {
-		response, err := http.ReadResponse(c.reader, request)
+	c.source.remaining = maxHeadBytes
+	interim, mismatched := 0, 0
+	for interim <= maxInterimResponses && mismatched <= maxMismatchedResponses {
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, errors.Wrapf(err, "read response from %s", c.Conn.RemoteAddr())
 		}
-		if response.StatusCode == http.StatusContinue || response.StatusCode == http.StatusProcessing || response.StatusCode == http.StatusEarlyHints {
+		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+			interim++
 			continue
 		}
+		got := response.Header.Get(idHeader)
 		// A server that refuses a request before reading it sends no id.
-		if got := response.Header.Get(idHeader); got == id || got == "" && response.StatusCode >= 300 {
+		if got == id || got == "" && response.StatusCode >= 300 && !c.Reused {
 			return response, nil
 		}
+		if got == "" {
+			break // on a reused connection, even a refusal may belong to an earlier request
+		}
+		mismatched++
 		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBodyBytes)); err != nil || n == maxMismatchedBodyBytes {
 			break
 		}
 	}
 	return nil, errors.Wrapf(ErrMismatchedResponse, "read response from %s", c.Conn.RemoteAddr())
 }
+
+// readHead reads one head. What it reads is bounded over all heads of a Receive call.
+func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
+	c.source.isLimited = true
+	defer func() { c.source.isLimited = false }()
+	return http.ReadResponse(c.reader, request)
+}
