--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -122,7 +122,11 @@
 	if n.isRegistered || n.isDraining.Load() {
 		return
 	}
-	_, err := n.platform.Store.Put(ctx, nodeRecordPrefix+n.settings.Node, nodeRecord{MeshAddress: n.settings.MeshAddress}, objectapi.AnyVersion)
+	key, record := nodeRecordPrefix+n.settings.Node, nodeRecord{MeshAddress: n.settings.MeshAddress}
+	_, err := n.platform.Store.Put(ctx, key, record, objectapi.AbsentVersion)
+	if errors.Is(err, objectapi.ErrConflict) { // left behind by an earlier start
+		_, err = n.platform.Store.Put(ctx, key, record, objectapi.AnyVersion)
+	}
 	if err != nil {
 		n.log.Warn("Writing the node record failed; trying again.", "error", err)
 		return
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -18,8 +18,8 @@
 	// get new work (two seconds).
 	registryWatchTimeout = 400 * time.Millisecond
 	// registryBatchDelay is the pause after changes of the registry before the next watch, so that changes in short
-	// succession cost one call.
-	registryBatchDelay = 150 * time.Millisecond
+	// succession cost one call. Entries change with each heartbeat of a server, so that a watch hardly ever waits.
+	registryBatchDelay = 400 * time.Millisecond
 	// passiveMaxAge is the age of a passive node's knowledge of the registry up to which it makes no calls. Each node
 	// that precedes it adds passiveMaxAgeStep: nodes begin to call one after the other, so that the first ones can send
 	// their changes to the others. passiveMaxAgeLimit bounds the sum.
