--- a/rudder/relay/harness_test.go
+++ b/rudder/relay/harness_test.go
@@ -64,7 +64,9 @@
 		Quotas: quota.NewLedger(true, quota.Tolerance{}, time.Now), Runs: h.runCounter, Log: log,
 		RetryRate: limit.RetryRate{Fraction: 0.2, Burst: 100},
 	}
-	front := httptest.NewServer(h.server)
+	front := httptest.NewUnstartedServer(h.server)
+	front.Config.ConnContext = ConnContext
+	front.Start()
 	t.Cleanup(front.Close)
 	h.address = front.Listener.Addr().String()
 	return h
--- a/rudder/relay/relay_test.go
+++ b/rudder/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -239,6 +240,43 @@
 	}
 }
 
+// Pattern: a busy node reads requests late, after their callers have given up (check GONE, scale-1 of duwende-route-large).
+// Such a request must not be sent to a backend server.
+func TestRequestOfDepartedCallerIsNotSent(t *testing.T) {
+	h := newHarness(t)
+	h.backendServer("a", succeed)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const requests = 100
+	for range requests {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Rudder-Request: r1\r\nAuthorization: Bearer key\r\nContent-Length: 1\r\n\r\nb")
+		if err := conn.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var handled atomic.Int64
+	front := &http.Server{ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer handled.Add(1)
+		h.server.ServeHTTP(w, r)
+	})}
+	go front.Serve(listener)
+	t.Cleanup(func() { front.Close() })
+	for deadline := time.Now().Add(20 * time.Second); handled.Load() < requests; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d requests were handled within 20 s, want %d", handled.Load(), requests)
+		}
+	}
+	if sent := h.requestCount(); sent != 0 {
+		t.Fatalf("%d requests of departed callers reached the backend server, want none", sent)
+	}
+}
+
 // At the route's timeout the caller must get a response. Once the request was sent, the status must not imply that it has
 // not run.
 func TestRouteTimeoutIsAnsweredWith504(t *testing.T) {
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -95,6 +95,10 @@
 		return
 	}
 	c.body = body
+	if hasCallerLeft(r.Context()) {
+		s.Log.Info("Caller disconnected before the request was handled.", "request", c.id, "run", outcome.NotRun.String())
+		return
+	}
 	if problem := s.admit(c, r); problem != nil {
 		s.writeError(w, c, problem)
 		return
--- a/rudder/relaynode/callers.go
+++ b/rudder/relaynode/callers.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/relay"
 	"chestnutrudder.example/rudder/traffic"
 )
 
@@ -103,7 +104,7 @@
 	}
 	server := &limitedServer{
 		Server: &http.Server{
-			Handler: s.handler, ReadHeaderTimeout: l.headerTimeout, IdleTimeout: l.idleTimeout, MaxHeaderBytes: l.maxHeaderBytes,
+			Handler: s.handler, ConnContext: relay.ConnContext, ReadHeaderTimeout: l.headerTimeout, IdleTimeout: l.idleTimeout, MaxHeaderBytes: l.maxHeaderBytes,
 			ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 		},
 		listener: newChannelListener(s.listener.Addr()),
