--- a/rudder/usage/reporter.go
+++ b/rudder/usage/reporter.go
@@ -103,6 +103,7 @@
 	var saved progress
 	if err := json.Unmarshal(o.Value, &saved); err != nil {
 		r.Log.Error("Failed to decode the saved usage counts; they are ignored.", "error", err)
+		return true // a part of them may have been decoded
 	}
 	for incarnation, windows := range saved.Incarnations {
 		r.Counter.MergePeerWindows(incarnation, windows)
--- a/rudder/usage/usage_test.go
+++ b/rudder/usage/usage_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -109,6 +110,25 @@
 	})
 }
 
+// Decoding malformed counts fails in the middle. What was decoded before must not count, since the log says that all of
+// them are ignored.
+func TestMalformedSavedCountsAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectapitest.NewMemoryStore()
+		counter := NewCounter("n1/1", 5*time.Second, time.Now)
+		window := counter.WindowIndex(time.Now())
+		counter.CountRun("o")
+		saved := map[string]any{"nodes": map[string]any{"n2/1": map[string]Counts{strconv.FormatInt(window, 10): {"o": 5}}, "n3/1": "?"}}
+		if _, err := store.Put(context.Background(), progressKey, saved, objectapi.AbsentVersion); err != nil {
+			t.Fatal(err)
+		}
+		reports := runReporter(t, store, counter, 9*time.Second, false)
+		if len(reports) != 1 || reports[0].counts["o"] != 1 {
+			t.Fatalf("reports %+v, want one with 1 run", reports)
+		}
+	})
+}
+
 // TestSavedCountsAddToCountsAfterRestart guards against lost counts when all nodes are killed and restart within a window.
 // When the saved sum was only a lower bound for the new one, runs after the restart were lost up to the saved sum (scenario
 // duwende-route-grown, trouble-3: off by 2,309 of 5,697 runs).
