Let the mesh tests set the clock

Cause, from the tests' own times: exchanging 38,000 datagrams under the race detector took over 11 s, so that by the real clock members had become unreachable before the next exchange. The mesh reads its clock through a field now; the tests set it and advance it by one interval with each exchange. The fleets of the tests start with known members instead of exchanging 38,000 datagrams first. No bound was changed.

--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -38,7 +38,7 @@
 func (m *Mesh) ReachableMembers() []*Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.reachableMembers(boottime.Now())
+	return m.reachableMembers(m.now())
 }
 
 // reachableMembers is ReachableMembers at the given time. The caller holds the lock.
@@ -99,7 +99,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	reachable, known = 1, 1
-	now := boottime.Now()
+	now := m.now()
 	for _, member := range m.members {
 		isReachable := m.isReachable(member, now)
 		if isReachable {
@@ -115,7 +115,7 @@
 // MedianTime returns the time of day that most nodes agree on: this node's boottime clock plus the median, over all nodes,
 // of the difference between the time of day and that clock. Wall clocks that jump on a minority of nodes do not move it.
 func (m *Mesh) MedianTime() time.Time {
-	now := boottime.Now()
+	now := m.now()
 	offsets := []int64{time.Now().UnixMilli() - millis(now)}
 	m.mu.Lock()
 	for _, member := range m.members {
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -80,6 +80,7 @@
 	targetsSeenAt   map[string]boottime.Instant // by address: when it was last heard from or added
 	targetsAddedAt  map[string]boottime.Instant // by address: when it became known, for newAddressPeriod at least
 	addressRotation int
+	now             func() boottime.Instant
 }
 
 // New returns a mesh that initially knows the peers at the seed addresses.
@@ -89,7 +90,7 @@
 		members: map[string]*Member{}, summaries: map[string]*receivedSummary{}, peerClocks: map[string]*peerClock{}, targetsSeenAt: map[string]boottime.Instant{},
 		targetsAddedAt: map[string]boottime.Instant{},
 		// Nodes that start at the same time must not all tell the same addresses.
-		addressRotation: rand.IntN(1 << 16),
+		addressRotation: rand.IntN(1 << 16), now: boottime.Now,
 	}
 	m.AddAddresses(seeds)
 	return m
@@ -99,7 +100,7 @@
 func (m *Mesh) AddAddresses(addresses []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := boottime.Now()
+	now := m.now()
 	for _, a := range addresses {
 		if _, known := m.targetsSeenAt[a]; !known && a != m.SelfAddress && a != "" {
 			m.targetsSeenAt[a], m.targetsAddedAt[a] = now, now
@@ -213,7 +214,7 @@
 func (m *Mesh) targets() (direct, summarized []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := boottime.Now()
+	now := m.now()
 	for name, member := range m.members {
 		if now.Sub(member.ReceivedAt) > removeAfter {
 			m.Log.Info("Peer sent no digest for too long and was removed.", "peer", name)
@@ -249,7 +250,7 @@
 func (m *Mesh) nextPeerAddresses(targets []string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := boottime.Now()
+	now := m.now()
 	var recent []string
 	for _, address := range targets {
 		if addedAt, found := m.targetsAddedAt[address]; found && now.Sub(addedAt) < newAddressPeriod {
@@ -281,7 +282,7 @@
 			}
 			continue
 		}
-		m.handleDatagram(buffer[:n], source.String(), boottime.Now())
+		m.handleDatagram(buffer[:n], source.String(), m.now())
 	}
 }
 
--- a/rudder/mesh/summary.go
+++ b/rudder/mesh/summary.go
@@ -88,7 +88,7 @@
 func (m *Mesh) PeerDemand(service string) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := boottime.Now()
+	now := m.now()
 	sum := 0.0
 	for _, member := range m.reachableMembers(now) {
 		if !m.isSummarized(member.FailureDomain, now) {
@@ -107,7 +107,7 @@
 func (m *Mesh) setOwnDigest(d Digest) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := boottime.Now()
+	now := m.now()
 	self := &Member{Digest: d, ReceivedAt: now, SentAt: now, sourceAddress: m.SelfAddress, startKnownAt: now}
 	if m.ownDigest != nil {
 		self.startKnownAt = m.ownDigest.startKnownAt
@@ -168,7 +168,7 @@
 	}
 	rank, senders := 0, 1
 	remote := map[string][]*Member{} // by failure domain
-	for _, member := range m.reachableMembers(boottime.Now()) {
+	for _, member := range m.reachableMembers(m.now()) {
 		switch {
 		case member.FailureDomain != m.FailureDomain:
 			remote[member.FailureDomain] = append(remote[member.FailureDomain], member)
@@ -196,7 +196,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := boottime.Now()
+	now := m.now()
 	nodes := []*Member{m.ownDigest}
 	for _, member := range m.reachableMembers(now) {
 		if member.FailureDomain == m.FailureDomain {
--- a/rudder/mesh/summary_test.go
+++ b/rudder/mesh/summary_test.go
@@ -19,6 +19,7 @@
 	pending []datagram
 	sent    map[string]int // datagrams by source address
 	arrived map[string]int // datagrams by destination address
+	clock   boottime.Instant
 }
 
 type datagram struct {
@@ -46,11 +47,14 @@
 		n.sent[d.from]++
 		n.arrived[d.to]++
 		if m, found := n.meshes[d.to]; found {
-			m.handleDatagram(d.data, d.from, boottime.Now())
+			m.handleDatagram(d.data, d.from, n.clock)
 		}
 	}
 }
 
+// now is the clock of all hosts. It advances only between exchanges, so that no verdict depends on the speed of the test.
+func (n *memoryNetwork) now() boottime.Instant { return n.clock }
+
 // testFleet is a fleet of nodes in several failure domains on a memoryNetwork.
 type testFleet struct {
 	network *memoryNetwork
@@ -62,8 +66,8 @@
 // newTestFleet returns a fleet in which all nodes know the addresses of all others. Each node has one request at the server
 // "s", and each has admitted one unit for the organisation "o".
 func newTestFleet(domains, nodesPerDomain int) *testFleet {
-	f := &testFleet{network: &memoryNetwork{meshes: map[string]*Mesh{}, sent: map[string]int{}, arrived: map[string]int{}}}
-	var addresses []string
+	f := &testFleet{network: &memoryNetwork{meshes: map[string]*Mesh{}, sent: map[string]int{}, arrived: map[string]int{}, clock: boottime.Now()}}
+	var digests []Digest
 	for d := range domains {
 		for i := range nodesPerDomain {
 			address := fmt.Sprintf("10.%d.0.%d:9100", d+1, i+1)
@@ -74,28 +78,32 @@
 				Demand: map[string]float64{"model": 0.5}, QuotaUsages: map[string]quota.Usage{"o": {Taken: 1, Level: 9}},
 			}
 			compose := func() Digest {
-				digest.BootClockMillis = millis(boottime.Now())
+				digest.BootClockMillis = millis(f.network.clock)
 				digest.WallClockMillis = time.Now().UnixMilli()
 				return digest
 			}
 			m := New(address, nil, compose, func(*Member) {}, slog.New(slog.DiscardHandler))
-			m.FailureDomain = digest.FailureDomain
-			m.addressRotation = i
+			m.FailureDomain, m.addressRotation, m.now = digest.FailureDomain, i, f.network.now
 			f.network.meshes[address] = m
 			f.meshes = append(f.meshes, m)
 			f.conns = append(f.conns, &memoryConn{network: f.network, address: address})
-			addresses = append(addresses, address)
+			digests = append(digests, digest)
 		}
 	}
-	for _, m := range f.meshes {
-		m.AddAddresses(addresses)
+	for i, m := range f.meshes {
+		m.setOwnDigest(digests[i])
+		for j, d := range digests {
+			if i != j {
+				m.handleDigest(d, f.meshes[j].SelfAddress, f.network.clock)
+			}
+		}
 	}
-	f.exchangeDigests()
 	return f
 }
 
 // exchangeDigests lets every node send its digest once.
 func (f *testFleet) exchangeDigests() {
+	f.network.clock = f.network.clock.Add(600 * time.Millisecond)
 	for i, m := range f.meshes {
 		m.sendDigest(f.conns[i], false)
 	}
@@ -219,18 +227,18 @@
 func TestOlderSummaryDoesNotReplaceNewerDigest(t *testing.T) {
 	f := newTestFleet(4, 30)
 	m, peer := f.meshes[0], "n-1-00"
-	m.handleDigest(Digest{Node: peer, Incarnation: 2, FailureDomain: "d1", State: Draining}, "10.2.0.1:9100", boottime.Now())
+	m.handleDigest(Digest{Node: peer, Incarnation: 2, FailureDomain: "d1", State: Draining}, "10.2.0.1:9100", f.network.clock)
 	for _, n := range []NodeSummary{
 		{Node: peer, Incarnation: 1, State: Ready, MeshAddress: "10.2.0.1:9100"},
 		{Node: peer, Incarnation: 2, State: Ready, AgeMillis: 500, MeshAddress: "10.2.0.1:9100"},
 		{Node: peer, Incarnation: 2, State: Ready, AgeMillis: -1000, MeshAddress: "10.2.0.1:9100"},
 	} {
-		m.handleSummary(&Summary{FailureDomain: "d1", Nodes: []NodeSummary{n}}, boottime.Now())
+		m.handleSummary(&Summary{FailureDomain: "d1", Nodes: []NodeSummary{n}}, f.network.clock)
 		if got := m.members[peer]; got.Incarnation != 2 || got.State != Draining {
 			t.Fatalf("after summary %+v, peer is %s in incarnation %d, want draining in incarnation 2", n, got.State, got.Incarnation)
 		}
 	}
-	m.handleSummary(&Summary{FailureDomain: "d1", Nodes: []NodeSummary{{Node: peer, Incarnation: 3, State: Ready, Address: "10.2.0.9:80", MeshAddress: "10.2.0.9:9100"}}}, boottime.Now())
+	m.handleSummary(&Summary{FailureDomain: "d1", Nodes: []NodeSummary{{Node: peer, Incarnation: 3, State: Ready, Address: "10.2.0.9:80", MeshAddress: "10.2.0.9:9100"}}}, f.network.clock)
 	if got := m.members[peer]; got.Incarnation != 3 || got.State != Ready || got.Address != "10.2.0.9:80" {
 		t.Errorf("after a summary with a later start, peer is %+v, want ready in incarnation 3", got)
 	}
@@ -244,10 +252,9 @@
 	}
 	address := "10.1.0.99:9100"
 	newcomer := New(address, []string{f.meshes[40].SelfAddress}, func() Digest {
-		return Digest{Node: "n-0-99", Incarnation: 1, FailureDomain: "d0", State: Starting, BootClockMillis: millis(boottime.Now())}
+		return Digest{Node: "n-0-99", Incarnation: 1, FailureDomain: "d0", State: Starting, BootClockMillis: millis(f.network.clock)}
 	}, func(*Member) {}, slog.New(slog.DiscardHandler))
-	newcomer.FailureDomain = "d0"
-	newcomer.addressRotation = 0
+	newcomer.FailureDomain, newcomer.addressRotation, newcomer.now = "d0", 0, f.network.now
 	f.network.meshes[address] = newcomer
 	f.meshes = append(f.meshes, newcomer)
 	f.conns = append(f.conns, &memoryConn{network: f.network, address: address})
@@ -275,6 +282,7 @@
 		clear(m.members)
 		clear(m.targetsSeenAt)
 		clear(m.targetsAddedAt)
+		m.ownDigest = nil
 		m.sortedNames, m.localCount = nil, 0
 		m.AddAddresses(seeds)
 	}
@@ -305,7 +313,7 @@
 	}
 	b.ReportMetric(float64(len(data)), "bytes")
 	for b.Loop() {
-		f.meshes[0].handleDatagram(data, "10.2.0.2:9100", boottime.Now())
+		f.meshes[0].handleDatagram(data, "10.2.0.2:9100", f.network.clock)
 	}
 }
 
