--- a/rudder/relay/crash.go
+++ b/rudder/relay/crash.go
@@ -121,14 +121,17 @@
 	l.byPeer[peer] = counts
 }
 
-// probeCrash connects to a server whose response to a call was lost. It records a crash if the server accepts no
-// connection; a live server still does.
-func (s *Server) probeCrash(c *call, serverID, address string) {
+// probeCrash connects to a server whose response to a call was lost, after the given last event. It records a crash if the
+// server accepts no connection; a live server still does.
+func (s *Server) probeCrash(c *call, serverID, address, lastEventID string) {
 	conn, err := net.DialTimeout("tcp", address, crashProbeTimeout)
 	if err == nil {
 		_ = conn.Close()
 		return
 	}
-	count := s.Crashes.Add(c.fingerprint(), time.Now())
-	s.Log.Info("Backend server crashed while running a request.", "request", c.id, "server", serverID, "crashes_seen_here", count, "error", err)
+	fingerprint := c.fingerprint()
+	count := s.Crashes.Add(fingerprint, time.Now())
+	s.Log.Info("Backend server crashed while running a request.", "request", c.id, "server", serverID, "service", c.service,
+		"fingerprint", fingerprint, "prompt_parts", c.sharedPartIDs(), "last_event", lastEventID,
+		"crashes_seen_here", count, "crashes_all_nodes", s.Crashes.Count(fingerprint), "error", err)
 }
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -133,7 +133,8 @@
 	}
 	switch {
 	case r.backendResult == backend.ResultConnectionFailure && !r.isKnownNotRun:
-		f.server.crashProbes.Go(func() { f.server.probeCrash(f.call, serverID, r.address) })
+		lastEventID := f.lastEventID
+		f.server.crashProbes.Go(func() { f.server.probeCrash(f.call, serverID, r.address, lastEventID) })
 	case r.backendResult == backend.ResultCompleted && !f.server.Crashes.IsEmpty():
 		f.server.Crashes.Clear(f.call.fingerprint())
 	}
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -109,6 +109,15 @@
 	return parts
 }
 
+// sharedPartIDs returns the ids of the shared parts of the prompt for log lines, separated by commas.
+func (c *call) sharedPartIDs() string {
+	ids := make([]string, 0, len(c.sharedParts))
+	for _, part := range c.sharedParts {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // stripPort returns the value of a Host header without the port.
 func stripPort(hostPort string) string {
 	if name, _, err := net.SplitHostPort(hostPort); err == nil {
