Show that requests with a crashing prompt part crash one server after the other

Crashes are counted for each whole request; requests that share only a part of their prompt are counted alone.

--- a/rudder/relay/crash_test.go
+++ b/rudder/relay/crash_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +54,75 @@
 	}
 }
 
+// crashingServers adds backend servers that end like a crashed process, after the head of the response, when they run a
+// request with the prompt part "bad". They complete other requests. It returns the number of requests with that part that
+// servers received, and the number of servers that crashed.
+func (h *harness) crashingServers(count int) (received, crashed *atomic.Int64) {
+	received, crashed = &atomic.Int64{}, &atomic.Int64{}
+	for i := range count {
+		name := fmt.Sprint("b", i)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		h.t.Cleanup(func() { listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go h.serve(conn, name, func(conn net.Conn, r *http.Request) bool {
+					if !strings.Contains(r.Header.Get("X-Rudder-Prefix"), "bad:") {
+						return sendEvents(conn, r, 1, 3, true)
+					}
+					received.Add(1)
+					listener.Close() // a crashed process accepts no connections
+					crashed.Add(1)
+					return sendEvents(conn, r, 1, 0, false)
+				})
+			}
+		}()
+		h.server.Backends.Put(backend.Entry{ID: name, Service: "s", Address: listener.Addr().String(), Slots: 8})
+	}
+	return received, crashed
+}
+
+// prompt sends a request with a prompt that has the given shared parts and a last part of its own, and waits until the
+// relay knows whether a server crashed.
+func (h *harness) prompt(id int, sharedParts string) callerResponse {
+	response := h.call(context.Background(), http.MethodPost, fmt.Sprint("/resumable/", id), fmt.Sprint("body ", id), http.Header{
+		"X-Rudder-Request": {fmt.Sprint("p", id)}, "X-Rudder-Tokens": {"100,20"}, "X-Rudder-Prefix": {fmt.Sprintf("%s,own%d:10", sharedParts, id)},
+	})
+	h.server.crashProbes.Wait()
+	return response
+}
+
+// Guards against a prompt part that crashes each server which runs a request with it: no two of the requests are alike, so
+// that counting the crashes of each request finds nothing, and the requests crash one server after the other.
+func TestRequestsWithCrashingPromptPartAreRefused(t *testing.T) {
+	h := newHarness(t)
+	received, crashed := h.crashingServers(24)
+	receivedAtFifthCrash := int64(-1)
+	for i := range 30 {
+		for j, parts := range []string{"system:40", "system:40,document:20"} {
+			if response := h.prompt(1000+2*i+j, parts); response.status != http.StatusOK || response.body != eventText(1, 3) {
+				t.Fatalf("after %d crashes, request without the part: response %+v, want 200 and 3 events", crashed.Load(), response)
+			}
+		}
+		h.prompt(i, "system:40,bad:30")
+		if crashed.Load() >= 5 && receivedAtFifthCrash < 0 {
+			receivedAtFifthCrash = received.Load()
+		}
+	}
+	if receivedAtFifthCrash >= 0 && received.Load()-receivedAtFifthCrash > 3 {
+		t.Fatalf("after five crashes, %d requests with the part reached servers, want at most 3", received.Load()-receivedAtFifthCrash)
+	}
+	if response := h.prompt(31, "system:40,bad:30"); response.status != http.StatusServiceUnavailable {
+		t.Fatalf("request with the part: response %+v, want 503", response)
+	}
+}
+
 // crashCount returns the number of crashes that the server under test has counted for all requests.
 func (h *harness) crashCount() int {
 	sum := 0
