--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -100,6 +100,7 @@
 	Server             *Server
 	ID                 string
 	Address            string
+	Incarnation        uint64        // identifies the server's process, on all nodes alike
 	PredictedFirstByte time.Duration // predicted time to the first byte
 	ExpectedFirstByte  time.Duration // the same, longer while all servers of the service respond later than predicted
 	Running            int           // requests of all nodes at the server before this one
@@ -153,7 +154,7 @@
 	}
 	s := t.servers[best.ID]
 	p := &Placement{
-		Server: s, ID: s.ID, Address: s.Address, PredictedFirstByte: predicted,
+		Server: s, ID: s.ID, Address: s.Address, Incarnation: mix(s.idHash ^ uint64(s.StartUnixMillis)), PredictedFirstByte: predicted,
 		ExpectedFirstByte: time.Duration(float64(predicted) * max(t.model(r.Service).lateness, 1)), Running: best.Running, CandidateCount: len(candidates),
 		UncachedTokens: best.UncachedTokens, table: t, request: r, placedAt: now,
 	}
@@ -405,6 +406,13 @@
 	}
 }
 
+// IsLeaving reports whether the registry says that the server drains, or does not list it any more.
+func (p *Placement) IsLeaving() bool {
+	p.table.mu.Lock()
+	defer p.table.mu.Unlock()
+	return !p.Server.isServing()
+}
+
 // MarkMisdirected excludes the server from new requests because another server answers at its address. The next entry of the
 // server from the registry lifts this.
 func (p *Placement) MarkMisdirected() {
--- /dev/null
+++ b/rudder/culprit/evidence.go
@@ -0,0 +1,147 @@
+package culprit
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"chestnutrudder.example/rudder/boottime"
+)
+
+const (
+	// minCrashes is the number of servers that must have crashed on requests with the same traits before these are
+	// quarantined.
+	minCrashes = 3
+	// certainCrashes is the number from which on a prompt part is quarantined without waiting for settleTime.
+	certainCrashes = 5
+	// minMoments and certainMoments are the numbers of independent crashes that are needed besides. A request that was sent
+	// before another crash does not count as independent of it: the loss of a failure domain ends many servers at once,
+	// which says nothing about the requests that ran there.
+	minMoments     = 2
+	certainMoments = 3
+	// undecidedCrashes is the number from which on a group of traits is quarantined although another one explains as many
+	// crashes: two causes may occur together.
+	undecidedCrashes = 10
+	// settleTime is how long after the crash that makes minCrashes a prompt part is not quarantined yet, so that peers can
+	// report which requests were at the crashed servers, and which parts they know to be harmless.
+	settleTime = 500 * time.Millisecond
+	// answerWindow is how long before a crash an answer clears the traits of the answered request.
+	answerWindow = 10 * time.Second
+	// crashRetention is how long a crash counts.
+	crashRetention = 30 * time.Second
+)
+
+// group is a set of traits that the same crashes have in common.
+type group struct {
+	traits  []Trait
+	crashes []*crash // in the order of time
+	moments int      // crashes that are independent of the earlier ones
+}
+
+// unexplainedCrashes returns the crashes that no quarantine explains, in the order of time. The caller holds the lock.
+func (l *List) unexplainedCrashes() []*crash {
+	var list []*crash
+	for _, c := range l.crashes {
+		if !c.isExplained {
+			list = append(list, c)
+		}
+	}
+	slices.SortFunc(list, func(a, b *crash) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server, b.server)) })
+	return list
+}
+
+// groups returns the traits that may have caused the unexplained crashes, grouped by the crashes that they have in common,
+// those with most crashes first. Traits are left out of the crashes after which, or shortly before which, a request with them
+// was answered. The caller holds the lock.
+func (l *List) groups() []*group {
+	byTrait := map[Trait][]*crash{}
+	for _, c := range l.unexplainedCrashes() {
+		for trait := range c.suspects {
+			if !l.wasAnswered(trait, c.at.Add(-answerWindow)) {
+				byTrait[trait] = append(byTrait[trait], c)
+			}
+		}
+	}
+	byCrashes := map[string]*group{}
+	for trait, list := range byTrait {
+		key := make([]byte, 0, 8*len(list))
+		for _, c := range list {
+			key = binary.LittleEndian.AppendUint64(key, c.server)
+		}
+		g, found := byCrashes[string(key)]
+		if !found {
+			g = &group{crashes: list}
+			byCrashes[string(key)] = g
+		}
+		g.traits = append(g.traits, trait)
+		g.moments = max(g.moments, moments(trait, list))
+	}
+	sorted := make([]*group, 0, len(byCrashes))
+	for _, g := range byCrashes {
+		slices.Sort(g.traits)
+		sorted = append(sorted, g)
+	}
+	slices.SortFunc(sorted, func(a, b *group) int {
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), slices.Compare(a.traits, b.traits))
+	})
+	return sorted
+}
+
+// moments returns how many of the crashes are independent: the request with the trait was sent after the previous independent
+// crash.
+func moments(trait Trait, crashes []*crash) int {
+	count := 0
+	var last boottime.Instant
+	for _, c := range crashes {
+		sentAt := c.at.Add(-time.Duration(c.suspects[trait]) * time.Millisecond)
+		if count == 0 || sentAt >= last {
+			count, last = count+1, c.at
+		}
+	}
+	return count
+}
+
+func (g *group) hasContent() bool { return slices.ContainsFunc(g.traits, Trait.isContent) }
+
+func (g *group) sharesCrash(other *group) bool {
+	return slices.ContainsFunc(g.crashes, func(c *crash) bool { return slices.Contains(other.crashes, c) })
+}
+
+// isSuspicious reports whether the group is suspicious enough for its requests not to be repeated after a crash.
+func (g *group) isSuspicious() bool { return g.moments >= 2 }
+
+// mostSuspicious returns the first group that is to be quarantined, nil if there is none. A group has to wait while another
+// one with some of the same crashes explains as many or more: the next crash tells them apart. The caller holds the lock.
+func (l *List) mostSuspicious(now boottime.Instant) *group {
+	for _, g := range l.suspicious {
+		hasRival := slices.ContainsFunc(l.suspicious, func(other *group) bool {
+			isStronger := len(other.crashes) > len(g.crashes) || len(other.crashes) == len(g.crashes) && len(g.crashes) < undecidedCrashes
+			return other != g && isStronger && other.sharesCrash(g)
+		})
+		if !hasRival && l.isConvicted(g, now) {
+			return g
+		}
+	}
+	return nil
+}
+
+// isConvicted reports whether the evidence against a group suffices for a quarantine. The caller holds the lock.
+func (l *List) isConvicted(g *group, now boottime.Instant) bool {
+	count := len(g.crashes)
+	if count < minCrashes {
+		return false
+	}
+	if g.hasContent() {
+		return true // the quarantine concerns a single request and its repetitions
+	}
+	// While no request of the service is answered, its servers end for another reason.
+	first := g.crashes[0]
+	if at, found := l.serviceAnsweredAt[first.service]; !found || at < first.at.Add(-answerWindow) {
+		return false
+	}
+	if count >= certainCrashes && g.moments >= certainMoments {
+		return true
+	}
+	return g.moments >= minMoments && now.Sub(g.crashes[minCrashes-1].at) >= settleTime
+}
--- /dev/null
+++ b/rudder/culprit/report.go
@@ -0,0 +1,186 @@
+package culprit
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"chestnutrudder.example/rudder/boottime"
+)
+
+// Report holds what a node knows of crashes and quarantines, for its peers. It includes what the node has heard from others,
+// so that nodes that do not hear of each other, or have restarted, learn it too. Points in time are given as ages.
+type Report struct {
+	_           struct{}      `cbor:",toarray"`
+	Crashes     []CrashReport // without those that a quarantine explains
+	Explained   []ServerReport
+	Answers     []AnswerReport
+	Quarantines []QuarantineReport
+}
+
+// IsEmpty reports whether the report holds nothing.
+func (r *Report) IsEmpty() bool {
+	return r == nil || len(r.Crashes)+len(r.Explained)+len(r.Answers)+len(r.Quarantines) == 0
+}
+
+// CrashReport is the crash of one backend server.
+type CrashReport struct {
+	_         struct{} `cbor:",toarray"`
+	Server    uint64   // identifies the incarnation of the server
+	Service   string
+	AgeMillis int64
+	Suspects  []Suspect
+}
+
+// ServerReport is a crashed server whose crash a quarantine explains.
+type ServerReport struct {
+	_         struct{} `cbor:",toarray"`
+	Server    uint64
+	AgeMillis int64
+}
+
+// AnswerReport tells when a request with a trait was last answered.
+type AnswerReport struct {
+	_         struct{} `cbor:",toarray"`
+	Trait     Trait
+	AgeMillis int64
+}
+
+// QuarantineReport is a quarantine.
+type QuarantineReport struct {
+	_              struct{} `cbor:",toarray"`
+	Traits         []Trait
+	AgeMillis      int64 // since the start
+	MatchAgeMillis int64 // since the last request that was refused or crashed a server
+	TrialInMillis  int64 // until the next trial; negative if it is overdue
+	Trials         int
+}
+
+// FullReport returns what this node knows, nil if that is nothing.
+func (l *List) FullReport() *Report {
+	if !l.HasCrashes() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hasUrgentChange = false
+	return l.report()
+}
+
+// UrgentReport returns the same as FullReport if it has changed in a way that peers must learn soon, else nil.
+func (l *List) UrgentReport() *Report {
+	if !l.HasCrashes() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.hasUrgentChange {
+		return nil
+	}
+	l.hasUrgentChange = false
+	return l.report()
+}
+
+// report composes a report. The caller holds the lock.
+func (l *List) report() *Report {
+	now := l.now()
+	l.evaluate(now)
+	r := &Report{}
+	relevant := maps.Clone(l.clearedAt) // traits whose answers peers need
+	if relevant == nil {
+		relevant = map[Trait]boottime.Instant{}
+	}
+	for _, server := range slices.Sorted(maps.Keys(l.crashes)) {
+		c := l.crashes[server]
+		age := now.Sub(c.at).Milliseconds()
+		if c.isExplained {
+			r.Explained = append(r.Explained, ServerReport{Server: c.server, AgeMillis: age})
+			continue
+		}
+		entry := CrashReport{Server: c.server, Service: c.service, AgeMillis: age}
+		for _, t := range slices.Sorted(maps.Keys(c.suspects)) {
+			relevant[t] = now
+			if !l.wasAnswered(t, c.at.Add(-answerWindow)) {
+				entry.Suspects = append(entry.Suspects, Suspect{Trait: t, SentMillisBefore: c.suspects[t]})
+			}
+		}
+		r.Crashes = append(r.Crashes, entry)
+	}
+	for _, key := range slices.Sorted(maps.Keys(l.quarantines)) {
+		q := l.quarantines[key]
+		r.Quarantines = append(r.Quarantines, QuarantineReport{
+			Traits: q.traits, AgeMillis: now.Sub(q.convictedAt).Milliseconds(), MatchAgeMillis: now.Sub(q.matchedAt).Milliseconds(),
+			TrialInMillis: q.trialAt.Sub(now).Milliseconds(), Trials: q.trials,
+		})
+	}
+	for _, t := range slices.Sorted(maps.Keys(relevant)) {
+		if at, found := l.answeredAt[t]; found {
+			r.Answers = append(r.Answers, AnswerReport{Trait: t, AgeMillis: now.Sub(at).Milliseconds()})
+		}
+	}
+	if r.IsEmpty() {
+		return nil
+	}
+	return r
+}
+
+// Apply adds what a peer reported.
+func (l *List) Apply(r *Report) {
+	if r.IsEmpty() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	before := func(ageMillis int64) boottime.Instant { return now.Add(-time.Duration(ageMillis) * time.Millisecond) }
+	isValid := func(ageMillis int64, maxAge time.Duration) bool {
+		return ageMillis >= 0 && ageMillis <= maxAge.Milliseconds()
+	}
+	for _, a := range r.Answers {
+		if isValid(a.AgeMillis, crashRetention+answerWindow) {
+			l.setAnswered(a.Trait, before(a.AgeMillis))
+		}
+	}
+	for _, c := range r.Crashes {
+		if !isValid(c.AgeMillis, crashRetention) {
+			continue
+		}
+		suspects := map[Trait]int64{}
+		for _, s := range c.Suspects[:min(len(c.Suspects), maxSuspects)] {
+			suspects[s.Trait] = s.SentMillisBefore
+		}
+		l.addCrash(&crash{server: c.Server, service: c.Service, at: before(c.AgeMillis), suspects: suspects})
+	}
+	for _, c := range r.Explained {
+		if isValid(c.AgeMillis, crashRetention) {
+			l.addCrash(&crash{server: c.Server, at: before(c.AgeMillis), suspects: map[Trait]int64{}, isExplained: true})
+		}
+	}
+	for _, q := range r.Quarantines {
+		l.applyQuarantine(q, before, now)
+	}
+	l.evaluate(now)
+}
+
+// applyQuarantine adds the quarantine of a peer or merges it with the known one. The caller holds the lock.
+func (l *List) applyQuarantine(r QuarantineReport, before func(int64) boottime.Instant, now boottime.Instant) {
+	reported := &quarantine{
+		traits: r.Traits, convictedAt: before(r.AgeMillis), matchedAt: before(r.MatchAgeMillis),
+		trialAt: before(-r.TrialInMillis), trials: r.Trials,
+	}
+	isExpired := now.Sub(reported.matchedAt) > quarantineRetention
+	if len(r.Traits) == 0 || r.AgeMillis < 0 || r.MatchAgeMillis < 0 || isExpired || l.isCleared(reported) {
+		return
+	}
+	known, found := l.quarantines[reported.key()]
+	if !found {
+		l.Log.Info("A peer quarantined requests.", "quarantine", reported.name(), "age_ms", r.AgeMillis, "trials", r.Trials)
+		l.addQuarantine(reported)
+		return
+	}
+	known.convictedAt = min(known.convictedAt, reported.convictedAt)
+	known.matchedAt = max(known.matchedAt, min(reported.matchedAt, now))
+	if reported.trials >= known.trials {
+		known.trials, known.trialAt = reported.trials, max(known.trialAt, reported.trialAt)
+	}
+}
--- /dev/null
+++ b/rudder/culprit/simulation_test.go
@@ -0,0 +1,249 @@
+package culprit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/boottime"
+)
+
+// simulation is a fleet of nodes that send requests to the servers of one service. Some requests have the prompt part "bad"
+// and crash the server that begins to answer them.
+type simulation struct {
+	simulationOptions
+	rng     *rand.Rand
+	clock   *clock
+	nodes   []*List
+	servers []*simulatedServer
+	number  int // of requests so far
+
+	crashTimes  []boottime.Instant
+	poisonSent  []boottime.Instant // sends of requests with the part
+	soundSent   int                // since soundCountedFrom, first attempts only
+	soundTried  int
+	countedFrom boottime.Instant
+}
+
+type simulationOptions struct {
+	seed                  uint64
+	nodes, servers        int
+	soundPerS, poisonPerS float64
+	digestInterval        time.Duration
+	lossRate              float64 // of digests
+	restartedNode         int     // restarts in the middle; -1 for none
+	documents             int     // each request has one of them
+}
+
+type simulatedServer struct {
+	id       uint64
+	upAt     boottime.Instant
+	requests []*simulatedRequest
+}
+
+type simulatedRequest struct {
+	node                       int
+	traits                     []Trait
+	isPoison                   bool
+	sentAt, firstEvent, doneAt boottime.Instant
+	attempt                    int
+}
+
+const (
+	simulationStep  = 5 * time.Millisecond
+	serverDowntime  = 6 * time.Second
+	poisonStartsAt  = 5 * time.Second
+	simulatedPeriod = 25 * time.Second
+)
+
+func newSimulation(o simulationOptions) *simulation {
+	s := &simulation{simulationOptions: o, rng: rand.New(rand.NewPCG(o.seed, 0)), clock: newClock()}
+	for range o.nodes {
+		s.nodes = append(s.nodes, s.clock.newList())
+	}
+	for i := range o.servers {
+		s.servers = append(s.servers, &simulatedServer{id: uint64(i) << 32})
+	}
+	return s
+}
+
+func (s *simulation) run() {
+	start := s.clock.now
+	for step := 0; s.clock.now.Sub(start) < simulatedPeriod; step++ {
+		s.clock.advance(simulationStep)
+		elapsed := s.clock.now.Sub(start)
+		if s.occurs(s.soundPerS) {
+			s.send(s.newRequest(false))
+		}
+		if elapsed > poisonStartsAt && s.occurs(s.poisonPerS) {
+			s.send(s.newRequest(true))
+		}
+		for _, server := range s.servers {
+			s.advanceServer(server)
+		}
+		if s.restartedNode >= 0 && elapsed > simulatedPeriod/2 && elapsed <= simulatedPeriod/2+simulationStep {
+			s.nodes[s.restartedNode] = s.clock.newList()
+		}
+		s.exchangeReports(step)
+	}
+}
+
+// occurs draws whether an event with the given rate occurs in this step.
+func (s *simulation) occurs(perSecond float64) bool {
+	return s.rng.Float64() < perSecond*simulationStep.Seconds()
+}
+
+func (s *simulation) newRequest(isPoison bool) *simulatedRequest {
+	s.number++
+	parts := []string{fmt.Sprint("system", s.rng.IntN(2)), fmt.Sprint("document", s.rng.IntN(s.documents))}
+	if isPoison {
+		parts = slices.Insert(parts, s.rng.IntN(len(parts)+1), "bad")
+	}
+	return &simulatedRequest{node: s.rng.IntN(len(s.nodes)), traits: request(fmt.Sprint(s.number), parts...), isPoison: isPoison}
+}
+
+// send places a request on a random server that is up, unless its node refuses it.
+func (s *simulation) send(r *simulatedRequest) {
+	isCounted := !r.isPoison && r.attempt == 0 && s.countedFrom > 0 && s.clock.now >= s.countedFrom
+	if isCounted {
+		s.soundTried++
+	}
+	if refusal, _ := s.nodes[r.node].Check(r.traits, r.attempt == 0); refusal != nil {
+		return
+	}
+	var up []*simulatedServer
+	for _, server := range s.servers {
+		if s.clock.now >= server.upAt {
+			up = append(up, server)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	if isCounted {
+		s.soundSent++
+	}
+	if r.isPoison {
+		s.poisonSent = append(s.poisonSent, s.clock.now)
+	}
+	r.sentAt = s.clock.now
+	r.firstEvent = r.sentAt.Add(50*time.Millisecond + time.Duration(s.rng.IntN(250))*time.Millisecond)
+	r.doneAt = r.firstEvent.Add(time.Duration(100+s.rng.IntN(1500)) * time.Millisecond)
+	server := up[s.rng.IntN(len(up))]
+	server.requests = append(server.requests, r)
+}
+
+// advanceServer answers the requests that are done, or crashes the server on one that it begins to answer.
+func (s *simulation) advanceServer(server *simulatedServer) {
+	now := s.clock.now
+	for _, r := range server.requests {
+		if r.isPoison && now >= r.firstEvent {
+			s.crash(server)
+			return
+		}
+	}
+	server.requests = slices.DeleteFunc(server.requests, func(r *simulatedRequest) bool {
+		if now < r.doneAt {
+			return false
+		}
+		s.nodes[r.node].RecordAnswer("model", r.traits)
+		return true
+	})
+}
+
+// crash ends a server: the nodes record the crash with their requests that were not being answered for long, and send each
+// request once more.
+func (s *simulation) crash(server *simulatedServer) {
+	now := s.clock.now
+	lost := server.requests
+	server.requests, server.upAt = nil, now.Add(serverDowntime)
+	s.crashTimes = append(s.crashTimes, now)
+	for _, r := range lost {
+		if now < r.firstEvent.Add(time.Second) {
+			s.nodes[r.node].RecordCrash(server.id, "model", r.traits, now, r.sentAt)
+		}
+	}
+	server.id++
+	for _, r := range lost {
+		if r.attempt == 0 && !s.nodes[r.node].IsSuspicious(r.traits) {
+			r.attempt++
+			s.send(r)
+		}
+	}
+	if len(s.crashTimes) == 3 {
+		s.countedFrom = now.Add(6 * time.Second)
+	}
+}
+
+// exchangeReports sends the full reports that are due, each node at its own phase, and urgent ones.
+func (s *simulation) exchangeReports(step int) {
+	fullSteps := int(s.digestInterval / simulationStep)
+	urgentSteps := int(max(s.digestInterval*2/5, simulationStep) / simulationStep)
+	for i, from := range s.nodes {
+		var r *Report
+		switch {
+		case (step+i*7)%fullSteps == 0:
+			r = from.FullReport()
+		case (step+i*7)%urgentSteps == 0:
+			r = from.UrgentReport()
+		}
+		if r == nil {
+			continue
+		}
+		for j, to := range s.nodes {
+			if i != j && s.rng.Float64() >= s.lossRate {
+				to.Apply(r)
+			}
+		}
+	}
+}
+
+// sentLaterThan returns how many requests with the part were sent later than d after the fifth crash.
+func (s *simulation) sentLaterThan(d time.Duration) int {
+	if len(s.crashTimes) < 5 {
+		return 0
+	}
+	count := 0
+	for _, at := range s.poisonSent {
+		if at > s.crashTimes[4].Add(d) {
+			count++
+		}
+	}
+	return count
+}
+
+// Pattern: requests with a part that crashes servers come at all nodes, while digests are late and get lost, requests without
+// it break off at the same servers, and a node restarts. Later than the contact bound after the fifth crash, at most three
+// such requests may be sent, requests without the part must be sent at least half as often as they come, and no other part
+// may stay quarantined.
+func TestFleetQuarantinesOnlyTheCrashingPart(t *testing.T) {
+	const contactBound = 3 * time.Second
+	for name, o := range map[string]simulationOptions{
+		"small fleet":               {nodes: 9, servers: 18, soundPerS: 140, poisonPerS: 6, digestInterval: 250 * time.Millisecond, documents: 20, restartedNode: 3},
+		"rare documents":            {nodes: 9, servers: 18, soundPerS: 60, poisonPerS: 6, digestInterval: 250 * time.Millisecond, documents: 2000, restartedNode: -1},
+		"lost and late digests":     {nodes: 9, servers: 18, soundPerS: 100, poisonPerS: 10, digestInterval: time.Second, lossRate: 0.2, documents: 100, restartedNode: 5},
+		"few requests":              {nodes: 9, servers: 18, soundPerS: 20, poisonPerS: 1, digestInterval: 250 * time.Millisecond, documents: 10, restartedNode: -1},
+		"many nodes, dense crashes": {nodes: 40, servers: 74, soundPerS: 180, poisonPerS: 25, digestInterval: 600 * time.Millisecond, lossRate: 0.02, documents: 300, restartedNode: 7},
+	} {
+		for seed := range uint64(6) {
+			o.seed = seed
+			s := newSimulation(o)
+			s.run()
+			if n := s.sentLaterThan(contactBound); n > 3 {
+				t.Errorf("%s, seed %d: %d requests with the part were sent later than %s after the fifth crash, want at most 3", name, seed, n, contactBound)
+			}
+			if len(s.crashTimes) < 3 || 2*s.soundSent < s.soundTried || s.soundTried < 20 {
+				t.Errorf("%s, seed %d: %d crashes, %d of %d requests without the part were sent, want at least half", name, seed, len(s.crashTimes), s.soundSent, s.soundTried)
+			}
+			for i, l := range s.nodes {
+				for _, q := range l.quarantines {
+					if isContent := slices.ContainsFunc(q.traits, Trait.isContent); !isContent && !slices.Contains(q.traits, PartTrait("bad")) {
+						t.Errorf("%s, seed %d: node %d quarantines %s", name, seed, i, q.name())
+					}
+				}
+			}
+		}
+	}
+}
--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/quota"
 	"chestnutrudder.example/rudder/usage"
 )
@@ -41,8 +42,6 @@
 	// Demand is the number of runners that the requests to the sender keep busy, by service.
 	Demand      map[string]float64     `cbor:"12,keyasint,omitempty"`
 	QuotaUsages map[string]quota.Usage `cbor:"13,keyasint,omitempty"` // by organisation
-	// CrashCounts is the number of servers that crashed while they ran a request, by the request's fingerprint.
-	CrashCounts map[string]int `cbor:"14,keyasint,omitempty"`
 	// RunsByWindow counts the requests that backend servers began to run, by usage window and organisation.
 	RunsByWindow  usage.Windows `cbor:"15,keyasint,omitempty"`
 	PeerAddresses []string      `cbor:"16,keyasint,omitempty"` // mesh addresses of some peers of the sender
@@ -50,18 +49,20 @@
 	// IsWarmingUp is true while the sender may not know all that was admitted before its start; see quota.Ledger.IsWarmingUp.
 	IsWarmingUp bool `cbor:"18,keyasint,omitempty"`
 	// IsUrgent marks a digest that is sent between two full ones. It holds only Node, Incarnation and either some
-	// QuotaUsages with IsWarmingUp or some RunsByWindow.
+	// QuotaUsages with IsWarmingUp, some RunsByWindow, or Crashes.
 	IsUrgent bool `cbor:"19,keyasint,omitempty"`
-	// IsBrief marks a digest without Loads, Demand, QuotaUsages, CrashCounts and RunsByWindow, for a node of another failure
+	// IsBrief marks a digest without Loads, Demand, QuotaUsages and RunsByWindow, for a node of another failure
 	// domain that gets these from summaries.
 	IsBrief bool `cbor:"20,keyasint,omitempty"`
 	// Summary is set in a brief digest that also tells about the other nodes of the sender's failure domain.
 	Summary *Summary `cbor:"21,keyasint,omitempty"`
+	// Crashes holds the crashes of backend servers and the quarantines that the sender knows of.
+	Crashes *culprit.Report `cbor:"22,keyasint,omitempty"`
 }
 
 // brief returns the digest without what summaries hold.
 func (d Digest) brief() Digest {
-	d.Loads, d.Demand, d.QuotaUsages, d.CrashCounts, d.RunsByWindow = nil, nil, nil, nil, nil
+	d.Loads, d.Demand, d.QuotaUsages, d.RunsByWindow = nil, nil, nil, nil
 	d.IsBrief = true
 	return d
 }
--- a/rudder/mesh/summary.go
+++ b/rudder/mesh/summary.go
@@ -19,7 +19,6 @@
 	FailureDomain string                      `cbor:"1,keyasint,omitempty"`
 	Loads         map[string]backend.PeerLoad `cbor:"2,keyasint,omitempty"` // sums by backend server
 	Demand        map[string]float64          `cbor:"3,keyasint,omitempty"` // sums by service
-	CrashCounts   map[string]int              `cbor:"4,keyasint,omitempty"` // sums by fingerprint
 	Organisations []string                    `cbor:"5,keyasint,omitempty"` // whose usage the summary holds
 	Levels        []float64                   `cbor:"6,keyasint,omitempty"` // of the sender's buckets, as Organisations
 	Nodes         []NodeSummary               `cbor:"7,keyasint,omitempty"` // the sender included
@@ -217,7 +216,7 @@
 // summarize returns the summary of the nodes of a failure domain; the first one is the sender.
 func summarize(nodes []*Member, now boottime.Instant, isFull bool, nearLimit map[string]bool) *Summary {
 	sender := nodes[0]
-	s := &Summary{FailureDomain: sender.FailureDomain, Loads: map[string]backend.PeerLoad{}, Demand: map[string]float64{}, CrashCounts: map[string]int{}}
+	s := &Summary{FailureDomain: sender.FailureDomain, Loads: map[string]backend.PeerLoad{}, Demand: map[string]float64{}}
 	organisations := map[string]bool{}
 	for _, n := range nodes {
 		for id, l := range n.Loads {
@@ -226,9 +225,6 @@
 		for service, runners := range n.Demand {
 			s.Demand[service] += runners
 		}
-		for fingerprint, count := range n.CrashCounts {
-			s.CrashCounts[fingerprint] += count
-		}
 		for organisation := range n.QuotaUsages {
 			// The levels of a node that has just started are not known well enough to be passed on.
 			if !sender.IsWarmingUp && (isFull || n.IsWarmingUp || nearLimit[organisation]) {
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/traffic"
 	"chestnutrudder.example/rudder/upstream"
 )
@@ -43,6 +44,9 @@
 	forwarder *forwarder
 	conn      *upstream.Conn
 	cancel    context.CancelFunc
+
+	sentAt       boottime.Instant // when the sending began
+	firstEventAt boottime.Instant // of the stream; 0 if none came
 }
 
 // bufferedResponse is a response that was read completely.
@@ -73,6 +77,7 @@
 	a.addAwaitingResponse()
 	defer a.removeAwaitingResponse()
 	request := a.call.newBackendRequest(a.server.Dialect, a.placement.ID, time.Until(a.call.deadline), a.forwarder.lastEventID)
+	a.sentAt = boottime.Now()
 	writeResult, err := a.send(request)
 	if err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -88,7 +93,7 @@
 		if !isLocalAbort(err) {
 			a.forwarder.countRun()
 		}
-		return attemptResult{isSent: true, backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
+		return attemptResult{isSent: true, isTimeout: isLocalAbort(err), backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
 	r := a.handleResponse(parent, response)
 	r.isSent = true
@@ -203,15 +208,15 @@
 func (a *attempt) forwardPlain(ctx context.Context, response *http.Response, isSuccess bool) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	if err != nil {
-		return attemptResult{backendResult: a.resultUnlessCancelled(ctx, backend.ResultConnectionFailure), reason: "read response body: " + err.Error()}
+		return a.brokenResponse(ctx, errors.Wrap(err, "read response body"))
 	}
 	if len(body) > maxBufferedBytes {
-		return a.forwardLarge(ctx, response, body)
+		return a.forwardLarge(ctx, response, body, isSuccess)
 	}
 	b := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if isSuccess || response.StatusCode < 500 && !impliesNotRun(response.StatusCode) {
 		a.forwarder.writeResponse(b)
-		return attemptResult{isFinal: true, backendResult: backend.ResultCompleted}
+		return attemptResult{isFinal: true, isAnswer: isSuccess, backendResult: backend.ResultCompleted}
 	}
 	r := attemptResult{backendResult: backend.ResultServerFailure, reason: "backend server responded with status " + strconv.Itoa(response.StatusCode)}
 	if !impliesNotRun(response.StatusCode) {
@@ -230,12 +235,21 @@
 	return false
 }
 
-// errResponseTooLarge means that the body of a response exceeds the limit.
-var errResponseTooLarge = errors.New("response body is too large")
+var (
+	// errResponseTooLarge means that the body of a response exceeds the limit.
+	errResponseTooLarge = errors.New("response body is too large")
+	// errEndedWithinEvent means that an event stream without a length ended in the middle of an event.
+	errEndedWithinEvent = errors.New("event stream without a length ended within an event")
+)
+
+// brokenResponse returns the result for a response that could not be read to its end.
+func (a *attempt) brokenResponse(ctx context.Context, err error) attemptResult {
+	return attemptResult{isTimeout: isLocalAbort(err), backendResult: a.resultUnlessCancelled(ctx, backend.ResultConnectionFailure), reason: err.Error()}
+}
 
 // forwardLarge forwards a response that exceeds maxBufferedBytes; buffered is the part of its body that was read already. If
 // the rest fails, the result is partial.
-func (a *attempt) forwardLarge(ctx context.Context, response *http.Response, buffered []byte) attemptResult {
+func (a *attempt) forwardLarge(ctx context.Context, response *http.Response, buffered []byte, isSuccess bool) attemptResult {
 	f := a.forwarder
 	limit := f.server.MaxResponseBytes
 	if limit == 0 {
@@ -255,10 +269,12 @@
 	case caller.err != nil:
 		return attemptResult{isPartial: true, backendResult: backend.ResultInconclusive, reason: "write large response to caller: " + caller.err.Error()}
 	case err != nil:
-		return attemptResult{isPartial: true, backendResult: a.resultUnlessCancelled(ctx, backend.ResultConnectionFailure), reason: "read large response: " + err.Error()}
+		r := a.brokenResponse(ctx, errors.Wrap(err, "read large response"))
+		r.isPartial = true
+		return r
 	}
 	f.finishResponse(response.StatusCode)
-	return attemptResult{isFinal: true, backendResult: backend.ResultCompleted}
+	return attemptResult{isFinal: true, isAnswer: isSuccess, backendResult: backend.ResultCompleted}
 }
 
 // callerWriter writes to a caller and keeps the error, which tells failures of the caller from those of the server.
@@ -286,6 +302,9 @@
 	a.setReadTimeout(f.eventTimeout())
 	for {
 		events, err := reader.next(chunk)
+		if len(events) > 0 && a.firstEventAt == 0 {
+			a.firstEventAt = boottime.Now()
+		}
 		if skipUpTo != "" {
 			events = skipEvents(events, skipUpTo)
 		}
@@ -300,11 +319,11 @@
 		}
 		switch {
 		case err == io.EOF && len(reader.remainder()) > 0 && endsWithConnection(response):
-			return attemptResult{backendResult: a.resultUnlessCancelled(ctx, backend.ResultConnectionFailure), reason: "event stream without a length ended within an event"}
+			return a.brokenResponse(ctx, errEndedWithinEvent)
 		case err == io.EOF:
 			return a.finishStream(reader, response, controller)
 		case err != nil:
-			return attemptResult{backendResult: a.resultUnlessCancelled(ctx, backend.ResultConnectionFailure), reason: "read event stream: " + err.Error()}
+			return a.brokenResponse(ctx, errors.Wrap(err, "read event stream"))
 		}
 	}
 }
@@ -327,7 +346,7 @@
 		f.writeHead(response)
 	}
 	f.finishResponse(response.StatusCode)
-	return attemptResult{isFinal: true, backendResult: backend.ResultCompleted}
+	return attemptResult{isFinal: true, isAnswer: true, backendResult: backend.ResultCompleted}
 }
 
 // writeTimeout bounds each write of events to a caller, which may not be reading.
--- a/rudder/relay/crash.go
+++ b/rudder/relay/crash.go
@@ -1,137 +1,129 @@
 package relay
 
 import (
+	"errors"
 	"net"
+	"net/http"
 	"strconv"
-	"sync"
+	"syscall"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/culprit"
+	"chestnutrudder.example/rudder/outcome"
 )
 
 const (
-	// maxCrashes is the number of backend server crashes after which a request is refused.
-	maxCrashes = 3
-	// crashRetention is how long the crashes of a request are remembered after the last one.
-	crashRetention = 30 * time.Second
 	// crashProbeTimeout bounds the connection attempt that distinguishes a crashed server from a lost response.
 	crashProbeTimeout = 300 * time.Millisecond
+	// resendProbeWait is how long the sending of a request to another server waits for that probe. A host that still answers
+	// refuses a connection within a round trip.
+	resendProbeWait = 50 * time.Millisecond
+	// maxOutputBeforeCrash is the time since the first event after which a request counts as harmless to its server.
+	maxOutputBeforeCrash = time.Second
 )
 
-// CrashList counts the backend server crashes of each request, as seen by this node and its peers. A request is identified
-// by a fingerprint of its content, since callers retry it with another request id. A complete response resets the count of
-// this node. The zero value is empty and ready to use; methods are safe for concurrent use.
-type CrashList struct {
-	mu     sync.Mutex
-	own    map[string]*crashRecord   // crashes that this node saw, by fingerprint
-	byPeer map[string]map[string]int // counts by peer and fingerprint
+// partTraits returns the traits of the shared parts of the prompt.
+func (c *call) partTraits() []culprit.Trait {
+	if c.parts == nil && len(c.sharedParts) > 0 {
+		for _, part := range c.sharedParts {
+			c.parts = append(c.parts, culprit.PartTrait(part.ID))
+		}
+	}
+	return c.parts
 }
 
-// crashRecord holds the crashes of one request that this node saw.
-type crashRecord struct {
-	count  int
-	lastAt time.Time
+// contentTrait returns the trait of the whole request. Callers retry a request with another request id, which it does not
+// cover.
+func (c *call) contentTrait() culprit.Trait {
+	if c.content == 0 {
+		c.content = culprit.ContentTrait([]byte(c.organisationName()), []byte(c.method), []byte(c.hostHeader), []byte(c.requestTarget), c.body)
+	}
+	return c.content
 }
 
-// fingerprint returns a hash of the organisation, method, host, target and body of a request.
-func (c *call) fingerprint() string {
-	h := xxhash.New()
-	for _, part := range []string{c.organisationName(), c.method, c.hostHeader, c.requestTarget} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(c.body)
-	return strconv.FormatUint(h.Sum64(), 36)
+// traits returns all traits of the request.
+func (c *call) traits() []culprit.Trait {
+	return append(c.partTraits()[:len(c.parts):len(c.parts)], c.contentTrait())
 }
 
-// Add counts a crash of a backend server while it ran the request and returns this node's count for the request.
-func (l *CrashList) Add(fingerprint string, now time.Time) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.own == nil {
-		l.own = map[string]*crashRecord{}
+// checkQuarantine returns an error if the request is like those on which servers have crashed. A new request may be let
+// through as a trial.
+func (s *Server) checkQuarantine(c *call, isNew bool) *outcome.Error {
+	if c.isTrial || !s.Crashes.HasCrashes() {
+		return nil
 	}
-	c, found := l.own[fingerprint]
-	if !found {
-		c = &crashRecord{}
-		l.own[fingerprint] = c
+	refusal, isTrial := s.Crashes.Check(c.traits(), isNew)
+	if refusal == nil {
+		c.isTrial = isTrial
+		return nil
 	}
-	c.count++
-	c.lastAt = now
-	return c.count
+	return outcome.NotRunErrorf(http.StatusServiceUnavailable, withJitter(refusal.RetryAfter, c.id), "backend servers crashed on similar requests: quarantine %s", refusal.Quarantine)
 }
 
-// Clear removes this node's count for a request that received a complete response.
-func (l *CrashList) Clear(fingerprint string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.own, fingerprint)
-}
+// serverState is what a connection attempt shows of a server.
+type serverState int
 
-// IsEmpty reports whether no crash is recorded. In that case callers need not compute fingerprints.
-func (l *CrashList) IsEmpty() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.own) == 0 && len(l.byPeer) == 0
-}
+const (
+	serverAlive   serverState = iota // it accepts connections
+	serverGone                       // its host refuses connections
+	serverUnknown                    // there is no answer
+)
 
-// Count returns the number of crashes of a request over this node and its peers.
-func (l *CrashList) Count(fingerprint string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	sum := 0
-	if c, found := l.own[fingerprint]; found {
-		sum = c.count
-	}
-	for _, counts := range l.byPeer {
-		sum += counts[fingerprint]
-	}
-	return sum
+// probe connects to a server to find out whether it still runs. Concurrent probes of one incarnation share the result.
+func (s *Server) probe(p *backend.Placement) serverState {
+	state, _, _ := s.probes.Do(strconv.FormatUint(p.Incarnation, 36), func() (any, error) {
+		conn, err := net.DialTimeout("tcp", p.Address, crashProbeTimeout)
+		switch {
+		case err == nil:
+			_ = conn.Close()
+			return serverAlive, nil
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return serverGone, nil
+		default:
+			return serverUnknown, nil
+		}
+	})
+	return state.(serverState)
 }
 
-// OwnCounts returns the counts of this node by fingerprint, to be sent to its peers, and removes expired ones.
-func (l *CrashList) OwnCounts(now time.Time) map[string]int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var counts map[string]int
-	for fingerprint, c := range l.own {
-		if now.Sub(c.lastAt) > crashRetention {
-			delete(l.own, fingerprint)
-			continue
-		}
-		if counts == nil {
-			counts = map[string]int{}
-		}
-		counts[fingerprint] = c.count
+// mayHaveCrashedServer reports whether the request is a suspect if its server has crashed: it was sent, and the server had
+// not been answering it for long. A server that leaves ends without a crash.
+func (a *attempt) mayHaveCrashedServer(r attemptResult) bool {
+	if r.backendResult != backend.ResultConnectionFailure || r.isKnownNotRun || a.placement.IsLeaving() {
+		return false
 	}
-	return counts
+	return a.firstEventAt == 0 || boottime.Since(a.firstEventAt) < maxOutputBeforeCrash
 }
 
-// SetPeerCounts replaces the counts that were received from a peer.
-func (l *CrashList) SetPeerCounts(peer string, counts map[string]int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(counts) == 0 {
-		delete(l.byPeer, peer)
-		return
-	}
-	if l.byPeer == nil {
-		l.byPeer = map[string]map[string]int{}
-	}
-	l.byPeer[peer] = counts
+// observeCrash finds out whether the server of a failed attempt has crashed, and records the crash. The returned channel is
+// closed when that is known.
+func (a *attempt) observeCrash(r attemptResult) <-chan struct{} {
+	s, c, failedAt := a.server, a.call, boottime.Now()
+	lastEventID := a.forwarder.lastEventID
+	done := make(chan struct{})
+	s.crashProbes.Go(func() {
+		defer close(done)
+		state := s.probe(a.placement)
+		// A host that does not answer may be cut off. It counts only if the connection was ended from its side.
+		if state == serverAlive || state == serverUnknown && r.isTimeout {
+			return
+		}
+		s.Crashes.RecordCrash(a.placement.Incarnation, c.service, c.traits(), failedAt, a.sentAt)
+		s.metrics.countCrash(c)
+		s.Log.Info("Backend server crashed while running a request.", "request", c.id, "server", a.placement.ID, "service", c.service,
+			"traits", culprit.TraitNames(c.traits()), "prompt_parts", c.sharedPartIDs(), "last_event", lastEventID,
+			"sent_ms_before", failedAt.Sub(a.sentAt).Milliseconds(), "crashed_servers", s.Crashes.CrashCount())
+	})
+	return done
 }
 
-// probeCrash connects to a server whose response to a call was lost, after the given last event. It records a crash if the
-// server accepts no connection; a live server still does.
-func (s *Server) probeCrash(c *call, serverID, address, lastEventID string) {
-	conn, err := net.DialTimeout("tcp", address, crashProbeTimeout)
-	if err == nil {
-		_ = conn.Close()
-		return
+// recordAnswer clears the traits of a request that was answered completely.
+func (s *Server) recordAnswer(c *call) {
+	traits := c.partTraits()
+	if s.Crashes.HasCrashes() {
+		traits = c.traits()
 	}
-	fingerprint := c.fingerprint()
-	count := s.Crashes.Add(fingerprint, time.Now())
-	s.Log.Info("Backend server crashed while running a request.", "request", c.id, "server", serverID, "service", c.service,
-		"fingerprint", fingerprint, "prompt_parts", c.sharedPartIDs(), "last_event", lastEventID,
-		"crashes_seen_here", count, "crashes_all_nodes", s.Crashes.Count(fingerprint), "error", err)
+	s.Crashes.RecordAnswer(c.service, traits)
 }
--- a/rudder/relay/crash_test.go
+++ b/rudder/relay/crash_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"chestnutrudder.example/rudder/backend"
 )
@@ -123,13 +122,54 @@
 	}
 }
 
+// Pattern: requests with the crashing part that wait at servers when the part is quarantined. They would crash these too:
+// they must be cancelled, and their callers must not be told that they have not run.
+func TestWaitingRequestsOfQuarantineAreCancelled(t *testing.T) {
+	h := newHarness(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go h.server.WatchWaitingRequests(ctx)
+	isReceived, isCancelled := make(chan struct{}), make(chan struct{})
+	h.backendServer("slow", func(conn net.Conn, _ *http.Request) bool {
+		close(isReceived)
+		_, _ = conn.Read(make([]byte, 1)) // until the relay closes the connection
+		close(isCancelled)
+		return false
+	})
+	waiting := make(chan callerResponse)
+	go func() { waiting <- h.prompt(1, "system:40,bad:30") }()
+	<-isReceived
+	h.server.Backends.Replace(nil)
+	_, crashed := h.crashingServers(8)
+	for i := 0; crashed.Load() < 6 && i < 8; i++ {
+		h.prompt(100+i, "system:40")
+		h.prompt(200+i, "system:40,bad:30")
+	}
+	<-isCancelled
+	if response := <-waiting; response.status != http.StatusBadGateway {
+		t.Fatalf("waiting request: response %+v, want 502", response)
+	}
+}
+
+// Pattern: a request that may be repeated, with a part on which two servers have crashed already. It must not be sent to a
+// second server after it has crashed one.
+func TestSuspectIsNotSentToAnotherServer(t *testing.T) {
+	h := newHarness(t)
+	received, _ := h.crashingServers(8)
+	h.prompt(1, "system:40")
+	h.prompt(2, "system:40,bad:30")
+	if n := received.Load(); n != 2 {
+		t.Fatalf("the first request reached %d servers, want 2", n)
+	}
+	response := h.prompt(3, "system:40,bad:30")
+	if n := received.Load(); n != 3 || response.status != http.StatusBadGateway {
+		t.Fatalf("the second request: %d sends so far, response %+v, want 3 and 502", n, response)
+	}
+}
+
 // crashCount returns the number of crashes that the server under test has counted for all requests.
 func (h *harness) crashCount() int {
-	sum := 0
-	for _, n := range h.server.Crashes.OwnCounts(time.Now()) {
-		sum += n
-	}
-	return sum
+	return h.server.Crashes.CrashCount()
 }
 
 // A response lost by a server that still accepts connections must not be counted as a crash, however often it happens to a
@@ -146,24 +186,3 @@
 		t.Fatalf("%d crashes are counted, want 0", n)
 	}
 }
-
-// The crashes that several nodes saw are added up, a complete response resets the count of a request, and old crashes
-// expire.
-func TestCrashListSumsPeerCounts(t *testing.T) {
-	var l CrashList
-	now := time.Now()
-	l.Add("f", now)
-	l.SetPeerCounts("n2", map[string]int{"f": 2})
-	if n := l.Count("f"); n != 3 {
-		t.Fatalf("%d crashes, want 3", n)
-	}
-	l.SetPeerCounts("n2", nil)
-	l.Clear("f")
-	if !l.IsEmpty() {
-		t.Fatal("crashes are left after the counts were removed")
-	}
-	l.Add("f", now)
-	if l.OwnCounts(now.Add(2*crashRetention)) != nil || !l.IsEmpty() {
-		t.Fatal("a crash older than crashRetention still counts")
-	}
-}
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -42,6 +42,8 @@
 	isHeadSent      bool            // the head of the response was sent to the caller
 	lastEventID     string          // id of the last event sent to the caller
 	lastFailure     string          // reason of the last attempt's failure
+	// crashObserved is closed when it is known whether the server of the last attempt crashed; nil if that is no question.
+	crashObserved <-chan struct{}
 }
 
 // run sends the request to backend servers until there is a final response, and writes that to the caller.
@@ -66,9 +68,8 @@
 			"route", c.route.Name, "service", c.service, "config_version", c.configVersion, "proof_age_ms", boottime.Since(s.Current.ConfirmedAt()).Milliseconds())
 		a := &attempt{server: s, call: c, placement: placement, forwarder: f}
 		result := a.run(ctx)
-		result.address = placement.Address
 		placement.Release(result.backendResult)
-		f.recordResult(placement.ID, result)
+		f.recordResult(a, result)
 		if result.isFinal {
 			return
 		}
@@ -113,36 +114,50 @@
 	isSent        bool           // at least one byte of the request was sent
 	isKnownNotRun bool           // nothing was sent, or the server stated that it has not run the request
 	backendResult backend.Result // for the statistics of the server
-	address       string         // of the server
+	isTimeout     bool           // the connection failed because this node did not wait any longer
+	isAnswer      bool           // the response is a complete success
 	reason        string         // of a failure, for the log
 	// response is the server's error response, forwarded if the request is not sent again; may be nil.
 	response *bufferedResponse
 }
 
-// recordResult updates the state of the request and the crash list after an attempt.
-func (f *forwarder) recordResult(serverID string, r attemptResult) {
+// recordResult updates the state of the request and the list of crashes after an attempt.
+func (f *forwarder) recordResult(a *attempt, r attemptResult) {
 	if f.excludedServers == nil {
 		f.excludedServers = map[string]bool{}
 	}
-	f.excludedServers[serverID] = true
+	f.excludedServers[a.placement.ID] = true
 	f.sends++
 	f.lastFailure = r.reason
 	if !r.isKnownNotRun {
 		f.mayHaveRun = true
 		f.possibleRuns++
 	}
+	f.crashObserved = nil
 	switch {
-	case r.backendResult == backend.ResultConnectionFailure && !r.isKnownNotRun:
-		lastEventID := f.lastEventID
-		f.server.crashProbes.Go(func() { f.server.probeCrash(f.call, serverID, r.address, lastEventID) })
-	case r.backendResult == backend.ResultCompleted && !f.server.Crashes.IsEmpty():
-		f.server.Crashes.Clear(f.call.fingerprint())
+	case a.mayHaveCrashedServer(r):
+		f.crashObserved = a.observeCrash(r)
+	case r.isAnswer:
+		f.server.recordAnswer(f.call)
 	}
 	if !r.isFinal {
-		f.server.Log.Info("Attempt to run the request on a backend server failed.", "request", f.call.id, "server", serverID, "send", f.sends, "not_run", r.isKnownNotRun, "sent", r.isSent, "reason", r.reason)
+		f.server.Log.Info("Attempt to run the request on a backend server failed.", "request", f.call.id, "server", a.placement.ID, "send", f.sends, "not_run", r.isKnownNotRun, "sent", r.isSent, "reason", r.reason)
 	}
 }
 
+// isSuspect reports whether the request is like others on which servers have crashed. It waits a moment for what the last
+// attempt shows.
+func (f *forwarder) isSuspect() bool {
+	if f.crashObserved == nil {
+		return false
+	}
+	select {
+	case <-f.crashObserved:
+	case <-time.After(resendProbeWait):
+	}
+	return f.server.Crashes.IsSuspicious(f.call.traits())
+}
+
 // checkResend returns nil if the request may be sent again. Otherwise it returns the final error, or alreadyAnswered if the
 // caller got the server's error response.
 func (f *forwarder) checkResend(r attemptResult) *outcome.Error {
@@ -154,6 +169,8 @@
 		return f.giveUp(r, "maximum number of attempts was reached")
 	case f.sends >= maxSends:
 		return f.giveUp(r, "maximum number of sends was reached")
+	case f.isSuspect():
+		return f.giveUp(r, "backend servers crashed on similar requests")
 	case r.isSent && !f.server.takeRetry(c.service):
 		return f.giveUp(r, "retry budget is exhausted")
 	}
@@ -188,8 +205,12 @@
 // retryAfter returns the Retry-After for a refused request: the expected wait for a free server, within bounds and with a
 // jitter that depends on the request id.
 func (f *forwarder) retryAfter(wait time.Duration) time.Duration {
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
-	return wait + time.Duration(retryJitter*hashFraction(f.call.id)*float64(wait))
+	return withJitter(min(max(wait, minRetryAfter), maxRetryAfter), f.call.id)
+}
+
+// withJitter lengthens a Retry-After by a part of it that depends on the request id.
+func withJitter(wait time.Duration, id string) time.Duration {
+	return wait + time.Duration(retryJitter*hashFraction(id)*float64(wait))
 }
 
 // deadlineError returns the error for a request whose deadline passed or whose caller disconnected.
--- a/rudder/relay/harness_test.go
+++ b/rudder/relay/harness_test.go
@@ -17,6 +17,7 @@
 
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/quota"
 	"chestnutrudder.example/rudder/traffic"
@@ -62,7 +63,7 @@
 	h.server = &Server{
 		Dialect: &NativeDialect, Current: current, Backends: backend.NewTable(time.Second, log),
 		Quotas: quota.NewLedger(true, quota.Tolerance{}, time.Now), Runs: h.runCounter, Log: log,
-		RetryRate: limit.RetryRate{Fraction: 0.2, Burst: 100},
+		RetryRate: limit.RetryRate{Fraction: 0.2, Burst: 100}, Crashes: &culprit.List{Log: log},
 	}
 	front := httptest.NewUnstartedServer(h.server)
 	front.Config.ConnContext = ConnContext
--- a/rudder/relay/metrics.go
+++ b/rudder/relay/metrics.go
@@ -35,3 +35,11 @@
 	}
 	m.instruments.FirstToken.Record(context.Background(), elapsed.Seconds(), metric.WithAttributes(attribute.String("route", c.routeName())))
 }
+
+// countCrash counts a request whose backend server crashed, by service.
+func (m *Metrics) countCrash(c *call) {
+	if m.instruments == nil {
+		return
+	}
+	m.instruments.CrashedRequests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", c.service)))
+}
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/traffic"
 )
 
@@ -37,6 +38,9 @@
 	method          string
 	requestTarget   string // as the caller sent it
 	hostHeader      string
+	parts           []culprit.Trait // see partTraits; nil before its first call
+	content         culprit.Trait   // see contentTrait; 0 before its first call
+	isTrial         bool            // sent although similar requests are quarantined
 }
 
 // hopByHopHeaders are valid for one connection only and are not forwarded (RFC 9110, section 7.6.1).
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -10,8 +10,11 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/quota"
@@ -50,7 +53,7 @@
 	MaxResponseBytes int64
 	RetryRate        limit.RetryRate // retry budget of each service; the burst is divided among the nodes
 	Log              *slog.Logger
-	Crashes          CrashList
+	Crashes          *culprit.List
 
 	mu               sync.Mutex
 	nodeCount        int                           // nodes that share the retry budgets
@@ -60,7 +63,8 @@
 	isRefusing       atomic.Bool // new requests are refused
 	inProgress       atomic.Int64
 	metrics          Metrics
-	crashProbes      sync.WaitGroup // running probeCrash calls
+	crashProbes      sync.WaitGroup // running observeCrash calls
+	probes           singleflight.Group
 }
 
 // InProgress returns the number of requests in progress.
@@ -170,10 +174,7 @@
 	}
 	c.urgency = min(max(c.urgency, 0), backend.UrgencyLevels-1)
 	c.setDeadline(r.Header.Get(s.Dialect.Timeout))
-	if !s.Crashes.IsEmpty() && s.Crashes.Count(c.fingerprint()) >= maxCrashes {
-		return outcome.NotRunErrorf(http.StatusServiceUnavailable, 0, "request has crashed %d backend servers", maxCrashes)
-	}
-	return nil
+	return s.checkQuarantine(c, true)
 }
 
 // setDeadline sets the deadline to the earlier one of the caller's timeout, in milliseconds, and the route's timeout.
@@ -223,8 +224,8 @@
 	return s.Quotas.Take(c.organisation, c.quotaAmount)
 }
 
-// checkAllowed returns nil if a request may still run, or an error if its API key was revoked or the configuration was not
-// confirmed to be the newest within the last maxAge.
+// checkAllowed returns nil if a request may still run, or an error if its API key was revoked, the configuration was not
+// confirmed to be the newest within the last maxAge, or similar requests were quarantined.
 func (s *Server) checkAllowed(c *call, maxAge time.Duration) *outcome.Error {
 	if !s.isConfigFresh(maxAge) {
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, staleConfigRetryAfter, "configuration was not proved to be the newest within the time limit")
@@ -232,11 +233,11 @@
 	if c.apiKey != "" && s.Current.Config().OrganisationFor(c.apiKey) == nil {
 		return outcome.NotRunErrorf(http.StatusUnauthorized, 0, "API key was revoked")
 	}
-	return nil
+	return s.checkQuarantine(c, false)
 }
 
-// WatchWaitingRequests cancels requests that wait for a backend server's response when their API key is revoked or the
-// configuration becomes stale. It returns when ctx is done.
+// WatchWaitingRequests cancels requests that wait for a backend server's response when their API key is revoked, the
+// configuration becomes stale or similar requests are quarantined. It returns when ctx is done.
 func (s *Server) WatchWaitingRequests(ctx context.Context) {
 	for {
 		changed := s.Current.Changed()
@@ -244,14 +245,14 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-time.After(stalenessCheckInterval):
+		case <-time.After(waitingCheckInterval):
 		}
 		s.cancelDisallowed()
 	}
 }
 
-// stalenessCheckInterval is how often requests that wait for a response are checked against StalenessLimits.Wait.
-const stalenessCheckInterval = 200 * time.Millisecond
+// waitingCheckInterval is how often requests that wait for a response are checked by checkAllowed.
+const waitingCheckInterval = 200 * time.Millisecond
 
 // cancelDisallowed cancels the attempts that wait for a response and are no longer allowed to run.
 func (s *Server) cancelDisallowed() {
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -20,6 +20,7 @@
 
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/lease"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/mesh"
@@ -141,7 +142,7 @@
 	n.usageCounter = usage.NewCounter(incarnationID(s.Node, n.incarnation), max(s.UsageWindow, time.Second), n.mesh.MedianTime)
 	n.relay = &relay.Server{
 		Dialect: platform.Dialect, Current: n.currentConfig, Backends: n.backends, Quotas: n.quotas, Runs: n.usageCounter,
-		FailureDomain: s.FailureDomain, Log: logger.Part("relay"),
+		FailureDomain: s.FailureDomain, Log: logger.Part("relay"), Crashes: &culprit.List{Log: logger.Part("culprit"), IsTrialNode: n.isFirstNode},
 		RetryRate: limit.RetryRate{Fraction: retryBudgetFraction * s.RetryFraction, Burst: retryBudgetFraction * s.RetryBurst},
 	}
 	if s.RevocationBound > 0 {
@@ -192,7 +193,7 @@
 		State: n.state(), BootClockMillis: time.Duration(boottime.Now()).Milliseconds(), WallClockMillis: time.Now().UnixMilli(),
 		ConfirmationAgeMillis: -1, HoldsDutyLease: n.holdsDutyLease.Load(),
 		Loads: n.backends.OwnLoads(), Demand: n.backends.Demand(), QuotaUsages: n.quotas.FullReport(),
-		CrashCounts: n.relay.Crashes.OwnCounts(time.Now()), RunsByWindow: n.usageCounter.WindowsForPeers(),
+		Crashes: n.relay.Crashes.FullReport(), RunsByWindow: n.usageCounter.WindowsForPeers(),
 		Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
 	}
 	if config := n.currentConfig.Config(); config != nil {
@@ -205,7 +206,7 @@
 }
 
 // composeUrgentDigests returns what peers must know before the next full digest: for all peers, what this node admitted
-// near a limit; for the holder of the duty lease, the request counts that have changed, which would be lost if all nodes
+// near a limit, and crashes of backend servers; for the holder of the duty lease, the request counts that have changed, which would be lost if all nodes
 // ended.
 func (n *node) composeUrgentDigests() []mesh.UrgentDigest {
 	var list []mesh.UrgentDigest
@@ -215,6 +216,11 @@
 		toAll.QuotaUsages = quotaUsages
 		list = append(list, mesh.UrgentDigest{Digest: toAll})
 	}
+	if crashes := n.relay.Crashes.UrgentReport(); crashes != nil {
+		toAll := digest
+		toAll.Crashes = crashes
+		list = append(list, mesh.UrgentDigest{Digest: toAll})
+	}
 	if holder := n.dutyHolder(); holder != "" {
 		if windows := n.windowsForDutyHolder(holder); len(windows) > 0 {
 			toHolder := digest
@@ -253,6 +259,16 @@
 	return n.usageCounter.WindowsForPeers()
 }
 
+// isFirstNode reports whether this node is the first one by name that serves callers, as far as it knows.
+func (n *node) isFirstNode() bool {
+	for _, m := range n.mesh.ReachableMembers() {
+		if m.State == mesh.Ready {
+			return n.settings.Node < m.Node
+		}
+	}
+	return true
+}
+
 // needsShortInterval reports whether other nodes rely on the digests of this one: to follow the registry and to know that
 // the configuration is the newest, and, where summaries would tell it late, who holds the duty lease.
 func (n *node) needsShortInterval() bool {
@@ -266,12 +282,12 @@
 		n.quotas.ApplyPeerReport(incarnation, quota.PeerReport{IsWarmingUp: m.IsWarmingUp, IsPartial: m.IsUrgent, Usages: m.QuotaUsages})
 		n.usageCounter.MergePeerWindows(incarnation, m.RunsByWindow)
 	}
+	n.relay.Crashes.Apply(m.Crashes)
 	if m.IsUrgent {
 		return
 	}
 	if !m.IsSummarized {
 		n.backends.SetPeerLoads(m.Node, m.Loads)
-		n.relay.Crashes.SetPeerCounts(m.Node, m.CrashCounts)
 	}
 	n.registry.applyDelta(m)
 	n.noteConfigVersion(m.ConfigVersion)
@@ -285,7 +301,6 @@
 	for i := range s.Nodes {
 		peer := &s.Nodes[i]
 		n.backends.DropPeerLoads(peer.Node) // they are part of the sum
-		n.relay.Crashes.SetPeerCounts(peer.Node, nil)
 		n.quotas.ApplyPeerReport(incarnationID(peer.Node, peer.Incarnation), quota.PeerReport{
 			IsWarmingUp: peer.IsWarmingUp, IsPartial: !peer.HasAllUsages, Usages: s.UsagesOf(peer),
 		})
@@ -294,7 +309,6 @@
 		n.noteConfigVersion(s.Nodes[i].ConfigVersion)
 	}
 	n.backends.SetPeerLoads(failureDomainPeer(s.FailureDomain), s.Loads)
-	n.relay.Crashes.SetPeerCounts(failureDomainPeer(s.FailureDomain), s.CrashCounts)
 }
 
 // failureDomainPeer returns the name under which the sums of a failure domain are kept among those of single peers. It
