Let the crashes of a quarantined content count for its prompt parts

Cause: a quarantine took the evidence of its crashes from all other traits. When a request with the crashing part was repeated, by its node and by its caller, its content was quarantined after three crashes, and these no longer counted for the part that it shares with the next request: where requests come one after the other, each cost three servers. A quarantine that an answer ended kept its crashes explained, too.

Change: a crash that a quarantine explains still counts against the traits of that quarantine, so that the next request with only some of them shows which suffices; it counts for no others. An ended quarantine explains nothing.

--- a/rudder/culprit/culprit_test.go
+++ b/rudder/culprit/culprit_test.go
@@ -131,6 +131,54 @@
 	}
 }
 
+// Pattern: the first request with a crashing part is repeated until its content is quarantined, and only then the next one
+// comes. The crashes of the first must count for the part, or each request costs as many servers as the first.
+func TestCrashesOfQuarantinedContentCountForItsParts(t *testing.T) {
+	c := newClock()
+	seesFirst, seesSecond := c.newList(), c.newList()
+	for i := range uint64(3) {
+		seesFirst.RecordAnswer("model", request("sound", "system"))
+		seesSecond.RecordAnswer("model", request("sound", "system"))
+		c.crashNow(seesFirst, i, request("first", "system", "bad"))
+		c.advance(200 * time.Millisecond)
+	}
+	if !isRefused(seesFirst, request("first", "system", "bad")) {
+		t.Fatal("a request that crashed three servers is not refused")
+	}
+	if isRefused(seesFirst, request("second", "system", "bad")) {
+		t.Fatal("requests are refused after crashes of one request only")
+	}
+	c.advance(2 * time.Second)
+	exchange(t, seesFirst, seesSecond)
+	c.crashNow(seesSecond, 3, request("second", "system", "bad"))
+	exchange(t, seesFirst, seesSecond)
+	for i, l := range []*List{seesFirst, seesSecond} {
+		if !isRefused(l, request("third", "system", "bad")) || isRefused(l, request("sound", "system")) {
+			t.Errorf("node %d does not refuse exactly the requests with the part after the crash of a second one", i)
+		}
+	}
+}
+
+// Pattern: a part that was only nearby is quarantined together with the crashing one, and then cleared by an answer. The
+// crashes must count against the crashing part again.
+func TestClearedCompanionLeavesEvidence(t *testing.T) {
+	c := newClock()
+	l := c.newList()
+	for i := range uint64(5) {
+		l.RecordAnswer("model", request("sound", "system"))
+		c.crashNow(l, i, request(fmt.Sprint("poison ", i), "companion", "bad"))
+		c.advance(200 * time.Millisecond)
+	}
+	if !isRefused(l, request("next", "companion", "bad")) || isRefused(l, request("next", "companion")) || isRefused(l, request("next", "bad")) {
+		t.Fatal("not exactly the requests with both parts are refused")
+	}
+	l.RecordAnswer("model", request("sound", "companion"))
+	c.advance(evaluationInterval)
+	if !isRefused(l, request("next", "bad")) || isRefused(l, request("next", "companion")) {
+		t.Fatal("after an answer with the companion, not exactly the requests with the crashing part are refused")
+	}
+}
+
 // Pattern: a whole failure domain ends at the same moment, with requests of a part that has just become popular on all of its
 // servers and that no answer has cleared yet.
 func TestLossOfFailureDomainQuarantinesNothing(t *testing.T) {
--- a/rudder/culprit/evidence.go
+++ b/rudder/culprit/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -39,26 +40,27 @@
 	moments int      // crashes that are independent of the earlier ones
 }
 
-// unexplainedCrashes returns the crashes that no quarantine explains, in the order of time. The caller holds the lock.
-func (l *List) unexplainedCrashes() []*crash {
-	var list []*crash
-	for _, c := range l.crashes {
-		if !c.isExplained {
-			list = append(list, c)
-		}
+// explanation returns the quarantine that explains a crash, nil if there is none. The caller holds the lock.
+func (l *List) explanation(c *crash) *quarantine { return l.quarantines[c.explainedBy] }
+
+// isEvidence reports whether a crash is evidence against a trait: if another quarantine explains it, or a request with the
+// trait was answered shortly before or since, it is not. A crash that is explained by a quarantine of the trait together with
+// others is: the next crash may show that the trait alone suffices. The caller holds the lock.
+func (l *List) isEvidence(c *crash, t Trait) bool {
+	if q := l.explanation(c); q != nil && !slices.Contains(q.traits, t) {
+		return false
 	}
-	slices.SortFunc(list, func(a, b *crash) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server, b.server)) })
-	return list
+	return !l.wasAnswered(t, c.at.Add(-answerWindow))
 }
 
-// groups returns the traits that may have caused the unexplained crashes, grouped by the crashes that they have in common,
-// those with most crashes first. Traits are left out of the crashes after which, or shortly before which, a request with them
-// was answered. The caller holds the lock.
+// groups returns the traits that may have caused crashes, grouped by the crashes that they have in common, those with most
+// crashes first. Groups whose requests are all refused already are left out. The caller holds the lock.
 func (l *List) groups() []*group {
+	crashes := slices.SortedFunc(maps.Values(l.crashes), func(a, b *crash) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server, b.server)) })
 	byTrait := map[Trait][]*crash{}
-	for _, c := range l.unexplainedCrashes() {
+	for _, c := range crashes {
 		for trait := range c.suspects {
-			if !l.wasAnswered(trait, c.at.Add(-answerWindow)) {
+			if l.isEvidence(c, trait) {
 				byTrait[trait] = append(byTrait[trait], c)
 			}
 		}
@@ -80,7 +82,9 @@
 	sorted := make([]*group, 0, len(byCrashes))
 	for _, g := range byCrashes {
 		slices.Sort(g.traits)
-		sorted = append(sorted, g)
+		if !l.isCovered(g) {
+			sorted = append(sorted, g)
+		}
 	}
 	slices.SortFunc(sorted, func(a, b *group) int {
 		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), slices.Compare(a.traits, b.traits))
@@ -88,6 +92,16 @@
 	return sorted
 }
 
+// isCovered reports whether all requests of a group are refused already. The caller holds the lock.
+func (l *List) isCovered(g *group) bool {
+	for _, q := range l.quarantines {
+		if containsAll(g.traits, q.traits) {
+			return true
+		}
+	}
+	return false
+}
+
 // moments returns how many of the crashes are independent: the request with the trait was sent after the previous independent
 // crash.
 func moments(trait Trait, crashes []*crash) int {
--- a/rudder/culprit/list.go
+++ b/rudder/culprit/list.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutrudder.example/rudder/boottime"
 )
 
@@ -44,9 +46,9 @@
 	crashes           map[uint64]*crash          // by server
 	answeredAt        map[Trait]boottime.Instant // when a request with the trait was last answered
 	serviceAnsweredAt map[string]boottime.Instant
-	quarantines       map[string]*quarantine
+	quarantines       map[uint64]*quarantine     // by id
 	clearedAt         map[Trait]boottime.Instant // when an answer ended a quarantine with the trait
-	suspicious        []*group                   // of the crashes that are not explained, as of the last evaluation
+	suspicious        []*group                   // as of the last evaluation
 	evaluatedAt       boottime.Instant
 	hasNewEvidence    bool         // since the last evaluation
 	hasUrgentChange   bool         // since the last report
@@ -177,9 +179,11 @@
 		l.hasNewEvidence = true
 		return true
 	}
-	isNew := added.isExplained && !known.isExplained
 	known.at = min(known.at, added.at)
-	known.isExplained = known.isExplained || added.isExplained
+	isNew := false
+	if l.explanation(known) == nil && l.explanation(added) != nil {
+		known.explainedBy, isNew = added.explainedBy, true
+	}
 	for trait, sentBefore := range added.suspects {
 		previous, found := known.suspects[trait]
 		switch {
@@ -242,7 +246,7 @@
 	maps.DeleteFunc(l.crashes, func(_ uint64, c *crash) bool { return now.Sub(c.at) > crashRetention })
 	maps.DeleteFunc(l.clearedAt, func(_ Trait, at boottime.Instant) bool { return now.Sub(at) > crashRetention })
 	l.endQuarantines(now)
-	for {
+	for range maxQuarantines {
 		l.markExplained()
 		l.suspicious = l.groups()
 		g := l.mostSuspicious(now)
@@ -262,7 +266,7 @@
 // endQuarantines removes the quarantines that an answer has cleared or that refuse nothing any more. The caller holds the
 // lock.
 func (l *List) endQuarantines(now boottime.Instant) {
-	for key, q := range l.quarantines {
+	for id, q := range l.quarantines {
 		switch {
 		case l.isCleared(q):
 			l.Log.Info("Ended a quarantine: a request with one of its traits was answered.", "quarantine", q.name())
@@ -272,11 +276,11 @@
 			for _, t := range q.traits {
 				l.clearedAt[t] = now
 			}
-			delete(l.quarantines, key)
+			delete(l.quarantines, id)
 			l.hasUrgentChange = true
 		case now.Sub(q.matchedAt) > quarantineRetention:
 			l.Log.Info("Ended a quarantine: there was no request with its traits for too long.", "quarantine", q.name())
-			delete(l.quarantines, key)
+			delete(l.quarantines, id)
 		}
 	}
 }
@@ -291,33 +295,35 @@
 // caller holds the lock.
 func (l *List) addQuarantine(q *quarantine) {
 	if l.quarantines == nil {
-		l.quarantines = map[string]*quarantine{}
+		l.quarantines = map[uint64]*quarantine{}
 	}
 	if len(l.quarantines) >= maxQuarantines {
 		idle := slices.MinFunc(slices.Collect(maps.Values(l.quarantines)), func(a, b *quarantine) int { return cmp.Compare(a.matchedAt, b.matchedAt) })
-		delete(l.quarantines, idle.key())
+		delete(l.quarantines, idle.id())
 	}
-	l.quarantines[q.key()] = q
+	l.quarantines[q.id()] = q
 	l.quarantineCount.Store(int64(len(l.quarantines)))
 }
 
-// markExplained marks the crashes of servers that were about to answer a request with all traits of a quarantine. The caller
-// holds the lock.
+// markExplained attributes the crashes of servers that were about to answer a request with all traits of a quarantine to it.
+// The caller holds the lock.
 func (l *List) markExplained() {
 	for _, c := range l.crashes {
-		for _, q := range l.quarantines {
-			c.isExplained = c.isExplained || c.hasAll(q.traits)
+		for id, q := range l.quarantines {
+			if l.explanation(c) == nil && c.hasAll(q.traits) {
+				c.explainedBy = id
+			}
 		}
 	}
 }
 
-// key identifies the traits.
-func (q *quarantine) key() string {
+// id identifies the traits.
+func (q *quarantine) id() uint64 {
 	key := make([]byte, 0, 8*len(q.traits))
 	for _, t := range q.traits {
 		key = binary.LittleEndian.AppendUint64(key, uint64(t))
 	}
-	return string(key)
+	return xxhash.Sum64(key)
 }
 
 // name returns the traits for log lines.
--- a/rudder/culprit/report.go
+++ b/rudder/culprit/report.go
@@ -11,32 +11,25 @@
 // Report holds what a node knows of crashes and quarantines, for its peers. It includes what the node has heard from others,
 // so that nodes that do not hear of each other, or have restarted, learn it too. Points in time are given as ages.
 type Report struct {
-	_           struct{}      `cbor:",toarray"`
-	Crashes     []CrashReport // without those that a quarantine explains
-	Explained   []ServerReport
+	_           struct{} `cbor:",toarray"`
+	Crashes     []CrashReport
 	Answers     []AnswerReport
 	Quarantines []QuarantineReport
 }
 
 // IsEmpty reports whether the report holds nothing.
 func (r *Report) IsEmpty() bool {
-	return r == nil || len(r.Crashes)+len(r.Explained)+len(r.Answers)+len(r.Quarantines) == 0
+	return r == nil || len(r.Crashes)+len(r.Answers)+len(r.Quarantines) == 0
 }
 
 // CrashReport is the crash of one backend server.
 type CrashReport struct {
-	_         struct{} `cbor:",toarray"`
-	Server    uint64   // identifies the incarnation of the server
-	Service   string
-	AgeMillis int64
-	Suspects  []Suspect
-}
-
-// ServerReport is a crashed server whose crash a quarantine explains.
-type ServerReport struct {
-	_         struct{} `cbor:",toarray"`
-	Server    uint64
-	AgeMillis int64
+	_           struct{} `cbor:",toarray"`
+	Server      uint64   // identifies the incarnation of the server
+	Service     string
+	AgeMillis   int64
+	ExplainedBy uint64    // id of the quarantine that explains the crash; 0 for none
+	Suspects    []Suspect // of an explained crash, only those of the quarantine
 }
 
 // AnswerReport tells when a request with a trait was last answered.
@@ -92,22 +85,20 @@
 	}
 	for _, server := range slices.Sorted(maps.Keys(l.crashes)) {
 		c := l.crashes[server]
-		age := now.Sub(c.at).Milliseconds()
-		if c.isExplained {
-			r.Explained = append(r.Explained, ServerReport{Server: c.server, AgeMillis: age})
-			continue
+		entry := CrashReport{Server: c.server, Service: c.service, AgeMillis: now.Sub(c.at).Milliseconds()}
+		if l.explanation(c) != nil {
+			entry.ExplainedBy = c.explainedBy
 		}
-		entry := CrashReport{Server: c.server, Service: c.service, AgeMillis: age}
 		for _, t := range slices.Sorted(maps.Keys(c.suspects)) {
 			relevant[t] = now
-			if !l.wasAnswered(t, c.at.Add(-answerWindow)) {
+			if l.isEvidence(c, t) {
 				entry.Suspects = append(entry.Suspects, Suspect{Trait: t, SentMillisBefore: c.suspects[t]})
 			}
 		}
 		r.Crashes = append(r.Crashes, entry)
 	}
-	for _, key := range slices.Sorted(maps.Keys(l.quarantines)) {
-		q := l.quarantines[key]
+	for _, id := range slices.Sorted(maps.Keys(l.quarantines)) {
+		q := l.quarantines[id]
 		r.Quarantines = append(r.Quarantines, QuarantineReport{
 			Traits: q.traits, AgeMillis: now.Sub(q.convictedAt).Milliseconds(), MatchAgeMillis: now.Sub(q.matchedAt).Milliseconds(),
 			TrialInMillis: q.trialAt.Sub(now).Milliseconds(), Trials: q.trials,
@@ -141,6 +132,9 @@
 			l.setAnswered(a.Trait, before(a.AgeMillis))
 		}
 	}
+	for _, q := range r.Quarantines {
+		l.applyQuarantine(q, before, now)
+	}
 	for _, c := range r.Crashes {
 		if !isValid(c.AgeMillis, crashRetention) {
 			continue
@@ -149,15 +143,7 @@
 		for _, s := range c.Suspects[:min(len(c.Suspects), maxSuspects)] {
 			suspects[s.Trait] = s.SentMillisBefore
 		}
-		l.addCrash(&crash{server: c.Server, service: c.Service, at: before(c.AgeMillis), suspects: suspects})
-	}
-	for _, c := range r.Explained {
-		if isValid(c.AgeMillis, crashRetention) {
-			l.addCrash(&crash{server: c.Server, at: before(c.AgeMillis), suspects: map[Trait]int64{}, isExplained: true})
-		}
-	}
-	for _, q := range r.Quarantines {
-		l.applyQuarantine(q, before, now)
+		l.addCrash(&crash{server: c.Server, service: c.Service, at: before(c.AgeMillis), suspects: suspects, explainedBy: c.ExplainedBy})
 	}
 	l.evaluate(now)
 }
@@ -172,7 +158,7 @@
 	if len(r.Traits) == 0 || r.AgeMillis < 0 || r.MatchAgeMillis < 0 || isExpired || l.isCleared(reported) {
 		return
 	}
-	known, found := l.quarantines[reported.key()]
+	known, found := l.quarantines[reported.id()]
 	if !found {
 		l.Log.Info("A peer quarantined requests.", "quarantine", reported.name(), "age_ms", r.AgeMillis, "trials", r.Trials)
 		l.addQuarantine(reported)
--- a/rudder/culprit/trait.go
+++ b/rudder/culprit/trait.go
@@ -48,8 +48,8 @@
 	service  string
 	at       boottime.Instant
 	suspects map[Trait]int64 // SentMillisBefore by trait
-	// isExplained is true if this node or a peer attributes the crash to a quarantine.
-	isExplained bool
+	// explainedBy is the id of the quarantine to which this node or a peer attributes the crash; 0 for none.
+	explainedBy uint64
 }
 
 // hasAll reports whether all traits are among the suspects of the crash.
