Do not take responses without a length of crashed servers for complete

Cause: the end of such a response and the end of its server look alike. A stream that ended between two events, or before the first one, and a plain response reached the caller as complete; and a crashing request that was answered so cleared its own prompt part, so that the part was never quarantined. A late response without a length to an earlier request was read to the end of its connection, although nothing can follow it.

Change: after a response without a length the node probes the server; if its host refuses connections and it was not leaving, the response is broken: resumed, repeated or aborted like any other. A stream without an event is broken. Line ends after the last event are no event. A mismatched response that ends its connection is not awaited.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -213,6 +213,9 @@
 	if len(body) > maxBufferedBytes {
 		return a.forwardLarge(ctx, response, body, isSuccess)
 	}
+	if endsWithConnection(response) && a.hasServerCrashed() {
+		return a.brokenResponse(ctx, errEndedWithServer)
+	}
 	b := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if isSuccess || response.StatusCode < 500 && !impliesNotRun(response.StatusCode) {
 		a.forwarder.writeResponse(b)
@@ -238,7 +241,9 @@
 var (
 	// errResponseTooLarge means that the body of a response exceeds the limit.
 	errResponseTooLarge = errors.New("response body is too large")
-	// errEndedWithinEvent means that an event stream without a length ended in the middle of an event.
+	// errEndedWithServer means that a response without a length ended when its server crashed.
+	errEndedWithServer = errors.New("response without a length ended with its server")
+	// errEndedWithinEvent means that an event stream without a length ended in the middle of an event, or before the first.
 	errEndedWithinEvent = errors.New("event stream without a length ended within an event")
 )
 
@@ -265,6 +270,9 @@
 	if err == nil && rest.N <= 0 {
 		err = errors.Wrapf(errResponseTooLarge, "more than %d bytes", limit)
 	}
+	if err == nil && endsWithConnection(response) && a.hasServerCrashed() {
+		err = errEndedWithServer
+	}
 	switch {
 	case caller.err != nil:
 		return attemptResult{isPartial: true, backendResult: backend.ResultInconclusive, reason: "write large response to caller: " + caller.err.Error()}
@@ -318,8 +326,10 @@
 			a.setReadTimeout(f.eventTimeout())
 		}
 		switch {
-		case err == io.EOF && len(reader.remainder()) > 0 && endsWithConnection(response):
+		case err == io.EOF && endsWithConnection(response) && (a.firstEventAt == 0 || reader.isWithinEvent()):
 			return a.brokenResponse(ctx, errEndedWithinEvent)
+		case err == io.EOF && endsWithConnection(response) && a.hasServerCrashed():
+			return a.brokenResponse(ctx, errEndedWithServer)
 		case err == io.EOF:
 			return a.finishStream(reader, response, controller)
 		case err != nil:
@@ -331,7 +341,7 @@
 // endsWithConnection reports whether only the end of the connection marks the end of a response, so that it does not show
 // whether the response is complete.
 func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
 // finishStream forwards the rest of a stream that the backend server has ended.
--- a/rudder/relay/crash.go
+++ b/rudder/relay/crash.go
@@ -103,8 +103,10 @@
 	s, c, failedAt := a.server, a.call, boottime.Now()
 	lastEventID := a.forwarder.lastEventID
 	done := make(chan struct{})
-	s.crashProbes.Go(func() {
+	s.crashProbes.Add(1)
+	go func() {
 		defer close(done)
+		defer s.crashProbes.Add(-1)
 		state := s.probe(a.placement)
 		// A host that does not answer may be cut off. It counts only if the connection was ended from its side.
 		if state == serverAlive || state == serverUnknown && r.isTimeout {
@@ -115,7 +117,7 @@
 		s.Log.Info("Backend server crashed while running a request.", "request", c.id, "server", a.placement.ID, "service", c.service,
 			"traits", culprit.TraitNames(c.traits()), "prompt_parts", c.sharedPartIDs(), "last_event", lastEventID,
 			"sent_ms_before", failedAt.Sub(a.sentAt).Milliseconds(), "crashed_servers", s.Crashes.CrashCount())
-	})
+	}()
 	return done
 }
 
@@ -127,3 +129,9 @@
 	}
 	s.Crashes.RecordAnswer(c.service, traits)
 }
+
+// hasServerCrashed reports whether the server has crashed. After a response without a length this tells whether the response
+// is complete; the end of the connection does not.
+func (a *attempt) hasServerCrashed() bool {
+	return !a.placement.IsLeaving() && a.server.probe(a.placement) == serverGone
+}
--- a/rudder/relay/crash_test.go
+++ b/rudder/relay/crash_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"chestnutrudder.example/rudder/backend"
 )
@@ -37,7 +38,7 @@
 	}
 	for i := range 3 {
 		h.call(context.Background(), http.MethodPost, "/once/x", "poison", nil)
-		h.server.crashProbes.Wait()
+		h.waitForCrashProbes()
 		if h.crashCount() != i+1 {
 			t.Fatalf("%d crashes are counted after %d", h.crashCount(), i+1)
 		}
@@ -53,10 +54,10 @@
 	}
 }
 
-// crashingServers adds backend servers that end like a crashed process, after the head of the response, when they run a
-// request with the prompt part "bad". They complete other requests. It returns the number of requests with that part that
+// crashingServers adds backend servers that end like a crashed process, after the begin of the response that respond writes,
+// when they run a request with the prompt part "bad". They complete other requests. It returns the number of requests with that part that
 // servers received, and the number of servers that crashed.
-func (h *harness) crashingServers(count int) (received, crashed *atomic.Int64) {
+func (h *harness) crashingServers(count int, respond func(conn net.Conn, r *http.Request)) (received, crashed *atomic.Int64) {
 	received, crashed = &atomic.Int64{}, &atomic.Int64{}
 	for i := range count {
 		name := fmt.Sprint("b", i)
@@ -78,7 +79,8 @@
 					received.Add(1)
 					listener.Close() // a crashed process accepts no connections
 					crashed.Add(1)
-					return sendEvents(conn, r, 1, 0, false)
+					respond(conn, r)
+					return false
 				})
 			}
 		}()
@@ -87,21 +89,34 @@
 	return received, crashed
 }
 
+// sendStreamHead begins a chunked event stream, and sendUnframedStreamHead one without a length.
+func sendStreamHead(conn net.Conn, r *http.Request)         { sendEvents(conn, r, 1, 0, false) }
+func sendUnframedStreamHead(conn net.Conn, r *http.Request) { sendUnframedEvents(conn, r, 0, "") }
+
 // prompt sends a request with a prompt that has the given shared parts and a last part of its own, and waits until the
 // relay knows whether a server crashed.
 func (h *harness) prompt(id int, sharedParts string) callerResponse {
 	response := h.call(context.Background(), http.MethodPost, fmt.Sprint("/resumable/", id), fmt.Sprint("body ", id), http.Header{
 		"X-Rudder-Request": {fmt.Sprint("p", id)}, "X-Rudder-Tokens": {"100,20"}, "X-Rudder-Prefix": {fmt.Sprintf("%s,own%d:10", sharedParts, id)},
 	})
-	h.server.crashProbes.Wait()
+	h.waitForCrashProbes()
 	return response
 }
 
 // Guards against a prompt part that crashes each server which runs a request with it: no two of the requests are alike, so
 // that counting the crashes of each request finds nothing, and the requests crash one server after the other.
 func TestRequestsWithCrashingPromptPartAreRefused(t *testing.T) {
+	for name, respond := range map[string]func(net.Conn, *http.Request){
+		"chunked": sendStreamHead, "without a length": sendUnframedStreamHead,
+		"without a length, after an event": func(conn net.Conn, r *http.Request) { sendUnframedEvents(conn, r, 1, "") },
+	} {
+		t.Run(name, func(t *testing.T) { testCrashingPromptPart(t, respond) })
+	}
+}
+
+func testCrashingPromptPart(t *testing.T, respond func(net.Conn, *http.Request)) {
 	h := newHarness(t)
-	received, crashed := h.crashingServers(24)
+	received, crashed := h.crashingServers(24, respond)
 	receivedAtFifthCrash := int64(-1)
 	for i := range 30 {
 		for j, parts := range []string{"system:40", "system:40,document:20"} {
@@ -140,7 +155,7 @@
 	go func() { waiting <- h.prompt(1, "system:40,bad:30") }()
 	<-isReceived
 	h.server.Backends.Replace(nil)
-	_, crashed := h.crashingServers(8)
+	_, crashed := h.crashingServers(8, sendStreamHead)
 	for i := 0; crashed.Load() < 6 && i < 8; i++ {
 		h.prompt(100+i, "system:40")
 		h.prompt(200+i, "system:40,bad:30")
@@ -155,7 +170,7 @@
 // second server after it has crashed one.
 func TestSuspectIsNotSentToAnotherServer(t *testing.T) {
 	h := newHarness(t)
-	received, _ := h.crashingServers(8)
+	received, _ := h.crashingServers(8, sendStreamHead)
 	h.prompt(1, "system:40")
 	h.prompt(2, "system:40,bad:30")
 	if n := received.Load(); n != 2 {
@@ -167,6 +182,13 @@
 	}
 }
 
+// waitForCrashProbes waits until the relay knows of all failed attempts whether their servers have crashed.
+func (h *harness) waitForCrashProbes() {
+	for h.server.crashProbes.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // crashCount returns the number of crashes that the server under test has counted for all requests.
 func (h *harness) crashCount() int {
 	return h.server.Crashes.CrashCount()
@@ -181,7 +203,7 @@
 	for range 5 {
 		h.get("/safe/x")
 	}
-	h.server.crashProbes.Wait()
+	h.waitForCrashProbes()
 	if n := h.crashCount(); n != 0 {
 		t.Fatalf("%d crashes are counted, want 0", n)
 	}
--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -40,6 +40,9 @@
 // remainder returns the buffered bytes after the last complete event.
 func (r *eventReader) remainder() []byte { return r.buffer }
 
+// isWithinEvent reports whether the buffered bytes are more than line ends.
+func (r *eventReader) isWithinEvent() bool { return len(bytes.Trim(r.buffer, "\r\n")) > 0 }
+
 // lastEventEnd returns the offset after the last empty line, or 0 if there is none.
 func lastEventEnd(b []byte) int {
 	end := 0
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -63,7 +63,7 @@
 	isRefusing       atomic.Bool // new requests are refused
 	inProgress       atomic.Int64
 	metrics          Metrics
-	crashProbes      sync.WaitGroup // running observeCrash calls
+	crashProbes      atomic.Int64 // running observeCrash tasks
 	probes           singleflight.Group
 }
 
--- a/rudder/upstream/faulty_server_test.go
+++ b/rudder/upstream/faulty_server_test.go
@@ -116,3 +116,36 @@
 		})
 	}
 }
+
+// Guards against waiting for the end of a late response to an earlier request that has no length: nothing can follow it on its
+// connection.
+func TestLateResponseWithoutLengthIsNotAwaited(t *testing.T) {
+	address, _ := serve(t, func(conn net.Conn, _ int, _ *http.Request) bool {
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: earlier\r\n\r\npart")
+		_, _ = conn.Read(make([]byte, 1)) // until the client closes the connection
+		return false
+	})
+	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
+	conn, err := pool.Get(context.Background(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Abort()
+	r := request("mine")
+	if err := conn.Send(r); err != nil {
+		t.Fatal(err)
+	}
+	received := make(chan error, 1)
+	go func() {
+		_, err := conn.Receive(r, "Id")
+		received <- err
+	}()
+	select {
+	case err := <-received:
+		if !errors.Is(err, upstream.ErrMismatchedResponse) {
+			t.Fatalf("receive: %v, want ErrMismatchedResponse", err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the end of a response to an earlier request is awaited")
+	}
+}
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -300,6 +300,9 @@
 		if got == "" {
 			break // on a reused connection, even a refusal may belong to an earlier request
 		}
+		if response.Close {
+			break // nothing follows it on this connection
+		}
 		mismatched++
 		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBodyBytes)); err != nil || n == maxMismatchedBodyBytes {
 			break
