Record quarantines in the object API

Cause: what nodes know of crashes was kept in memory and told in digests; no node was left to tell it.

Change: the first ready node by name writes one record for each quarantine, again after each trial, and deletes it at its end. A node reads the records once when it starts, by the cheap read.

One cheap read more at each start of a node, one write for each quarantine.

--- a/rudder/culprit/list.go
+++ b/rudder/culprit/list.go
@@ -299,9 +299,9 @@
 	}
 	if len(l.quarantines) >= maxQuarantines {
 		idle := slices.MinFunc(slices.Collect(maps.Values(l.quarantines)), func(a, b *quarantine) int { return cmp.Compare(a.matchedAt, b.matchedAt) })
-		delete(l.quarantines, idle.id())
+		delete(l.quarantines, quarantineID(idle.traits))
 	}
-	l.quarantines[q.id()] = q
+	l.quarantines[quarantineID(q.traits)] = q
 	l.quarantineCount.Store(int64(len(l.quarantines)))
 }
 
@@ -317,10 +317,10 @@
 	}
 }
 
-// id identifies the traits.
-func (q *quarantine) id() uint64 {
-	key := make([]byte, 0, 8*len(q.traits))
-	for _, t := range q.traits {
+// quarantineID identifies the traits of a quarantine, which are sorted.
+func quarantineID(traits []Trait) uint64 {
+	key := make([]byte, 0, 8*len(traits))
+	for _, t := range traits {
 		key = binary.LittleEndian.AppendUint64(key, uint64(t))
 	}
 	return xxhash.Sum64(key)
--- a/rudder/culprit/report.go
+++ b/rudder/culprit/report.go
@@ -97,13 +97,7 @@
 		}
 		r.Crashes = append(r.Crashes, entry)
 	}
-	for _, id := range slices.Sorted(maps.Keys(l.quarantines)) {
-		q := l.quarantines[id]
-		r.Quarantines = append(r.Quarantines, QuarantineReport{
-			Traits: q.traits, AgeMillis: now.Sub(q.convictedAt).Milliseconds(), MatchAgeMillis: now.Sub(q.matchedAt).Milliseconds(),
-			TrialInMillis: q.trialAt.Sub(now).Milliseconds(), Trials: q.trials,
-		})
-	}
+	r.Quarantines = l.quarantineReports(now)
 	for _, t := range slices.Sorted(maps.Keys(relevant)) {
 		if at, found := l.answeredAt[t]; found {
 			r.Answers = append(r.Answers, AnswerReport{Trait: t, AgeMillis: now.Sub(at).Milliseconds()})
@@ -115,6 +109,31 @@
 	return r
 }
 
+// Quarantines returns the present quarantines.
+func (l *List) Quarantines() []QuarantineReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	l.evaluate(now)
+	return l.quarantineReports(now)
+}
+
+// quarantineReports returns the present quarantines. The caller holds the lock.
+func (l *List) quarantineReports(now boottime.Instant) []QuarantineReport {
+	var list []QuarantineReport
+	for _, id := range slices.Sorted(maps.Keys(l.quarantines)) {
+		q := l.quarantines[id]
+		list = append(list, QuarantineReport{
+			Traits: q.traits, AgeMillis: now.Sub(q.convictedAt).Milliseconds(), MatchAgeMillis: now.Sub(q.matchedAt).Milliseconds(),
+			TrialInMillis: q.trialAt.Sub(now).Milliseconds(), Trials: q.trials,
+		})
+	}
+	return list
+}
+
+// ID identifies the traits of the quarantine, on all nodes alike.
+func (r *QuarantineReport) ID() uint64 { return quarantineID(r.Traits) }
+
 // Apply adds what a peer reported.
 func (l *List) Apply(r *Report) {
 	if r.IsEmpty() {
@@ -158,7 +177,7 @@
 	if len(r.Traits) == 0 || r.AgeMillis < 0 || r.MatchAgeMillis < 0 || isExpired || l.isCleared(reported) {
 		return
 	}
-	known, found := l.quarantines[reported.id()]
+	known, found := l.quarantines[quarantineID(reported.traits)]
 	if !found {
 		l.Log.Info("A peer quarantined requests.", "quarantine", reported.name(), "age_ms", r.AgeMillis, "trials", r.Trials)
 		l.addQuarantine(reported)
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -176,7 +176,7 @@
 	tasks := []func(context.Context){
 		func(ctx context.Context) { n.mesh.Run(ctx, meshConn) },
 		n.configWatcher.Run, n.registry.objectWatcher.Run, n.relay.WatchWaitingRequests, n.closeIdleConnections, n.updateShares,
-		n.readNewerConfigs, n.registerAndDiscover,
+		n.readNewerConfigs, n.registerAndDiscover, n.keepQuarantines,
 	}
 	if n.settings.ReportsUsage || n.settings.OrdersCapacity {
 		tasks = append(tasks, func(ctx context.Context) { n.leases.Hold(ctx, dutyLeaseName, n.runDuties) })
