Find the message that crashed engines have in common on the own engine's path

Cause: dispatchers quarantine a request by its whole content. Conversations that share only a message were each counted alone, at one crash or two, and two crashes within 2 s in one failure domain excused both as a fault of the domain.

Change: entry nodes send the traits of all messages but the last; dispatchers record crashes with those of runs that were not verified, and answers; package culprit finds the common message; nodes tell each other in membership records. Refused are new requests at the entry node and waiting ones at dispatchers. Crashes that share an unanswered message are related. A caller that resumes an answer is not refused as not run any more: only new requests are checked at the entry node.

--- a/rudder/culprit/list.go
+++ b/rudder/culprit/list.go
@@ -197,6 +197,14 @@
 	return isNew
 }
 
+// Unanswered returns the traits with which no request was answered lately.
+func (l *List) Unanswered(traits []Trait) []Trait {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since := l.now().Add(-answerWindow)
+	return slices.DeleteFunc(slices.Clone(traits), func(t Trait) bool { return l.wasAnswered(t, since) })
+}
+
 // RecordAnswer records the complete answer to a request of a service, which clears its traits.
 func (l *List) RecordAnswer(service string, traits []Trait) {
 	l.mu.Lock()
--- a/rudder/culprit/report.go
+++ b/rudder/culprit/report.go
@@ -134,6 +134,20 @@
 // ID identifies the traits of the quarantine, on all nodes alike.
 func (r *QuarantineReport) ID() uint64 { return quarantineID(r.Traits) }
 
+// AddAge adds the time for which the report was on its way to all ages.
+func (r *Report) AddAge(d time.Duration) {
+	for i := range r.Crashes {
+		r.Crashes[i].AgeMillis += d.Milliseconds()
+	}
+	for i := range r.Answers {
+		r.Answers[i].AgeMillis += d.Milliseconds()
+	}
+	for i := range r.Quarantines {
+		q := &r.Quarantines[i]
+		q.AgeMillis, q.MatchAgeMillis, q.TrialInMillis = q.AgeMillis+d.Milliseconds(), q.MatchAgeMillis+d.Milliseconds(), q.TrialInMillis-d.Milliseconds()
+	}
+}
+
 // Apply adds what a peer reported.
 func (l *List) Apply(r *Report) {
 	if r.IsEmpty() {
@@ -158,11 +172,14 @@
 		if !isValid(c.AgeMillis, crashRetention) {
 			continue
 		}
-		suspects := map[Trait]int64{}
+		suspects, isCleared := map[Trait]int64{}, false
 		for _, s := range c.Suspects[:min(len(c.Suspects), maxSuspects)] {
 			suspects[s.Trait] = s.SentMillisBefore
+			isCleared = isCleared || l.wasAnswered(s.Trait, before(c.AgeMillis).Add(-answerWindow))
+		}
+		if l.addCrash(&crash{server: c.Server, service: c.Service, at: before(c.AgeMillis), suspects: suspects, explainedBy: c.ExplainedBy}) && isCleared {
+			l.hasUrgentChange = true // the peer does not know of the answer
 		}
-		l.addCrash(&crash{server: c.Server, service: c.Service, at: before(c.AgeMillis), suspects: suspects, explainedBy: c.ExplainedBy})
 	}
 	l.evaluate(now)
 }
--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -75,7 +75,8 @@
 	exchanger, closeControlDialer := newExchanger(s, members, records, store, metrics, logger)
 	defer closeControlDialer()
 	dispatcher := dispatch.New(members, hosts, logger.Part("dispatch"))
-	quarantineList := quarantine.New(records, logger.Part("quarantine"))
+	quarantineList := quarantine.New(s.Node, records, logger.Part("quarantine"))
+	quarantineList.Parts.IsTrialNode = func() bool { return members.IsAmongTopRanked("crash-trial", 1) }
 	dispatcher.CurrentSnapshot, dispatcher.Quarantine, dispatcher.Routing = currentSnapshot, quarantineList, s.Routing
 	router := route.NewRouter(s.Routing)
 	exchanger.HandleDigests = router.Digests.Update
@@ -124,6 +125,7 @@
 		noticeDistributor.Run,
 		func(ctx context.Context) { registryClient.Renew(ctx, entryServer.Places, dispatcher.UnreadRunPlaces) },
 		dispatcher.Loop,
+		quarantineList.Run,
 		follower.Run,
 		func(ctx context.Context) { leases.Hold(ctx, revision.LeaseName, acceptor.Run) },
 		func(ctx context.Context) { hosts.Poll(ctx, cloud.NewHostList(s.HostList), logger.Part("fleet")) },
--- a/rudder/dispatch/admission.go
+++ b/rudder/dispatch/admission.go
@@ -111,11 +111,19 @@
 	return nil
 }
 
-// checkQuarantine refuses quarantined requests, and suspects that do not ask for isolation: the attempt after a crash has to
+// checkQuarantine refuses quarantined requests, those with quarantined messages, and suspects that do not ask for isolation: the attempt after a crash has to
 // run on the dispatcher that comes first by rendezvous hash, because only there do duplicates wait for each other. Resumed
 // suspects are isolated instead of refused.
 func (d *Dispatcher) checkQuarantine(t *task, now time.Time) *peerpb.Refused {
-	if t.quarantineKey.Fingerprint == 0 || d.Quarantine == nil {
+	if d.Quarantine == nil {
+		return nil
+	}
+	if len(t.parts) > 0 && !t.request.Trial {
+		if refusal, _ := d.Quarantine.Parts.Check(t.parts, false); refusal != nil {
+			return &peerpb.Refused{Reason: "backend servers have crashed on requests with the same messages", Quarantined: true}
+		}
+	}
+	if t.quarantineKey.Fingerprint == 0 {
 		return nil
 	}
 	if d.Quarantine.IsQuarantined(t.quarantineKey, now) {
--- a/rudder/dispatch/crash.go
+++ b/rudder/dispatch/crash.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutrudder.example/rudder/peer"
 	"chestnutrudder.example/rudder/peer/peerpb"
 	"chestnutrudder.example/rudder/quarantine"
@@ -25,14 +27,17 @@
 	crash := quarantine.Crash{
 		Host: b.Host.Name, FailureDomain: b.Host.FailureDomain, HostHasNotice: b.load.Leaving,
 		InRollout: d.IsRollingOut != nil && d.IsRollingOut(b.Host.Deployment, b.load.ModelVersion),
+		Server:    xxhash.Sum64String(b.Host.Name + "\x00" + now.String()), Deployment: b.Host.Deployment,
 	}
 	if _, isLeaving := d.Fleet.LeavingAt(b.Host.Name); isLeaving {
 		crash.HostHasNotice = true
 	}
 	for t := range b.tasks {
-		if t.quarantineKey.Fingerprint != 0 {
-			crash.Keys = append(crash.Keys, t.quarantineKey)
+		request := quarantine.Request{Key: t.quarantineKey, SentAt: t.placedAt}
+		if !t.isVerified {
+			request.Parts = t.parts
 		}
+		crash.Requests = append(crash.Requests, request)
 		crash.InIsolation = t.needsIsolation && len(b.tasks) == 1
 	}
 	b.crashVerdict = d.Quarantine.Report(crash, now)
--- a/rudder/dispatch/execute.go
+++ b/rudder/dispatch/execute.go
@@ -231,6 +231,9 @@
 	}
 	placed := d.markVerified(t)
 	d.mu.Unlock()
+	if d.Quarantine != nil && len(t.parts) > 0 {
+		d.Quarantine.Parts.RecordAnswer(t.request.Deployment, t.parts)
+	}
 	d.startPlaced(placed)
 }
 
--- a/rudder/dispatch/scheduler.go
+++ b/rudder/dispatch/scheduler.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/engine"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/object"
@@ -23,21 +25,23 @@
 	request        *peerpb.RunRequest
 	run            *Run
 	quarantineKey  quarantine.Key
-	blocks         []uint64      // of prompt and generated tokens
-	tokenCount     int           // of prompt and generated tokens
-	needsIsolation bool          // must be alone on its runner
-	expireAfter    time.Duration // from admission; 0 means never
+	parts          []culprit.Trait // of the prompt that other requests may share
+	blocks         []uint64        // of prompt and generated tokens
+	tokenCount     int             // of prompt and generated tokens
+	needsIsolation bool            // must be alone on its runner
+	expireAfter    time.Duration   // from admission; 0 means never
 	expiryTimer    *time.Timer
 	chosenBackend  *Backend // by the last placement decision
 	choiceReason   string
 
 	backend          *Backend // nil while it waits
-	canResume        bool     // the engine may still hold the run
-	modelVersion     string   // as reported by the runner
-	uncachedTokens   int      // to prefill, as predicted at placement
-	hasStarted       bool     // the engine has prefilled the prompt
-	isVerified       bool     // it has not crashed its runner; see verifiedAfterTokens
-	isReclaimPlanned bool     // its host is leaving and its reclaim has begun
+	placedAt         boottime.Instant
+	canResume        bool   // the engine may still hold the run
+	modelVersion     string // as reported by the runner
+	uncachedTokens   int    // to prefill, as predicted at placement
+	hasStarted       bool   // the engine has prefilled the prompt
+	isVerified       bool   // it has not crashed its runner; see verifiedAfterTokens
+	isReclaimPlanned bool   // its host is leaving and its reclaim has begun
 }
 
 func newTask(r *Run, request *peerpb.RunRequest, share int, now time.Time) *task {
@@ -49,6 +53,7 @@
 		blocks:         engine.PrefixBlocks(tokens),
 		tokenCount:     len(tokens),
 		needsIsolation: request.Isolate,
+		parts:          quarantine.Traits(request.Parts),
 	}
 	class := limit.ClassShort
 	if request.Class == string(limit.ClassLong) {
@@ -216,7 +221,7 @@
 
 // place assigns a task to a runner and counts it there.
 func (s *scheduler) place(t *task, b *Backend, now time.Time) {
-	t.backend = b
+	t.backend, t.placedAt = b, boottime.Now()
 	t.modelVersion = b.load.ModelVersion
 	t.uncachedTokens = max(0, t.tokenCount-b.prefixCache.expectedCachedTokens(t.blocks, now))
 	b.tasks[t] = true
--- a/rudder/entry/chat.go
+++ b/rudder/entry/chat.go
@@ -92,6 +92,15 @@
 	return hex.EncodeToString(sum[:16])
 }
 
+// partTraits returns the traits of the messages that other conversations may share: all but the last one.
+func (c ChatRequest) partTraits(organisation string) []uint64 {
+	var traits []uint64
+	for _, m := range c.Messages[:len(c.Messages)-1] {
+		traits = append(traits, uint64(quarantine.PartTrait(organisation, m.Role, m.Content)))
+	}
+	return traits
+}
+
 func decodeChatRequest(w http.ResponseWriter, r *http.Request) (ChatRequest, error) {
 	var chat ChatRequest
 	controller := http.NewResponseController(w)
@@ -151,6 +160,10 @@
 		s.writeProblem(w, r, err)
 		return
 	}
+	if err := s.checkQuarantine(request); err != nil {
+		s.writeProblem(w, r, err)
+		return
+	}
 	if err := applyDeadline(r, request); err != nil {
 		s.writeProblem(w, r, err)
 		return
@@ -212,9 +225,6 @@
 	}
 	content, prompt := chat.contentHash(organisation), chat.prompt()
 	fingerprint := quarantine.Fingerprint(organisation, route.Deployment, prompt)
-	if s.Quarantine != nil && s.Quarantine.IsQuarantined(quarantine.Key{Organisation: organisation, Fingerprint: fingerprint}, time.Now()) {
-		return nil, outcome.NotRunErrorf(http.StatusUnprocessableEntity, 0, "the request has crashed backend servers")
-	}
 	return &peerpb.RunRequest{
 		Run:          uuid.NewString(),
 		Organisation: organisation,
@@ -228,9 +238,27 @@
 		Key:          key,
 		Content:      content,
 		Model:        chat.Model,
+		Parts:        chat.partTraits(organisation),
 	}, nil
 }
 
+// checkQuarantine returns an error if a new request, or others with the same messages, have crashed backend servers. It marks
+// a request that is sent nevertheless as a trial.
+func (s *Server) checkQuarantine(request *peerpb.RunRequest) error {
+	if s.Quarantine == nil {
+		return nil
+	}
+	if s.Quarantine.IsQuarantined(quarantine.Key{Organisation: request.Organisation, Fingerprint: request.Fingerprint}, time.Now()) {
+		return outcome.NotRunErrorf(http.StatusUnprocessableEntity, 0, "the request has crashed backend servers")
+	}
+	refusal, isTrial := s.Quarantine.CheckParts(request.Parts)
+	if refusal != nil {
+		return outcome.NotRunErrorf(http.StatusUnprocessableEntity, 0, "backend servers have crashed on requests with the same messages")
+	}
+	request.Trial = isTrial
+	return nil
+}
+
 func classOf(route object.RouteSpec, maxTokens int) limit.Class {
 	if route.LongTokens > 0 && maxTokens >= route.LongTokens {
 		return limit.ClassLong
--- a/rudder/entry/server.go
+++ b/rudder/entry/server.go
@@ -22,6 +22,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/decision"
 	"chestnutrudder.example/rudder/fleet"
 	"chestnutrudder.example/rudder/membership"
@@ -43,6 +44,8 @@
 type Quarantine interface {
 	// IsQuarantined reports whether the request is refused at the given time.
 	IsQuarantined(key quarantine.Key, now time.Time) bool
+	// CheckParts returns a refusal if new requests with parts of these traits are refused, or whether the request is a trial.
+	CheckParts(traits []uint64) (refusal *culprit.Refusal, isTrial bool)
 }
 
 // Server serves the callers of one node.
--- a/rudder/entry/steploop.go
+++ b/rudder/entry/steploop.go
@@ -357,6 +357,8 @@
 		DeadlineMs:   s.remainingDeadlineMs(),
 		Class:        template.Class,
 		Fingerprint:  template.Fingerprint,
+		Parts:        template.Parts,
+		Trial:        template.Trial,
 		Isolate:      s.isolate,
 		ExcludeHosts: current.excludeHosts,
 		ResumeHost:   current.resumeHost,
--- a/rudder/membership/records.go
+++ b/rudder/membership/records.go
@@ -19,6 +19,7 @@
 	RecordHostNotice = "host/"
 	RecordRevision   = "revision" // a single key, not a prefix; its version is the newest known configuration revision
 	RecordQuarantine = "quarantine/"
+	RecordCrashes    = "crashes/" // followed by the node that reports crashes of backend servers
 	RecordRollout    = "rollout/" // followed by the deployment; the value is the state of its rollout
 )
 
@@ -39,6 +40,7 @@
 var recordTTLs = map[string]time.Duration{
 	RecordHostNotice: 2 * time.Hour,
 	RecordQuarantine: 20 * time.Minute,
+	RecordCrashes:    20 * time.Minute,
 }
 
 // entry is a stored record, or the tombstone of one, with its local history.
--- a/rudder/quarantine/quarantine.go
+++ b/rudder/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 // Package quarantine identifies requests that crash backend servers. Dispatchers report each crash of a backend server
 // process; the requests that ran on it become suspects and are run in isolation. A request that crashes a backend server
-// in isolation is quarantined: dispatchers and entry nodes of all nodes reject it for a limited time.
+// in isolation is quarantined: dispatchers and entry nodes of all nodes reject it for a limited time. So are requests that
+// share only a message with others on which servers crash; package culprit finds that message.
 package quarantine
 
 import (
@@ -13,6 +14,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/peer/peerpb"
 )
@@ -56,10 +59,35 @@
 type Crash struct {
 	Host          string
 	FailureDomain string
-	HostHasNotice bool  // the host had received a reclaim notice
-	InRollout     bool  // the model version of the backend server is being rolled out
-	Keys          []Key // requests that were running on the backend server
-	InIsolation   bool  // the backend server ran exactly one request, which was a suspect
+	HostHasNotice bool   // the host had received a reclaim notice
+	InRollout     bool   // the model version of the backend server is being rolled out
+	Server        uint64 // identifies the process
+	Deployment    string
+	Requests      []Request // that were running on the backend server
+	InIsolation   bool      // the backend server ran exactly one request, which was a suspect
+}
+
+// Request is a request that was running on a crashed backend server.
+type Request struct {
+	Key    Key             // zero for requests that are never quarantined by their content
+	Parts  []culprit.Trait // messages that other requests may share; none if the request has shown that it is harmless
+	SentAt boottime.Instant
+}
+
+// keys returns the keys of the requests.
+func (c *Crash) keys() []Key {
+	var keys []Key
+	for _, r := range c.Requests {
+		if r.Key.Fingerprint != 0 {
+			keys = append(keys, r.Key)
+		}
+	}
+	return keys
+}
+
+// PartTrait returns the trait of a message. The organisation is part of it, like in Fingerprint.
+func PartTrait(organisation, role, content string) culprit.Trait {
+	return culprit.PartTrait(organisation + "\x00" + role + "\x00" + content)
 }
 
 // Verdict is the cause to which a crash is attributed.
@@ -80,12 +108,16 @@
 
 type recentCrash struct {
 	Crash
-	reportedAt time.Time
+	suspectParts []culprit.Trait // parts with which no request was answered lately
+	reportedAt   time.Time
 }
 
 // List holds the suspects of this node and the quarantined requests of all nodes. It is safe for concurrent use.
 type List struct {
+	// Parts holds what the requests on crashed backend servers have in common.
+	Parts   *culprit.List
 	records RecordStore
+	node    string
 	log     *slog.Logger
 
 	mu       sync.Mutex
@@ -94,10 +126,14 @@
 	culprits map[Key]time.Time // value: when the quarantine ends
 }
 
-// New returns an empty list and subscribes it to the quarantine records of other nodes.
-func New(records RecordStore, log *slog.Logger) *List {
-	l := &List{records: records, log: log, suspects: map[Key]time.Time{}, culprits: map[Key]time.Time{}}
+// New returns an empty list of a node and subscribes it to the quarantine and crash records of other nodes.
+func New(node string, records RecordStore, log *slog.Logger) *List {
+	l := &List{
+		Parts: &culprit.List{Log: log}, records: records, node: node, log: log,
+		suspects: map[Key]time.Time{}, culprits: map[Key]time.Time{},
+	}
 	records.Watch(membership.RecordQuarantine, l.applyRecord)
+	records.Watch(membership.RecordCrashes, l.applyCrashRecord)
 	return l
 }
 
@@ -118,11 +154,11 @@
 	delete(l.suspects, key)
 }
 
-// IsEmpty reports whether the list holds neither suspects nor quarantined requests.
+// IsEmpty reports whether the list holds neither suspects nor quarantined requests or parts.
 func (l *List) IsEmpty() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.suspects)+len(l.culprits) == 0
+	return len(l.suspects)+len(l.culprits) == 0 && !l.Parts.HasQuarantines()
 }
 
 // IsQuarantined reports whether a request is quarantined and must be rejected.
@@ -137,6 +173,20 @@
 	return found
 }
 
+// CheckParts returns a refusal if new requests with parts of these traits are refused, or whether the request is a trial.
+func (l *List) CheckParts(traits []uint64) (refusal *culprit.Refusal, isTrial bool) {
+	return l.Parts.Check(Traits(traits), true)
+}
+
+// Traits converts the traits in a message between nodes.
+func Traits(numbers []uint64) []culprit.Trait {
+	traits := make([]culprit.Trait, 0, len(numbers))
+	for _, number := range numbers {
+		traits = append(traits, culprit.Trait(number))
+	}
+	return traits
+}
+
 // IsSuspect reports whether a request is a suspect and must run alone on a backend server.
 func (l *List) IsSuspect(key Key, now time.Time) bool {
 	l.mu.Lock()
@@ -156,10 +206,12 @@
 // failure domain within correlationWindow (2 s) shows that the failure domain is at fault: the suspicions and quarantines
 // that followed from the earlier crash are removed.
 func (l *List) Report(c Crash, now time.Time) Verdict {
+	suspectParts := l.recordParts(c)
 	l.mu.Lock()
 	l.removeExpired(now)
-	correlated := l.correlatedCrashes(c)
-	l.crashes = append(l.crashes, recentCrash{c, now})
+	crash := recentCrash{c, suspectParts, now}
+	correlated := l.correlatedCrashes(crash)
+	l.crashes = append(l.crashes, crash)
 	if c.HostHasNotice || c.InRollout || len(correlated) > 0 {
 		released := l.releaseRequests(correlated)
 		l.mu.Unlock()
@@ -169,29 +221,47 @@
 		return Excused
 	}
 	defer l.mu.Unlock()
-	if c.InIsolation && len(c.Keys) == 1 {
+	keys := c.keys()
+	if c.InIsolation && len(keys) == 1 {
 		until := now.Add(Duration)
-		l.culprits[c.Keys[0]] = until
-		delete(l.suspects, c.Keys[0])
-		go l.publish(c.Keys[0], now, until)
+		l.culprits[keys[0]] = until
+		delete(l.suspects, keys[0])
+		go l.publish(keys[0], now, until)
 		return Culprit
 	}
-	for _, key := range c.Keys {
+	for _, key := range keys {
 		l.suspects[key] = now.Add(suspectTTL)
 	}
 	return Suspects
 }
 
-// correlatedCrashes returns the recent crashes on other hosts of the failure domain that have no request in common with
-// c. Crashes with a common request are likely caused by it and do not point to a fault of the failure domain.
-func (l *List) correlatedCrashes(c Crash) []recentCrash {
+// recordParts records the crash for the parts of its requests, unless the host or the model version is at fault, and returns
+// the parts with which no request was answered lately.
+func (l *List) recordParts(c Crash) []culprit.Trait {
+	if c.HostHasNotice || c.InRollout {
+		return nil
+	}
+	var suspectParts []culprit.Trait
+	for _, r := range c.Requests {
+		if len(r.Parts) > 0 {
+			l.Parts.RecordCrash(c.Server, c.Deployment, r.Parts, boottime.Now(), r.SentAt)
+			suspectParts = append(suspectParts, l.Parts.Unanswered(r.Parts)...)
+		}
+	}
+	return suspectParts
+}
+
+// correlatedCrashes returns the recent crashes on other hosts of the failure domain that have no request or suspect part in
+// common with c. Crashes with something in common are likely caused by it and do not point to a fault of the failure domain.
+func (l *List) correlatedCrashes(c recentCrash) []recentCrash {
 	var found []recentCrash
 	for _, earlier := range l.crashes {
 		if earlier.FailureDomain != c.FailureDomain || earlier.Host == c.Host {
 			continue
 		}
-		sharesRequest := slices.ContainsFunc(earlier.Keys, func(k Key) bool { return slices.Contains(c.Keys, k) })
-		if !sharesRequest {
+		sharesRequest := slices.ContainsFunc(earlier.keys(), func(k Key) bool { return slices.Contains(c.keys(), k) })
+		sharesPart := slices.ContainsFunc(earlier.suspectParts, func(p culprit.Trait) bool { return slices.Contains(c.suspectParts, p) })
+		if !sharesRequest && !sharesPart {
 			found = append(found, earlier)
 		}
 	}
@@ -203,7 +273,7 @@
 func (l *List) releaseRequests(crashes []recentCrash) []Key {
 	var released []Key
 	for _, c := range crashes {
-		for _, key := range c.Keys {
+		for _, key := range c.keys() {
 			delete(l.suspects, key)
 			if _, found := l.culprits[key]; found && c.InIsolation {
 				delete(l.culprits, key)
--- a/rudder/quarantine/quarantine_test.go
+++ b/rudder/quarantine/quarantine_test.go
@@ -23,7 +23,7 @@
 	newCrash := func(host string, isolated bool, keys ...uint64) Crash {
 		c := Crash{Host: host, FailureDomain: "zvolen", InIsolation: isolated}
 		for _, k := range keys {
-			c.Keys = append(c.Keys, key(k))
+			c.Requests = append(c.Requests, Request{Key: key(k)})
 		}
 		return c
 	}
@@ -48,7 +48,7 @@
 		{"host with a reclaim notice", []crash{{withNotice, 0, Excused}}, nil, nil, []uint64{1, 2}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l := New(membership.NewRecords(), slog.New(slog.DiscardHandler))
+			l := New("n1", membership.NewRecords(), slog.New(slog.DiscardHandler))
 			start := time.Unix(1000, 0)
 			now := start
 			for _, crash := range c.crashes {
@@ -75,10 +75,10 @@
 func TestQuarantineReachesOtherNodes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		records, remoteRecords := membership.NewRecords(), membership.NewRecords()
-		l := New(records, slog.New(slog.DiscardHandler))
-		remoteList := New(remoteRecords, slog.New(slog.DiscardHandler))
+		l := New("n1", records, slog.New(slog.DiscardHandler))
+		remoteList := New("n2", remoteRecords, slog.New(slog.DiscardHandler))
 		now := time.Now()
-		if verdict := l.Report(Crash{Host: "a", FailureDomain: "zvolen", InIsolation: true, Keys: []Key{key(1)}}, now); verdict != Culprit {
+		if verdict := l.Report(Crash{Host: "a", FailureDomain: "zvolen", InIsolation: true, Requests: []Request{{Key: key(1)}}}, now); verdict != Culprit {
 			t.Fatal(verdict)
 		}
 		synctest.Wait()
--- a/standin/caller/chat.go
+++ b/standin/caller/chat.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -38,9 +39,10 @@
 	RedirectCount    int // responses with status 303 and moved events
 }
 
-// Request is one model request with a single user message.
+// Request is one model request with a user message, which may follow others.
 type Request struct {
 	Model          string
+	Earlier        []entry.ChatMessage // the conversation so far; may be empty
 	Content        string
 	MaxTokens      int
 	IdempotencyKey string // may be empty
@@ -177,7 +179,7 @@
 	}
 	body := entry.ChatRequest{
 		Model:     x.request.Model,
-		Messages:  []entry.ChatMessage{{Role: "user", Content: x.request.Content}},
+		Messages:  append(slices.Clone(x.request.Earlier), entry.ChatMessage{Role: "user", Content: x.request.Content}),
 		MaxTokens: x.request.MaxTokens,
 		Stream:    !x.request.JSON,
 	}
