Do not take an answer without a length of a crashed service for complete on the own engine's path

Cause: an answer with neither a length nor chunks ends with its connection, and a service that crashes ends the connection in the same way; the call was reported as done with a part of the answer.

Evidence: TestUnframedAnswerOfCrashedServiceIsNotComplete fails before: outcome done with body "part".

Change: after such an answer the client looks whether the host still accepts connections; if it refuses them, the outcome is unknown.

--- a/rudder/service/service.go
+++ b/rudder/service/service.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,11 +28,17 @@
 	notRunHeader = "X-Rudder-Not-Run"
 )
 
-var errNotSent = errors.New("service could not be reached")
+// notSentError means that no connection could be made, so that the call was not sent.
+type notSentError struct{ cause error }
+
+func (e *notSentError) Error() string { return "service could not be reached: " + e.cause.Error() }
+
+func (e *notSentError) Unwrap() error { return e.cause }
 
 // Client sends calls to one service runner. It is safe for concurrent use.
 type Client struct {
 	baseURL    string
+	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	httpClient *http.Client
 }
 
@@ -41,12 +49,12 @@
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
-			return nil, errors.Wrap(errNotSent, err.Error())
+			return nil, &notSentError{err}
 		}
 		return connection, nil
 	}
 	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: callTimeout}
-	return &Client{baseURL: baseURL, httpClient: &http.Client{Transport: transport}}
+	return &Client{baseURL: baseURL, dial: dial, httpClient: &http.Client{Transport: transport}}
 }
 
 // Call sends a call and returns its outcome: done with the response of the service, not run, or unknown if the service may
@@ -65,7 +73,7 @@
 		httpRequest.Header.Set("Content-Type", request.ContentType)
 	}
 	response, err := c.httpClient.Do(httpRequest)
-	if errors.Is(err, errNotSent) {
+	if notSent := (*notSentError)(nil); errors.As(err, &notSent) {
 		return &peerpb.CallResponse{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Reason: err.Error(), RetryAfterMs: 200}
 	}
 	if err != nil {
@@ -76,6 +84,9 @@
 	if err == nil && len(body) > maxResponseBytes {
 		err = errors.Errorf("answer has more than %d bytes", maxResponseBytes)
 	}
+	if err == nil && endsWithConnection(response) && c.isDown(ctx) {
+		err = errors.New("answer without a length ended with the service")
+	}
 	if err != nil {
 		return &peerpb.CallResponse{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Reason: err.Error()}
 	}
@@ -89,3 +100,17 @@
 		ContentType: response.Header.Get("Content-Type"),
 	}
 }
+
+// endsWithConnection reports whether only the end of the connection marked the end of a response.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed
+}
+
+// isDown reports whether the host of the service refuses connections, since its process has ended.
+func (c *Client) isDown(ctx context.Context) bool {
+	conn, err := c.dial(ctx, "tcp", strings.TrimPrefix(c.baseURL, "http://"))
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/rudder/service/service_test.go
@@ -0,0 +1,50 @@
+package service
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"chestnutrudder.example/rudder/peer/peerpb"
+)
+
+// serveOnce answers one call with a response without a length, which ends with its connection. If crashes is set, the service
+// accepts no connections afterwards. It returns the base URL.
+func serveOnce(t *testing.T, crashes bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart")
+		if crashes {
+			listener.Close()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// Guards against an answer without a length that looks complete although the service crashed while it sent it: the end of the
+// connection does not tell.
+func TestUnframedAnswerOfCrashedServiceIsNotComplete(t *testing.T) {
+	call := &peerpb.CallRequest{Method: http.MethodGet, Path: "x", Call: "c1"}
+	if response := NewClient(serveOnce(t, true)).Call(context.Background(), call); response.Outcome != peerpb.Outcome_OUTCOME_UNKNOWN {
+		t.Errorf("crashed service: outcome %s with body %q, want unknown", response.Outcome, response.Body)
+	}
+	if response := NewClient(serveOnce(t, false)).Call(context.Background(), call); response.Outcome != peerpb.Outcome_OUTCOME_DONE || string(response.Body) != "part" {
+		t.Errorf("live service: outcome %s with body %q, want done", response.Outcome, response.Body)
+	}
+}
