--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -40,6 +40,7 @@
 	idHash        uint64
 	health        health
 	slowdown      slowdown
+	limit         serverLimit
 }
 
 // load is the load of a backend server.
