Divide the limit that a server names among the nodes

Cause: no node read the limit that servers name in their answers. The class: a bound that a backend server states for all nodes together was not known, and a node alone cannot keep it.

Change: nodes tell each other the limits in digests, urgently when an answer changes one; the newest answer counts. Ready nodes divide a limit by rendezvous hash so that each share is a whole request a second at least, with a token bucket. The server is left out of the homes of shared parts. A refusal tells when this node may send again.

Why it works: the shares add up to the limit for any number of nodes, so that only a change of the set of nodes can exceed it, and a new share begins empty.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -73,8 +73,9 @@
 	UncachedTokens    int     // prompt tokens that the server has to prefill
 	Running           int     // requests of all nodes at the server
 	IsFull            bool
-	HasPendingPrompts bool // other prompts wait for prefill at the server
-	IsLocal           bool // in the failure domain of this node
+	LimitWait         time.Duration // until this node may send a request to the server, which names a limit; 0 if it may
+	HasPendingPrompts bool          // other prompts wait for prefill at the server
+	IsLocal           bool          // in the failure domain of this node
 }
 
 // Pick returns the candidate with the lowest score that is not full, false if all are full. Among equal scores, local
@@ -141,7 +142,7 @@
 	case len(candidates) == 0:
 		return nil, &Refusal{Reason: "no backend server of the service is available", NoServers: true}
 	case !found:
-		return nil, &Refusal{Reason: "all backend servers of the service are full", RetryAfter: shortestFirstByte(candidates)}
+		return nil, &Refusal{Reason: "all backend servers of the service are full or at their limits", RetryAfter: shortestWait(candidates)}
 	}
 	predicted := time.Duration(best.FirstByteMillis * float64(time.Millisecond))
 	// Without waiting prompts, the prediction alone is no reason to refuse, since it may rest on old measurements. It does not
@@ -154,7 +155,7 @@
 	}
 	s := t.servers[best.ID]
 	p := &Placement{
-		Server: s, ID: s.ID, Address: s.Address, Incarnation: mix(s.idHash ^ uint64(s.StartUnixMillis)), PredictedFirstByte: predicted,
+		Server: s, ID: s.ID, Address: s.Address, Incarnation: s.incarnation(), PredictedFirstByte: predicted,
 		ExpectedFirstByte: time.Duration(float64(predicted) * max(t.model(r.Service).lateness, 1)), Running: best.Running, CandidateCount: len(candidates),
 		UncachedTokens: best.UncachedTokens, table: t, request: r, placedAt: now,
 	}
@@ -164,6 +165,9 @@
 		p.isUncontended = total.tokensAhead(UrgencyLevels-1) == 0
 		t.prefixes.recordPrefill(s.ID, r.Parts, now)
 	}
+	if s.limit.isNamed {
+		s.limit.tokens--
+	}
 	s.ownLoad.running++
 	s.ownLoad.pendingTokens[r.urgencyLevel()] += p.pendingTokens
 	p.isProbe = s.health.recordPlacement(now)
@@ -191,25 +195,31 @@
 	return float64(running) >= throttleMinLoad*float64(slots)
 }
 
-// shortestFirstByte returns the shortest predicted time to the first byte among the candidates.
-func shortestFirstByte(candidates []Candidate) time.Duration {
-	shortest := math.Inf(1)
+// shortestWait returns the shortest time among the candidates until one can take a request.
+func shortestWait(candidates []Candidate) time.Duration {
+	shortest := time.Duration(math.MaxInt64)
 	for _, c := range candidates {
-		shortest = min(shortest, c.FirstByteMillis)
+		shortest = min(shortest, max(time.Duration(c.FirstByteMillis*float64(time.Millisecond)), c.LimitWait))
 	}
-	return time.Duration(shortest * float64(time.Millisecond))
+	return shortest
 }
 
 // candidates returns the servers that may take a request. The home server of the shared parts is assumed to have them
-// cached, since all nodes prefer it for these parts.
+// cached, since all nodes prefer it for these parts. A server that names a limit is home only if all do.
 func (t *Table) candidates(r Request, now time.Time) []Candidate {
-	var serving []*Server
+	var serving, unlimited []*Server
 	for _, s := range t.servers {
 		if s.Service == r.Service && !r.Exclude[s.ID] && s.isServing() {
 			serving = append(serving, s)
+			if !s.limit.isNamed {
+				unlimited = append(unlimited, s)
+			}
 		}
 	}
-	home := homeServer(serving, r.Parts)
+	home := homeServer(unlimited, r.Parts)
+	if home == nil {
+		home = homeServer(serving, r.Parts)
+	}
 	m := t.model(r.Service)
 	candidates := make([]Candidate, 0, len(serving))
 	for _, s := range serving {
@@ -242,6 +252,8 @@
 		// server by the same outdated loads. This node's own requests and jitter spread them better.
 		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*rand.Float64())
 	}
+	c.LimitWait = s.limitWait(now)
+	c.IsFull = c.IsFull || c.LimitWait > 0
 	c.Score += c.FirstByteMillis * slowFactor * failurePenaltyFactor * s.health.failureRate(now)
 	if s.health.isEjected(now) || s.ejectingPeers > 1 {
 		c.Score += ejectionPenaltyMillis
--- a/rudder/backend/limit.go
+++ b/rudder/backend/limit.go
@@ -1,17 +1,53 @@
 package backend
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strconv"
+	"time"
 
-	"chestnutrudder.example/rudder/boottime"
+	"github.com/cespare/xxhash/v2"
 )
 
-// serverLimit is what a server in need says of the requests that it takes from all nodes together.
+const (
+	// minLimitShare is the smallest part of a server's limit that a node uses, in requests per second. A server with a lower
+	// limit than that for each node gets requests from some nodes only: smaller parts could not be kept, since each node
+	// sends whole requests.
+	minLimitShare = 1.0
+	// limitBurstSeconds is the time for which a node may save up its part of a limit.
+	limitBurstSeconds = 0.5
+	// otherNodesLimitWait is when a request that this node may not send to a limited server may be tried again: another node
+	// may send it.
+	otherNodesLimitWait = time.Second
+	// liftedLimitRetention is how long peers are told that a server names no limit any more.
+	liftedLimitRetention = 20 * time.Second
+)
+
+// serverLimit is what a server in need says of the requests that it takes from all nodes together, and this node's part of it.
 type serverLimit struct {
-	perSecond float64          // meaningful if isNamed
-	isNamed   bool             // the last response named a limit
-	at        boottime.Instant // when that response arrived; 0 if no response has named a limit yet
+	perSecond float64   // meaningful if isNamed
+	isNamed   bool      // the last response named a limit
+	at        time.Time // when that response arrived; zero if no response has named a limit yet
+
+	share    float64 // requests per second that this node may send
+	tokens   float64 // requests that this node may send at filledAt
+	filledAt time.Time
+}
+
+// Node is a node of the relay that sends requests to backend servers.
+type Node struct {
+	Name          string
+	FailureDomain string
+}
+
+// LimitReport is what a node knows of the limit of one server, for its peers.
+type LimitReport struct {
+	_         struct{} `cbor:",toarray"`
+	Server    uint64   // Placement.Incarnation
+	IsNamed   bool
+	PerSecond float64
+	AgeMillis int64 // since the response that told it
 }
 
 // parseLimit returns the number of requests a second in a header field, false if it is not a number that can be kept.
@@ -28,21 +64,169 @@
 		p.table.Log.Warn("Ignored a malformed limit of a backend server.", "server", p.ID, "limit", field)
 		return
 	}
-	p.table.mu.Lock()
-	defer p.table.mu.Unlock()
-	p.table.setLimit(p.Server, serverLimit{perSecond: perSecond, isNamed: field != "", at: boottime.Now()})
+	t := p.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.setLimit(p.Server, perSecond, field != "", time.Now()) {
+		t.hasUrgentLimit = true
+	}
 }
 
-// setLimit sets what is known of the limit of a server, unless something newer is known. The caller holds the lock.
-func (t *Table) setLimit(s *Server, l serverLimit) {
-	if !l.isNamed && s.limit.at == 0 || l.at <= s.limit.at {
-		return
+// setLimit sets what is known of the limit of a server, unless something newer is known, and reports whether the limit has
+// changed. The caller holds the lock.
+func (t *Table) setLimit(s *Server, perSecond float64, isNamed bool, at time.Time) bool {
+	l := &s.limit
+	if !isNamed && l.at.IsZero() || !at.After(l.at) {
+		return false
 	}
-	if l.isNamed && (!s.limit.isNamed || s.limit.perSecond != l.perSecond) {
-		t.Log.Info("Backend server names a limit of requests.", "server", s.ID, "service", s.Service, "requests_per_second", l.perSecond)
+	l.at = at
+	if isNamed == l.isNamed && (!isNamed || perSecond == l.perSecond) {
+		return false
 	}
-	if !l.isNamed && s.limit.isNamed {
+	l.fill(time.Now())
+	l.isNamed, l.perSecond = isNamed, perSecond
+	if !isNamed {
 		t.Log.Info("Backend server names no limit of requests any more.", "server", s.ID, "service", s.Service)
+		return true
+	}
+	t.updateLimitShare(s)
+	t.Log.Info("Backend server names a limit of requests.", "server", s.ID, "service", s.Service, "requests_per_second", perSecond, "share_per_second", l.share)
+	return true
+}
+
+// updateLimitShare sets this node's part of the limit of a server. The caller holds the lock.
+func (t *Table) updateLimitShare(s *Server) {
+	s.limit.fill(time.Now())
+	s.limit.share = limitShare(t.selfName, t.nodes, s.idHash, s.FailureDomain, s.limit.perSecond)
+}
+
+// limitShare returns the requests per second that a node may send to a server which takes perSecond from all nodes together.
+// All nodes that know the same nodes divide the limit alike, without telling each other: the nodes with the highest
+// rendezvous hashes share it, those in the server's failure domain before others.
+func limitShare(self string, nodes []Node, serverHash uint64, failureDomain string, perSecond float64) float64 {
+	if len(nodes) == 0 {
+		return perSecond // this node is the only one that is known
+	}
+	type rankedNode struct {
+		name    string
+		isLocal bool
+		weight  uint64
+	}
+	ranked := make([]rankedNode, 0, len(nodes))
+	for _, n := range nodes {
+		ranked = append(ranked, rankedNode{n.Name, n.FailureDomain == failureDomain, mix(serverHash ^ xxhash.Sum64String(n.Name))})
+	}
+	slices.SortFunc(ranked, func(a, b rankedNode) int {
+		if a.isLocal != b.isLocal {
+			if a.isLocal {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
+	})
+	senders := min(max(int(perSecond/minLimitShare), 1), len(ranked))
+	for _, n := range ranked[:senders] {
+		if n.name == self {
+			return perSecond / float64(senders)
+		}
+	}
+	return 0
+}
+
+// fill adds the tokens for the time since the last call. A limit that is new begins without tokens: requests were sent just
+// before.
+func (l *serverLimit) fill(now time.Time) {
+	if !l.isNamed {
+		l.tokens, l.filledAt = 0, now
+		return
+	}
+	l.tokens = min(l.tokens+now.Sub(l.filledAt).Seconds()*l.share, max(1, l.share*limitBurstSeconds))
+	l.filledAt = now
+}
+
+// limitWait returns how long this node must wait before it may send a request to the server; 0 if it may send one now.
+func (s *Server) limitWait(now time.Time) time.Duration {
+	l := &s.limit
+	if !l.isNamed {
+		return 0
+	}
+	l.fill(now)
+	switch {
+	case l.tokens >= 1:
+		return 0
+	case l.share <= 0:
+		return otherNodesLimitWait
+	default:
+		return time.Duration((1 - l.tokens) / l.share * float64(time.Second))
+	}
+}
+
+// SetNodes sets the nodes among which the limits of servers are divided. A node that does not serve callers is not among
+// them.
+func (t *Table) SetNodes(self string, nodes []Node) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.selfName == self && slices.Equal(t.nodes, nodes) {
+		return
+	}
+	t.selfName, t.nodes = self, nodes
+	for _, s := range t.servers {
+		if s.limit.isNamed {
+			t.updateLimitShare(s)
+		}
+	}
+}
+
+// Limits returns what is known of the limits of servers, for peers: those that are named, and those that were lately.
+func (t *Table) Limits() []LimitReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hasUrgentLimit = false
+	return t.limitReports()
+}
+
+// UrgentLimits returns the same as Limits if a response to this node has changed what is known, else nil.
+func (t *Table) UrgentLimits() []LimitReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.hasUrgentLimit {
+		return nil
+	}
+	t.hasUrgentLimit = false
+	return t.limitReports()
+}
+
+// limitReports returns the reports for peers. The caller holds the lock.
+func (t *Table) limitReports() []LimitReport {
+	now := time.Now()
+	var list []LimitReport
+	for _, s := range t.servers {
+		l := &s.limit
+		age := now.Sub(l.at)
+		if !l.at.IsZero() && s.isServing() && (l.isNamed || age < liftedLimitRetention) {
+			list = append(list, LimitReport{Server: s.incarnation(), IsNamed: l.isNamed, PerSecond: l.perSecond, AgeMillis: age.Milliseconds()})
+		}
+	}
+	slices.SortFunc(list, func(a, b LimitReport) int { return cmp.Compare(a.Server, b.Server) })
+	return list
+}
+
+// ApplyLimits adds what a peer reported.
+func (t *Table) ApplyLimits(reports []LimitReport) {
+	if len(reports) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	servers := make(map[uint64]*Server, len(t.servers))
+	for _, s := range t.servers {
+		servers[s.incarnation()] = s
+	}
+	now := time.Now()
+	for _, r := range reports {
+		if s, found := servers[r.Server]; found && r.AgeMillis >= 0 && r.PerSecond >= 0 {
+			t.setLimit(s, r.PerSecond, r.IsNamed, now.Add(-time.Duration(r.AgeMillis)*time.Millisecond))
+		}
 	}
-	s.limit = l
 }
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -68,13 +68,17 @@
 	// MaxIdleConns returns how many idle connections to one server of a service may be kept; nil means no limit.
 	MaxIdleConns func(service string) int
 
-	mu            sync.Mutex
-	servers       map[string]*Server
-	peerLoads     map[string]peerReport // by peer
-	prefixes      prefixIndex
-	models        map[string]*latencyModel // by service
-	demands       map[string]*demand       // by service
-	firstListedAt time.Time                // when Replace first received a listing
+	mu        sync.Mutex
+	servers   map[string]*Server
+	peerLoads map[string]peerReport // by peer
+	prefixes  prefixIndex
+	models    map[string]*latencyModel // by service
+	demands   map[string]*demand       // by service
+	selfName  string                   // of this node
+	nodes     []Node                   // among which the limits of servers are divided
+	// hasUrgentLimit is true if a response to this node has changed a limit since the last report.
+	hasUrgentLimit bool
+	firstListedAt  time.Time // when Replace first received a listing
 }
 
 // peerReport is the last report of a peer: its load at each backend server.
@@ -211,6 +215,9 @@
 	}
 }
 
+// incarnation identifies the server's process, on all nodes alike.
+func (s *Server) incarnation() uint64 { return mix(s.idHash ^ uint64(s.StartUnixMillis)) }
+
 // isServing reports whether the server may get new requests.
 func (s *Server) isServing() bool { return !s.isUnlisted && !s.Draining }
 
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -193,7 +193,7 @@
 		State: n.state(), BootClockMillis: time.Duration(boottime.Now()).Milliseconds(), WallClockMillis: time.Now().UnixMilli(),
 		ConfirmationAgeMillis: -1, HoldsDutyLease: n.holdsDutyLease.Load(),
 		Loads: n.backends.OwnLoads(), Demand: n.backends.Demand(), QuotaUsages: n.quotas.FullReport(),
-		Crashes: n.relay.Crashes.FullReport(), RunsByWindow: n.usageCounter.WindowsForPeers(),
+		Crashes: n.relay.Crashes.FullReport(), ServerLimits: n.backends.Limits(), RunsByWindow: n.usageCounter.WindowsForPeers(),
 		Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
 	}
 	if config := n.currentConfig.Config(); config != nil {
@@ -206,7 +206,7 @@
 }
 
 // composeUrgentDigests returns what peers must know before the next full digest: for all peers, what this node admitted
-// near a limit, and crashes of backend servers; for the holder of the duty lease, the request counts that have changed, which would be lost if all nodes
+// near a limit, crashes of backend servers and limits that they name; for the holder of the duty lease, the request counts that have changed, which would be lost if all nodes
 // ended.
 func (n *node) composeUrgentDigests() []mesh.UrgentDigest {
 	var list []mesh.UrgentDigest
@@ -216,9 +216,9 @@
 		toAll.QuotaUsages = quotaUsages
 		list = append(list, mesh.UrgentDigest{Digest: toAll})
 	}
-	if crashes := n.relay.Crashes.UrgentReport(); crashes != nil {
+	if crashes, limits := n.relay.Crashes.UrgentReport(), n.backends.UrgentLimits(); crashes != nil || limits != nil {
 		toAll := digest
-		toAll.Crashes = crashes
+		toAll.Crashes, toAll.ServerLimits = crashes, limits
 		list = append(list, mesh.UrgentDigest{Digest: toAll})
 	}
 	if holder := n.dutyHolder(); holder != "" {
@@ -283,6 +283,7 @@
 		n.usageCounter.MergePeerWindows(incarnation, m.RunsByWindow)
 	}
 	n.relay.Crashes.Apply(m.Crashes)
+	n.backends.ApplyLimits(m.ServerLimits)
 	if m.IsUrgent {
 		return
 	}
@@ -356,17 +357,32 @@
 	}
 }
 
-// updateShares adapts the use of quotas to the part of the known nodes that is reachable, and the share of the retry
-// budget to the number of known nodes, until ctx ends.
+// updateShares adapts the use of quotas to the part of the known nodes that is reachable, the share of the retry budget to
+// the number of known nodes, and the shares of the limits of backend servers to the nodes that serve, until ctx ends.
 func (n *node) updateShares(ctx context.Context) {
 	for ctx.Err() == nil {
 		reachable, known := n.mesh.CountNodes()
 		n.quotas.SetReachableShare(float64(reachable) / float64(known))
 		n.relay.SetNodeCount(known)
+		n.backends.SetNodes(n.settings.Node, n.servingNodes())
 		sleep.For(ctx, mesh.BaseInterval)
 	}
 }
 
+// servingNodes returns the reachable nodes that serve callers, this one included if it does.
+func (n *node) servingNodes() []backend.Node {
+	var nodes []backend.Node
+	if n.state() == mesh.Ready {
+		nodes = append(nodes, backend.Node{Name: n.settings.Node, FailureDomain: n.settings.FailureDomain})
+	}
+	for _, m := range n.mesh.ReachableMembers() {
+		if m.State == mesh.Ready {
+			nodes = append(nodes, backend.Node{Name: m.Node, FailureDomain: m.FailureDomain})
+		}
+	}
+	return nodes
+}
+
 // maxIdleConnections returns how many idle connections to one backend server of a service this node keeps: half of its
 // part of the connections that the server accepts from all nodes. It returns 0 if the configuration sets no maximum.
 func (n *node) maxIdleConnections(service string) int {
