--- a/rudder/backend/limit_test.go
+++ b/rudder/backend/limit_test.go
@@ -17,7 +17,6 @@
 	rng      *rand.Rand
 	tables   []*Table
 	isUp     []bool
-	servers  int
 	arrivals map[string][]time.Time // at each server that names a limit
 	pending  []limitedRequest
 	limited  func(server int, at time.Duration) bool
