Quarantine a prompt part that was harmless until shortly before

Cause: an answer within the 10 s before a crash cleared its traits of that crash. A part that begins to crash servers after it was answered, as after a change of the weights, was cleared of all crashes in the first 10 s, and rarer parts that happened to be at the same servers were quarantined in its place and explained the crashes.

Change: only an answer since a crash clears a trait of it. An answer shortly before the first crash makes five crashes at three independent moments necessary, in place of three, and such a trait keeps others from being quarantined for the same crashes. A quarantine tells peers since when an answer ends it.

--- a/rudder/culprit/evidence.go
+++ b/rudder/culprit/evidence.go
@@ -14,7 +14,8 @@
 	// minCrashes is the number of servers that must have crashed on requests with the same traits before these are
 	// quarantined.
 	minCrashes = 3
-	// certainCrashes is the number from which on a prompt part is quarantined without waiting for settleTime.
+	// certainCrashes is the number from which on a prompt part is quarantined without waiting for settleTime, and although it
+	// was harmless before.
 	certainCrashes = 5
 	// minMoments and certainMoments are the numbers of independent crashes that are needed besides. A request that was sent
 	// before another crash does not count as independent of it: the loss of a failure domain ends many servers at once,
@@ -27,7 +28,7 @@
 	// settleTime is how long after the crash that makes minCrashes a prompt part is not quarantined yet, so that peers can
 	// report which requests were at the crashed servers, and which parts they know to be harmless.
 	settleTime = 500 * time.Millisecond
-	// answerWindow is how long before a crash an answer clears the traits of the answered request.
+	// answerWindow is how long before a crash an answer speaks for the traits of the answered request.
 	answerWindow = 10 * time.Second
 	// crashRetention is how long a crash counts.
 	crashRetention = 30 * time.Second
@@ -38,19 +39,22 @@
 	traits  []Trait
 	crashes []*crash // in the order of time
 	moments int      // crashes that are independent of the earlier ones
+	// clearedFrom is the time since which no request with one of the traits was answered: the first crash, or answerWindow
+	// before it.
+	clearedFrom boottime.Instant
 }
 
 // explanation returns the quarantine that explains a crash, nil if there is none. The caller holds the lock.
 func (l *List) explanation(c *crash) *quarantine { return l.quarantines[c.explainedBy] }
 
-// isEvidence reports whether a crash is evidence against a trait: if another quarantine explains it, or a request with the
-// trait was answered shortly before or since, it is not. A crash that is explained by a quarantine of the trait together with
-// others is: the next crash may show that the trait alone suffices. The caller holds the lock.
-func (l *List) isEvidence(c *crash, t Trait) bool {
+// mayBeEvidence reports whether a crash may be evidence against a trait: if another quarantine explains it, or a request with
+// the trait was answered since, it is not. A crash that is explained by a quarantine of the trait together with others is: the
+// next crash may show that the trait alone suffices. The caller holds the lock.
+func (l *List) mayBeEvidence(c *crash, t Trait) bool {
 	if q := l.explanation(c); q != nil && !slices.Contains(q.traits, t) {
 		return false
 	}
-	return !l.wasAnswered(t, c.at.Add(-answerWindow))
+	return !l.wasAnswered(t, c.at)
 }
 
 // groups returns the traits that may have caused crashes, grouped by the crashes that they have in common, those with most
@@ -60,7 +64,7 @@
 	byTrait := map[Trait][]*crash{}
 	for _, c := range crashes {
 		for trait := range c.suspects {
-			if l.isEvidence(c, trait) {
+			if l.mayBeEvidence(c, trait) {
 				byTrait[trait] = append(byTrait[trait], c)
 			}
 		}
@@ -82,6 +86,7 @@
 	sorted := make([]*group, 0, len(byCrashes))
 	for _, g := range byCrashes {
 		slices.Sort(g.traits)
+		g.clearedFrom = l.clearedFrom(g)
 		if !l.isCovered(g) {
 			sorted = append(sorted, g)
 		}
@@ -122,8 +127,17 @@
 	return slices.ContainsFunc(g.crashes, func(c *crash) bool { return slices.Contains(other.crashes, c) })
 }
 
+// isCertain reports whether there are so many crashes that the traits must be harmful, even if they were harmless shortly
+// before the first.
+func (g *group) isCertain() bool {
+	return len(g.crashes) >= certainCrashes && g.moments >= certainMoments
+}
+
+// wasHarmless reports whether a request with one of the traits was answered shortly before the first crash.
+func (g *group) wasHarmless() bool { return g.clearedFrom == g.crashes[0].at }
+
 // isSuspicious reports whether the group is suspicious enough for its requests not to be repeated after a crash.
-func (g *group) isSuspicious() bool { return g.moments >= 2 }
+func (g *group) isSuspicious() bool { return g.moments >= 2 && !g.wasHarmless() || g.isCertain() }
 
 // mostSuspicious returns the first group that is to be quarantined, nil if there is none. A group has to wait while another
 // one with some of the same crashes explains as many or more: the next crash tells them apart. The caller holds the lock.
@@ -140,6 +154,15 @@
 	return nil
 }
 
+// clearedFrom returns the value of group.clearedFrom. The caller holds the lock.
+func (l *List) clearedFrom(g *group) boottime.Instant {
+	first := g.crashes[0].at
+	if slices.ContainsFunc(g.traits, func(t Trait) bool { return l.wasAnswered(t, first.Add(-answerWindow)) }) {
+		return first
+	}
+	return first.Add(-answerWindow)
+}
+
 // isConvicted reports whether the evidence against a group suffices for a quarantine. The caller holds the lock.
 func (l *List) isConvicted(g *group, now boottime.Instant) bool {
 	count := len(g.crashes)
@@ -150,12 +173,11 @@
 		return true // the quarantine concerns a single request and its repetitions
 	}
 	// While no request of the service is answered, its servers end for another reason.
-	first := g.crashes[0]
-	if at, found := l.serviceAnsweredAt[first.service]; !found || at < first.at.Add(-answerWindow) {
+	if at, found := l.serviceAnsweredAt[g.crashes[0].service]; !found || at < g.clearedFrom {
 		return false
 	}
-	if count >= certainCrashes && g.moments >= certainMoments {
+	if g.isCertain() {
 		return true
 	}
-	return g.moments >= minMoments && now.Sub(g.crashes[minCrashes-1].at) >= settleTime
+	return !g.wasHarmless() && g.moments >= minMoments && now.Sub(g.crashes[minCrashes-1].at) >= settleTime
 }
--- a/rudder/culprit/list.go
+++ b/rudder/culprit/list.go
@@ -60,6 +60,7 @@
 type quarantine struct {
 	traits      []Trait // sorted
 	convictedAt boottime.Instant
+	clearedFrom boottime.Instant // an answer since then ends the quarantine
 	matchedAt   boottime.Instant // last refusal or crash
 	trialAt     boottime.Instant // when the next trial is due
 	trials      int              // that were due
@@ -139,7 +140,7 @@
 	defer l.mu.Unlock()
 	suspects := map[Trait]int64{}
 	for _, trait := range traits {
-		if !l.wasAnswered(trait, at.Add(-answerWindow)) {
+		if !l.wasAnswered(trait, at) {
 			suspects[trait] = at.Sub(sentAt).Milliseconds()
 		}
 	}
@@ -261,7 +262,7 @@
 		if g == nil {
 			break
 		}
-		q := &quarantine{traits: g.traits, convictedAt: now, matchedAt: now, trialAt: now.Add(firstTrialAfter)}
+		q := &quarantine{traits: g.traits, convictedAt: now, clearedFrom: g.clearedFrom, matchedAt: now, trialAt: now.Add(firstTrialAfter)}
 		l.Log.Warn("Quarantined requests: servers crashed on what they have in common, and none of them was answered.", "quarantine", q.name(),
 			"service", g.crashes[0].service, "crashes", len(g.crashes), "independent_crashes", g.moments, "first_crash_ms", now.Sub(g.crashes[0].at).Milliseconds())
 		l.addQuarantine(q)
@@ -293,10 +294,9 @@
 	}
 }
 
-// isCleared reports whether a request with one of the traits was answered, shortly before the quarantine began or since. The
-// caller holds the lock.
+// isCleared reports whether an answer to a request with one of the traits ends the quarantine. The caller holds the lock.
 func (l *List) isCleared(q *quarantine) bool {
-	return slices.ContainsFunc(q.traits, func(t Trait) bool { return l.wasAnswered(t, q.convictedAt.Add(-answerWindow)) })
+	return slices.ContainsFunc(q.traits, func(t Trait) bool { return l.wasAnswered(t, q.clearedFrom) })
 }
 
 // addQuarantine adds a quarantine. If there are too many, the one that refused no request for the longest time is removed. The
--- a/rudder/culprit/report.go
+++ b/rudder/culprit/report.go
@@ -44,6 +44,7 @@
 	_              struct{} `cbor:",toarray"`
 	Traits         []Trait
 	AgeMillis      int64 // since the start
+	ClearAgeMillis int64 // an answer that is not older ends the quarantine
 	MatchAgeMillis int64 // since the last request that was refused or crashed a server
 	TrialInMillis  int64 // until the next trial; negative if it is overdue
 	Trials         int
@@ -91,7 +92,7 @@
 		}
 		for _, t := range slices.Sorted(maps.Keys(c.suspects)) {
 			relevant[t] = now
-			if l.isEvidence(c, t) {
+			if l.mayBeEvidence(c, t) {
 				entry.Suspects = append(entry.Suspects, Suspect{Trait: t, SentMillisBefore: c.suspects[t]})
 			}
 		}
@@ -124,7 +125,7 @@
 	for _, id := range slices.Sorted(maps.Keys(l.quarantines)) {
 		q := l.quarantines[id]
 		list = append(list, QuarantineReport{
-			Traits: q.traits, AgeMillis: now.Sub(q.convictedAt).Milliseconds(), MatchAgeMillis: now.Sub(q.matchedAt).Milliseconds(),
+			Traits: q.traits, AgeMillis: now.Sub(q.convictedAt).Milliseconds(), ClearAgeMillis: now.Sub(q.clearedFrom).Milliseconds(), MatchAgeMillis: now.Sub(q.matchedAt).Milliseconds(),
 			TrialInMillis: q.trialAt.Sub(now).Milliseconds(), Trials: q.trials,
 		})
 	}
@@ -144,7 +145,8 @@
 	}
 	for i := range r.Quarantines {
 		q := &r.Quarantines[i]
-		q.AgeMillis, q.MatchAgeMillis, q.TrialInMillis = q.AgeMillis+d.Milliseconds(), q.MatchAgeMillis+d.Milliseconds(), q.TrialInMillis-d.Milliseconds()
+		q.AgeMillis, q.ClearAgeMillis = q.AgeMillis+d.Milliseconds(), q.ClearAgeMillis+d.Milliseconds()
+		q.MatchAgeMillis, q.TrialInMillis = q.MatchAgeMillis+d.Milliseconds(), q.TrialInMillis-d.Milliseconds()
 	}
 }
 
@@ -187,11 +189,11 @@
 // applyQuarantine adds the quarantine of a peer or merges it with the known one. The caller holds the lock.
 func (l *List) applyQuarantine(r QuarantineReport, before func(int64) boottime.Instant, now boottime.Instant) {
 	reported := &quarantine{
-		traits: r.Traits, convictedAt: before(r.AgeMillis), matchedAt: before(r.MatchAgeMillis),
+		traits: r.Traits, convictedAt: before(r.AgeMillis), clearedFrom: before(r.ClearAgeMillis), matchedAt: before(r.MatchAgeMillis),
 		trialAt: before(-r.TrialInMillis), trials: r.Trials,
 	}
 	isExpired := now.Sub(reported.matchedAt) > quarantineRetention
-	if len(r.Traits) == 0 || r.AgeMillis < 0 || r.MatchAgeMillis < 0 || isExpired || l.isCleared(reported) {
+	if len(r.Traits) == 0 || r.AgeMillis < 0 || r.ClearAgeMillis < 0 || r.MatchAgeMillis < 0 || isExpired || l.isCleared(reported) {
 		return
 	}
 	known, found := l.quarantines[quarantineID(reported.traits)]
@@ -200,7 +202,7 @@
 		l.addQuarantine(reported)
 		return
 	}
-	known.convictedAt = min(known.convictedAt, reported.convictedAt)
+	known.convictedAt, known.clearedFrom = min(known.convictedAt, reported.convictedAt), max(known.clearedFrom, reported.clearedFrom)
 	known.matchedAt = max(known.matchedAt, min(reported.matchedAt, now))
 	if reported.trials >= known.trials {
 		known.trials, known.trialAt = reported.trials, max(known.trialAt, reported.trialAt)
--- a/rudder/culprit/simulation_test.go
+++ b/rudder/culprit/simulation_test.go
@@ -1,6 +1,7 @@
 package culprit
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -20,6 +21,8 @@
 	servers []*simulatedServer
 	retries []*simulatedRequest
 	number  int // of requests so far
+	// isHarmless means that servers answer requests with the part.
+	isHarmless bool
 
 	crashTimes  []boottime.Instant
 	poisonSent  []boottime.Instant // sends of requests with the part, but by a node that has just restarted
@@ -37,6 +40,10 @@
 	lossRate              float64 // of digests
 	restartedNode         int     // restarts in the middle; -1 for none
 	documents             int     // each request has one of them
+	// minWait and maxWait bound the time until a server begins to answer a request. Zero means 50 and 300 ms.
+	minWait, maxWait time.Duration
+	// isHarmlessAtFirst means that requests with the part come from the start and are answered until poisonStartsAt.
+	isHarmlessAtFirst bool
 }
 
 type simulatedServer struct {
@@ -85,7 +92,8 @@
 		if s.occurs(s.soundPerS) {
 			s.send(s.newRequest(false))
 		}
-		if elapsed > poisonStartsAt && s.occurs(s.poisonPerS) {
+		s.isHarmless = s.isHarmlessAtFirst && elapsed <= poisonStartsAt
+		if (elapsed > poisonStartsAt || s.isHarmless) && s.occurs(s.poisonPerS) {
 			s.send(s.newRequest(true))
 		}
 		due := slices.DeleteFunc(slices.Clone(s.retries), func(r *simulatedRequest) bool { return s.clock.now < r.retryAt })
@@ -143,7 +151,8 @@
 		s.poisonSent = append(s.poisonSent, s.clock.now)
 	}
 	r.sentAt = s.clock.now
-	r.firstEvent = r.sentAt.Add(50*time.Millisecond + time.Duration(s.rng.IntN(250))*time.Millisecond)
+	minWait, maxWait := cmp.Or(s.minWait, 50*time.Millisecond), cmp.Or(s.maxWait, 300*time.Millisecond)
+	r.firstEvent = r.sentAt.Add(minWait + time.Duration(s.rng.Int64N(int64(maxWait-minWait))))
 	r.doneAt = r.firstEvent.Add(time.Duration(100+s.rng.IntN(1500)) * time.Millisecond)
 	server := up[s.rng.IntN(len(up))]
 	server.requests = append(server.requests, r)
@@ -153,7 +162,7 @@
 func (s *simulation) advanceServer(server *simulatedServer) {
 	now := s.clock.now
 	for _, r := range server.requests {
-		if r.isPoison && now >= r.firstEvent {
+		if r.isPoison && !s.isHarmless && now >= r.firstEvent && now < r.doneAt {
 			s.crash(server)
 			return
 		}
@@ -234,10 +243,10 @@
 	return count
 }
 
-// Pattern: requests with a part that crashes servers come at all nodes, each one is repeated by its node and by its caller, while digests are late and get lost, requests without
-// it break off at the same servers, and a node restarts. Later than the contact bound after the fifth crash, at most three
-// such requests may be sent, requests without the part must be sent at least half as often as they come, and no other part
-// may stay quarantined.
+// Pattern: requests with a part that crashes servers come at all nodes, each one is repeated by its node and by its caller,
+// while digests are late and get lost, requests without it break off at the same servers, and a node restarts. The part may
+// have been harmless until just before. Later than the contact bound after the fifth crash, at most three such requests may be
+// sent, requests without the part must be sent at least half as often as they come, and no other part may stay quarantined.
 func TestFleetQuarantinesOnlyTheCrashingPart(t *testing.T) {
 	for name, o := range map[string]simulationOptions{
 		"small fleet":                      {nodes: 9, servers: 18, soundPerS: 140, poisonPerS: 6, digestInterval: 250 * time.Millisecond, documents: 20, restartedNode: 3},
@@ -245,6 +254,8 @@
 		"lost and late digests":            {nodes: 9, servers: 18, soundPerS: 100, poisonPerS: 10, digestInterval: time.Second, lossRate: 0.2, documents: 100, restartedNode: 5},
 		"callers retry before others come": {nodes: 9, servers: 18, soundPerS: 100, poisonPerS: 0.6, digestInterval: 250 * time.Millisecond, documents: 20, restartedNode: -1},
 		"few requests":                     {nodes: 9, servers: 18, soundPerS: 20, poisonPerS: 1, digestInterval: 250 * time.Millisecond, documents: 10, restartedNode: -1},
+		"long queues":                      {nodes: 9, servers: 18, soundPerS: 100, poisonPerS: 1.5, digestInterval: 250 * time.Millisecond, documents: 100, restartedNode: -1, minWait: time.Second, maxWait: 6 * time.Second},
+		"part was harmless":                {nodes: 9, servers: 18, soundPerS: 100, poisonPerS: 2, digestInterval: 250 * time.Millisecond, documents: 100, restartedNode: -1, isHarmlessAtFirst: true},
 		"many nodes, dense crashes":        {nodes: 40, servers: 74, soundPerS: 180, poisonPerS: 25, digestInterval: 600 * time.Millisecond, lossRate: 0.02, documents: 300, restartedNode: 7},
 	} {
 		for seed := range uint64(6) {
--- a/rudder/relaynode/quarantines.go
+++ b/rudder/relaynode/quarantines.go
@@ -82,8 +82,9 @@
 	if err := json.Unmarshal(o.Value, &record); err != nil {
 		return record, culprit.QuarantineReport{}, errors.Wrapf(err, "decode quarantine %s", o.Key)
 	}
+	age := max(now.UnixMilli()-record.BeganUnixMillis, 0)
 	report := culprit.QuarantineReport{
-		AgeMillis: max(now.UnixMilli()-record.BeganUnixMillis, 0), MatchAgeMillis: max(now.UnixMilli()-record.WrittenUnixMillis, 0),
+		AgeMillis: age, ClearAgeMillis: age, MatchAgeMillis: max(now.UnixMilli()-record.WrittenUnixMillis, 0),
 		TrialInMillis: record.NextTrialMillis - now.UnixMilli(), Trials: record.Trials,
 	}
 	for _, text := range record.Traits {
