Bound the reports of crashes that nodes exchange

Cause: a report held all suspects of up to 64 crashes, up to 64 each, with the answers beside, in every full digest. A digest over the size of a datagram is not sent at all, with everything else that it tells. And of a crash with many requests only the first 64 traits were kept, so that the part that caused it could be left out.

Evidence: TestReportOfManyCrashesFitsDatagram before: 49,965 bytes without the part; TestPartIsKeptBesideManyContents before: requests with the part are sent after five crashes.

Change: a report holds at most 768 suspects, first those that most crashes have in common and prompt parts before contents, and 384 answers, the latest first. Of each crash up to 96 contents and 96 parts are kept.

--- a/rudder/culprit/culprit_test.go
+++ b/rudder/culprit/culprit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -360,3 +361,52 @@
 		}
 	}
 }
+
+// Pattern: many servers crash within the time that crashes count, each with many requests. The report must leave room in a
+// datagram for the rest of a digest, and must still tell the part that all crashes have in common.
+func TestReportOfManyCrashesFitsDatagram(t *testing.T) {
+	const maxBytes = 65507 / 2
+	c := newClock()
+	l := c.newList()
+	for server := range uint64(maxCrashes) {
+		for i := range maxSuspectsOfKind {
+			traits := request(fmt.Sprint("content ", server, i), fmt.Sprint("document ", (7*int(server)+i)%400))
+			if server%2 == 0 && i%2 == 0 {
+				l.RecordAnswer("model", traits)
+			}
+			c.crashNow(l, server, traits)
+		}
+		c.crashNow(l, server, request(fmt.Sprint("poison ", server), "bad"))
+	}
+	r := l.FullReport()
+	data, err := cbor.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(data) > maxBytes {
+		t.Errorf("report of %d crashes has %d bytes, want at most %d", maxCrashes, len(data), maxBytes)
+	}
+	for _, crash := range r.Crashes {
+		if !slices.ContainsFunc(crash.Suspects, func(s Suspect) bool { return s.Trait == PartTrait("bad") }) && crash.ExplainedBy == 0 {
+			t.Fatalf("the crash of server %d is reported without the part of its request, with %d other traits", crash.Server, len(crash.Suspects))
+		}
+	}
+}
+
+// Pattern: a server crashes with so many requests that not all of their traits are kept, and the one with the crashing part
+// is recorded last.
+func TestPartIsKeptBesideManyContents(t *testing.T) {
+	c := newClock()
+	l := c.newList()
+	for server := range uint64(certainCrashes) {
+		l.RecordAnswer("model", request("sound", "system"))
+		for i := range 2 * maxSuspectsOfKind {
+			c.crashNow(l, server, request(fmt.Sprint("bystander ", server, i), "system"))
+		}
+		c.crashNow(l, server, request(fmt.Sprint("poison ", server), "system", "bad"))
+		c.advance(200 * time.Millisecond)
+	}
+	if !isRefused(l, request("next", "bad")) {
+		t.Errorf("requests with the part are sent after %d crashes", certainCrashes)
+	}
+}
--- a/rudder/culprit/list.go
+++ b/rudder/culprit/list.go
@@ -24,11 +24,12 @@
 	maxTrialInterval = 10 * time.Minute
 	// quarantineRetention is how long a quarantine is kept after the last request that it refused or that crashed a server.
 	quarantineRetention = 10 * time.Minute
-	// maxCrashes, maxSuspects, maxAnswers and maxQuarantines bound the memory of the list and the size of reports.
-	maxCrashes     = 64
-	maxSuspects    = 64
-	maxAnswers     = 8192
-	maxQuarantines = 64
+	// maxCrashes, maxSuspectsOfKind, maxAnswers and maxQuarantines bound the memory of the list. maxSuspectsOfKind is the
+	// number of contents, and that of prompt parts, for each crash.
+	maxCrashes        = 64
+	maxSuspectsOfKind = 96
+	maxAnswers        = 8192
+	maxQuarantines    = 64
 	// evaluationInterval is how often the evidence is evaluated again while it does not change.
 	evaluationInterval = 100 * time.Millisecond
 )
@@ -190,7 +191,7 @@
 		switch {
 		case found:
 			known.suspects[trait] = min(previous, sentBefore)
-		case len(known.suspects) < maxSuspects:
+		case known.countKind(trait) < maxSuspectsOfKind:
 			known.suspects[trait], isNew = sentBefore, true
 		}
 	}
--- a/rudder/culprit/report.go
+++ b/rudder/culprit/report.go
@@ -1,6 +1,7 @@
 package culprit
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -8,6 +9,13 @@
 	"chestnutrudder.example/rudder/boottime"
 )
 
+const (
+	// maxReportedSuspects and maxReportedAnswers bound the size of a report: all crashes of a large fleet together may have
+	// more suspects than fit into a datagram.
+	maxReportedSuspects = 768
+	maxReportedAnswers  = 384
+)
+
 // Report holds what a node knows of crashes and quarantines, for its peers. It includes what the node has heard from others,
 // so that nodes that do not hear of each other, or have restarted, learn it too. Points in time are given as ages.
 type Report struct {
@@ -29,7 +37,7 @@
 	Service     string
 	AgeMillis   int64
 	ExplainedBy uint64    // id of the quarantine that explains the crash; 0 for none
-	Suspects    []Suspect // of an explained crash, only those of the quarantine
+	Suspects    []Suspect // of an explained crash, only those of the quarantine; not all if there are too many
 }
 
 // AnswerReport tells when a request with a trait was last answered.
@@ -80,36 +88,74 @@
 	now := l.now()
 	l.evaluate(now)
 	r := &Report{}
-	relevant := maps.Clone(l.clearedAt) // traits whose answers peers need
-	if relevant == nil {
-		relevant = map[Trait]boottime.Instant{}
-	}
+	suspects := l.reportedSuspects()
 	for _, server := range slices.Sorted(maps.Keys(l.crashes)) {
 		c := l.crashes[server]
-		entry := CrashReport{Server: c.server, Service: c.service, AgeMillis: now.Sub(c.at).Milliseconds()}
+		entry := CrashReport{Server: c.server, Service: c.service, AgeMillis: now.Sub(c.at).Milliseconds(), Suspects: suspects[server]}
 		if l.explanation(c) != nil {
 			entry.ExplainedBy = c.explainedBy
 		}
-		for _, t := range slices.Sorted(maps.Keys(c.suspects)) {
-			relevant[t] = now
-			if l.mayBeEvidence(c, t) {
-				entry.Suspects = append(entry.Suspects, Suspect{Trait: t, SentMillisBefore: c.suspects[t]})
-			}
-		}
 		r.Crashes = append(r.Crashes, entry)
 	}
 	r.Quarantines = l.quarantineReports(now)
-	for _, t := range slices.Sorted(maps.Keys(relevant)) {
-		if at, found := l.answeredAt[t]; found {
-			r.Answers = append(r.Answers, AnswerReport{Trait: t, AgeMillis: now.Sub(at).Milliseconds()})
-		}
-	}
+	r.Answers = l.answerReports(now)
 	if r.IsEmpty() {
 		return nil
 	}
 	return r
 }
 
+// reportedSuspects returns the suspects to report by server, at most maxReportedSuspects in all: first those that most crashes
+// have in common, and prompt parts before contents. The caller holds the lock.
+func (l *List) reportedSuspects() map[uint64][]Suspect {
+	servers := map[Trait][]uint64{}
+	for _, server := range slices.Sorted(maps.Keys(l.crashes)) {
+		for t := range l.crashes[server].suspects {
+			if l.mayBeEvidence(l.crashes[server], t) {
+				servers[t] = append(servers[t], server)
+			}
+		}
+	}
+	ranked := slices.SortedFunc(maps.Keys(servers), func(a, b Trait) int {
+		return cmp.Or(cmp.Compare(len(servers[b]), len(servers[a])), cmp.Compare(a&contentBit, b&contentBit), cmp.Compare(a, b))
+	})
+	reported := map[uint64][]Suspect{}
+	count := 0
+	for _, t := range ranked {
+		if count += len(servers[t]); count > maxReportedSuspects {
+			break
+		}
+		for _, server := range servers[t] {
+			reported[server] = append(reported[server], Suspect{Trait: t, SentMillisBefore: l.crashes[server].suspects[t]})
+		}
+	}
+	return reported
+}
+
+// answerReports returns the last answers with the traits that peers may suspect, at most maxReportedAnswers, the latest first.
+// The caller holds the lock.
+func (l *List) answerReports(now boottime.Instant) []AnswerReport {
+	relevant := map[Trait]bool{}
+	for _, c := range l.crashes {
+		for t := range c.suspects {
+			relevant[t] = true
+		}
+	}
+	for t := range l.clearedAt {
+		relevant[t] = true
+	}
+	var list []AnswerReport
+	for t := range relevant {
+		if at, found := l.answeredAt[t]; found {
+			list = append(list, AnswerReport{Trait: t, AgeMillis: now.Sub(at).Milliseconds()})
+		}
+	}
+	slices.SortFunc(list, func(a, b AnswerReport) int {
+		return cmp.Or(cmp.Compare(a.AgeMillis, b.AgeMillis), cmp.Compare(a.Trait, b.Trait))
+	})
+	return list[:min(len(list), maxReportedAnswers)]
+}
+
 // Quarantines returns the present quarantines.
 func (l *List) Quarantines() []QuarantineReport {
 	l.mu.Lock()
@@ -175,7 +221,7 @@
 			continue
 		}
 		suspects, isCleared := map[Trait]int64{}, false
-		for _, s := range c.Suspects[:min(len(c.Suspects), maxSuspects)] {
+		for _, s := range c.Suspects[:min(len(c.Suspects), 2*maxSuspectsOfKind)] {
 			suspects[s.Trait] = s.SentMillisBefore
 			isCleared = isCleared || l.wasAnswered(s.Trait, before(c.AgeMillis).Add(-answerWindow))
 		}
--- a/rudder/culprit/trait.go
+++ b/rudder/culprit/trait.go
@@ -52,6 +52,17 @@
 	explainedBy uint64
 }
 
+// countKind returns the number of suspects of the same kind as t.
+func (c *crash) countKind(t Trait) int {
+	count := 0
+	for suspect := range c.suspects {
+		if suspect.isContent() == t.isContent() {
+			count++
+		}
+	}
+	return count
+}
+
 // hasAll reports whether all traits are among the suspects of the crash.
 func (c *crash) hasAll(traits []Trait) bool {
 	return !slices.ContainsFunc(traits, func(t Trait) bool { _, found := c.suspects[t]; return !found })
