Go on sending few requests to servers that name a limit of 0

Cause: a server with a limit of 0 got no request from any node, so that no response could tell that the limit had ended.

Evidence: the case "9 nodes, none" of TestNodesTogetherKeepLimitsOfServers before: 0 requests a second at those servers after the limits, 102 before them.

Change: a limit below one request in 5 s is divided as if it were that.

Result: the test passes, with at most 5 requests in 4 s at such a server.

--- a/rudder/backend/limit.go
+++ b/rudder/backend/limit.go
@@ -15,6 +15,9 @@
 	// limit than that for each node gets requests from some nodes only: smaller parts could not be kept, since each node
 	// sends whole requests.
 	minLimitShare = 1.0
+	// minServerLimit is the rate, in requests per second, at which servers with a lower limit are sent requests all the same:
+	// only responses tell that a limit has ended.
+	minServerLimit = 0.2
 	// limitBurstSeconds is the time for which a node may save up its part of a limit.
 	limitBurstSeconds = 0.5
 	// otherNodesLimitWait is when a request that this node may not send to a limited server may be tried again: another node
@@ -97,7 +100,7 @@
 // updateLimitShare sets this node's part of the limit of a server. The caller holds the lock.
 func (t *Table) updateLimitShare(s *Server) {
 	s.limit.fill(time.Now())
-	s.limit.share = limitShare(t.selfName, t.nodes, s.idHash, s.FailureDomain, s.limit.perSecond)
+	s.limit.share = limitShare(t.selfName, t.nodes, s.idHash, s.FailureDomain, max(s.limit.perSecond, minServerLimit))
 }
 
 // limitShare returns the requests per second that a node may send to a server which takes perSecond from all nodes together.
--- a/rudder/backend/limit_test.go
+++ b/rudder/backend/limit_test.go
@@ -214,6 +214,7 @@
 	for name, o := range map[string]limitedFleetOptions{
 		"9 nodes, 1 a second":           {nodes: 9, perSecond: 1, limitedShare: 0.7, requestsPerS: 140, digestInterval: 250 * time.Millisecond},
 		"9 nodes, one in three seconds": {nodes: 9, perSecond: 0.3, limitedShare: 0.7, requestsPerS: 140, digestInterval: 250 * time.Millisecond},
+		"9 nodes, none":                 {nodes: 9, perSecond: 0, limitedShare: 0.7, requestsPerS: 140, digestInterval: 250 * time.Millisecond},
 		"9 nodes, 2.5 a second":         {nodes: 9, perSecond: 2.5, limitedShare: 1, requestsPerS: 200, digestInterval: 250 * time.Millisecond},
 		"2 nodes, 20 a second":          {nodes: 2, perSecond: 20, limitedShare: 1, requestsPerS: 1500, digestInterval: 250 * time.Millisecond},
 		"60 nodes, 1 a second":          {nodes: 60, perSecond: 1, limitedShare: 0.8, requestsPerS: 400, digestInterval: 500 * time.Millisecond},
