--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -117,6 +117,16 @@
 	}
 }
 
+// HasEnded reports whether the process has ended, by a signal too, within the timeout.
+func (p *Process) HasEnded(timeout time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
 var (
 	portMu sync.Mutex
 	// nextPort stays between 10000 and 32000, below the range from which the kernel takes ports for outgoing connections.
--- a/standin/process/process_test.go
+++ b/standin/process/process_test.go
@@ -53,3 +53,21 @@
 	case <-time.After(200 * time.Millisecond):
 	}
 }
+
+// A process that a signal has ended must not look as if it still ran.
+func TestProcessEndedBySignalHasEnded(t *testing.T) {
+	p, err := Start(t.TempDir(), "child", "sleep", "60")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Kill()
+	if p.HasEnded(time.Millisecond) {
+		t.Error("the process has ended before the signal")
+	}
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if !p.HasEnded(10 * time.Second) {
+		t.Error("the process has not ended after SIGTERM")
+	}
+}
