Count crashes against prompt parts for minutes

Cause: crashes counted for 30 s. Where requests with the part come less often, each of them, with its repetitions, costs as many servers as the first, without end.

Change: against contents crashes count for 30 s as before, against parts with which no request was answered since for 5 minutes. A crash without such a part is forgotten after 30 s, so that reports stay small. TestCrashesOfOneRequestAddUpOverNodes checks both times.

--- a/rudder/culprit/culprit_test.go
+++ b/rudder/culprit/culprit_test.go
@@ -100,11 +100,17 @@
 	if isRefused(l, poison) {
 		t.Error("crashes before a complete answer count")
 	}
-	c.advance(crashRetention + time.Second)
+	c.advance(contentRetention + time.Second)
 	c.crashNow(l, 13, poison)
 	c.crashNow(l, 14, poison)
+	if isRefused(l, poison) {
+		t.Errorf("crashes older than %s count against a content", contentRetention)
+	}
+	c.advance(partRetention + time.Second)
+	c.crashNow(l, 15, poison)
+	c.crashNow(l, 16, poison)
 	if isRefused(l, poison) || l.CrashCount() != 2 {
-		t.Errorf("crashes older than %s count: %d are known, want 2", crashRetention, l.CrashCount())
+		t.Errorf("crashes older than %s count: %d are known, want 2", partRetention, l.CrashCount())
 	}
 }
 
@@ -132,6 +138,36 @@
 	}
 }
 
+// Pattern: requests with a crashing part come so rarely that contents are forgotten in between. Each must not cost as many
+// servers as the first one.
+func TestRareRequestsWithCrashingPartAreRefused(t *testing.T) {
+	c := newClock()
+	lists := []*List{c.newList(), c.newList()}
+	crashed := 0
+	for i := range uint64(40) {
+		c.advance(50 * time.Second)
+		for _, l := range lists {
+			l.RecordAnswer("model", request("sound", "system", "document"))
+		}
+		exchange(t, lists...)
+		for attempt := range uint64(2) {
+			poison := request(fmt.Sprint("poison ", i), "system", "bad")
+			if refusal, isTrial := lists[i%2].Check(poison, attempt == 0); refusal == nil && !isTrial {
+				c.crashNow(lists[i%2], 2*i+attempt, poison)
+				crashed++
+			}
+			c.advance(200 * time.Millisecond)
+			exchange(t, lists...)
+		}
+	}
+	if crashed > certainCrashes {
+		t.Errorf("40 requests with the part in 33 minutes crashed %d servers, want at most %d", crashed, certainCrashes)
+	}
+	if isRefused(lists[0], request("sound", "system", "document")) {
+		t.Error("requests without the part are refused")
+	}
+}
+
 // Pattern: the first request with a crashing part is repeated until its content is quarantined, and only then the next one
 // comes. The crashes of the first must count for the part, or each request costs as many servers as the first.
 func TestCrashesOfQuarantinedContentCountForItsParts(t *testing.T) {
--- a/rudder/culprit/evidence.go
+++ b/rudder/culprit/evidence.go
@@ -30,8 +30,10 @@
 	settleTime = 500 * time.Millisecond
 	// answerWindow is how long before a crash an answer speaks for the traits of the answered request.
 	answerWindow = 10 * time.Second
-	// crashRetention is how long a crash counts.
-	crashRetention = 30 * time.Second
+	// contentRetention is how long a crash counts against contents, and partRetention how long against prompt parts with which
+	// no request was answered since. Few parts remain, but many contents do: callers do not repeat all requests that failed.
+	contentRetention = 30 * time.Second
+	partRetention    = 5 * time.Minute
 )
 
 // group is a set of traits that the same crashes have in common.
--- a/rudder/culprit/list.go
+++ b/rudder/culprit/list.go
@@ -238,7 +238,7 @@
 // forgetOldAnswers removes answers that are too old to clear a trait of any crash that still counts, and more if that does
 // not suffice. The caller holds the lock.
 func (l *List) forgetOldAnswers(now boottime.Instant) {
-	for _, maxAge := range []time.Duration{crashRetention + answerWindow, answerWindow / 2, 0} {
+	for _, maxAge := range []time.Duration{contentRetention + answerWindow, answerWindow / 2, 0} {
 		if len(l.answeredAt) < maxAnswers {
 			return
 		}
@@ -253,8 +253,8 @@
 		return
 	}
 	l.hasNewEvidence, l.evaluatedAt = false, now
-	maps.DeleteFunc(l.crashes, func(_ uint64, c *crash) bool { return now.Sub(c.at) > crashRetention })
-	maps.DeleteFunc(l.clearedAt, func(_ Trait, at boottime.Instant) bool { return now.Sub(at) > crashRetention })
+	maps.DeleteFunc(l.crashes, func(_ uint64, c *crash) bool { return l.hasExpired(c, now) })
+	maps.DeleteFunc(l.clearedAt, func(_ Trait, at boottime.Instant) bool { return now.Sub(at) > contentRetention })
 	l.endQuarantines(now)
 	for range maxQuarantines {
 		l.markExplained()
@@ -273,6 +273,17 @@
 	l.crashCount.Store(int64(len(l.crashes)))
 }
 
+// hasExpired removes the suspects against which a crash does not count any more, and reports whether none is left. The caller
+// holds the lock.
+func (l *List) hasExpired(c *crash, now boottime.Instant) bool {
+	age := now.Sub(c.at)
+	if age <= contentRetention {
+		return false
+	}
+	maps.DeleteFunc(c.suspects, func(t Trait, _ int64) bool { return t.isContent() || l.wasAnswered(t, c.at) })
+	return age > partRetention || len(c.suspects) == 0
+}
+
 // endQuarantines removes the quarantines that an answer has cleared or that refuse nothing any more. The caller holds the
 // lock.
 func (l *List) endQuarantines(now boottime.Instant) {
--- a/rudder/culprit/report.go
+++ b/rudder/culprit/report.go
@@ -209,7 +209,7 @@
 		return ageMillis >= 0 && ageMillis <= maxAge.Milliseconds()
 	}
 	for _, a := range r.Answers {
-		if isValid(a.AgeMillis, crashRetention+answerWindow) {
+		if isValid(a.AgeMillis, partRetention+answerWindow) {
 			l.setAnswered(a.Trait, before(a.AgeMillis))
 		}
 	}
@@ -217,7 +217,7 @@
 		l.applyQuarantine(q, before, now)
 	}
 	for _, c := range r.Crashes {
-		if !isValid(c.AgeMillis, crashRetention) {
+		if !isValid(c.AgeMillis, partRetention) {
 			continue
 		}
 		suspects, isCleared := map[Trait]int64{}, false
