Tell the crashing part from a companion that was harmless before

Cause: traits with the same crashes made up one group, whether or not requests with them had been answered before. A crashing part was then quarantined only together with its companions, and only after five crashes.

Evidence: TestCompanionThatWasHarmlessIsServed before: requests with the part are sent after five crashes.

Change: such groups are kept apart.

--- a/rudder/culprit/culprit_test.go
+++ b/rudder/culprit/culprit_test.go
@@ -354,6 +354,26 @@
 	}
 }
 
+// Pattern: all requests with the crashing part have a second one, with which requests were answered until just before, but not
+// between the crashes. The quarantine must not extend to it, nor wait for an answer with it longer than for five crashes.
+func TestCompanionThatWasHarmlessIsServed(t *testing.T) {
+	c := newClock()
+	l := c.newList()
+	l.RecordAnswer("model", request("sound", "companion"))
+	c.advance(100 * time.Millisecond)
+	for i := range uint64(certainCrashes) {
+		l.RecordAnswer("model", request("sound", "system"))
+		c.crashNow(l, i, request(fmt.Sprint("poison ", i), "companion", "bad"))
+		c.advance(200 * time.Millisecond)
+	}
+	if !isRefused(l, request("next", "bad")) {
+		t.Errorf("requests with the crashing part are sent after %d crashes", certainCrashes)
+	}
+	if isRefused(l, request("next", "companion")) {
+		t.Error("requests with the companion alone are refused")
+	}
+}
+
 // A quarantine that is no longer justified must end: one node sends a request as a trial, less and less often while the trials
 // fail, and an answer ends the quarantine on all nodes.
 func TestTrialEndsQuarantine(t *testing.T) {
--- a/rudder/culprit/evidence.go
+++ b/rudder/culprit/evidence.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"chestnutrudder.example/rudder/boottime"
@@ -36,14 +37,13 @@
 	partRetention    = 5 * time.Minute
 )
 
-// group is a set of traits that the same crashes have in common.
+// group is a set of traits that the same crashes have in common, and that all were harmless shortly before or all were not.
 type group struct {
 	traits  []Trait
 	crashes []*crash // in the order of time
 	moments int      // crashes that are independent of the earlier ones
-	// clearedFrom is the time since which no request with one of the traits was answered: the first crash, or answerWindow
-	// before it.
-	clearedFrom boottime.Instant
+	// wasHarmless means that requests with each of the traits were answered within answerWindow before the first crash.
+	wasHarmless bool
 }
 
 // explanation returns the quarantine that explains a crash, nil if there is none. The caller holds the lock.
@@ -73,13 +73,14 @@
 	}
 	byCrashes := map[string]*group{}
 	for trait, list := range byTrait {
-		key := make([]byte, 0, 8*len(list))
+		wasHarmless := l.wasAnswered(trait, list[0].at.Add(-answerWindow))
+		key := strconv.AppendBool(make([]byte, 0, 8*len(list)+len("false")), wasHarmless)
 		for _, c := range list {
 			key = binary.LittleEndian.AppendUint64(key, c.server)
 		}
 		g, found := byCrashes[string(key)]
 		if !found {
-			g = &group{crashes: list}
+			g = &group{crashes: list, wasHarmless: wasHarmless}
 			byCrashes[string(key)] = g
 		}
 		g.traits = append(g.traits, trait)
@@ -88,7 +89,6 @@
 	sorted := make([]*group, 0, len(byCrashes))
 	for _, g := range byCrashes {
 		slices.Sort(g.traits)
-		g.clearedFrom = l.clearedFrom(g)
 		if !l.isCovered(g) {
 			sorted = append(sorted, g)
 		}
@@ -135,19 +135,35 @@
 	return len(g.crashes) >= certainCrashes && g.moments >= certainMoments
 }
 
-// wasHarmless reports whether a request with one of the traits was answered shortly before the first crash.
-func (g *group) wasHarmless() bool { return g.clearedFrom == g.crashes[0].at }
+// clearedFrom returns the time since which no request with one of the traits was answered.
+func (g *group) clearedFrom() boottime.Instant {
+	if g.wasHarmless {
+		return g.crashes[0].at
+	}
+	return g.crashes[0].at.Add(-answerWindow)
+}
 
 // isSuspicious reports whether the group is suspicious enough for its requests not to be repeated after a crash.
-func (g *group) isSuspicious() bool { return g.moments >= 2 && !g.wasHarmless() || g.isCertain() }
+func (g *group) isSuspicious() bool { return g.moments >= 2 && !g.wasHarmless || g.isCertain() }
+
+// explainsAsMuch reports whether the group has more crashes than another one, or as many and so few that it cannot be told yet
+// which one is the cause. Traits that were harmless shortly before are less likely to be.
+func (g *group) explainsAsMuch(other *group) bool {
+	if len(g.crashes) != len(other.crashes) {
+		return len(g.crashes) > len(other.crashes)
+	}
+	if g.wasHarmless && !other.wasHarmless {
+		return len(g.crashes) < certainCrashes
+	}
+	return len(g.crashes) < undecidedCrashes
+}
 
 // mostSuspicious returns the first group that is to be quarantined, nil if there is none. A group has to wait while another
-// one with some of the same crashes explains as many or more: the next crash tells them apart. The caller holds the lock.
+// one with some of the same crashes explains as much: the next crash tells them apart. The caller holds the lock.
 func (l *List) mostSuspicious(now boottime.Instant) *group {
 	for _, g := range l.suspicious {
 		hasRival := slices.ContainsFunc(l.suspicious, func(other *group) bool {
-			isStronger := len(other.crashes) > len(g.crashes) || len(other.crashes) == len(g.crashes) && len(g.crashes) < undecidedCrashes
-			return other != g && isStronger && other.sharesCrash(g)
+			return other != g && other.explainsAsMuch(g) && other.sharesCrash(g)
 		})
 		if !hasRival && l.isConvicted(g, now) {
 			return g
@@ -156,15 +172,6 @@
 	return nil
 }
 
-// clearedFrom returns the value of group.clearedFrom. The caller holds the lock.
-func (l *List) clearedFrom(g *group) boottime.Instant {
-	first := g.crashes[0].at
-	if slices.ContainsFunc(g.traits, func(t Trait) bool { return l.wasAnswered(t, first.Add(-answerWindow)) }) {
-		return first
-	}
-	return first.Add(-answerWindow)
-}
-
 // isConvicted reports whether the evidence against a group suffices for a quarantine. The caller holds the lock.
 func (l *List) isConvicted(g *group, now boottime.Instant) bool {
 	count := len(g.crashes)
@@ -175,11 +182,11 @@
 		return true // the quarantine concerns a single request and its repetitions
 	}
 	// While no request of the service is answered, its servers end for another reason.
-	if at, found := l.serviceAnsweredAt[g.crashes[0].service]; !found || at < g.clearedFrom {
+	if at, found := l.serviceAnsweredAt[g.crashes[0].service]; !found || at < g.clearedFrom() {
 		return false
 	}
 	if g.isCertain() {
 		return true
 	}
-	return !g.wasHarmless() && g.moments >= minMoments && now.Sub(g.crashes[minCrashes-1].at) >= settleTime
+	return !g.wasHarmless && g.moments >= minMoments && now.Sub(g.crashes[minCrashes-1].at) >= settleTime
 }
--- a/rudder/culprit/list.go
+++ b/rudder/culprit/list.go
@@ -263,7 +263,7 @@
 		if g == nil {
 			break
 		}
-		q := &quarantine{traits: g.traits, convictedAt: now, clearedFrom: g.clearedFrom, matchedAt: now, trialAt: now.Add(firstTrialAfter)}
+		q := &quarantine{traits: g.traits, convictedAt: now, clearedFrom: g.clearedFrom(), matchedAt: now, trialAt: now.Add(firstTrialAfter)}
 		l.Log.Warn("Quarantined requests: servers crashed on what they have in common, and none of them was answered.", "quarantine", q.name(),
 			"service", g.crashes[0].service, "crashes", len(g.crashes), "independent_crashes", g.moments, "first_crash_ms", now.Sub(g.crashes[0].at).Milliseconds())
 		l.addQuarantine(q)
