Do not take timeouts of the kernel for crashes of servers

Cause: a host that does not answer counts as crashed only if it ended the connection itself. Connections that the kernel ends with ETIMEDOUT, as no acknowledgement came, looked so: a failure domain that is cut off then gives many crashes at different moments.

Evidence: TestKernelTimeoutIsNoEndFromTheServer fails without the change for ETIMEDOUT.

Change: ETIMEDOUT counts as a timeout of this node, in reading and in sending.

Result: go test ./rudder/relay passes.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -83,7 +84,7 @@
 		if errors.Is(err, upstream.ErrNotSent) {
 			return attemptResult{isKnownNotRun: true, backendResult: a.resultUnlessCancelled(parent, backend.ResultInconclusive), reason: err.Error()}
 		}
-		return attemptResult{isSent: true, backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
+		return attemptResult{isSent: true, isTimeout: isTimeout(err), backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
 	a.setReadTimeout(a.forwarder.firstByteTimeout(a.placement.ExpectedFirstByte))
 	response, err := conn.Receive(request, a.server.Dialect.RequestID)
@@ -93,7 +94,7 @@
 		if !isLocalAbort(err) {
 			a.forwarder.countRun()
 		}
-		return attemptResult{isSent: true, isTimeout: isLocalAbort(err), backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
+		return attemptResult{isSent: true, isTimeout: isTimeout(err), backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
 	r := a.handleResponse(parent, response)
 	r.isSent = true
@@ -111,6 +112,10 @@
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
 }
 
+// isTimeout reports whether a connection failed because this node did not wait any longer, or its kernel, which had got no
+// acknowledgement for too long.
+func isTimeout(err error) bool { return isLocalAbort(err) || errors.Is(err, syscall.ETIMEDOUT) }
+
 // maxIdleTime returns how long a pooled connection may have been idle to be used for the request.
 func (a *attempt) maxIdleTime() time.Duration {
 	if a.call.route.IsRepeatable() {
@@ -261,7 +266,7 @@
 
 // brokenResponse returns the result for a response that could not be read to its end.
 func (a *attempt) brokenResponse(ctx context.Context, err error) attemptResult {
-	return attemptResult{isTimeout: isLocalAbort(err), backendResult: a.resultUnlessCancelled(ctx, backend.ResultConnectionFailure), reason: err.Error()}
+	return attemptResult{isTimeout: isTimeout(err), backendResult: a.resultUnlessCancelled(ctx, backend.ResultConnectionFailure), reason: err.Error()}
 }
 
 // forwardLarge forwards a response that exceeds maxBufferedBytes; buffered is the part of its body that was read already. If
--- a/rudder/relay/crash_test.go
+++ b/rudder/relay/crash_test.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"chestnutrudder.example/rudder/backend"
 )
 
@@ -208,3 +213,19 @@
 		t.Fatalf("%d crashes are counted, want 0", n)
 	}
 }
+
+// A host that is cut off must not look as if its servers had crashed: the kernel ends connections on which nothing is
+// acknowledged, each at another moment.
+func TestKernelTimeoutIsNoEndFromTheServer(t *testing.T) {
+	for err, want := range map[error]bool{
+		&net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}: true,
+		os.ErrDeadlineExceeded: true,
+		net.ErrClosed:          true,
+		&net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}: false,
+		io.ErrUnexpectedEOF: false,
+	} {
+		if got := isTimeout(errors.Wrap(err, "read response")); got != want {
+			t.Errorf("isTimeout(%v) = %v, want %v", err, got, want)
+		}
+	}
+}
