Fit the reports of crashes on the own engine's path into records

Cause: a report was shortened only by its crashes. With many answered messages the answers alone exceeded the size of a record, which was then not written: other nodes learned nothing of a message that crashes engines.

Evidence: TestManyCrashesFitRecord before: another node knows of 0 crashes and does not refuse conversations with the message.

Change: culprit.List has a bound for the traits in its reports, 64 on this path. Crashes without a suspect to report are left out.

--- a/rudder/culprit/list.go
+++ b/rudder/culprit/list.go
@@ -42,6 +42,8 @@
 	// that it does.
 	IsTrialNode func() bool
 	Now         func() boottime.Instant // nil means boottime.Now
+	// MaxReportedTraits bounds the suspects in a report, and half of it the answers. 0 means 768.
+	MaxReportedTraits int
 
 	mu                sync.Mutex
 	crashes           map[uint64]*crash          // by server
--- a/rudder/culprit/report.go
+++ b/rudder/culprit/report.go
@@ -9,12 +9,9 @@
 	"chestnutrudder.example/rudder/boottime"
 )
 
-const (
-	// maxReportedSuspects and maxReportedAnswers bound the size of a report: all crashes of a large fleet together may have
-	// more suspects than fit into a datagram.
-	maxReportedSuspects = 768
-	maxReportedAnswers  = 384
-)
+// defaultMaxReportedTraits bounds the size of a report: all crashes of a large fleet together may have more suspects than fit
+// into a datagram.
+const defaultMaxReportedTraits = 768
 
 // Report holds what a node knows of crashes and quarantines, for its peers. It includes what the node has heard from others,
 // so that nodes that do not hear of each other, or have restarted, learn it too. Points in time are given as ages.
@@ -91,6 +88,9 @@
 	suspects := l.reportedSuspects()
 	for _, server := range slices.Sorted(maps.Keys(l.crashes)) {
 		c := l.crashes[server]
+		if len(suspects[server]) == 0 {
+			continue
+		}
 		entry := CrashReport{Server: c.server, Service: c.service, AgeMillis: now.Sub(c.at).Milliseconds(), Suspects: suspects[server]}
 		if l.explanation(c) != nil {
 			entry.ExplainedBy = c.explainedBy
@@ -105,7 +105,9 @@
 	return r
 }
 
-// reportedSuspects returns the suspects to report by server, at most maxReportedSuspects in all: first those that most crashes
+func (l *List) maxReportedTraits() int { return cmp.Or(l.MaxReportedTraits, defaultMaxReportedTraits) }
+
+// reportedSuspects returns the suspects to report by server, at most maxReportedTraits in all: first those that most crashes
 // have in common, and prompt parts before contents. The caller holds the lock.
 func (l *List) reportedSuspects() map[uint64][]Suspect {
 	servers := map[Trait][]uint64{}
@@ -122,7 +124,7 @@
 	reported := map[uint64][]Suspect{}
 	count := 0
 	for _, t := range ranked {
-		if count += len(servers[t]); count > maxReportedSuspects {
+		if count += len(servers[t]); count > l.maxReportedTraits() {
 			break
 		}
 		for _, server := range servers[t] {
@@ -139,8 +141,8 @@
 	return !l.wasAnswered(t, c.at) && (q == nil || !t.isContent() || slices.Contains(q.traits, t))
 }
 
-// answerReports returns the last answers with the traits that peers may suspect, at most maxReportedAnswers, the latest first.
-// The caller holds the lock.
+// answerReports returns the last answers with the traits that peers may suspect, half of maxReportedTraits at most, the latest
+// first. The caller holds the lock.
 func (l *List) answerReports(now boottime.Instant) []AnswerReport {
 	relevant := map[Trait]bool{}
 	for _, c := range l.crashes {
@@ -160,7 +162,7 @@
 	slices.SortFunc(list, func(a, b AnswerReport) int {
 		return cmp.Or(cmp.Compare(a.AgeMillis, b.AgeMillis), cmp.Compare(a.Trait, b.Trait))
 	})
-	return list[:min(len(list), maxReportedAnswers)]
+	return list[:min(len(list), l.maxReportedTraits()/2)]
 }
 
 // Quarantines returns the present quarantines.
--- a/rudder/quarantine/exchange.go
+++ b/rudder/quarantine/exchange.go
@@ -18,6 +18,8 @@
 	exchangeInterval = 200 * time.Millisecond
 	// maxReportBytes is the size of a report that still fits into a record.
 	maxReportBytes = 2800
+	// maxReportedMessages bounds the suspect messages in a report to what leaves room for crashes and answers.
+	maxReportedMessages = 64
 )
 
 // crashRecord is the value of a node's record of crashes.
--- a/rudder/quarantine/parts_test.go
+++ b/rudder/quarantine/parts_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -56,6 +57,35 @@
 	}
 }
 
+// Guards against a record of crashes that is too large to write: each crash was at a server with many conversations, and
+// most of their other messages were answered. What all crashes have in common must still reach other nodes.
+func TestManyCrashesFitRecord(t *testing.T) {
+	records, remoteRecords := membership.NewRecords(), membership.NewRecords()
+	l := New("n1", records, slog.New(slog.DiscardHandler))
+	remoteList := New("n2", remoteRecords, slog.New(slog.DiscardHandler))
+	remoteList.Parts.RecordAnswer("d", []culprit.Trait{PartTrait("museum", "user", "catalogue")})
+	for i := range uint64(20) {
+		c := crashWith(fmt.Sprint("host", i), i+1, "bad")
+		for j := range 40 {
+			bystander := crashWith("", 1000*i+uint64(j), fmt.Sprint("message ", i, j), fmt.Sprint("earlier message ", j)).Requests[0]
+			c.Requests = append(c.Requests, bystander)
+		}
+		l.Report(c, time.Now())
+	}
+	for i := range 20 {
+		for j := range 40 {
+			l.Parts.RecordAnswer("d", []culprit.Trait{PartTrait("museum", "user", fmt.Sprint("message ", i, j)), PartTrait("museum", "user", fmt.Sprint("earlier message ", j))})
+		}
+	}
+	l.publishCrashes(l.Parts.UrgentReport(), time.Now())
+	for _, r := range records.List(membership.RecordCrashes) {
+		remoteRecords.Merge(r)
+	}
+	if remoteList.Parts.CrashCount() < 5 || !isRefusedWith(remoteList, "bad") {
+		t.Errorf("another node knows of %d crashes and does not refuse conversations with the message", remoteList.Parts.CrashCount())
+	}
+}
+
 // A message that requests were answered with just now does not make crashes on two hosts of a failure domain related.
 func TestCommonAnsweredMessageDoesNotRelateCrashes(t *testing.T) {
 	l := New("n1", membership.NewRecords(), slog.New(slog.DiscardHandler))
--- a/rudder/quarantine/quarantine.go
+++ b/rudder/quarantine/quarantine.go
@@ -129,7 +129,7 @@
 // New returns an empty list of a node and subscribes it to the quarantine and crash records of other nodes.
 func New(node string, records RecordStore, log *slog.Logger) *List {
 	l := &List{
-		Parts: &culprit.List{Log: log}, records: records, node: node, log: log,
+		Parts: &culprit.List{Log: log, MaxReportedTraits: maxReportedMessages}, records: records, node: node, log: log,
 		suspects: map[Key]time.Time{}, culprits: map[Key]time.Time{},
 	}
 	records.Watch(membership.RecordQuarantine, l.applyRecord)
