--- a/rudder/dispatch/admission.go
+++ b/rudder/dispatch/admission.go
@@ -111,9 +111,9 @@
 	return nil
 }
 
-// checkQuarantine refuses quarantined requests, those with quarantined messages, and suspects that do not ask for isolation: the attempt after a crash has to
-// run on the dispatcher that comes first by rendezvous hash, because only there do duplicates wait for each other. Resumed
-// suspects are isolated instead of refused.
+// checkQuarantine refuses quarantined requests, those with quarantined messages, and suspects that do not ask for isolation:
+// the attempt after a crash has to run on the dispatcher that comes first by rendezvous hash, because only there do duplicates
+// wait for each other. Resumed suspects are isolated instead of refused.
 func (d *Dispatcher) checkQuarantine(t *task, now time.Time) *peerpb.Refused {
 	if d.Quarantine == nil {
 		return nil
