Determine the traits of a request before its crashed server is probed

What callers saw: nothing; found on reading the change.

Cause: the traits are determined when they are first needed, by the task that probes the server and by the one that goes on with the request, at the same time if the probe takes over 50 ms.

Evidence: TestSlowProbeDoesNotRaceWithRequest before: the race detector reports crash.go:29 and crash.go:31.

Change: the task that observed the failure determines them before it starts the probe.

Result: that test and the other tests of crashes pass, 5 times under the race detector.

--- a/rudder/relay/crash.go
+++ b/rudder/relay/crash.go
@@ -101,7 +101,7 @@
 // closed when that is known.
 func (a *attempt) observeCrash(r attemptResult) <-chan struct{} {
 	s, c, failedAt := a.server, a.call, boottime.Now()
-	lastEventID := a.forwarder.lastEventID
+	traits, lastEventID := c.traits(), a.forwarder.lastEventID
 	done := make(chan struct{})
 	s.crashProbes.Add(1)
 	go func() {
@@ -112,10 +112,10 @@
 		if state == serverAlive || state == serverUnknown && r.isTimeout {
 			return
 		}
-		s.Crashes.RecordCrash(a.placement.Incarnation, c.service, c.traits(), failedAt, a.sentAt)
+		s.Crashes.RecordCrash(a.placement.Incarnation, c.service, traits, failedAt, a.sentAt)
 		s.metrics.countCrash(c)
 		s.Log.Info("Backend server crashed while running a request.", "request", c.id, "server", a.placement.ID, "service", c.service,
-			"traits", culprit.TraitNames(c.traits()), "prompt_parts", c.sharedPartIDs(), "last_event", lastEventID,
+			"traits", culprit.TraitNames(traits), "prompt_parts", c.sharedPartIDs(), "last_event", lastEventID,
 			"sent_ms_before", failedAt.Sub(a.sentAt).Milliseconds(), "crashed_servers", s.Crashes.CrashCount())
 	}()
 	return done
--- a/rudder/relay/crash_test.go
+++ b/rudder/relay/crash_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -229,3 +230,26 @@
 		}
 	}
 }
+
+// Guards against a data race: while the probe of a crashed server takes its time, the request goes on, and both need its
+// traits.
+func TestSlowProbeDoesNotRaceWithRequest(t *testing.T) {
+	h := newHarness(t)
+	h.crashingServers(1, sendStreamHead)
+	p, refusal := h.server.Backends.Place(backend.Request{Service: "s"}, 0)
+	if refusal != nil {
+		t.Fatal(refusal.Reason)
+	}
+	p.Release(backend.ResultInconclusive)
+	release, started := make(chan struct{}), make(chan struct{})
+	go h.server.probes.Do(strconv.FormatUint(p.Incarnation, 36), func() (any, error) {
+		close(started)
+		<-release
+		return serverGone, nil
+	})
+	<-started
+	time.AfterFunc(4*resendProbeWait, func() { close(release) })
+	if response := h.prompt(1, "system:40,bad:30"); response.status == http.StatusOK {
+		t.Errorf("response %+v, want a failure", response)
+	}
+}
