Tell peers only what a node has seen of crashes itself

Cause: each node told all others all that it had heard of crashes, in every digest, so that the traffic grew with the third power of the number of nodes.

Change: where all nodes hear of each other, reports hold what the node has seen itself, and the quarantines. Where summaries are used, they hold the rest too, and at most 256 suspects instead of 768.

--- a/rudder/culprit/culprit_test.go
+++ b/rudder/culprit/culprit_test.go
@@ -518,6 +518,29 @@
 	}
 }
 
+// Guards against reports that grow with the number of nodes: where all nodes hear of each other, each tells only what it has
+// seen itself, and the quarantines. A node that relays tells the rest too.
+func TestReportHoldsWhatNodeHasSeen(t *testing.T) {
+	c := newClock()
+	sees, hears, relays := c.newList(), c.newList(), c.newList()
+	relays.RelaysPeers = func() bool { return true }
+	c.crashNow(sees, 1, request("poison", "document", "bad"))
+	c.advance(100 * time.Millisecond)
+	sees.RecordAnswer("model", request("sound", "document"))
+	exchange(t, sees, hears, relays)
+	for name, l := range map[string]*List{"sees": sees, "relays": relays} {
+		if r := l.FullReport(); r == nil || len(r.Crashes) != 1 || len(r.Crashes[0].Suspects) != 2 {
+			t.Errorf("node that %s the crash reports %+v, want it with the 2 traits that are not answered", name, r)
+		}
+	}
+	if r := sees.FullReport(); len(r.Answers) != 1 {
+		t.Errorf("node that saw the answer reports %+v, want the answer", r)
+	}
+	if r := hears.FullReport(); !r.IsEmpty() {
+		t.Errorf("node that only hears of the crash reports %+v, want nothing", r)
+	}
+}
+
 // Pattern: a server crashes with so many requests that not all of their traits are kept, and the one with the crashing part
 // is recorded last.
 func TestPartIsKeptBesideManyContents(t *testing.T) {
--- a/rudder/culprit/list.go
+++ b/rudder/culprit/list.go
@@ -42,12 +42,15 @@
 	// that it does.
 	IsTrialNode func() bool
 	Now         func() boottime.Instant // nil means boottime.Now
-	// MaxReportedTraits bounds the suspects in a report, and half of it the answers. 0 means 768.
+	// RelaysPeers reports whether reports must include what peers have seen, since not all nodes hear of each other. Nil means
+	// that they need not.
+	RelaysPeers func() bool
+	// MaxReportedTraits bounds the suspects in a report, and half of it the answers. 0 means 256.
 	MaxReportedTraits int
 
 	mu                sync.Mutex
-	crashes           map[uint64]*crash          // by server
-	answeredAt        map[Trait]boottime.Instant // when a request with the trait was last answered
+	crashes           map[uint64]*crash // by server
+	answers           map[Trait]answer  // the last one to a request with the trait
 	serviceAnsweredAt map[string]boottime.Instant
 	quarantines       map[uint64]*quarantine     // by id
 	clearedAt         map[Trait]boottime.Instant // when an answer ended a quarantine with the trait
@@ -70,6 +73,12 @@
 	crashCount  int              // known crashes of servers with requests that have all traits
 }
 
+// answer is a complete answer to a request.
+type answer struct {
+	at     boottime.Instant
+	isPeer bool // a peer reported it
+}
+
 // Refusal says that a request must not be sent.
 type Refusal struct {
 	Quarantine string        // the traits, for log lines
@@ -160,6 +169,9 @@
 	if l.addCrash(&crash{server: server, service: service, at: at, suspects: suspects}) {
 		l.hasUrgentChange = true
 	}
+	if c, found := l.crashes[server]; found {
+		c.markSeenHere(suspects)
+	}
 	for _, q := range l.quarantines {
 		if containsAll(traits, q.traits) {
 			q.matchedAt = max(q.matchedAt, at)
@@ -169,8 +181,8 @@
 
 // wasAnswered reports whether a request with the trait was answered at or after the given time. The caller holds the lock.
 func (l *List) wasAnswered(trait Trait, since boottime.Instant) bool {
-	at, found := l.answeredAt[trait]
-	return found && at >= since
+	a, found := l.answers[trait]
+	return found && a.at >= since
 }
 
 // addCrash merges a crash with what is known of it, and reports whether it told something new. If there are too many, the
@@ -230,32 +242,32 @@
 	}
 	l.serviceAnsweredAt[service] = now
 	for _, trait := range traits {
-		l.setAnswered(trait, now)
+		l.setAnswered(trait, answer{at: now})
 	}
 }
 
-// setAnswered records when a request with a trait was answered, unless a later answer is known. The caller holds the lock.
-func (l *List) setAnswered(trait Trait, at boottime.Instant) {
-	if l.wasAnswered(trait, at) {
+// setAnswered records an answer to a request with a trait, unless a later one is known. The caller holds the lock.
+func (l *List) setAnswered(trait Trait, a answer) {
+	if l.wasAnswered(trait, a.at) {
 		return
 	}
-	if l.answeredAt == nil {
-		l.answeredAt = map[Trait]boottime.Instant{}
+	if l.answers == nil {
+		l.answers = map[Trait]answer{}
 	}
-	if len(l.answeredAt) >= maxAnswers {
-		l.forgetOldAnswers(at)
+	if len(l.answers) >= maxAnswers {
+		l.forgetOldAnswers(a.at)
 	}
-	l.answeredAt[trait] = at
+	l.answers[trait] = a
 }
 
 // forgetOldAnswers removes answers that are too old to clear a trait of any crash that still counts, and more if that does
 // not suffice. The caller holds the lock.
 func (l *List) forgetOldAnswers(now boottime.Instant) {
 	for _, maxAge := range []time.Duration{contentRetention + answerWindow, answerWindow / 2, 0} {
-		if len(l.answeredAt) < maxAnswers {
+		if len(l.answers) < maxAnswers {
 			return
 		}
-		maps.DeleteFunc(l.answeredAt, func(_ Trait, at boottime.Instant) bool { return now.Sub(at) >= maxAge })
+		maps.DeleteFunc(l.answers, func(_ Trait, a answer) bool { return now.Sub(a.at) >= maxAge })
 	}
 }
 
--- a/rudder/culprit/report.go
+++ b/rudder/culprit/report.go
@@ -11,10 +11,10 @@
 
 // defaultMaxReportedTraits bounds the size of a report: all crashes of a large fleet together may have more suspects than fit
 // into a datagram.
-const defaultMaxReportedTraits = 768
+const defaultMaxReportedTraits = 256
 
-// Report holds what a node knows of crashes and quarantines, for its peers. It includes what the node has heard from others,
-// so that nodes that do not hear of each other, or have restarted, learn it too. Points in time are given as ages.
+// Report holds what a node has seen of crashes, and the quarantines that it knows, for its peers. Points in time are given as
+// ages.
 type Report struct {
 	_           struct{} `cbor:",toarray"`
 	Crashes     []CrashReport
@@ -55,7 +55,7 @@
 	Trials         int
 }
 
-// FullReport returns what this node knows, nil if that is nothing.
+// FullReport returns what peers must know, nil if that is nothing.
 func (l *List) FullReport() *Report {
 	if !l.HasCrashes() {
 		return nil
@@ -105,6 +105,8 @@
 	return r
 }
 
+func (l *List) relaysPeers() bool { return l.RelaysPeers != nil && l.RelaysPeers() }
+
 func (l *List) maxReportedTraits() int { return cmp.Or(l.MaxReportedTraits, defaultMaxReportedTraits) }
 
 // reportedSuspects returns the suspects to report by server, at most maxReportedTraits in all: first those that most crashes
@@ -113,7 +115,7 @@
 	servers := map[Trait][]uint64{}
 	for _, server := range slices.Sorted(maps.Keys(l.crashes)) {
 		for t := range l.crashes[server].suspects {
-			if l.isReported(l.crashes[server], t) {
+			if l.isReported(l.crashes[server], t) && (l.relaysPeers() || l.crashes[server].seenHere[t]) {
 				servers[t] = append(servers[t], server)
 			}
 		}
@@ -155,8 +157,8 @@
 	}
 	var list []AnswerReport
 	for t := range relevant {
-		if at, found := l.answeredAt[t]; found {
-			list = append(list, AnswerReport{Trait: t, AgeMillis: now.Sub(at).Milliseconds()})
+		if a, found := l.answers[t]; found && (l.relaysPeers() || !a.isPeer) {
+			list = append(list, AnswerReport{Trait: t, AgeMillis: now.Sub(a.at).Milliseconds()})
 		}
 	}
 	slices.SortFunc(list, func(a, b AnswerReport) int {
@@ -219,7 +221,7 @@
 	}
 	for _, a := range r.Answers {
 		if isValid(a.AgeMillis, partRetention+answerWindow) {
-			l.setAnswered(a.Trait, before(a.AgeMillis))
+			l.setAnswered(a.Trait, answer{at: before(a.AgeMillis), isPeer: true})
 		}
 	}
 	for _, q := range r.Quarantines {
--- a/rudder/culprit/trait.go
+++ b/rudder/culprit/trait.go
@@ -48,10 +48,21 @@
 	service  string
 	at       boottime.Instant
 	suspects map[Trait]int64 // SentMillisBefore by trait
+	seenHere map[Trait]bool  // suspects of requests of this node
 	// explainedBy is the id of the quarantine to which this node or a peer attributes the crash; 0 for none.
 	explainedBy uint64
 }
 
+// markSeenHere marks suspects as those of a request of this node.
+func (c *crash) markSeenHere(suspects map[Trait]int64) {
+	if c.seenHere == nil {
+		c.seenHere = map[Trait]bool{}
+	}
+	for t := range suspects {
+		c.seenHere[t] = true
+	}
+}
+
 // countKind returns the number of suspects of the same kind as t.
 func (c *crash) countKind(t Trait) int {
 	count := 0
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -148,6 +148,7 @@
 	if s.RevocationBound > 0 {
 		n.relay.StalenessLimits = relay.StalenessLimits{Send: s.RevocationBound - stopSendingMargin, Wait: s.RevocationBound - cancelWaitingMargin}
 	}
+	n.relay.Crashes.RelaysPeers = n.mesh.UsesSummaries
 	n.relay.SetMetrics(metrics)
 	n.leases = &lease.Manager{
 		Store: platform.Store, Node: s.Node, Log: logger.Part("lease"), ShouldContend: n.isLeaseContender,
