--- a/rudder/relay/crash_test.go
+++ b/rudder/relay/crash_test.go
@@ -61,36 +61,21 @@
 }
 
 // crashingServers adds backend servers that end like a crashed process, after the begin of the response that respond writes,
-// when they run a request with the prompt part "bad". They complete other requests. It returns the number of requests with that part that
-// servers received, and the number of servers that crashed.
+// when they run a request with the prompt part "bad". They complete other requests. It returns the number of requests with that
+// part that servers received, and the number of servers that crashed.
 func (h *harness) crashingServers(count int, respond func(conn net.Conn, r *http.Request)) (received, crashed *atomic.Int64) {
 	received, crashed = &atomic.Int64{}, &atomic.Int64{}
 	for i := range count {
-		name := fmt.Sprint("b", i)
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			h.t.Fatal(err)
-		}
-		h.t.Cleanup(func() { listener.Close() })
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				go h.serve(conn, name, func(conn net.Conn, r *http.Request) bool {
-					if !strings.Contains(r.Header.Get("X-Rudder-Prefix"), "bad:") {
-						return sendEvents(conn, r, 1, 3, true)
-					}
-					received.Add(1)
-					listener.Close() // a crashed process accepts no connections
-					crashed.Add(1)
-					respond(conn, r)
-					return false
-				})
+		h.crashableServer(fmt.Sprint("b", i), func(conn net.Conn, r *http.Request, crash func()) bool {
+			if !strings.Contains(r.Header.Get("X-Rudder-Prefix"), "bad:") {
+				return sendEvents(conn, r, 1, 3, true)
 			}
-		}()
-		h.server.Backends.Put(backend.Entry{ID: name, Service: "s", Address: listener.Addr().String(), Slots: 8})
+			received.Add(1)
+			crash()
+			crashed.Add(1)
+			respond(conn, r)
+			return false
+		})
 	}
 	return received, crashed
 }
--- a/rudder/relay/harness_test.go
+++ b/rudder/relay/harness_test.go
@@ -79,19 +79,27 @@
 // backendServer adds a backend server that handles its requests with handle. If handle returns false, the connection is
 // closed.
 func (h *harness) backendServer(name string, handle func(conn net.Conn, r *http.Request) bool) {
+	h.t.Helper()
+	h.crashableServer(name, func(conn net.Conn, r *http.Request, _ func()) bool { return handle(conn, r) })
+}
+
+// crashableServer is a backendServer whose handle can call crash: like a crashed process, it accepts no connections from then
+// on.
+func (h *harness) crashableServer(name string, handle func(conn net.Conn, r *http.Request, crash func()) bool) {
 	h.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	h.t.Cleanup(func() { listener.Close() })
+	crash := func() { listener.Close() }
+	h.t.Cleanup(crash)
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go h.serve(conn, name, handle)
+			go h.serve(conn, name, func(conn net.Conn, r *http.Request) bool { return handle(conn, r, crash) })
 		}
 	}()
 	h.server.Backends.Put(backend.Entry{ID: name, Service: "s", Address: listener.Addr().String(), Slots: 8})
--- a/rudder/relay/unframed_test.go
+++ b/rudder/relay/unframed_test.go
@@ -5,34 +5,18 @@
 	"net"
 	"net/http"
 	"testing"
-
-	"chestnutrudder.example/rudder/backend"
 )
 
 // crashingBackendServer adds a backend server that closes the connection in an orderly way after each response. If handle
 // returns true, it ends then like a crashed process: it accepts no connections any more.
 func (h *harness) crashingBackendServer(name string, handle func(conn net.Conn, r *http.Request) (crashes bool)) {
 	h.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		h.t.Fatal(err)
-	}
-	h.t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			h.serve(conn, name, func(conn net.Conn, r *http.Request) bool {
-				if handle(conn, r) {
-					listener.Close()
-				}
-				return false
-			})
+	h.crashableServer(name, func(conn net.Conn, r *http.Request, crash func()) bool {
+		if handle(conn, r) {
+			crash()
 		}
-	}()
-	h.server.Backends.Put(backend.Entry{ID: name, Service: "s", Address: listener.Addr().String(), Slots: 8})
+		return false
+	})
 }
 
 // sendUnframed writes a response without a length, which ends with its connection.
