Say in the comments of digests and reports what they hold of crashes

Cause: two comments still told that a node reports all that it knows of crashes; since it reports what it saw itself, unless it relays. Found on reading the change.

Result: comments only; make lint and the tests of reports pass.

--- a/rudder/culprit/report.go
+++ b/rudder/culprit/report.go
@@ -13,8 +13,8 @@
 // into a datagram.
 const defaultMaxReportedTraits = 256
 
-// Report holds what a node has seen of crashes, and the quarantines that it knows, for its peers. Points in time are given as
-// ages.
+// Report holds what a node has seen of crashes, with List.RelaysPeers also what it has heard, and the quarantines that it
+// knows, for its peers. Points in time are given as ages.
 type Report struct {
 	_           struct{} `cbor:",toarray"`
 	Crashes     []CrashReport
--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -56,7 +56,8 @@
 	IsBrief bool `cbor:"20,keyasint,omitempty"`
 	// Summary is set in a brief digest that also tells about the other nodes of the sender's failure domain.
 	Summary *Summary `cbor:"21,keyasint,omitempty"`
-	// Crashes holds the crashes of backend servers and the quarantines that the sender knows of.
+	// Crashes holds the crashes of backend servers that the sender saw, where summaries are used also those that it heard of,
+	// and the quarantines that it knows.
 	Crashes *culprit.Report `cbor:"22,keyasint,omitempty"`
 	// ServerLimits holds the limits of requests that backend servers name, as far as the sender knows.
 	ServerLimits []backend.LimitReport `cbor:"23,keyasint,omitempty"`
