--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -414,7 +414,7 @@
 		}
 	}
 	if s.isUnlisted && s.ownLoad.running == 0 && t.servers[s.ID] == s {
-		delete(t.servers, s.ID)
+		t.forget(s.ID, s)
 	}
 }
 
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -78,9 +79,20 @@
 	nodes     []Node                   // among which the limits of servers are divided
 	// hasUrgentLimit is true if a response to this node has changed a limit since the last report.
 	hasUrgentLimit bool
-	firstListedAt  time.Time // when Replace first received a listing
+	firstListedAt  time.Time            // when Replace first received a listing
+	departures     map[string]departure // by server ID
 }
 
+// departure is the removal of a server that the table has forgotten since.
+type departure struct {
+	startUnixMillis int64
+	at              time.Time
+}
+
+// departureRetention is how long a removed server is remembered. The registry may be restored from a copy that is some
+// seconds old and lists it again.
+const departureRetention = time.Minute
+
 // peerReport is the last report of a peer: its load at each backend server.
 type peerReport struct {
 	receivedAt time.Time
@@ -112,7 +124,7 @@
 func NewTable(dialTimeout time.Duration, log *slog.Logger) *Table {
 	return &Table{
 		DialTimeout: dialTimeout, Log: log,
-		servers: map[string]*Server{}, peerLoads: map[string]peerReport{},
+		servers: map[string]*Server{}, peerLoads: map[string]peerReport{}, departures: map[string]departure{},
 		prefixes: newPrefixIndex(), models: map[string]*latencyModel{}, demands: map[string]*demand{},
 	}
 }
@@ -136,6 +148,33 @@
 	}
 }
 
+// ReplaceAfterRestore sets the table to a listing of a registry that was restored from an older copy. What is known of the
+// same incarnation of a server and is newer stays: a draining server goes on draining, and one that was removed is not added
+// again. It returns the entries of the latter, and the IDs of the servers that the listing lacks, which stay in the table.
+func (t *Table) ReplaceAfterRestore(entries []Entry) (unlisted []string, departed []Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := map[string]bool{}
+	for _, e := range entries {
+		listed[e.ID] = true
+		s, found := t.servers[e.ID]
+		isKnown := found && s.StartUnixMillis == e.StartUnixMillis
+		d, hasDeparted := t.departures[e.ID]
+		if isKnown && s.isUnlisted || !found && hasDeparted && d.startUnixMillis == e.StartUnixMillis {
+			departed = append(departed, e)
+			continue
+		}
+		e.Draining = e.Draining || isKnown && s.Draining
+		t.put(e)
+	}
+	for id, s := range t.servers {
+		if !listed[id] && !s.isUnlisted {
+			unlisted = append(unlisted, id)
+		}
+	}
+	return unlisted, departed
+}
+
 // Put adds or updates one entry. An entry whose start time is older than the known one of the same server is ignored.
 func (t *Table) Put(e Entry) {
 	t.mu.Lock()
@@ -184,6 +223,7 @@
 		s = &Server{Pool: &upstream.Pool{Address: e.Address, DialTimeout: t.DialTimeout}}
 		s.idHash = xxhash.Sum64String(e.ID)
 		t.servers[e.ID] = s
+		delete(t.departures, e.ID)
 		for _, r := range t.peerLoads {
 			if l, isReported := r.loads[e.ID]; isReported {
 				s.addPeerLoad(l, 1)
@@ -211,10 +251,16 @@
 	}
 	s.Pool.CloseIdle(0)
 	if s.ownLoad.running == 0 {
-		delete(t.servers, id)
+		t.forget(id, s)
 	}
 }
 
+// forget deletes a removed server without requests. The caller holds the lock.
+func (t *Table) forget(id string, s *Server) {
+	delete(t.servers, id)
+	t.departures[id] = departure{startUnixMillis: s.StartUnixMillis, at: s.leavingSince}
+}
+
 // incarnation identifies the server's process, on all nodes alike.
 func (s *Server) incarnation() uint64 { return mix(s.idHash ^ uint64(s.StartUnixMillis)) }
 
@@ -351,6 +397,7 @@
 	}
 	t.prefixes.evictExpired(time.Now())
 	t.dropExpiredPeerLoads(time.Now())
+	maps.DeleteFunc(t.departures, func(_ string, d departure) bool { return time.Since(d.at) > departureRetention })
 	t.mu.Unlock()
 	for _, p := range pools {
 		p.CloseIdle(idle)
--- a/rudder/claim/bucket.go
+++ b/rudder/claim/bucket.go
@@ -41,14 +41,14 @@
 	states         map[string]record // by key
 	lastSegment    segment           // the segment to append to
 	lastNumber     int64             // number of lastSegment
-	lastVersion    int64             // object version of lastSegment, AbsentVersion if it does not exist yet
+	lastVersion    objectapi.Version // object version of lastSegment, AbsentVersion if it does not exist yet
 	sealedSegments []sealedSegment
 }
 
 // sealedSegment holds what deleteExpiredSegments needs to know about a sealed segment.
 type sealedSegment struct {
 	number            int64
-	version           int64
+	version           objectapi.Version
 	newestUnixSeconds int64 // time of the newest record
 }
 
--- a/rudder/claim/claim_test.go
+++ b/rudder/claim/claim_test.go
@@ -59,7 +59,7 @@
 	return listing, nil
 }
 
-func (s *faultyStore) Put(_ context.Context, key string, value any, expected int64) (objectapi.Object, error) {
+func (s *faultyStore) Put(_ context.Context, key string, value any, expected objectapi.Version) (objectapi.Object, error) {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return objectapi.Object{}, err
@@ -87,25 +87,25 @@
 	return o, err
 }
 
-func (s *faultyStore) write(key string, raw []byte, expected int64) (objectapi.Object, error) {
+func (s *faultyStore) write(key string, raw []byte, expected objectapi.Version) (objectapi.Object, error) {
 	if expected != objectapi.AnyVersion && s.objects[key].Version != expected {
 		return objectapi.Object{}, objectapi.ErrConflict
 	}
 	s.versions[key]++
 	s.writeCount++
-	o := objectapi.Object{Key: key, Version: s.versions[key], Value: raw}
+	o := objectapi.Object{Key: key, Version: objectapi.Version{Number: s.versions[key]}, Value: raw}
 	s.objects[key] = o
 	return o, nil
 }
 
-func (s *faultyStore) Delete(_ context.Context, key string, _ int64) error {
+func (s *faultyStore) Delete(_ context.Context, key string, _ objectapi.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.objects, key)
 	return nil
 }
 
-func (s *faultyStore) Watch(context.Context, string, int64) (objectapi.Changes, error) {
+func (s *faultyStore) Watch(context.Context, string, objectapi.Version) (objectapi.Changes, error) {
 	return objectapi.Changes{}, objectapi.ErrUnavailable
 }
 
--- a/rudder/command/apply.go
+++ b/rudder/command/apply.go
@@ -14,30 +14,30 @@
 )
 
 type applyArguments struct {
-	File          []string `arg:"-f,--file,separate" help:"file with objects, - for standard input; may be repeated"`
-	ExpectVersion *int64   `arg:"--expect-version" help:"write only over this version (0: the object must not exist); for a single object"`
+	File          []string           `arg:"-f,--file,separate" help:"file with objects, - for standard input; may be repeated"`
+	ExpectVersion *objectapi.Version `arg:"--expect-version" help:"write only over this version (0: the object must not exist); for a single object"`
 }
 
 // objectResult is the outcome of the write or deletion of one object.
 type objectResult struct {
-	Object  string        `json:"object"`
-	Action  string        `json:"action"`            // created, updated, unchanged, deleted, conflict or failed
-	Version int64         `json:"version,omitempty"` // the stored one, or the deleted one; after a failure, the expected one
-	Changes []fieldChange `json:"changes,omitempty"` // on a conflict
-	Reason  string        `json:"reason,omitempty"`  // of a failure
+	Object  string            `json:"object"`
+	Action  string            `json:"action"`            // created, updated, unchanged, deleted, conflict or failed
+	Version objectapi.Version `json:"version,omitzero"`  // the stored one, or the deleted one; after a failure, the expected one
+	Changes []fieldChange     `json:"changes,omitempty"` // on a conflict
+	Reason  string            `json:"reason,omitempty"`  // of a failure
 }
 
 // conflictError means that the stored version of an object is not the expected one, so that nothing was written.
 type conflictError struct {
 	id              string
-	expectedVersion int64
-	currentVersion  int64 // 0 if the object does not exist
+	expectedVersion objectapi.Version
+	currentVersion  objectapi.Version // 0 if the object does not exist
 	changes         []fieldChange
 }
 
 func (e *conflictError) Error() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s: version: value %d, allowed: %d (the present one); nothing was written", e.id, e.expectedVersion, e.currentVersion)
+	fmt.Fprintf(&text, "%s: version: value %s, allowed: %s (the present one); nothing was written", e.id, e.expectedVersion, e.currentVersion)
 	for _, c := range e.changes {
 		fmt.Fprintf(&text, "\n  %s: present %s, yours %s", c.Field, c.Current, c.Requested)
 	}
@@ -122,13 +122,15 @@
 
 // describeConflict reads the stored object and compares it with the rejected write. It returns a conflict with an error,
 // too; the conflict then lacks the stored version or the changes.
-func (env *environment) describeConflict(ctx context.Context, key, id string, requested []byte, expected int64) (*conflictError, error) {
+func (env *environment) describeConflict(ctx context.Context, key, id string, requested []byte, expected objectapi.Version) (*conflictError, error) {
 	conflict := &conflictError{id: id, expectedVersion: expected}
 	current, err := env.store.Get(ctx, key)
 	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return conflict, err
 	}
-	conflict.currentVersion = current.Version
+	if err == nil {
+		conflict.currentVersion = current.Version
+	}
 	conflict.changes, err = diffFields(current.Value, requested)
 	return conflict, err
 }
--- a/rudder/command/command_test.go
+++ b/rudder/command/command_test.go
@@ -132,8 +132,8 @@
 		s.runWithStore(serviceManifests, "apply", "-f", "-")
 		s.runWithStore(fmt.Sprintf(organisationManifest, 1), "apply", "-f", "-")
 		ready := 1
-		s.put("status/Deployment/shop", object.Status{ObservedVersion: 1, Accepted: true, Revision: 3, ReadyRunners: &ready})
-		s.put("status/Route/shop", object.Status{ObservedVersion: 1, Reason: "route.service: taken"})
+		s.put("status/Deployment/shop", object.Status{ObservedVersion: objectapi.Version{Number: 1}, Accepted: true, Revision: 3, ReadyRunners: &ready})
+		s.put("status/Route/shop", object.Status{ObservedVersion: objectapi.Version{Number: 1}, Reason: "route.service: taken"})
 		s.put("status/Route/gone", object.Status{Reason: "still referred to", Revision: 2})
 		s.put(revision.PointerKey, revision.Pointer{Number: 4})
 		s.runWithStore("", "status")
--- a/rudder/command/delete.go
+++ b/rudder/command/delete.go
@@ -11,8 +11,8 @@
 )
 
 type deleteArguments struct {
-	Object        []string `arg:"positional,required" help:"Kind/name"`
-	ExpectVersion *int64   `arg:"--expect-version" help:"delete only this version; for a single object"`
+	Object        []string           `arg:"positional,required" help:"Kind/name"`
+	ExpectVersion *objectapi.Version `arg:"--expect-version" help:"delete only this version; for a single object"`
 }
 
 // run deletes objects with the versions that it read before as the expected versions. It deletes nothing if an object does
@@ -81,7 +81,7 @@
 // deleteVersion deletes an object if it has the given version. If the outcome is unknown because the response was lost, it
 // reads the object: if there is none, the deletion has succeeded; if the version is still stored, the deletion is sent
 // again, which is safe because versions are never reused.
-func (env *environment) deleteVersion(ctx context.Context, id string, version int64) error {
+func (env *environment) deleteVersion(ctx context.Context, id string, version objectapi.Version) error {
 	key := object.SpecPrefix + id
 	err := env.store.Delete(ctx, key, version)
 	if errors.Is(err, objectapi.ErrOutcomeUnknown) {
--- a/rudder/command/get.go
+++ b/rudder/command/get.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sort"
-	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -55,7 +54,7 @@
 	if err != nil {
 		return errors.Wrap(err, s.Object.ID())
 	}
-	leaves["version"] = strconv.FormatInt(s.Version, 10)
+	leaves["version"] = s.Version.String()
 	rows := make([][]string, 0, len(leaves))
 	for field, value := range leaves {
 		rows = append(rows, []string{field, value})
--- a/rudder/command/objects.go
+++ b/rudder/command/objects.go
@@ -68,9 +68,9 @@
 
 // storedObject is the spec of an object with its version in the object API.
 type storedObject struct {
-	Version int64           `json:"version"`
-	Object  object.Object   `json:"object"`
-	raw     json.RawMessage // as stored; empty if the object does not exist or was not read
+	Version objectapi.Version `json:"version"`
+	Object  object.Object     `json:"object"`
+	raw     json.RawMessage   // as stored; empty if the object does not exist or was not read
 }
 
 // readSpecs reads the specs of all objects and returns them by ID. A spec that cannot be decoded is kept with its kind and
--- a/rudder/command/status.go
+++ b/rudder/command/status.go
@@ -19,10 +19,10 @@
 
 // objectStatus is the status of one object, printed as one row.
 type objectStatus struct {
-	Object  string         `json:"object"`
-	Version int64          `json:"version"` // of the spec; 0 if the object was deleted but is still in force
-	State   string         `json:"state"`   // accepted, refused, or pending if the version has no status yet
-	Status  *object.Status `json:"status,omitempty"`
+	Object  string            `json:"object"`
+	Version objectapi.Version `json:"version"` // of the spec; 0 if the object was deleted but is still in force
+	State   string            `json:"state"`   // accepted, refused, or pending if the version has no status yet
+	Status  *object.Status    `json:"status,omitempty"`
 }
 
 // run prints for each object whether its stored version is accepted and the first revision that contains its version in
@@ -116,9 +116,9 @@
 
 // statusText returns a status as one line of text.
 func statusText(s object.Status) string {
-	text := fmt.Sprintf("version %d accepted, in force since revision %d", s.ObservedVersion, s.Revision)
+	text := fmt.Sprintf("version %s accepted, in force since revision %d", s.ObservedVersion, s.Revision)
 	if !s.Accepted {
-		text = fmt.Sprintf("version %d refused: %s", s.ObservedVersion, s.Reason)
+		text = fmt.Sprintf("version %s refused: %s", s.ObservedVersion, s.Reason)
 	}
 	if s.ReadyRunners != nil {
 		text += fmt.Sprintf(", %d ready runners", *s.ReadyRunners)
--- a/rudder/command/watch.go
+++ b/rudder/command/watch.go
@@ -17,11 +17,11 @@
 
 // event is a change of a spec or status, or its state when the watch begins.
 type event struct {
-	Type    string          `json:"type"`   // spec or status; empty for other keys
-	Action  string          `json:"action"` // present, written or deleted
-	Object  string          `json:"object"`
-	Version int64           `json:"version"`
-	Value   json.RawMessage `json:"value"`
+	Type    string            `json:"type"`   // spec or status; empty for other keys
+	Action  string            `json:"action"` // present, written or deleted
+	Object  string            `json:"object"`
+	Version objectapi.Version `json:"version"`
+	Value   json.RawMessage   `json:"value"`
 }
 
 // run prints the stored specs and statuses and then each change, one line each, until the requested number of lines is
@@ -34,7 +34,7 @@
 		return err
 	}
 	printedCount := 0
-	revision, printedVersions := int64(-1), map[string]int64{}
+	revision, printedVersions := objectapi.UnknownRevision, map[string]objectapi.Version{}
 	for ctx.Err() == nil && !a.hasReachedCount(printedCount) {
 		events, nextRevision, err := a.nextEvents(ctx, env, revision)
 		if ctx.Err() != nil {
@@ -71,16 +71,19 @@
 const watchPrefix = "s"
 
 // nextEvents waits for the changes after a revision and returns them with the revision to watch from next. If the revision
-// is negative, or the object API no longer has the history since then, it returns all stored specs and statuses instead.
-func (a *watchArguments) nextEvents(ctx context.Context, env *environment, revision int64) ([]event, int64, error) {
+// is objectapi.UnknownRevision, or the object API no longer has the history since then, it returns all stored specs and statuses instead.
+func (a *watchArguments) nextEvents(ctx context.Context, env *environment, revision objectapi.Version) ([]event, objectapi.Version, error) {
 	var events []event
-	if revision >= 0 {
+	if revision != objectapi.UnknownRevision {
 		changes, err := env.store.Watch(ctx, watchPrefix, revision)
 		if err != nil || !changes.Reset {
 			for _, e := range changes.Events {
 				events = append(events, newEvent(e))
 			}
-			return events, max(changes.Revision, revision), err
+			if err != nil {
+				return events, revision, err
+			}
+			return events, changes.Revision, nil
 		}
 	}
 	listing, err := env.store.List(ctx, watchPrefix)
@@ -122,6 +125,6 @@
 		_ = json.Unmarshal(e.Value, &s)
 		text = statusText(s)
 	}
-	_, err := fmt.Fprintf(env.stdout, "%-7s %-8s %s version %d: %s\n", e.Type, e.Action, e.Object, e.Version, text)
+	_, err := fmt.Fprintf(env.stdout, "%-7s %-8s %s version %s: %s\n", e.Type, e.Action, e.Object, e.Version, text)
 	return err
 }
--- a/rudder/fleet/notices.go
+++ b/rudder/fleet/notices.go
@@ -148,10 +148,10 @@
 
 // watchObjects reads notices from the object API while this node does taskWatchNotices for its failure domain.
 func (n *NoticeDistributor) watchObjects(ctx context.Context) {
-	afterRevision := int64(-1)
+	afterRevision := objectapi.UnknownRevision
 	for ctx.Err() == nil {
 		if !n.Members.IsResponsibleFor(taskWatchNotices) {
-			afterRevision = -1
+			afterRevision = objectapi.UnknownRevision
 			sleep.For(ctx, responsibilityCheckInterval)
 			continue
 		}
@@ -164,10 +164,10 @@
 	}
 }
 
-// listOrWatchObjects lists the notices if afterRevision is negative, else waits for changes after that revision. It
-// returns the revision to continue from, -1 to list again.
-func (n *NoticeDistributor) listOrWatchObjects(ctx context.Context, afterRevision int64) (int64, error) {
-	if afterRevision < 0 {
+// listOrWatchObjects lists the notices if afterRevision is objectapi.UnknownRevision, else waits for changes after that revision. It
+// returns the revision to continue from, objectapi.UnknownRevision to list again.
+func (n *NoticeDistributor) listOrWatchObjects(ctx context.Context, afterRevision objectapi.Version) (objectapi.Version, error) {
+	if afterRevision == objectapi.UnknownRevision {
 		listing, err := n.Store.List(ctx, noticeKeyPrefix)
 		if err != nil {
 			return afterRevision, err
@@ -182,7 +182,7 @@
 		return afterRevision, err
 	}
 	if changes.Reset {
-		return -1, nil
+		return objectapi.UnknownRevision, nil
 	}
 	for _, event := range changes.Events {
 		if !event.Deleted {
--- a/rudder/lease/contender.go
+++ b/rudder/lease/contender.go
@@ -19,7 +19,7 @@
 
 	lease *Lease // nil while this process does not hold the lease
 	// The record as this process last read or wrote it, and when it was first observed in this state.
-	version     int64
+	version     objectapi.Version
 	record      record
 	observedAt  time.Time
 	hasObserved bool
--- a/rudder/lease/lease_test.go
+++ b/rudder/lease/lease_test.go
@@ -40,7 +40,7 @@
 	self       int
 }
 
-func (s faultyStore) Put(ctx context.Context, key string, value any, expected int64) (objectapi.Object, error) {
+func (s faultyStore) Put(ctx context.Context, key string, value any, expected objectapi.Version) (objectapi.Object, error) {
 	sim := s.simulation
 	fault := rapid.SampledFrom([]string{"none", "none", "lost", "delayed", "down", "paused before", "paused after"}).Draw(sim.t, "fault")
 	switch fault {
--- a/rudder/membership/discovery.go
+++ b/rudder/membership/discovery.go
@@ -22,7 +22,7 @@
 // node is responsible for its failure domain, it also watches those objects and deletes the ones of dead neighbours.
 func (e *Exchanger) syncNodeObjects(ctx context.Context) {
 	isRegistered := false
-	afterRevision := int64(-1)
+	afterRevision := objectapi.UnknownRevision
 	for ctx.Err() == nil {
 		select {
 		case <-e.reregister:
@@ -32,19 +32,19 @@
 		switch {
 		case !isRegistered:
 			isRegistered = e.registerSelf(ctx)
-			if isRegistered && afterRevision < 0 {
+			if isRegistered && afterRevision == objectapi.UnknownRevision {
 				afterRevision = e.listNodeObjects(ctx)
 			}
 			if !isRegistered {
 				wait(ctx, objectRetryDelay, nil)
 			}
 		case !e.Table.IsResponsibleFor(taskWatchNodes):
-			afterRevision = -1
+			afterRevision = objectapi.UnknownRevision
 			wait(ctx, heartbeatInterval, e.reregister)
 			isRegistered = isRegistered && len(e.reregister) == 0
-		case afterRevision < 0:
+		case afterRevision == objectapi.UnknownRevision:
 			afterRevision = e.listNodeObjects(ctx)
-			if afterRevision < 0 {
+			if afterRevision == objectapi.UnknownRevision {
 				wait(ctx, objectRetryDelay, nil)
 			}
 		default:
@@ -70,13 +70,13 @@
 	return true
 }
 
-// listNodeObjects merges the nodes that are registered in the object API and returns the revision to watch from, or -1 on an
-// error.
-func (e *Exchanger) listNodeObjects(ctx context.Context) int64 {
+// listNodeObjects merges the nodes that are registered in the object API and returns the revision to watch from, or
+// objectapi.UnknownRevision on an error.
+func (e *Exchanger) listNodeObjects(ctx context.Context) objectapi.Version {
 	listing, err := e.Store.List(ctx, nodeObjectPrefix)
 	if err != nil {
 		e.Log.Warn("Failed to list the nodes in the object API.", "error", err)
-		return -1
+		return objectapi.UnknownRevision
 	}
 	for _, o := range listing.Objects {
 		e.mergeNodeObject(o)
@@ -85,15 +85,15 @@
 }
 
 // watchNodeObjects waits for changes of node objects after a revision and merges them. It returns the revision to watch from
-// next, or -1 if the objects must be listed again.
-func (e *Exchanger) watchNodeObjects(ctx context.Context, after int64) int64 {
+// next, or objectapi.UnknownRevision if the objects must be listed again.
+func (e *Exchanger) watchNodeObjects(ctx context.Context, after objectapi.Version) objectapi.Version {
 	changes, err := e.Store.Watch(ctx, nodeObjectPrefix, after)
 	if err != nil {
 		wait(ctx, objectRetryDelay, nil)
 		return after
 	}
 	if changes.Reset {
-		return -1
+		return objectapi.UnknownRevision
 	}
 	for _, event := range changes.Events {
 		if !event.Deleted {
--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -5,6 +5,7 @@
 
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/culprit"
+	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/quota"
 	"chestnutrudder.example/rudder/usage"
 )
@@ -72,18 +73,18 @@
 
 // RegistryDelta holds the latest changes that a node knows in the platform's registry of backend servers.
 type RegistryDelta struct {
-	_             struct{} `cbor:",toarray"`
-	FromRevision  int64    // Changes are all changes after this revision
-	Revision      int64    // up to and including this one; 0 if none is known
-	AgeMillis     int64    // since Revision was known to be the newest
-	CallAgeMillis int64    // since the sender's last answered call to the object API
+	_             struct{}          `cbor:",toarray"`
+	FromRevision  objectapi.Version // Changes are all changes after this revision
+	Revision      objectapi.Version // up to and including this one; zero if none is known
+	AgeMillis     int64             // since Revision was known to be the newest
+	CallAgeMillis int64             // since the sender's last answered call to the object API
 	Changes       []RegistryChange
 }
 
 // RegistryChange is the addition, update or removal of one backend server in the registry.
 type RegistryChange struct {
-	_        struct{} `cbor:",toarray"`
-	Revision int64    // of the answer in which the sender received the change
+	_        struct{}          `cbor:",toarray"`
+	Revision objectapi.Version // of the answer in which the sender received the change
 	Server   backend.Entry
 	Removed  bool // Server holds only the ID
 }
--- a/rudder/objectapi/client.go
+++ b/rudder/objectapi/client.go
@@ -27,6 +27,9 @@
 	maxResponseBytes   = 64 << 20
 )
 
+// EpochHeader is the header that holds the epoch in a response without an object.
+const EpochHeader = "Object-Api-Epoch"
+
 // Client is a Store that calls the object API over HTTP.
 type Client struct {
 	baseURL   string
@@ -76,7 +79,7 @@
 }
 
 // Put implements Store. If the response to a write is lost, Put reads the object back and looks for the token of the write.
-func (c *Client) Put(ctx context.Context, key string, value any, expectedVersion int64) (Object, error) {
+func (c *Client) Put(ctx context.Context, key string, value any, expectedVersion Version) (Object, error) {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return Object{}, errors.Wrapf(err, "encode %q", key)
@@ -107,10 +110,12 @@
 		switch {
 		case err == nil && current.Token == body.Token:
 			return current, nil
+		case err == nil && body.Expected != AnyVersion && current.Version.Epoch > body.Expected.Epoch && body.Expected != AbsentVersion:
+			return Object{}, ErrConflict // a write that expects a version of an earlier epoch is rejected
 		case err == nil && current.Version != body.Expected && body.Expected != AnyVersion:
 			// Another writer has changed the object. Either the lost write was rejected, or it took effect and was
 			// overwritten. Versions increase by one, so only the next version proves that it was rejected.
-			if current.Version == body.Expected+1 {
+			if current.Version == (Version{Epoch: body.Expected.Epoch, Number: body.Expected.Number + 1}) {
 				return Object{}, ErrConflict
 			}
 			return Object{}, ErrOutcomeUnknown
@@ -129,16 +134,16 @@
 }
 
 // Delete implements Store.
-func (c *Client) Delete(ctx context.Context, key string, expectedVersion int64) error {
+func (c *Client) Delete(ctx context.Context, key string, expectedVersion Version) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	path := fmt.Sprintf("/v1/objects/%s?expected=%d", key, expectedVersion)
+	path := fmt.Sprintf("/v1/objects/%s?expected=%s", key, expectedVersion)
 	return errors.Wrapf(c.call(ctx, "delete", http.MethodDelete, path, nil, nil), "delete %q", key)
 }
 
 // Watch implements Store. It waits for up to maxWatchWait. If ctx has a deadline, the object API is asked to respond
 // callTimeout before it, but not in less than a second: the response shows that the connection still works.
-func (c *Client) Watch(ctx context.Context, prefix string, afterRevision int64) (Changes, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, afterRevision Version) (Changes, error) {
 	wait := maxWatchWait
 	if deadline, found := ctx.Deadline(); found {
 		wait = min(wait, max(time.Until(deadline)-callTimeout, time.Second).Round(time.Second))
@@ -147,7 +152,7 @@
 	defer cancel()
 	query := url.Values{
 		"prefix":       {prefix},
-		"after":        {strconv.FormatInt(afterRevision, 10)},
+		"after":        {afterRevision.String()},
 		"wait_seconds": {strconv.Itoa(int(wait / time.Second))},
 	}
 	var changes Changes
@@ -175,6 +180,10 @@
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
+		if o, isObject := out.(*Object); isObject {
+			// The header may be missing in epoch 0.
+			o.Version.Epoch, _ = strconv.ParseInt(response.Header.Get(EpochHeader), 10, 64)
+		}
 		return ErrNotFound
 	case http.StatusConflict, http.StatusPreconditionFailed:
 		return ErrConflict
--- a/rudder/objectapi/objectapi.go
+++ b/rudder/objectapi/objectapi.go
@@ -14,18 +14,23 @@
 const MaxValueBytes = 1 << 20
 
 // Special values of an expected version.
-const (
+var (
 	// AbsentVersion means that the key must not exist.
-	AbsentVersion int64 = 0
+	AbsentVersion = Version{}
 	// AnyVersion means that the write is unconditional.
-	AnyVersion int64 = -1
+	AnyVersion = Version{Number: -1}
 )
 
+// UnknownRevision stands for the revision to watch from while the objects must be listed first.
+var UnknownRevision = Version{Number: -1}
+
 // Errors of a Store. They may be wrapped.
 var (
 	// ErrNotFound means that the key does not exist.
 	ErrNotFound = errors.New("object does not exist")
-	// ErrConflict means that the object does not have the expected version; nothing was written.
+	// ErrConflict means that the object does not have the expected version; nothing was written. It is also returned if the
+	// expected version is of an earlier epoch: its number may have been given out again, and the write may then have replaced
+	// what another writer wrote since. The object must be read again in any case.
 	ErrConflict = errors.New("object has another version")
 	// ErrUnavailable means that the object API could not be reached or rejected the call; a write did not take effect.
 	ErrUnavailable = errors.New("object API is unavailable")
@@ -36,14 +41,14 @@
 // Object is one versioned value.
 type Object struct {
 	Key     string          `json:"key"`
-	Version int64           `json:"version"`
+	Version Version         `json:"version"`
 	Token   string          `json:"token"` // unique token of the last write
 	Value   json.RawMessage `json:"value"`
 }
 
 // Listing is a consistent snapshot of objects at a revision of the store.
 type Listing struct {
-	Revision int64    `json:"revision"`
+	Revision Version  `json:"revision"`
 	Objects  []Object `json:"objects"`
 }
 
@@ -55,30 +60,31 @@
 
 // Changes holds the events after a revision; no events mean that the wait ended without a change.
 type Changes struct {
-	Revision int64   `json:"revision"` // up to which the events are complete; pass it to the next watch
+	Revision Version `json:"revision"` // up to which the events are complete; pass it to the next watch
 	Events   []Event `json:"events"`
-	// Reset means that the store no longer has the history since the requested revision: the caller must list again.
+	// Reset means that the store no longer has the history since the requested revision, or was restored from an older copy
+	// since: the caller must list again.
 	Reset bool `json:"reset"`
 }
 
 // Store gives access to the object API. Calls return ErrUnavailable if the object API cannot be reached.
 type Store interface {
-	// Get returns the object or ErrNotFound.
+	// Get returns the object, or ErrNotFound with an object that holds nothing but the epoch in its version.
 	Get(ctx context.Context, key string) (Object, error)
 	// List returns all objects whose key starts with prefix.
 	List(ctx context.Context, prefix string) (Listing, error)
 	// Put writes value as JSON if the object has the expected version (AbsentVersion, AnyVersion or a version), and returns
 	// the new object. It returns ErrConflict, ErrUnavailable (not written) or ErrOutcomeUnknown.
-	Put(ctx context.Context, key string, value any, expectedVersion int64) (Object, error)
+	Put(ctx context.Context, key string, value any, expectedVersion Version) (Object, error)
 	// Delete removes the object if it has the expected version. It returns ErrNotFound or the errors of Put.
-	Delete(ctx context.Context, key string, expectedVersion int64) error
+	Delete(ctx context.Context, key string, expectedVersion Version) error
 	// Watch waits for changes after a revision to objects whose key starts with prefix, for a limited time.
-	Watch(ctx context.Context, prefix string, afterRevision int64) (Changes, error)
+	Watch(ctx context.Context, prefix string, afterRevision Version) (Changes, error)
 }
 
 // PutBody is the body of a PUT request.
 type PutBody struct {
-	Expected int64           `json:"expected"`
+	Expected Version         `json:"expected"`
 	Token    string          `json:"token"`
 	Value    json.RawMessage `json:"value"`
 }
--- a/rudder/objectapi/objectapitest/memory.go
+++ b/rudder/objectapi/objectapitest/memory.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -22,13 +24,58 @@
 	// lost.
 	AfterWrite func(kind, key string) error
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	state
+	epoch   int64 // versions are stored without it
+	changed chan struct{}
+	calls   map[string]int
+}
+
+// state is what a copy of the store holds.
+type state struct {
 	revision int64
 	objects  map[string]objectapi.Object
 	versions map[string]int64  // last version of each key, including deleted ones
 	events   []objectapi.Event // the event of revision n has index n-1
-	changed  chan struct{}
-	calls    map[string]int
+}
+
+// Copy returns a copy of the store for Restore.
+func (m *MemoryStore) Copy() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.clone()
+}
+
+// Restore replaces the contents by those of a copy and begins a new epoch.
+func (m *MemoryStore) Restore(storeCopy any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = storeCopy.(state).clone()
+	m.epoch++
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (s state) clone() state {
+	return state{revision: s.revision, objects: maps.Clone(s.objects), versions: maps.Clone(s.versions), events: slices.Clone(s.events)}
+}
+
+// stamp returns the object with the epoch in its version. The caller holds mu.
+func (m *MemoryStore) stamp(o objectapi.Object) objectapi.Object {
+	o.Version.Epoch = m.epoch
+	return o
+}
+
+// hasVersion reports whether the object has the expected version. The caller holds mu.
+func (m *MemoryStore) hasVersion(key string, expected objectapi.Version) bool {
+	o, found := m.objects[key]
+	switch expected {
+	case objectapi.AnyVersion:
+		return true
+	case objectapi.AbsentVersion:
+		return !found
+	}
+	return found && m.stamp(o).Version == expected
 }
 
 var _ objectapi.Store = (*MemoryStore)(nil)
@@ -36,7 +83,7 @@
 // NewMemoryStore returns an empty store.
 func NewMemoryStore() *MemoryStore {
 	return &MemoryStore{
-		objects: map[string]objectapi.Object{}, versions: map[string]int64{}, changed: make(chan struct{}), calls: map[string]int{},
+		state: state{objects: map[string]objectapi.Object{}, versions: map[string]int64{}}, changed: make(chan struct{}), calls: map[string]int{},
 	}
 }
 
@@ -73,9 +120,9 @@
 	defer m.mu.Unlock()
 	o, found := m.objects[key]
 	if !found {
-		return o, objectapi.ErrNotFound
+		return m.stamp(o), objectapi.ErrNotFound
 	}
-	return o, nil
+	return m.stamp(o), nil
 }
 
 // List implements objectapi.Store.
@@ -85,10 +132,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	listing := objectapi.Listing{Revision: m.revision}
+	listing := objectapi.Listing{Revision: objectapi.Version{Epoch: m.epoch, Number: m.revision}}
 	for key, o := range m.objects {
 		if strings.HasPrefix(key, prefix) {
-			listing.Objects = append(listing.Objects, o)
+			listing.Objects = append(listing.Objects, m.stamp(o))
 		}
 	}
 	sort.Slice(listing.Objects, func(i, j int) bool { return listing.Objects[i].Key < listing.Objects[j].Key })
@@ -96,7 +143,7 @@
 }
 
 // Put implements objectapi.Store.
-func (m *MemoryStore) Put(_ context.Context, key string, value any, expectedVersion int64) (objectapi.Object, error) {
+func (m *MemoryStore) Put(_ context.Context, key string, value any, expectedVersion objectapi.Version) (objectapi.Object, error) {
 	if err := m.beforeCall("put", key); err != nil {
 		return objectapi.Object{}, err
 	}
@@ -112,21 +159,21 @@
 }
 
 // put stores raw under key if the object has the expected version.
-func (m *MemoryStore) put(key string, raw json.RawMessage, expectedVersion int64) (objectapi.Object, error) {
+func (m *MemoryStore) put(key string, raw json.RawMessage, expectedVersion objectapi.Version) (objectapi.Object, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if expectedVersion != objectapi.AnyVersion && expectedVersion != m.objects[key].Version {
+	if !m.hasVersion(key, expectedVersion) {
 		return objectapi.Object{}, objectapi.ErrConflict
 	}
 	m.versions[key]++
-	o := objectapi.Object{Key: key, Version: m.versions[key], Token: uuid.NewString(), Value: raw}
+	o := objectapi.Object{Key: key, Version: objectapi.Version{Epoch: m.epoch, Number: m.versions[key]}, Token: uuid.NewString(), Value: raw}
 	m.objects[key] = o
 	m.appendEvent(objectapi.Event{Object: o})
 	return o, nil
 }
 
 // Delete implements objectapi.Store.
-func (m *MemoryStore) Delete(_ context.Context, key string, expectedVersion int64) error {
+func (m *MemoryStore) Delete(_ context.Context, key string, expectedVersion objectapi.Version) error {
 	if err := m.beforeCall("delete", key); err != nil {
 		return err
 	}
@@ -136,7 +183,7 @@
 		m.mu.Unlock()
 		return objectapi.ErrNotFound
 	}
-	if expectedVersion != objectapi.AnyVersion && expectedVersion != o.Version {
+	if !m.hasVersion(key, expectedVersion) {
 		m.mu.Unlock()
 		return objectapi.ErrConflict
 	}
@@ -156,15 +203,21 @@
 
 // Watch implements objectapi.Store. It waits until there is an event, or until ctx ends; then it returns no events and no
 // error.
-func (m *MemoryStore) Watch(ctx context.Context, prefix string, afterRevision int64) (objectapi.Changes, error) {
+func (m *MemoryStore) Watch(ctx context.Context, prefix string, afterRevision objectapi.Version) (objectapi.Changes, error) {
 	if err := m.beforeCall("watch", prefix); err != nil {
 		return objectapi.Changes{}, err
 	}
 	for {
 		m.mu.Lock()
-		changes := objectapi.Changes{Revision: m.revision}
-		for _, e := range m.events[min(afterRevision, m.revision):] {
+		changes := objectapi.Changes{Revision: objectapi.Version{Epoch: m.epoch, Number: m.revision}}
+		if afterRevision.Epoch != m.epoch {
+			m.mu.Unlock()
+			changes.Reset = true
+			return changes, nil
+		}
+		for _, e := range m.events[min(afterRevision.Number, m.revision):] {
 			if strings.HasPrefix(e.Object.Key, prefix) {
+				e.Object = m.stamp(e.Object)
 				changes.Events = append(changes.Events, e)
 			}
 		}
--- a/rudder/objectapi/watcher.go
+++ b/rudder/objectapi/watcher.go
@@ -33,17 +33,17 @@
 	Prefix string
 	// OnList is called with each complete listing, OnChange with each change. sent is the time at which the list call was
 	// sent.
-	OnList   func(objects []Object, sent boottime.Instant)
+	OnList   func(listing Listing, sent boottime.Instant)
 	OnChange func(e Event)
 	// OnSync is called after each response has been processed. The objects are then known as of the revision, including
 	// everything that the store had acknowledged before sent, the time at which the call was sent.
-	OnSync func(sent boottime.Instant, revision int64)
+	OnSync func(sent boottime.Instant, revision Version)
 	// WatchTimeout returns how long the next watch should wait for a change. The response may take WatchGrace longer.
 	WatchTimeout func() time.Duration
 	// BatchDelay is the delay between changes and the next watch, so that subsequent changes arrive in one batch.
 	BatchDelay time.Duration
-	// IsSuspended reports whether the changes currently come from another source through Advance, so that no calls are made
-	// after the first listing. nil means never.
+	// IsSuspended reports whether no calls are to be made at present, because the changes come from another source through
+	// Advance, or soon because other nodes call first. It is not asked before the first listing. nil means never.
 	IsSuspended func() bool
 	Log         *slog.Logger
 
@@ -51,31 +51,45 @@
 	watchTimeout time.Duration      // of the current watch
 	cancelWatch  context.CancelFunc // cancels the current watch
 	isSynced     bool               // the objects are known up to revision
-	revision     int64
+	revision     Version
+	hasListed    bool // a listing has been processed
 	isCalling    bool // a call is in progress or its response is being processed
 }
 
 // SyncedRevision returns the revision up to which the objects are known. isSynced is false before the first listing and
 // while the objects must be listed again.
-func (w *Watcher) SyncedRevision() (revision int64, isSynced bool) {
+func (w *Watcher) SyncedRevision() (revision Version, isSynced bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.revision, w.isSynced
 }
 
+// hasListing reports whether a listing has been processed.
+func (w *Watcher) hasListing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hasListed
+}
+
 // Advance applies changes that were received from another source. They must be all changes after fromRevision up to
 // toRevision. It calls apply with the current revision of the watcher; apply must apply only the changes after that.
 // Advance reports whether everything up to toRevision is known afterwards. This is not the case before a listing, if changes
-// before fromRevision are missing, or while a call of the watcher is in progress.
-func (w *Watcher) Advance(fromRevision, toRevision int64, apply func(after int64)) bool {
+// before fromRevision are missing, or while a call of the watcher is in progress. Nor is it if the revisions are of another
+// epoch than the watcher's: their numbers cannot be compared, and a later epoch requires a listing.
+func (w *Watcher) Advance(fromRevision, toRevision Version, apply func(after Version)) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case !w.isSynced:
 		return false
-	case toRevision <= w.revision:
+	case toRevision.Epoch != w.revision.Epoch:
+		if toRevision.Epoch > w.revision.Epoch && !w.isCalling {
+			w.isSynced = false
+		}
+		return false
+	case toRevision.Compare(w.revision) <= 0:
 		return true
-	case w.isCalling || fromRevision > w.revision:
+	case w.isCalling || fromRevision.Compare(w.revision) > 0:
 		return false
 	}
 	apply(w.revision)
@@ -84,7 +98,7 @@
 }
 
 // beginCall marks a call as in progress, which blocks Advance, and returns the current sync state.
-func (w *Watcher) beginCall() (revision int64, isSynced bool) {
+func (w *Watcher) beginCall() (revision Version, isSynced bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.isCalling = true
@@ -92,10 +106,10 @@
 }
 
 // endCall marks the call as finished and sets the new sync state.
-func (w *Watcher) endCall(revision int64, isSynced bool) {
+func (w *Watcher) endCall(revision Version, isSynced bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.isCalling, w.revision, w.isSynced = false, revision, isSynced
+	w.isCalling, w.revision, w.isSynced, w.hasListed = false, revision, isSynced, w.hasListed || isSynced
 }
 
 // RestartWatch cancels the current watch if it waits for longer than maxWait, so that the next one starts immediately. A
@@ -113,7 +127,7 @@
 	retryDelay := minRetryDelay
 	isUnavailable := false
 	for ctx.Err() == nil {
-		if _, isSynced := w.SyncedRevision(); isSynced && w.IsSuspended != nil && w.IsSuspended() {
+		if w.hasListing() && w.IsSuspended != nil && w.IsSuspended() {
 			sleep.For(ctx, suspendedPollInterval)
 			continue
 		}
@@ -147,7 +161,7 @@
 			w.endCall(revision, false)
 			return err
 		}
-		w.OnList(listing.Objects, sent)
+		w.OnList(listing, sent)
 		w.OnSync(sent, listing.Revision)
 		w.endCall(listing.Revision, true)
 		return nil
@@ -160,9 +174,9 @@
 	case err != nil:
 		w.endCall(revision, true)
 		return err
-	case changes.Reset:
-		w.Log.Info("Watch history is no longer available, objects are listed again.", "prefix", w.Prefix, "revision", revision)
-		w.endCall(0, false)
+	case changes.Reset || changes.Revision.Epoch != revision.Epoch || changes.Revision.Compare(revision) < 0:
+		w.Log.Info("Watch history is no longer available, objects are listed again.", "prefix", w.Prefix, "revision", revision, "store_revision", changes.Revision)
+		w.endCall(revision, false)
 		return nil
 	}
 	for _, e := range changes.Events {
@@ -180,7 +194,7 @@
 var errWatchRestarted = errors.New("watch was restarted")
 
 // watch waits for changes after a revision. It returns errWatchRestarted if RestartWatch or the caller cancelled the watch.
-func (w *Watcher) watch(ctx context.Context, revision int64) (Changes, error) {
+func (w *Watcher) watch(ctx context.Context, revision Version) (Changes, error) {
 	timeout := w.WatchTimeout()
 	watchCtx, cancel := context.WithTimeout(ctx, timeout+WatchGrace)
 	defer cancel()
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -169,7 +169,7 @@
 }
 
 // confirmConfig records that the configuration in force was the newest one when the answered call was sent.
-func (n *node) confirmConfig(sentAt boottime.Instant, _ int64) {
+func (n *node) confirmConfig(sentAt boottime.Instant, _ objectapi.Version) {
 	if config := n.currentConfig.Config(); config != nil {
 		n.currentConfig.ConfirmNewest(config.Version, sentAt)
 	}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -169,7 +169,7 @@
 func (n *node) backgroundTasks(meshConn net.PacketConn) []func(context.Context) {
 	n.configWatcher = &objectapi.Watcher{
 		Store: n.platform.Store, Prefix: path.Dir(n.platform.ConfigKey) + "/", Log: n.logger.Part("config"),
-		OnList:       func(objects []objectapi.Object, _ boottime.Instant) { n.applyConfigObjects(objects) },
+		OnList:       func(listing objectapi.Listing, _ boottime.Instant) { n.applyConfigObjects(listing.Objects) },
 		OnChange:     func(e objectapi.Event) { n.applyConfigObjects([]objectapi.Object{e.Object}) },
 		OnSync:       n.confirmConfig,
 		WatchTimeout: n.configWatchTimeout, IsSuspended: n.isConfigWatchSuspended,
--- /dev/null
+++ b/rudder/relaynode/registry_restore.go
@@ -0,0 +1,63 @@
+package relaynode
+
+import (
+	"time"
+
+	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/boottime"
+)
+
+const (
+	// rewriteTimeout is how long after the object API was restored a server that the restored registry lacks is still used:
+	// a live server has written its entry again by then.
+	rewriteTimeout = 2 * time.Second
+	// lapseTimeout is how long a departed server that the restored registry lists again is not used unless it writes its
+	// entry. The registry drops the entry of a silent server before.
+	lapseTimeout = 10 * time.Second
+)
+
+// unsettledEntry is a server about which the restored registry differs from what this node knew.
+type unsettledEntry struct {
+	entry     backend.Entry // to be put when settled; not used if isMissing
+	isMissing bool          // the registry lacks the server, which is to be removed when settled
+	settledAt boottime.Instant
+}
+
+// keepUnsettled remembers the servers that a restored registry lacks, and the entries of servers that had departed before. The
+// caller holds the lock.
+func (r *registrySync) keepUnsettled(unlisted []string, departed []backend.Entry) {
+	now := boottime.Now()
+	r.unsettled = map[string]unsettledEntry{}
+	for _, id := range unlisted {
+		r.unsettled[id] = unsettledEntry{isMissing: true, settledAt: now.Add(rewriteTimeout)}
+	}
+	for _, e := range departed {
+		r.unsettled[e.ID] = unsettledEntry{entry: e, settledAt: now.Add(lapseTimeout)}
+	}
+	if len(unlisted)+len(departed) > 0 {
+		r.log.Info("Servers differ between the restored registry and the known one.", "unlisted", len(unlisted), "listed_again", len(departed))
+	}
+}
+
+// settleEntries applies what the restored registry says of servers that have not written their entries again in time. The
+// caller holds the lock.
+func (r *registrySync) settleEntries(now boottime.Instant) {
+	for id, u := range r.unsettled {
+		if now < u.settledAt {
+			continue
+		}
+		delete(r.unsettled, id)
+		if u.isMissing {
+			r.node.backends.Remove(id)
+		} else {
+			r.node.backends.Put(u.entry)
+		}
+	}
+}
+
+// storeEpoch returns the latest epoch of the object API that this node or a peer has heard of.
+func (r *registrySync) storeEpoch() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.latestEpoch
+}
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -50,16 +50,18 @@
 	objectWatcher *objectapi.Watcher
 
 	mu            sync.Mutex
-	recentChanges []recentChange   // changes for digests, oldest first
-	fromRevision  int64            // recentChanges holds all changes after this revision
-	revision      int64            // up to and including this one
-	lastCallAt    boottime.Instant // when the last answered call was sent
-	attemptedAt   boottime.Instant // when the last watch was sent, answered or not
-	currentAsOf   boottime.Instant // all changes that the object API acknowledged before this time are known
-	isPassive     bool             // result of the last updatePassive
+	recentChanges []recentChange            // changes for digests, oldest first
+	fromRevision  objectapi.Version         // recentChanges holds all changes after this revision
+	revision      objectapi.Version         // up to and including this one
+	lastCallAt    boottime.Instant          // when the last answered call was sent
+	attemptedAt   boottime.Instant          // when the last watch was sent, answered or not
+	currentAsOf   boottime.Instant          // all changes that the object API acknowledged before this time are known
+	isPassive     bool                      // result of the last updatePassive
+	latestEpoch   int64                     // of the object API, as far as this node or a peer has heard
+	unsettled     map[string]unsettledEntry // by server ID; after the object API was restored
 }
 
-// recentChange is a change with the time at which this node learnt it. Its revision is 0 until all changes of the answer
+// recentChange is a change with the time at which this node learnt it. Its revision is zero until all changes of the answer
 // that held it have been applied.
 type recentChange struct {
 	mesh.RegistryChange
@@ -85,10 +87,11 @@
 	return registryWatchTimeout
 }
 
-// applyListing replaces the table of backend servers by a listing of the whole registry.
-func (r *registrySync) applyListing(objects []objectapi.Object, _ boottime.Instant) {
+// applyListing replaces the table of backend servers by a listing of the whole registry. The first listing after the object
+// API was restored lacks what servers wrote in the lost time, until they have written it again; see settleEntries.
+func (r *registrySync) applyListing(listing objectapi.Listing, _ boottime.Instant) {
 	var entries []backend.Entry
-	for _, o := range objects {
+	for _, o := range listing.Objects {
 		entry, err := r.node.platform.DecodeServer(o)
 		if err != nil {
 			r.log.Warn("Decoding a registry entry failed; it is left out.", "key", o.Key, "error", err)
@@ -96,10 +99,17 @@
 		}
 		entries = append(entries, entry)
 	}
-	r.node.backends.Replace(entries)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recentChanges, r.fromRevision = nil, 0 // recordAnswer sets the revision
+	r.unsettled = nil
+	if !r.revision.IsZero() && listing.Revision.Epoch > r.revision.Epoch {
+		r.log.Warn("The object API was restored from an older copy; the registry is read again.", "revision", r.revision, "restored_revision", listing.Revision)
+		unlisted, departed := r.node.backends.ReplaceAfterRestore(entries)
+		r.keepUnsettled(unlisted, departed)
+	} else {
+		r.node.backends.Replace(entries)
+	}
+	r.recentChanges, r.fromRevision = nil, objectapi.Version{} // recordAnswer sets the revision
 }
 
 // applyEvent applies one change of the registry and keeps it for digests. An entry that cannot be decoded counts as
@@ -115,14 +125,15 @@
 			c.Server = entry
 		}
 	}
-	r.applyChange(c)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.applyChange(c)
 	r.recentChanges = append(r.recentChanges, recentChange{RegistryChange: c, learntAt: boottime.Now()})
 }
 
-// applyChange puts a server into the table of backend servers or removes it.
+// applyChange puts a server into the table of backend servers or removes it. The caller holds the lock.
 func (r *registrySync) applyChange(c mesh.RegistryChange) {
+	delete(r.unsettled, c.Server.ID)
 	if c.Removed {
 		r.node.backends.Remove(c.Server.ID)
 		return
@@ -131,18 +142,19 @@
 }
 
 // recordAnswer records that the answer to a call that was sent at the given time has been applied as a whole.
-func (r *registrySync) recordAnswer(sentAt boottime.Instant, revision int64) {
+func (r *registrySync) recordAnswer(sentAt boottime.Instant, revision objectapi.Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.recentChanges) == 0 {
 		r.fromRevision = revision
 	}
 	for i := range r.recentChanges {
-		if r.recentChanges[i].Revision == 0 {
+		if r.recentChanges[i].Revision.IsZero() {
 			r.recentChanges[i].Revision = revision
 		}
 	}
 	r.revision, r.lastCallAt, r.currentAsOf = revision, sentAt, max(r.currentAsOf, sentAt)
+	r.latestEpoch = max(r.latestEpoch, revision.Epoch)
 	r.pruneChanges()
 }
 
@@ -150,13 +162,13 @@
 // lock.
 func (r *registrySync) pruneChanges() {
 	pruned := 0
-	for pruned < len(r.recentChanges) && r.recentChanges[pruned].Revision > 0 &&
+	for pruned < len(r.recentChanges) && !r.recentChanges[pruned].Revision.IsZero() &&
 		(boottime.Since(r.recentChanges[pruned].learntAt) > changeRetention || len(r.recentChanges)-pruned > maxChangesPerDigest) {
 		r.fromRevision = r.recentChanges[pruned].Revision
 		pruned++
 	}
 	// The remaining changes of an answer are of no use once its first ones are dropped.
-	for pruned < len(r.recentChanges) && r.recentChanges[pruned].Revision > 0 && r.recentChanges[pruned].Revision == r.fromRevision {
+	for pruned < len(r.recentChanges) && !r.recentChanges[pruned].Revision.IsZero() && r.recentChanges[pruned].Revision == r.fromRevision {
 		pruned++
 	}
 	r.recentChanges = r.recentChanges[pruned:]
@@ -175,7 +187,7 @@
 		CallAgeMillis: boottime.Since(r.lastCallAt).Milliseconds(), AgeMillis: boottime.Since(r.currentAsOf).Milliseconds(),
 	}
 	for _, c := range r.recentChanges {
-		if c.Revision > 0 {
+		if !c.Revision.IsZero() {
 			delta.Changes = append(delta.Changes, c.RegistryChange)
 		}
 	}
@@ -183,36 +195,38 @@
 }
 
 // applyDelta applies the changes of the registry in a peer's digest if none is missing before them, and notes as of when
-// the peer's knowledge was current.
+// the peer's knowledge was current. Those of another epoch than this node's show neither: a peer that has not heard of a
+// restored object API knows the registry as it was before, and one that has may have numbered other changes alike.
 func (r *registrySync) applyDelta(m *mesh.Member) {
 	delta := m.Registry
-	if delta.Revision == 0 {
+	if delta.Revision.IsZero() {
 		return
 	}
-	isUpToDate := r.objectWatcher.Advance(delta.FromRevision, delta.Revision, func(after int64) {
-		r.applyLatestChanges(delta.Changes, after)
+	isUpToDate := r.objectWatcher.Advance(delta.FromRevision, delta.Revision, func(after objectapi.Version) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		r.applyLatestChanges(delta.Changes, after)
 		r.recentChanges, r.fromRevision, r.revision = nil, delta.Revision, delta.Revision
 	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.latestEpoch = max(r.latestEpoch, delta.Revision.Epoch)
 	if !isUpToDate || !m.HasReliableSentAt {
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.currentAsOf = max(r.currentAsOf, m.SentAt.Add(-time.Duration(delta.AgeMillis)*time.Millisecond))
 }
 
 // applyLatestChanges applies the last change of each server after a revision. Earlier ones are skipped, since the sender
 // may have learnt some of them together with changes that are known here: a server that has left since must not come back
-// in between.
-func (r *registrySync) applyLatestChanges(changes []mesh.RegistryChange, after int64) {
+// in between. The caller holds the lock.
+func (r *registrySync) applyLatestChanges(changes []mesh.RegistryChange, after objectapi.Version) {
 	latest := map[string]int{}
 	for i, c := range changes {
 		latest[c.Server.ID] = i
 	}
 	for i, c := range changes {
-		if c.Revision > after && latest[c.Server.ID] == i {
+		if c.Revision.Compare(after) > 0 && latest[c.Server.ID] == i {
 			r.applyChange(c)
 		}
 	}
@@ -223,6 +237,7 @@
 func (r *registrySync) updatePassive() bool {
 	isPassive := r.canBePassive()
 	r.mu.Lock()
+	r.settleEntries(boottime.Now())
 	hasChanged := r.isPassive != isPassive
 	r.isPassive = isPassive
 	r.mu.Unlock()
@@ -284,7 +299,7 @@
 		}
 		preceding++
 		lastCallAt := m.SentAt.Add(-time.Duration(m.Registry.CallAgeMillis) * time.Millisecond)
-		if m.HasReliableSentAt && m.Registry.Revision > 0 && boottime.Since(lastCallAt) < watcherTimeout {
+		if m.HasReliableSentAt && !m.Registry.Revision.IsZero() && boottime.Since(lastCallAt) < watcherTimeout {
 			watchers++
 		}
 	}
--- a/rudder/relaynode/registry_sync_test.go
+++ b/rudder/relaynode/registry_sync_test.go
@@ -41,7 +41,7 @@
 }
 
 // Watch answers like the platform's store, which ends the wait before the caller's deadline.
-func (s *disconnectableStore) Watch(ctx context.Context, prefix string, after int64) (objectapi.Changes, error) {
+func (s *disconnectableStore) Watch(ctx context.Context, prefix string, after objectapi.Version) (objectapi.Changes, error) {
 	s.callCount.Add(1)
 	if s.isDisconnected.Load() {
 		return objectapi.Changes{}, objectapi.ErrUnavailable
@@ -183,13 +183,13 @@
 	nodes, _ := startRegistryNodes(t, 2)
 	last := nodes[1]
 	last.mesh.OnDigest(&mesh.Member{Digest: mesh.Digest{Node: "x", Registry: mesh.RegistryDelta{
-		FromRevision: 100, Revision: 101, Changes: []mesh.RegistryChange{{Revision: 101, Server: backend.Entry{ID: "s9", Service: "s9", Slots: 1}}},
+		FromRevision: objectapi.Version{Number: 100}, Revision: objectapi.Version{Number: 101}, Changes: []mesh.RegistryChange{{Revision: objectapi.Version{Number: 101}, Server: backend.Entry{ID: "s9", Service: "s9", Slots: 1}}},
 	}}})
 	if last.canPlaceAt("s9") {
 		t.Fatal("a change is applied though those before it are missing")
 	}
-	if revision, isSynced := last.registry.objectWatcher.SyncedRevision(); !isSynced || revision >= 100 {
-		t.Fatalf("registry watcher is at revision %d, synced %t, want a synced revision below 100", revision, isSynced)
+	if revision, isSynced := last.registry.objectWatcher.SyncedRevision(); !isSynced || revision.Number >= 100 {
+		t.Fatalf("registry watcher is at revision %s, synced %t, want a synced revision below 100", revision, isSynced)
 	}
 }
 
@@ -199,14 +199,14 @@
 	n := &node{logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, "n"), backends: backend.NewTable(time.Second, slog.New(slog.DiscardHandler))}
 	n.platform.DecodeServer = func(o objectapi.Object) (backend.Entry, error) { return backend.Entry{ID: path.Base(o.Key)}, nil }
 	r := newRegistrySync(n)
-	r.applyListing(nil, boottime.Now())
-	r.recordAnswer(boottime.Now(), 0)
+	r.applyListing(objectapi.Listing{}, boottime.Now())
+	r.recordAnswer(boottime.Now(), objectapi.Version{})
 	r.applyEvent(objectapi.Event{Object: objectapi.Object{Key: "servers/s1"}})
-	if delta := r.delta(); len(delta.Changes) != 0 || delta.Revision != 0 {
+	if delta := r.delta(); len(delta.Changes) != 0 || !delta.Revision.IsZero() {
 		t.Fatalf("delta before the answer is recorded is %+v, want no changes at revision 0", delta)
 	}
-	r.recordAnswer(boottime.Now(), 5)
-	if delta := r.delta(); len(delta.Changes) != 1 || delta.FromRevision != 0 || delta.Revision != 5 {
+	r.recordAnswer(boottime.Now(), objectapi.Version{Number: 5})
+	if delta := r.delta(); len(delta.Changes) != 1 || !delta.FromRevision.IsZero() || delta.Revision != (objectapi.Version{Number: 5}) {
 		t.Fatalf("delta is %+v, want the change from revision 0 to 5", delta)
 	}
 }
--- a/rudder/revision/acceptance_test.go
+++ b/rudder/revision/acceptance_test.go
@@ -207,7 +207,7 @@
 		}
 	}
 	for id := range statuses {
-		if _, found := accepted[id]; !found && specs[id].version == 0 {
+		if _, found := accepted[id]; !found && specs[id].version.IsZero() {
 			s.t.Fatalf("status of %s remains although the object no longer exists", id)
 		}
 	}
--- a/rudder/revision/acceptor.go
+++ b/rudder/revision/acceptor.go
@@ -56,7 +56,7 @@
 	fencingToken    int64
 	maxStatusWrites int // limit on concurrent status writes
 	pointer         Pointer
-	pointerVersion  int64
+	pointerVersion  objectapi.Version
 	acceptedObjects object.Set // objects of the snapshot that the pointer names
 	acceptedKey     string     // key of that snapshot
 	statuses        statusCache
@@ -70,25 +70,25 @@
 	}
 	isStarted := false
 	var acceptedAt time.Time
-	after := int64(-1)
+	after := objectapi.UnknownRevision
 	for ctx.Err() == nil && s.checkLease() == nil {
 		var err error
 		if !isStarted {
 			err = s.start(ctx)
 			isStarted = err == nil
 		}
-		if err == nil && (after < 0 || time.Since(acceptedAt) >= readyRunnersInterval) {
+		if err == nil && (after == objectapi.UnknownRevision || time.Since(acceptedAt) >= readyRunnersInterval) {
 			after, err = s.accept(ctx)
 			acceptedAt = time.Now()
 		}
 		if err != nil {
 			a.Log.Warn("Failed to accept changes; retrying.", "error", err)
-			after = -1
+			after = objectapi.UnknownRevision
 			sleep.For(ctx, retryDelay)
 			continue
 		}
 		if s.waitForChange(ctx, &after) {
-			after = -1
+			after = objectapi.UnknownRevision
 		}
 	}
 }
@@ -96,7 +96,7 @@
 // waitForChange watches the objects that operators write for at most acceptorWatchTimeout. It returns true if they have
 // to be read again: after a change, a failed watch or a loss of history in the object API. Otherwise it sets after to
 // the revision of the object API up to which there was no change.
-func (a *acceptorSession) waitForChange(ctx context.Context, after *int64) bool {
+func (a *acceptorSession) waitForChange(ctx context.Context, after *objectapi.Version) bool {
 	watchCtx, cancel := context.WithTimeout(ctx, acceptorWatchTimeout)
 	defer cancel()
 	changes, err := a.Store.Watch(watchCtx, object.SpecPrefix, *after)
@@ -104,7 +104,7 @@
 		sleep.For(ctx, retryDelay)
 		return true
 	}
-	if changes.Reset || changes.Revision < *after || len(changes.Events) > 0 {
+	if changes.Reset || changes.Revision.Compare(*after) < 0 || len(changes.Events) > 0 {
 		sleep.For(ctx, coalesceDelay)
 		return true
 	}
@@ -166,13 +166,13 @@
 
 // accept decides which versions of the written objects are accepted, publishes a new revision if the accepted objects
 // change, and writes the statuses. It returns the revision of the object API up to which it has read changes.
-func (a *acceptorSession) accept(ctx context.Context) (int64, error) {
+func (a *acceptorSession) accept(ctx context.Context) (objectapi.Version, error) {
 	listing, err := a.Store.List(ctx, object.SpecPrefix)
 	if err != nil {
-		return -1, err
+		return objectapi.UnknownRevision, err
 	}
 	if err := a.loadPointer(ctx); err != nil {
-		return -1, err
+		return objectapi.UnknownRevision, err
 	}
 	specs := map[string]desiredObject{}
 	for _, o := range listing.Objects {
@@ -188,7 +188,7 @@
 	previous := a.acceptedObjects
 	if !sameObjects(previous, next) {
 		if err := a.publish(ctx, next); err != nil {
-			return -1, err
+			return objectapi.UnknownRevision, err
 		}
 	}
 	return listing.Revision, a.writeStatuses(ctx, previous, specs, reasons)
@@ -269,14 +269,14 @@
 
 // readPointer returns the pointer and its version. If there is none, it returns a zero pointer and
 // objectapi.AbsentVersion.
-func readPointer(ctx context.Context, store objectapi.Store) (Pointer, int64, error) {
+func readPointer(ctx context.Context, store objectapi.Store) (Pointer, objectapi.Version, error) {
 	var pointer Pointer
 	o, err := store.Get(ctx, PointerKey)
 	if errors.Is(err, objectapi.ErrNotFound) {
 		return pointer, objectapi.AbsentVersion, nil
 	}
 	if err != nil {
-		return pointer, 0, err
+		return pointer, objectapi.AbsentVersion, err
 	}
 	return pointer, o.Version, errors.Wrap(json.Unmarshal(o.Value, &pointer), "decode revision pointer")
 }
--- a/rudder/revision/follower.go
+++ b/rudder/revision/follower.go
@@ -334,7 +334,7 @@
 func (f *Follower) watch(ctx context.Context) {
 	f.Log.Info("Started watching the revision pointer.")
 	defer f.Log.Info("Stopped watching the revision pointer.")
-	after, delay := int64(-1), retryDelay
+	after, delay := objectapi.UnknownRevision, retryDelay
 	for ctx.Err() == nil {
 		next, err := f.watchOnce(ctx, after)
 		if err == nil {
@@ -345,26 +345,26 @@
 			return
 		}
 		f.Log.Warn("Failed to watch the revision pointer; retrying.", "error", err)
-		after = -1
+		after = objectapi.UnknownRevision
 		sleep.For(ctx, delay/2+rand.N(delay/2+1))
 		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
-// watchOnce reads the pointer if after is negative, otherwise waits for its next change, and puts the snapshot that it
-// names in force. It returns the revision of the object API from which to continue, or -1 if the pointer has to be read
+// watchOnce reads the pointer if after is objectapi.UnknownRevision, otherwise waits for its next change, and puts the snapshot that it
+// names in force. It returns the revision of the object API from which to continue, or objectapi.UnknownRevision if the pointer has to be read
 // again.
-func (f *Follower) watchOnce(ctx context.Context, after int64) (int64, error) {
+func (f *Follower) watchOnce(ctx context.Context, after objectapi.Version) (objectapi.Version, error) {
 	var objects []objectapi.Object
-	if after >= 0 {
+	if after != objectapi.UnknownRevision {
 		watchCtx, cancel := context.WithTimeout(ctx, followerWatchTimeout)
 		defer cancel()
 		changes, err := f.Store.Watch(watchCtx, PointerKey, after)
 		if err != nil {
-			return 0, err
+			return objectapi.UnknownRevision, err
 		}
-		if changes.Reset || changes.Revision < after {
-			return -1, nil // the history was lost, or the object API was replaced
+		if changes.Reset || changes.Revision.Compare(after) < 0 {
+			return objectapi.UnknownRevision, nil // the history was lost, or the object API was replaced
 		}
 		for _, e := range changes.Events {
 			objects = append(objects, e.Object)
@@ -373,13 +373,13 @@
 	} else {
 		listing, err := f.Store.List(ctx, PointerKey)
 		if err != nil {
-			return 0, err
+			return objectapi.UnknownRevision, err
 		}
 		objects, after = listing.Objects, listing.Revision
 	}
 	receivedAt := time.Now()
 	if err := f.applyNewest(ctx, objects); err != nil {
-		return 0, err
+		return objectapi.UnknownRevision, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/rudder/revision/follower_test.go
+++ b/rudder/revision/follower_test.go
@@ -235,12 +235,12 @@
 		return object.Object{Kind: object.KindOrganisation, Name: name, Organisation: spec}
 	}
 	small, big := organisation("a", 1), organisation("b", 100)
-	specs := map[string]desiredObject{small.ID(): {version: 1, object: small}, big.ID(): {version: 1, object: big}}
+	specs := map[string]desiredObject{small.ID(): {version: objectapi.Version{Number: 1}, object: small}, big.ID(): {version: objectapi.Version{Number: 1}, object: big}}
 	next, reasons := resolveWithinSize(1000, object.Set{}, specs)
 	if _, found := next[small.ID()]; !found || len(next) != 1 || !strings.Contains(reasons[big.ID()], "at most 1000 bytes") {
 		t.Errorf("in force: %v, reasons: %v", next.IDs(), reasons)
 	}
-	specs[big.ID()] = desiredObject{version: 2, object: organisation("b", 2)}
+	specs[big.ID()] = desiredObject{version: objectapi.Version{Number: 2}, object: organisation("b", 2)}
 	if next, reasons = resolveWithinSize(1000, next, specs); len(next) != 2 || len(reasons) != 0 {
 		t.Errorf("in force: %v, reasons: %v", next.IDs(), reasons)
 	}
--- a/rudder/revision/resolve.go
+++ b/rudder/revision/resolve.go
@@ -8,11 +8,12 @@
 	"strings"
 
 	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/objectapi"
 )
 
 // desiredObject is an object as an operator wrote it.
 type desiredObject struct {
-	version  int64
+	version  objectapi.Version
 	object   object.Object
 	problems object.Problems // found by validating the object by itself
 }
--- a/rudder/revision/status.go
+++ b/rudder/revision/status.go
@@ -23,7 +23,7 @@
 
 // storedStatus is a status object with its version in the object API.
 type storedStatus struct {
-	version int64
+	version objectapi.Version
 	status  object.Status
 }
 
@@ -55,7 +55,7 @@
 	}
 	computed := a.computeStatuses(previous, specs, reasons)
 	changedIDs := a.statuses.changedIDs(computed)
-	versions := make([]int64, len(changedIDs))
+	versions := make([]objectapi.Version, len(changedIDs))
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.SetLimit(a.maxStatusWrites)
 	for i, id := range changedIDs {
@@ -97,10 +97,10 @@
 }
 
 // writeStatus writes or deletes one status on condition that its version is as last read, so that a former lease holder
-// cannot overwrite a newer status. It returns the new version, 0 after a deletion.
-func (a *acceptorSession) writeStatus(ctx context.Context, id string, computed map[string]object.Status) (int64, error) {
+// cannot overwrite a newer status. It returns the new version, objectapi.AbsentVersion after a deletion.
+func (a *acceptorSession) writeStatus(ctx context.Context, id string, computed map[string]object.Status) (objectapi.Version, error) {
 	if err := a.checkLease(); err != nil {
-		return 0, err
+		return objectapi.AbsentVersion, err
 	}
 	key, version := object.StatusPrefix+id, a.statuses[id].version
 	status, found := computed[id]
@@ -109,7 +109,7 @@
 		if errors.Is(err, objectapi.ErrNotFound) {
 			err = nil
 		}
-		return 0, err
+		return objectapi.AbsentVersion, err
 	}
 	o, err := a.Store.Put(ctx, key, status, version)
 	return o.Version, err
--- a/rudder/rollout/loop.go
+++ b/rudder/rollout/loop.go
@@ -79,7 +79,7 @@
 	deployment    string
 	lease         *lease.Lease
 	state         State
-	objectVersion int64 // version of the stored state in the object API
+	objectVersion objectapi.Version // version of the stored state in the object API
 	runners       map[string]*trackedRunner
 }
 
@@ -149,7 +149,7 @@
 		if err != nil {
 			return err
 		}
-		if err := d.loop.Records.Put(membership.RecordRollout+d.deployment, o.Version, next); err != nil {
+		if err := d.loop.Records.Put(membership.RecordRollout+d.deployment, o.Version.Number, next); err != nil {
 			return err
 		}
 		d.loop.Decisions.Record("rollout", d.deployment, next.Reason, string(next.Phase)+" "+next.Target, nil)
--- a/rudder/usage/reporter.go
+++ b/rudder/usage/reporter.go
@@ -154,14 +154,14 @@
 
 // finalCounts stores the counts of a window and returns the report with its object version. If another lease holder has
 // already stored a report for the window, it returns that one.
-func (r *Reporter) finalCounts(ctx context.Context, key string, window int64) (report, int64, error) {
+func (r *Reporter) finalCounts(ctx context.Context, key string, window int64) (report, objectapi.Version, error) {
 	final := report{Counts: r.Counter.Sum(window)}
 	o, err := r.Store.Put(ctx, key, final, objectapi.AbsentVersion)
 	if err == nil {
 		return final, o.Version, nil
 	}
 	if o, err = r.Store.Get(ctx, key); err != nil {
-		return report{}, 0, err
+		return report{}, objectapi.AbsentVersion, err
 	}
 	err = json.Unmarshal(o.Value, &final)
 	return final, o.Version, errors.Wrapf(err, "decode %s", key)
--- a/standin/objectapi/server.go
+++ b/standin/objectapi/server.go
@@ -28,26 +28,24 @@
 
 // Server is an object API that keeps all objects in memory.
 type Server struct {
-	mu       sync.Mutex
-	faults   Faults
-	revision int64
-	objects  map[string]objectapi.Object
-	versions map[string]int64 // last version of each key, including deleted ones, so that no version is reused
-	history  []event
-	changed  chan struct{} // closed and replaced when the objects or the faults change
-	calls    callCounts
-	limits   limiters
-	random   *rand.Rand
+	mu     sync.Mutex
+	faults Faults
+	state
+	epoch   int64         // number of restores; versions are stored without it
+	copied  state         // what restore goes back to
+	changed chan struct{} // closed and replaced when the objects or the faults change
+	calls   callCounts
+	limits  limiters
+	random  *rand.Rand
 }
 
 // NewServer returns a server without objects, faults and rate limits.
 func NewServer() *Server {
 	return &Server{
-		objects:  map[string]objectapi.Object{},
-		versions: map[string]int64{},
-		changed:  make(chan struct{}),
-		calls:    callCounts{ByKind: map[string]int64{}, ByPrefix: map[string]int64{}},
-		random:   rand.New(rand.NewPCG(1, 1)),
+		state:   state{objects: map[string]objectapi.Object{}, versions: map[string]int64{}},
+		changed: make(chan struct{}),
+		calls:   callCounts{ByKind: map[string]int64{}, ByPrefix: map[string]int64{}},
+		random:  rand.New(rand.NewPCG(1, 1)),
 	}
 }
 
@@ -63,6 +61,8 @@
 	api.HandleFunc("/watch", s.handleWatch).Methods(http.MethodGet)
 	router.HandleFunc("/control/faults", s.handleSetFaults).Methods(http.MethodPut)
 	router.HandleFunc("/control/limits", s.handleSetLimits).Methods(http.MethodPut)
+	router.HandleFunc("/control/copy", s.handleCopy).Methods(http.MethodPost)
+	router.HandleFunc("/control/restore", s.handleRestore).Methods(http.MethodPost)
 	router.HandleFunc("/control/calls", s.handleCallCounts).Methods(http.MethodGet)
 	router.HandleFunc("/control/calls-by-prefix", s.handleCallCountsByPrefix).Methods(http.MethodGet)
 	return router
@@ -71,8 +71,10 @@
 func (s *Server) handleGet(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	o, found := s.objects[mux.Vars(r)["key"]]
+	o = s.stamp(o)
 	s.mu.Unlock()
 	if !found {
+		w.Header().Set(objectapi.EpochHeader, strconv.FormatInt(o.Version.Epoch, 10))
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
@@ -88,14 +90,13 @@
 	}
 	key := mux.Vars(r)["key"]
 	s.mu.Lock()
-	currentVersion := s.objects[key].Version
-	if body.Expected != objectapi.AnyVersion && body.Expected != currentVersion {
+	if !s.hasVersion(key, body.Expected) {
 		s.mu.Unlock()
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
 	s.versions[key]++
-	o := objectapi.Object{Key: key, Version: s.versions[key], Token: body.Token, Value: body.Value}
+	o := objectapi.Object{Key: key, Version: objectapi.Version{Epoch: s.epoch, Number: s.versions[key]}, Token: body.Token, Value: body.Value}
 	s.objects[key] = o
 	s.recordEvent(objectapi.Event{Object: o})
 	dropResponse := s.consumeResponseDrop()
@@ -109,8 +110,8 @@
 
 func (s *Server) handleDelete(w http.ResponseWriter, r *http.Request) {
 	key := mux.Vars(r)["key"]
-	expected, err := strconv.ParseInt(r.URL.Query().Get("expected"), 10, 64)
-	if err != nil {
+	var expected objectapi.Version
+	if err := expected.UnmarshalText([]byte(r.URL.Query().Get("expected"))); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -121,7 +122,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if expected != objectapi.AnyVersion && expected != o.Version {
+	if !s.hasVersion(key, expected) {
 		s.mu.Unlock()
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -152,10 +153,10 @@
 func (s *Server) handleList(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
 	s.mu.Lock()
-	listing := objectapi.Listing{Revision: s.revision, Objects: []objectapi.Object{}}
+	listing := objectapi.Listing{Revision: s.currentRevision(), Objects: []objectapi.Object{}}
 	for key, o := range s.objects {
 		if strings.HasPrefix(key, prefix) {
-			listing.Objects = append(listing.Objects, o)
+			listing.Objects = append(listing.Objects, s.stamp(o))
 		}
 	}
 	s.mu.Unlock()
@@ -165,7 +166,8 @@
 
 func (s *Server) handleWatch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	afterRevision, err := strconv.ParseInt(query.Get("after"), 10, 64)
+	var afterRevision objectapi.Version
+	err := afterRevision.UnmarshalText([]byte(query.Get("after")))
 	waitSeconds, waitErr := strconv.Atoi(query.Get("wait_seconds"))
 	if err != nil || waitErr != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -203,14 +205,16 @@
 
 // changesAfter returns the events after a revision for keys that start with prefix, or a reset if the history does not
 // cover the revision. The caller must hold s.mu.
-func (s *Server) changesAfter(prefix string, afterRevision int64) objectapi.Changes {
-	changes := objectapi.Changes{Revision: s.revision, Events: []objectapi.Event{}}
-	if len(s.history) > 0 && afterRevision < s.history[0].revision-1 || afterRevision > s.revision {
+func (s *Server) changesAfter(prefix string, afterRevision objectapi.Version) objectapi.Changes {
+	changes := objectapi.Changes{Revision: s.currentRevision(), Events: []objectapi.Event{}}
+	after := afterRevision.Number
+	if afterRevision.Epoch != s.epoch || len(s.history) > 0 && after < s.history[0].revision-1 || after > s.revision {
 		changes.Reset = true
 		return changes
 	}
 	for _, e := range s.history {
-		if e.revision > afterRevision && strings.HasPrefix(e.Object.Key, prefix) {
+		if e.revision > after && strings.HasPrefix(e.Object.Key, prefix) {
+			e.Object = s.stamp(e.Object)
 			changes.Events = append(changes.Events, e.Event)
 		}
 	}
--- a/standin/objectapi/server_test.go
+++ b/standin/objectapi/server_test.go
@@ -35,7 +35,7 @@
 	client, putControl := startServer(t)
 	watchErr := make(chan error, 1)
 	go func() {
-		_, err := client.Watch(context.Background(), "spec/", 0)
+		_, err := client.Watch(context.Background(), "spec/", objectapi.Version{})
 		watchErr <- err
 	}()
 	time.Sleep(10 * time.Millisecond)
@@ -51,11 +51,11 @@
 	client, putControl := startServer(t)
 	ctx := context.Background()
 	putControl("/control/faults", Faults{DropResponses: 1})
-	if o, err := client.Put(ctx, "a/1", 1, objectapi.AbsentVersion); err != nil || o.Version != 1 {
-		t.Errorf("Put with a dropped response returned version %d (error: %v), expected 1", o.Version, err)
+	if o, err := client.Put(ctx, "a/1", 1, objectapi.AbsentVersion); err != nil || o.Version.Number != 1 {
+		t.Errorf("Put with a dropped response returned version %s (error: %v), expected 1", o.Version, err)
 	}
 	putControl("/control/faults", Faults{FailPrefixes: []string{"a/"}})
-	if _, err := client.Put(ctx, "a/1", 2, 1); !errors.Is(err, objectapi.ErrUnavailable) {
+	if _, err := client.Put(ctx, "a/1", 2, objectapi.Version{Number: 1}); !errors.Is(err, objectapi.ErrUnavailable) {
 		t.Errorf("Put of a key in FailPrefixes returned error %v, expected ErrUnavailable", err)
 	}
 	if _, err := client.Put(ctx, "b/1", 2, objectapi.AbsentVersion); err != nil {
@@ -69,7 +69,7 @@
 	if _, err := client.Put(ctx, "c/2", 1, objectapi.AbsentVersion); !errors.Is(err, objectapi.ErrUnavailable) {
 		t.Errorf("Put above the rate limit returned error %v, expected ErrUnavailable", err)
 	}
-	if o, err := client.Get(ctx, "a/1"); err != nil || o.Version != 1 {
-		t.Errorf("Get returned version %d (error: %v), expected 1 because the second Put of the key was rejected", o.Version, err)
+	if o, err := client.Get(ctx, "a/1"); err != nil || o.Version.Number != 1 {
+		t.Errorf("Get returned version %s (error: %v), expected 1 because the second Put of the key was rejected", o.Version, err)
 	}
 }
