Confirm the configuration only by an object API that holds the newest known one

Cause: an answer of the object API without a newer configuration confirmed the one in force as the newest, whatever version the object API held, and a peer's proof counted for any later version. A restored object API lacks the latest versions until the operator writes them again; each answer then confirmed a configuration, also at a node to which a peer had told of the lost one.

Change: the version that the object API last returned has to be the newest that this node or a peer knows, and a peer's proof counts for its own version only. The version in force never goes back, as before.

Evidence: TestRestoredConfigurationConfirmsNothing fails before ("version 5 is confirmed though a peer has version 8, which is lost", "version 8 is replaced or confirmed by the copy with version 5") and passes now.

--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -10,6 +10,7 @@
 	"chestnutrudder.example/rudder/mesh"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/sleep"
+	"chestnutrudder.example/rudder/traffic"
 )
 
 const (
@@ -38,6 +39,8 @@
 	mu             sync.Mutex
 	calledAt       boottime.Instant // when the last call was sent
 	wantedVersion  int64            // the newest version that a peer has told of
+	storedVersion  int64            // the version that the object API last returned; 0 if it holds none
+	isStoreBehind  bool             // result of the last comparison of storedVersion with the versions known otherwise
 	staleReadUntil boottime.Instant // end of the time for the read of wantedVersion
 	newerVersion   chan struct{}    // has a value when wantedVersion has changed
 }
@@ -147,30 +150,70 @@
 			n.log.Info("Reading the newer configuration of a peer failed; it will be watched.", "error", err)
 			continue
 		}
-		n.applyConfigObjects([]objectapi.Object{o})
+		n.applyConfigObject(o)
 	}
 }
 
-// applyConfigObjects applies the configuration if it is among the objects.
-func (n *node) applyConfigObjects(objects []objectapi.Object) {
-	for _, o := range objects {
-		if o.Key != n.platform.ConfigKey || len(o.Value) == 0 {
-			continue
-		}
-		config, err := n.platform.DecodeConfig(o.Value)
-		if err != nil {
-			n.log.Error("Decoding the configuration failed; it is not applied.", "revision", o.Version, "error", err)
-			continue
-		}
-		if n.currentConfig.Apply(config) {
-			n.log.Info("Configuration is in force.", "config_version", config.Version, "revision", o.Version, "routes", len(config.Routes), "organisations", len(config.Organisations))
-		}
+// applyConfigListing applies the configuration of a listing.
+func (n *node) applyConfigListing(listing objectapi.Listing, _ boottime.Instant) {
+	n.setStoredVersion(0)
+	for _, o := range listing.Objects {
+		n.applyStoredConfig(o)
 	}
 }
 
-// confirmConfig records that the configuration in force was the newest one when the answered call was sent.
-func (n *node) confirmConfig(sentAt boottime.Instant, _ objectapi.Version) {
-	if config := n.currentConfig.Config(); config != nil {
+// applyStoredConfig applies the configuration as the object API holds it now.
+func (n *node) applyStoredConfig(o objectapi.Object) {
+	if config := n.applyConfigObject(o); config != nil {
+		n.setStoredVersion(config.Version)
+	}
+}
+
+func (n *node) setStoredVersion(version int64) {
+	n.configSync.mu.Lock()
+	defer n.configSync.mu.Unlock()
+	n.configSync.storedVersion = version
+}
+
+// applyConfigObject applies an object if it is the configuration and newer than the one in force. It returns the decoded
+// configuration, nil if there is none.
+func (n *node) applyConfigObject(o objectapi.Object) *traffic.Config {
+	if o.Key != n.platform.ConfigKey || len(o.Value) == 0 {
+		return nil
+	}
+	config, err := n.platform.DecodeConfig(o.Value)
+	if err != nil {
+		n.log.Error("Decoding the configuration failed; it is not applied.", "revision", o.Version, "error", err)
+		return nil
+	}
+	if n.currentConfig.Apply(config) {
+		n.log.Info("Configuration is in force.", "config_version", config.Version, "revision", o.Version, "routes", len(config.Routes), "organisations", len(config.Organisations))
+	}
+	return config
+}
+
+// confirmConfig records that the configuration in force was the newest one when the answered call was sent. While the object
+// API holds an older one than this node or a peer, it was restored from an older copy, and the answer shows nothing until the
+// newest one is written again.
+func (n *node) confirmConfig(sentAt boottime.Instant, revision objectapi.Version) {
+	config := n.currentConfig.Config()
+	if config == nil {
+		return
+	}
+	n.configSync.mu.Lock()
+	storedVersion, knownVersion := n.configSync.storedVersion, max(n.configSync.wantedVersion, config.Version)
+	isBehind := storedVersion < knownVersion
+	hasChanged := isBehind != n.configSync.isStoreBehind
+	n.configSync.isStoreBehind = isBehind
+	n.configSync.mu.Unlock()
+	if hasChanged && isBehind {
+		n.log.Info("The object API returned an older configuration than the newest known one, which is not confirmed.",
+			"config_version", storedVersion, "newest_version", knownVersion, "revision", revision)
+	}
+	if hasChanged && !isBehind {
+		n.log.Info("The object API returned the newest known configuration.", "config_version", storedVersion, "revision", revision)
+	}
+	if !isBehind {
 		n.currentConfig.ConfirmNewest(config.Version, sentAt)
 	}
 }
--- a/rudder/relaynode/config_sync_test.go
+++ b/rudder/relaynode/config_sync_test.go
@@ -147,3 +147,45 @@
 		t.Errorf("nodes with records are %s, want the first three that do not stop of each failure domain, and n0 itself", got)
 	}
 }
+
+// An object API that was restored from an older copy returned an older configuration, and its answers confirmed the one in
+// force for ever: a newer one, with a revoked key, had been lost, and nobody asked for it.
+func TestRestoredConfigurationConfirmsNothing(t *testing.T) {
+	f := startFollowingNode(t)
+	listing := func(epoch int64, version int64) objectapi.Listing {
+		return objectapi.Listing{
+			Revision: objectapi.Version{Epoch: epoch, Number: 10},
+			Objects:  []objectapi.Object{{Key: "config/main", Value: json.RawMessage(fmt.Sprint(version))}},
+		}
+	}
+	isConfirmedBy := func(l objectapi.Listing) bool {
+		f.applyConfigListing(l, boottime.Now())
+		sentAt := boottime.Now()
+		f.confirmConfig(sentAt, l.Revision)
+		return f.currentConfig.ConfirmedAt() == sentAt
+	}
+	if !isConfirmedBy(listing(1, 5)) {
+		t.Error("the newest configuration is not confirmed")
+	}
+	f.noteConfigVersion(8) // known to a peer
+	if isConfirmedBy(listing(2, 5)) {
+		t.Error("version 5 is confirmed though a peer has version 8, which is lost")
+	}
+	if !isConfirmedBy(listing(2, 8)) || f.currentConfig.Config().Version != 8 {
+		t.Error("version 8 is not confirmed after it was written again")
+	}
+	if isConfirmedBy(listing(3, 5)) || f.currentConfig.Config().Version != 8 {
+		t.Error("version 8 is replaced or confirmed by the copy with version 5")
+	}
+	confirmedAt := f.currentConfig.ConfirmedAt()
+	f.currentConfig.ConfirmNewest(5, boottime.Now())
+	if f.currentConfig.ConfirmedAt() != confirmedAt {
+		t.Error("a peer that holds version 5 confirms version 8")
+	}
+	if isConfirmedBy(objectapi.Listing{Revision: objectapi.Version{Epoch: 4, Number: 1}}) {
+		t.Error("a copy without a configuration confirms one")
+	}
+	if !isConfirmedBy(listing(4, 9)) {
+		t.Error("version 9 is not confirmed")
+	}
+}
--- a/rudder/traffic/current_config.go
+++ b/rudder/traffic/current_config.go
@@ -36,10 +36,11 @@
 }
 
 // ConfirmNewest records that version was the newest published one at the given time. The call is ignored if this process
-// does not hold that version or a later one.
+// holds another version: a later one shows that what is confirmed is outdated, or comes from a store that has lost the later
+// one.
 func (c *CurrentConfig) ConfirmNewest(version int64, at boottime.Instant) {
 	current := c.config.Load()
-	if current == nil || current.Version < version {
+	if current == nil || current.Version != version {
 		return
 	}
 	for {
