Wait out a lease whose record may have been lost, and never give out a fencing token twice

Cause: the copy may say that the lease is free, released, or held by an earlier holder with an earlier fencing token. A node that read it took the lease at once, while the holder of the lost seconds still acted, and with the token that the latter had got.

Change: a record of an earlier epoch counts as held until it has been unchanged for the duration and the longest command; so does a missing one, unless the system starts for the first time. Fencing tokens begin anew in each epoch, above all earlier ones, and above the version that the acquisition replaces: a late write of a former holder may have replaced a record with a higher token, since its condition is a version that was given out again. A holder whose own record comes back keeps its lease for as long as it would have lasted.

Evidence: TestAtMostOneHolder now copies and restores the store, which compares only the numbers of versions.

--- a/rudder/lease/contender.go
+++ b/rudder/lease/contender.go
@@ -23,6 +23,11 @@
 	record      record
 	observedAt  time.Time
 	hasObserved bool
+	epoch       int64 // of the object API in that read or write
+	// mayLackRecord is true if the record of a present holder may have been lost with a restored object API: this process has
+	// seen that it was restored, or cannot tell.
+	mayLackRecord bool
+	isFirstStart  bool // see Manager.IsFirstStart
 	// pendingRecord is the last record that this process tried to write, and pendingSentAt is when it was first sent. A
 	// repeated write keeps the first time, because the first one may have taken effect long before the second was
 	// rejected.
@@ -43,24 +48,28 @@
 }
 
 // acquire takes the lease if it is free: never held, released, still recorded for this same process, or unchanged for
-// long enough.
+// long enough. In a record of an earlier epoch of the object API, only the last of these shows that it is free.
 func (c *contender) acquire(ctx context.Context) error {
 	if err := c.observe(ctx); err != nil {
 		return err
 	}
-	isFree := c.record == (record{}) || c.record.Released || c.record.Holder == c.holder ||
-		c.clock.Now().Sub(c.observedAt) >= c.record.takeoverDelay()
+	isCurrent := c.record.Epoch == c.epoch
+	isFree := isCurrent && (c.record == (record{}) || c.record.Released || c.record.Holder == c.holder) ||
+		c.clock.Now().Sub(c.observedAt) >= c.takeoverDelay()
 	if !isFree {
 		return nil
 	}
 	next := record{
-		Holder: c.holder, FencingToken: c.record.FencingToken + 1,
+		Holder: c.holder, FencingToken: c.record.nextFencingToken(c.version, c.epoch), Epoch: c.epoch,
 		DurationMilliseconds: c.timing.Duration.Milliseconds(), MaxCommandMilliseconds: c.timing.MaxCommandDuration.Milliseconds(),
 	}
 	sentAt, err := c.write(ctx, next)
 	if err != nil {
 		return ignoreConflict(err)
 	}
+	if c.epoch != next.Epoch { // the token may have been given out and lost with the restored object API
+		return nil
+	}
 	c.lease = &Lease{
 		Name: c.name, FencingToken: next.FencingToken, clock: c.clock,
 		deadline: sentAt.Add(c.timing.Duration - c.timing.Margin),
@@ -73,30 +82,49 @@
 // does not let a successor start early.
 func (c *contender) observe(ctx context.Context) error {
 	o, err := c.store.Get(ctx, Prefix+c.name)
-	if errors.Is(err, objectapi.ErrNotFound) {
-		o, err = objectapi.Object{Version: objectapi.AbsentVersion}, nil
-	}
-	if err != nil {
+	version, r := o.Version, c.record
+	switch {
+	case errors.Is(err, objectapi.ErrNotFound):
+		version = objectapi.AbsentVersion
+	case err != nil:
 		return err
 	}
-	if c.hasObserved && o.Version == c.version {
+	if c.hasObserved && version == c.version && o.Version.Epoch == c.epoch {
 		return nil
 	}
-	r := c.record
-	if o.Version != objectapi.AbsentVersion {
+	if version != objectapi.AbsentVersion {
 		if r, err = decodeRecord(o); err != nil {
 			return err
 		}
 	}
-	c.version, c.record, c.observedAt, c.hasObserved = o.Version, r, c.clock.Now(), true
+	c.noteRecord(version, r, o.Version.Epoch)
 	return nil
 }
 
+// noteRecord keeps the record as it was just read or written in an epoch of the object API.
+func (c *contender) noteRecord(version objectapi.Version, r record, epoch int64) {
+	if c.hasObserved {
+		c.mayLackRecord = c.mayLackRecord || epoch != c.epoch
+	} else {
+		c.mayLackRecord = version == objectapi.AbsentVersion && epoch > 0 && !c.isFirstStart
+	}
+	c.version, c.record, c.observedAt, c.hasObserved, c.epoch = version, r, c.clock.Now(), true, epoch
+}
+
+// takeoverDelay returns how long the record must be unchanged before this process may take the lease.
+func (c *contender) takeoverDelay() time.Duration {
+	if c.mayLackRecord {
+		return max(c.record.takeoverDelay(), c.timing.Duration+c.timing.MaxCommandDuration)
+	}
+	return c.record.takeoverDelay()
+}
+
 // renew extends the lease, or finds that it is lost. The deadline counts from the time when the write that took effect
 // was sent, because a successor may have observed the record from that time on.
 func (c *contender) renew(ctx context.Context) error {
 	next := c.record
 	next.Renewal++
+	next.Epoch = c.epoch
 	sentAt, err := c.write(ctx, next)
 	if err == nil {
 		c.lease.extend(sentAt.Add(c.timing.Duration - c.timing.Margin))
@@ -129,7 +157,7 @@
 	if err != nil {
 		return sentAt, err
 	}
-	c.version, c.record, c.observedAt, c.hasObserved = o.Version, next, c.clock.Now(), true
+	c.noteRecord(o.Version, next, o.Version.Epoch)
 	return sentAt, nil
 }
 
--- a/rudder/lease/lease.go
+++ b/rudder/lease/lease.go
@@ -6,6 +6,10 @@
 // is suspended: its lease ends one lease duration, less a margin, after it sent the last write that took effect. A
 // successor relies only on its own observations: it writes after the record has been unchanged for the lease duration
 // plus the longest time of a command.
+//
+// An object API that was restored from an older copy has lost acquisitions, releases and fencing tokens. A record of an
+// earlier epoch therefore counts as held, whatever it says, until it has been unchanged for long enough, and the fencing
+// tokens of an epoch are higher than all of earlier epochs.
 package lease
 
 import (
@@ -48,14 +52,29 @@
 
 // record is the value of a lease in the object API.
 type record struct {
-	Holder                 string `json:"holder"`  // process that holds the lease, unique for each start
-	FencingToken           int64  `json:"fence"`   // number of acquisitions
-	Renewal                int64  `json:"renewal"` // number of renewals since the acquisition
+	Holder                 string `json:"holder"`          // process that holds the lease, unique for each start
+	FencingToken           int64  `json:"fence"`           // increases with each acquisition
+	Epoch                  int64  `json:"epoch,omitempty"` // of the object API when the record was written
+	Renewal                int64  `json:"renewal"`         // number of renewals since the acquisition
 	DurationMilliseconds   int64  `json:"duration_ms"`
 	MaxCommandMilliseconds int64  `json:"longest_command_ms"`
 	Released               bool   `json:"released"`
 }
 
+// fencingTokensPerEpoch is the difference between the first fencing tokens of two successive epochs of the object API: more
+// than there are versions in one.
+const fencingTokensPerEpoch = 1 << 40
+
+// nextFencingToken returns the token of an acquisition that replaces the record with a version, in an epoch of the object API.
+// After a restore a late write of a former holder may have replaced a record with a higher token. The version then is higher
+// than that of the acquisition with that token, so that counting it keeps tokens unique.
+func (r record) nextFencingToken(version objectapi.Version, epoch int64) int64 {
+	if epoch == 0 {
+		return r.FencingToken + 1
+	}
+	return max(r.FencingToken, epoch*fencingTokensPerEpoch+version.Number) + 1
+}
+
 // takeoverDelay returns how long the record must be unchanged before another process may acquire the lease.
 func (r record) takeoverDelay() time.Duration {
 	return time.Duration(r.DurationMilliseconds+r.MaxCommandMilliseconds) * time.Millisecond
--- a/rudder/lease/lease_test.go
+++ b/rudder/lease/lease_test.go
@@ -28,6 +28,7 @@
 	store         *objectapitest.MemoryStore
 	contenders    []*contender
 	delayedWrites []func()
+	copies        []any // of the store, for restores
 	isNested      bool
 	holderByToken map[int64]string // holder of each fencing token that passed a check
 	highestToken  int64
@@ -47,12 +48,12 @@
 	case "down":
 		return objectapi.Object{}, objectapi.ErrUnavailable
 	case "delayed":
-		sim.delayedWrites = append(sim.delayedWrites, func() { _, _ = s.MemoryStore.Put(ctx, key, value, expected) })
+		sim.delayedWrites = append(sim.delayedWrites, func() { _, _ = s.put(ctx, key, value, expected) })
 		return objectapi.Object{}, objectapi.ErrOutcomeUnknown
 	case "paused before":
 		sim.pause(s.self)
 	}
-	o, err := s.MemoryStore.Put(ctx, key, value, expected)
+	o, err := s.put(ctx, key, value, expected)
 	switch {
 	case fault == "lost":
 		return objectapi.Object{}, objectapi.ErrOutcomeUnknown
@@ -62,6 +63,22 @@
 	return o, err
 }
 
+// put writes like a store that compares only the numbers of versions, which are given out again after a restore. As the
+// interface demands, the writer is told of a conflict then.
+func (s faultyStore) put(ctx context.Context, key string, value any, expected objectapi.Version) (objectapi.Object, error) {
+	isConditional := expected != objectapi.AbsentVersion && expected != objectapi.AnyVersion
+	current, _ := s.Get(ctx, key)
+	sent := expected
+	if isConditional {
+		sent.Epoch = current.Version.Epoch
+	}
+	o, err := s.MemoryStore.Put(ctx, key, value, sent)
+	if err == nil && isConditional && expected.Epoch != o.Version.Epoch {
+		return objectapi.Object{}, objectapi.ErrConflict
+	}
+	return o, err
+}
+
 // pause lets time pass and the other contenders act while one contender is within a call.
 func (s *simulation) pause(self int) {
 	s.advance()
@@ -108,9 +125,10 @@
 }
 
 // TestAtMostOneHolder guards against two nodes that act as the holder at the same time after a pause, a lost or delayed
-// write, an outage, a release or a restart.
+// write, an outage, a release, a restart or an object API that is restored from an older copy, and against fencing tokens
+// that are given out twice.
 func TestAtMostOneHolder(t *testing.T) {
-	acquisitions := 0
+	acquisitions, allRestores := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		s := &simulation{t: t, store: objectapitest.NewMemoryStore(), holderByToken: map[int64]string{}}
 		s.clock.now = time.Unix(1000, 0)
@@ -123,12 +141,20 @@
 		for i := range 3 {
 			s.contenders = append(s.contenders, startContender(i, 0))
 		}
-		restarts := 0
+		restarts, restores := 0, 0
 		t.Repeat(map[string]func(*rapid.T){
 			"":        func(*rapid.T) { s.checkInvariants() },
 			"step":    func(*rapid.T) { _ = s.contenders[s.drawContender()].tryAcquireOrRenew(context.Background()) },
 			"advance": func(*rapid.T) { s.advance() },
 			"release": func(*rapid.T) { _ = s.contenders[s.drawContender()].release(context.Background()) },
+			"copy":    func(*rapid.T) { s.copies = append(s.copies, s.store.Copy()) },
+			"restore": func(t *rapid.T) {
+				if len(s.copies) == 0 || rapid.IntRange(0, 3).Draw(t, "rarity") > 0 {
+					t.Skip("there is no copy, or it is not restored now")
+				}
+				restores++
+				s.store.Restore(rapid.SampledFrom(s.copies).Draw(t, "copy"))
+			},
 			"restart": func(*rapid.T) { restarts++; i := s.drawContender(); s.contenders[i] = startContender(i, restarts) },
 			"arrive": func(t *rapid.T) {
 				if len(s.delayedWrites) == 0 {
@@ -139,11 +165,12 @@
 			},
 		})
 		acquisitions += len(s.holderByToken)
+		allRestores += restores
 	})
-	if acquisitions == 0 {
-		t.Error("no contender ever acquired the lease, so that the test has checked nothing")
+	if acquisitions == 0 || allRestores == 0 {
+		t.Error("no contender ever acquired the lease or no copy was ever restored, so that the test has checked nothing")
 	}
-	t.Logf("%d acquisitions", acquisitions)
+	t.Logf("%d acquisitions, %d restores", acquisitions, allRestores)
 }
 
 func newContender(store objectapi.Store, clock Clock, holder string) *contender {
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -153,7 +153,7 @@
 	n.leases = &lease.Manager{
 		Store: platform.Store, Node: s.Node, Log: logger.Part("lease"), ShouldContend: n.isLeaseContender,
 		Timing:       lease.Timing{Duration: s.LeaseDuration, Margin: s.LeaseDuration / 6, MaxCommandDuration: maxDutyCallTime},
-		PollInterval: leasePollInterval,
+		PollInterval: leasePollInterval, IsFirstStart: s.IsFirstStart,
 	}
 	return n
 }
@@ -169,8 +169,8 @@
 func (n *node) backgroundTasks(meshConn net.PacketConn) []func(context.Context) {
 	n.configWatcher = &objectapi.Watcher{
 		Store: n.platform.Store, Prefix: path.Dir(n.platform.ConfigKey) + "/", Log: n.logger.Part("config"),
-		OnList:       func(listing objectapi.Listing, _ boottime.Instant) { n.applyConfigObjects(listing.Objects) },
-		OnChange:     func(e objectapi.Event) { n.applyConfigObjects([]objectapi.Object{e.Object}) },
+		OnList:       n.applyConfigListing,
+		OnChange:     func(e objectapi.Event) { n.applyStoredConfig(e.Object) },
 		OnSync:       n.confirmConfig,
 		WatchTimeout: n.configWatchTimeout, IsSuspended: n.isConfigWatchSuspended,
 	}
