Do not report a usage window again with other counts after its record was lost

Cause: the final counts of a window were kept in the object API only. After it had lost them, the next report of the window was made from the counts of that moment, which had grown since, or which the new holder knew differently.

Change: a node keeps the final counts that it stored or read, and stores the same ones again. Digests tell up to which window counts are final; a holder that does not know the counts of such a window, and finds no record, drops its report and says so: a missing report is a missed duty, a second one breaks the rule. Left: a holder that reports a window and dies before its next digest, while the store loses its record.

Evidence: TestReportLostByTheStoreIsNotSentWithOtherCounts fails before for the same node ("window ... was sent with map[o:1], then with map[o:10]") and for another one ("then with map[o:9]") and passes now.

--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -62,6 +62,9 @@
 	Crashes *culprit.Report `cbor:"22,keyasint,omitempty"`
 	// ServerLimits holds the limits of requests that backend servers name, as far as the sender knows.
 	ServerLimits []backend.LimitReport `cbor:"23,keyasint,omitempty"`
+	// UsageFinalThrough is the latest usage window whose counts are final, as far as the sender knows. It outlives the records in
+	// the object API, which may be restored from an older copy.
+	UsageFinalThrough int64 `cbor:"26,keyasint,omitempty"`
 }
 
 // brief returns the digest without what summaries hold.
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -196,6 +196,7 @@
 		Loads: n.backends.OwnLoads(), Demand: n.backends.Demand(), QuotaUsages: n.quotas.FullReport(),
 		Crashes: n.relay.Crashes.FullReport(), ServerLimits: n.backends.Limits(), RunsByWindow: n.usageCounter.WindowsForPeers(),
 		Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
+		UsageFinalThrough: n.usageCounter.FinalThrough(),
 	}
 	if config := n.currentConfig.Config(); config != nil {
 		d.ConfigVersion = config.Version
@@ -291,6 +292,7 @@
 	if !m.IsSummarized {
 		n.backends.SetPeerLoads(m.Node, m.Loads)
 	}
+	n.usageCounter.NoteFinalThrough(m.UsageFinalThrough)
 	n.registry.applyDelta(m)
 	n.noteConfigVersion(m.ConfigVersion)
 	if confirmedAt, found := m.ConfigConfirmedAt(); found {
--- a/rudder/usage/counter.go
+++ b/rudder/usage/counter.go
@@ -29,6 +29,7 @@
 	peers       map[string]Windows // by peer incarnation
 	peerUpdates int                // number of calls of WindowsForPeers
 	changed     map[int64]bool     // windows that have changed since the last call of TakeChanged
+	final       finalCounts
 }
 
 // NewCounter returns a counter. incarnation identifies this start of the node process; peers pass the same value to
--- a/rudder/usage/reporter.go
+++ b/rudder/usage/reporter.go
@@ -130,6 +130,10 @@
 	}
 	key := ReportPrefix + strconv.FormatInt(window, 10)
 	final, version, err := r.finalCounts(ctx, key, window)
+	if errors.Is(err, errFinalCountsLost) {
+		r.Log.Warn("Dropped the report of a usage window.", "window", window, "error", err)
+		return true
+	}
 	if err != nil {
 		r.Log.Warn("Failed to store or read the usage report.", "window", window, "error", err)
 		return false
@@ -153,18 +157,33 @@
 }
 
 // finalCounts stores the counts of a window and returns the report with its object version. If another lease holder has
-// already stored a report for the window, it returns that one.
+// already stored a report for the window, it returns that one; if that one was lost with a restored object API, it stores the
+// same counts again, or returns errFinalCountsLost if this node does not know them.
 func (r *Reporter) finalCounts(ctx context.Context, key string, window int64) (report, objectapi.Version, error) {
-	final := report{Counts: r.Counter.Sum(window)}
-	o, err := r.Store.Put(ctx, key, final, objectapi.AbsentVersion)
-	if err == nil {
-		return final, o.Version, nil
+	counts, mayBeFinal := r.Counter.finalCounts(window)
+	final := report{Counts: counts}
+	if counts == nil {
+		final.Counts = r.Counter.Sum(window)
+	}
+	if counts != nil || !mayBeFinal {
+		o, err := r.Store.Put(ctx, key, final, objectapi.AbsentVersion)
+		if err == nil {
+			r.Counter.noteFinal(window, final.Counts)
+			return final, o.Version, nil
+		}
 	}
-	if o, err = r.Store.Get(ctx, key); err != nil {
+	o, err := r.Store.Get(ctx, key)
+	if errors.Is(err, objectapi.ErrNotFound) && counts == nil && mayBeFinal {
+		return report{}, objectapi.AbsentVersion, errFinalCountsLost
+	}
+	if err != nil {
 		return report{}, objectapi.AbsentVersion, err
 	}
-	err = json.Unmarshal(o.Value, &final)
-	return final, o.Version, errors.Wrapf(err, "decode %s", key)
+	if err := json.Unmarshal(o.Value, &final); err != nil {
+		return report{}, objectapi.AbsentVersion, errors.Wrapf(err, "decode %s", key)
+	}
+	r.Counter.noteFinal(window, final.Counts)
+	return final, o.Version, nil
 }
 
 // deleteReport deletes the stored report of a window.
--- a/rudder/usage/usage_test.go
+++ b/rudder/usage/usage_test.go
@@ -37,7 +37,7 @@
 			return nil
 		},
 	}
-	m := &lease.Manager{Store: store, Node: "n", Log: slog.New(slog.DiscardHandler), Timing: lease.Timing{Duration: time.Hour, Margin: time.Second}}
+	m := &lease.Manager{Store: store, Node: "n", Log: slog.New(slog.DiscardHandler), Timing: lease.Timing{Duration: time.Hour, Margin: time.Second}, IsFirstStart: true}
 	m.Hold(ctx, "duties", r.Run)
 	return reports
 }
@@ -269,3 +269,46 @@
 		t.Fatalf("window is part of %d of %d updates, want 3", sends, 3*reducedRateDivisor)
 	}
 }
+
+// The store came back from a copy without the report of a window that had been sent, and the next holder of the lease sent the
+// window again with the counts that it knew.
+func TestReportLostByTheStoreIsNotSentWithOtherCounts(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		isSame    bool // the same node holds the lease again
+		wantTimes int  // that the window is sent after the restore
+	}{
+		{name: "same node", isSame: true, wantTimes: 1},
+		{name: "another node, which has heard that the window was reported"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store := objectapitest.NewMemoryStore()
+			storeCopy := store.Copy()
+			counter := NewCounter("n1/1", 5*time.Second, time.Now)
+			counter.CountRun("o")
+			before := runReporter(t, store, counter, 8*time.Second, false)
+			if len(before) != 1 {
+				t.Fatalf("%s: reports before the restore: %+v, want one", c.name, before)
+			}
+			store.Restore(storeCopy)
+			if !c.isSame {
+				through := counter.FinalThrough()
+				counter = NewCounter("n2/1", 5*time.Second, time.Now)
+				counter.NoteFinalThrough(through)
+			}
+			counter.MergePeerWindows("x", Windows{before[0].window: {"o": 9}})
+			times := 0
+			for _, r := range runReporter(t, store, counter, 4*time.Second, false) {
+				if r.window == before[0].window {
+					times++
+					if !maps.Equal(r.counts, before[0].counts) {
+						t.Errorf("%s: window %d was sent with %v, then with %v", c.name, r.window, before[0].counts, r.counts)
+					}
+				}
+			}
+			if times != c.wantTimes {
+				t.Errorf("%s: the window was sent %d times after the restore, want %d", c.name, times, c.wantTimes)
+			}
+		})
+	}
+}
