Write quarantines and node records again that a restored object API has lost

What would be seen: after a store that comes back from an older copy, nodes that all start later do not know a quarantine, so that its requests crash servers again (rule BUDGET), or find an ended one and refuse sound requests; a node that starts alone finds no record of the others.

Cause: a node that had written a record took it to be there for good, and one that had deleted one, gone.

Change: when the epoch of the object API has risen, the first node by name reads the recorded quarantines once, writes the missing ones and deletes those of ended ones without applying them, and a node writes its own record again.

Evidence: TestQuarantinesAreRecordedAgainAfterRestore ("condition does not hold within 30s: the second quarantine is recorded again") and TestNodeRecordIsWrittenAgainAfterRestore ("call 1 after the restore: 0 records after 0 writes") fail before and pass now.

--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -115,23 +115,25 @@
 	return preceding < recordsPerFailureDomain
 }
 
-// register writes this node's record if it has none and is not stopping.
+// register writes this node's record if it has none, or the object API has been restored since it was written, unless the node
+// is stopping.
 func (n *node) register(ctx context.Context) {
 	n.recordMu.Lock()
 	defer n.recordMu.Unlock()
-	if n.isRegistered || n.isDraining.Load() {
+	hasRecord := n.isRegistered && n.recordEpoch >= n.registry.storeEpoch()
+	if hasRecord || n.isDraining.Load() {
 		return
 	}
 	key, record := nodeRecordPrefix+n.settings.Node, nodeRecord{MeshAddress: n.settings.MeshAddress}
-	_, err := n.platform.Store.Put(ctx, key, record, objectapi.AbsentVersion)
+	o, err := n.platform.Store.Put(ctx, key, record, objectapi.AbsentVersion)
 	if errors.Is(err, objectapi.ErrConflict) { // left behind by an earlier start
-		_, err = n.platform.Store.Put(ctx, key, record, objectapi.AnyVersion)
+		o, err = n.platform.Store.Put(ctx, key, record, objectapi.AnyVersion)
 	}
 	if err != nil {
 		n.log.Warn("Writing the node record failed; trying again.", "error", err)
 		return
 	}
-	n.isRegistered = true
+	n.isRegistered, n.recordEpoch = true, o.Version.Epoch
 }
 
 // unregister deletes this node's record if it has one, so that starting nodes do not send digests to an address that is no longer in
--- a/rudder/relaynode/duties_test.go
+++ b/rudder/relaynode/duties_test.go
@@ -1,12 +1,15 @@
 package relaynode
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/mesh"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/objectapi/objectapitest"
 )
 
 // While the object API is down no node is ready, and still only a few nodes may contend for the lease. When only ready
@@ -36,3 +39,34 @@
 		t.Error("node n1 does not contend for the lease 2 s after the last digest of its holder")
 	}
 }
+
+// The store came back from a copy without the record of a node, which was not written again: a node that starts would not find
+// the others.
+func TestNodeRecordIsWrittenAgainAfterRestore(t *testing.T) {
+	ctx := context.Background()
+	store := objectapitest.NewMemoryStore()
+	n := newQuarantineNode(store)
+	n.registry = newRegistrySync(n)
+	storeCopy := store.Copy()
+	register := func() (records, writes int) {
+		writesBefore := store.CallCount("put")
+		n.register(ctx)
+		listing, err := store.List(ctx, nodeRecordPrefix)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(listing.Objects), store.CallCount("put") - writesBefore
+	}
+	for i, want := range []int{1, 0} {
+		if records, writes := register(); records != 1 || writes != want {
+			t.Errorf("call %d: %d records after %d writes, want 1 after %d", i+1, records, writes, want)
+		}
+	}
+	store.Restore(storeCopy)
+	n.registry.recordAnswer(boottime.Now(), objectapi.Version{Epoch: 1, Number: 1})
+	for i, want := range []int{1, 0} {
+		if records, writes := register(); records != 1 || writes != want {
+			t.Errorf("call %d after the restore: %d records after %d writes, want 1 after %d", i+1, records, writes, want)
+		}
+	}
+}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -81,7 +81,8 @@
 	holdsDutyLease atomic.Bool
 
 	recordMu     sync.Mutex
-	isRegistered bool // this node has a record in the object API; guarded by recordMu
+	isRegistered bool  // this node has a record in the object API; guarded by recordMu
+	recordEpoch  int64 // of the object API when the record was written; guarded by recordMu
 
 	// informedHolder is the holder of the duty lease to which counts were last sent, at holderInformedAt. Only the task that
 	// sends urgent digests uses them.
--- a/rudder/relaynode/quarantines.go
+++ b/rudder/relaynode/quarantines.go
@@ -44,36 +44,66 @@
 		saved, err = n.loadQuarantines(ctx)
 	}
 	for sleep.For(ctx, quarantineSaveInterval) {
-		if (n.relay.Crashes.HasQuarantines() || len(saved) > 0) && n.isFirstNode() {
-			n.saveQuarantines(ctx, saved)
+		isOutdated := saved.epoch < n.registry.storeEpoch()
+		if !isOutdated && !n.relay.Crashes.HasQuarantines() && len(saved.trials) == 0 || !n.isFirstNode() {
+			continue
+		}
+		if isOutdated {
+			// Records may be missing, and those of ended quarantines may be back: they are deleted, not applied.
+			records, err := n.readQuarantines(ctx)
+			if err != nil {
+				n.log.Warn("Reading the recorded quarantines of the restored object API failed; trying again.", "error", err)
+				continue
+			}
+			saved = records.saved
 		}
+		n.saveQuarantines(ctx, saved.trials)
+	}
+}
+
+// savedQuarantines is what this node knows of the records in the object API.
+type savedQuarantines struct {
+	trials map[string]int // number of trials in each record by key
+	epoch  int64          // of the object API when they were read
+}
+
+// quarantineRecords holds the recorded quarantines as reports of a peer.
+type quarantineRecords struct {
+	saved       savedQuarantines
+	quarantines []culprit.QuarantineReport
+}
+
+// loadQuarantines reads the recorded quarantines and applies them.
+func (n *node) loadQuarantines(ctx context.Context) (savedQuarantines, error) {
+	records, err := n.readQuarantines(ctx)
+	if err != nil {
+		return savedQuarantines{}, err
 	}
+	n.relay.Crashes.Apply(&culprit.Report{Quarantines: records.quarantines})
+	return records.saved, nil
 }
 
-// loadQuarantines applies the recorded quarantines and returns the number of trials of each by key. Records that are too old
-// are included, so that saveQuarantines deletes them.
-func (n *node) loadQuarantines(ctx context.Context) (map[string]int, error) {
+// readQuarantines reads the recorded quarantines. Those that are too old are included, so that saveQuarantines deletes them.
+func (n *node) readQuarantines(ctx context.Context) (quarantineRecords, error) {
 	list := n.platform.Store.List
 	if n.platform.ListStale != nil {
 		list = n.platform.ListStale
 	}
 	listing, err := list(ctx, quarantinePrefix)
 	if err != nil {
-		return nil, err
+		return quarantineRecords{}, err
 	}
-	saved := map[string]int{}
-	report := &culprit.Report{}
+	records := quarantineRecords{saved: savedQuarantines{trials: map[string]int{}, epoch: listing.Revision.Epoch}}
 	for _, o := range listing.Objects {
 		record, quarantine, err := decodeQuarantine(o, n.mesh.MedianTime())
 		if err != nil {
 			n.log.Warn("Decoding a recorded quarantine failed; it is left out.", "error", err)
 			continue
 		}
-		saved[o.Key] = record.Trials
-		report.Quarantines = append(report.Quarantines, quarantine)
+		records.saved.trials[o.Key] = record.Trials
+		records.quarantines = append(records.quarantines, quarantine)
 	}
-	n.relay.Crashes.Apply(report)
-	return saved, nil
+	return records, nil
 }
 
 // decodeQuarantine translates a record to the report of a peer at the given time.
--- a/rudder/relaynode/quarantines_test.go
+++ b/rudder/relaynode/quarantines_test.go
@@ -43,12 +43,12 @@
 	store := objectapitest.NewMemoryStore()
 	n := newQuarantineNode(store)
 	saved, err := n.loadQuarantines(ctx)
-	if err != nil || len(saved) != 0 {
+	if err != nil || len(saved.trials) != 0 {
 		t.Fatalf("load from an empty store: %v, error %v", saved, err)
 	}
 	traits := []culprit.Trait{n.quarantineContent("a", 10), n.quarantineContent("b", 20)}
 	for range 3 {
-		n.saveQuarantines(ctx, saved)
+		n.saveQuarantines(ctx, saved.trials)
 	}
 	if listing, err := store.List(ctx, quarantinePrefix); err != nil || len(listing.Objects) != 2 || store.CallCount("put") != 2 {
 		t.Fatalf("%d records after %d writes, error %v, want 2 after 2", len(listing.Objects), store.CallCount("put"), err)
@@ -68,7 +68,7 @@
 	}
 	started.relay.Crashes.RecordAnswer("s", traits[:1])
 	time.Sleep(200 * time.Millisecond) // the list is evaluated ten times a second
-	started.saveQuarantines(ctx, saved)
+	started.saveQuarantines(ctx, saved.trials)
 	listing, err := store.List(ctx, quarantinePrefix)
 	if err != nil || len(listing.Objects) != 2 {
 		t.Fatalf("%d records after the end of a quarantine, error %v, want the other one and the odd one", len(listing.Objects), err)
@@ -101,8 +101,52 @@
 	if n.relay.Crashes.HasQuarantines() {
 		t.Error("a record of an hour ago is applied")
 	}
-	n.saveQuarantines(ctx, saved)
+	n.saveQuarantines(ctx, saved.trials)
 	if listing, err := store.List(ctx, quarantinePrefix); err != nil || len(listing.Objects) != 0 {
 		t.Errorf("%d records are left, error %v, want none", len(listing.Objects), err)
 	}
 }
+
+// The store came back from an older copy: the record of a quarantine was gone and was not written again, so that nodes that all
+// started later let the requests crash servers, and the record of an ended quarantine was back and stayed.
+func TestQuarantinesAreRecordedAgainAfterRestore(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	store := objectapitest.NewMemoryStore()
+	n := newQuarantineNode(store)
+	n.registry = newRegistrySync(n)
+	ended := n.quarantineContent("ended", 10)
+	done := make(chan struct{})
+	go func() { defer close(done); n.keepQuarantines(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	hasRecords := func(traits ...culprit.Trait) func() bool {
+		return func() bool {
+			n.relay.Crashes.Quarantines() // evaluates the crashes, as requests do
+			listing, err := store.List(ctx, quarantinePrefix)
+			if err != nil || len(listing.Objects) != len(traits) {
+				return false
+			}
+			for i, trait := range traits {
+				if listing.Objects[i].Key != quarantinePrefix+fmt.Sprintf("%x", quarantineIDOf(trait)) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	waitFor(t, 30*time.Second, "the first quarantine is recorded", hasRecords(ended))
+	storeCopy := store.Copy()
+	n.relay.Crashes.RecordAnswer("s", []culprit.Trait{ended})
+	lost := n.quarantineContent("lost", 20)
+	waitFor(t, 30*time.Second, "the second quarantine is recorded, the first one is not any more", hasRecords(lost))
+	writes := store.CallCount("put")
+	store.Restore(storeCopy)
+	n.registry.recordAnswer(boottime.Now(), objectapi.Version{Epoch: 1, Number: 1})
+	waitFor(t, 30*time.Second, "the second quarantine is recorded again, the first one is not any more", hasRecords(lost))
+	time.Sleep(2 * quarantineSaveInterval)
+	if store.CallCount("put") != writes+1 {
+		t.Errorf("%d writes after the restore, want 1", store.CallCount("put")-writes)
+	}
+	if refusal, _ := n.relay.Crashes.Check([]culprit.Trait{ended}, false); refusal != nil {
+		t.Error("the ended quarantine is in force again")
+	}
+}
