Log how long a silent server was waited for, and panics of handlers

An attempt that was given up left a line without the time that its server had been silent and without the state of the retry budget, so that giving up too soon could not be told from a dead server. A failure to write events to a caller left no line at all, and a panic of a handler only one in the error log of net/http, which is not written: such a request ends without an answer and without a trace. A stream whose caller had left was said to have exceeded its deadline.

The line of a failed attempt has given_up, silent_ms and retries_left; panics are logged with their stack; a stream whose caller does not read or has left says so.

--- a/rudder/limit/retry.go
+++ b/rudder/limit/retry.go
@@ -47,6 +47,12 @@
 	b.refilledAt = now
 }
 
+// Level returns the number of retries that the budget allows at present.
+func (b *RetryBudget) Level(now time.Time) float64 {
+	b.refill(now)
+	return b.tokens
+}
+
 // RecordFirstAttempt adds the retries that one first attempt allows.
 func (b *RetryBudget) RecordFirstAttempt(now time.Time) {
 	b.refill(now)
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -48,6 +48,15 @@
 
 	sentAt       boottime.Instant // when the sending began
 	firstEventAt boottime.Instant // of the stream; 0 if none came
+	progressAt   boottime.Instant // when the server last sent a head or a whole event; at first sentAt
+}
+
+// silence returns the time since the server last sent a head or a whole event, or since the request was sent; 0 if it was not.
+func (a *attempt) silence() time.Duration {
+	if a.progressAt == 0 {
+		return 0
+	}
+	return boottime.Since(a.progressAt)
 }
 
 // bufferedResponse is a response that was read completely.
@@ -79,6 +88,7 @@
 	defer a.removeAwaitingResponse()
 	request := a.call.newBackendRequest(a.server.Dialect, a.placement.ID, time.Until(a.call.deadline), a.forwarder.lastEventID)
 	a.sentAt = boottime.Now()
+	a.progressAt = a.sentAt
 	writeResult, err := a.send(request)
 	if err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -197,6 +207,7 @@
 		return attemptResult{isKnownNotRun: true, backendResult: backend.ResultRejected, reason: "backend server refused the request with status " + strconv.Itoa(response.StatusCode)}
 	}
 	a.removeAwaitingResponse()
+	a.progressAt = boottime.Now()
 	a.placement.RecordFirstByte()
 	a.forwarder.countRun()
 	a.server.metrics.recordFirstByte(a.call, time.Since(a.call.arrivedAt))
@@ -327,8 +338,11 @@
 	a.setReadTimeout(f.eventTimeout())
 	for {
 		events, err := reader.next(chunk)
-		if len(events) > 0 && a.firstEventAt == 0 {
-			a.firstEventAt = boottime.Now()
+		if len(events) > 0 {
+			a.progressAt = boottime.Now()
+			if a.firstEventAt == 0 {
+				a.firstEventAt = a.progressAt
+			}
 		}
 		if skipUpTo != "" {
 			events = skipEvents(events, skipUpTo)
@@ -336,7 +350,7 @@
 		if len(events) > 0 {
 			skipUpTo = ""
 			if writeErr := f.writeEvents(events, response, controller); writeErr != nil {
-				return attemptResult{isFinal: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + writeErr.Error()}
+				return attemptResult{isPartial: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + writeErr.Error()}
 			}
 			f.lastEventID = reader.lastID
 			// Bytes that complete no event do not extend the time for the next one.
@@ -366,7 +380,7 @@
 	f := a.forwarder
 	if rest := reader.remainder(); len(rest) > 0 {
 		if err := f.writeEvents(rest, response, controller); err != nil {
-			return attemptResult{isFinal: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + err.Error()}
+			return attemptResult{isPartial: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + err.Error()}
 		}
 	}
 	if !f.isHeadSent {
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -109,8 +109,8 @@
 
 // attemptResult is the result of an attempt.
 type attemptResult struct {
-	isFinal       bool           // the caller has a complete response, has disconnected, or does not read
-	isPartial     bool           // the caller has a part of a response that cannot be continued
+	isFinal       bool           // the caller has a complete response
+	isPartial     bool           // the caller has a part of a response that cannot be continued, or does not read
 	isSent        bool           // at least one byte of the request was sent
 	isKnownNotRun bool           // nothing was sent, or the server stated that it has not run the request
 	backendResult backend.Result // for the statistics of the server
@@ -141,7 +141,8 @@
 		f.server.recordAnswer(f.call)
 	}
 	if !r.isFinal {
-		f.server.Log.Info("Attempt to run the request on a backend server failed.", "request", f.call.id, "server", a.placement.ID, "send", f.sends, "not_run", r.isKnownNotRun, "sent", r.isSent, "reason", r.reason)
+		f.server.Log.Info("Attempt to run the request on a backend server failed.", "request", f.call.id, "server", a.placement.ID, "send", f.sends, "not_run", r.isKnownNotRun, "sent", r.isSent,
+			"given_up", r.isTimeout, "silent_ms", a.silence().Milliseconds(), "retries_left", f.server.retriesLeft(f.call.service), "reason", r.reason)
 	}
 }
 
@@ -215,6 +216,9 @@
 
 // deadlineError returns the error for a request whose deadline passed or whose caller disconnected.
 func (f *forwarder) deadlineError() *outcome.Error {
+	if isClosed(f.callerDone) {
+		return outcome.UnknownErrorf(http.StatusGatewayTimeout, errors.New(f.lastFailure), "caller disconnected")
+	}
 	if f.mayHaveRun {
 		return outcome.UnknownErrorf(http.StatusGatewayTimeout, errors.New(f.lastFailure), "request exceeded its deadline")
 	}
--- a/rudder/relay/harness_test.go
+++ b/rudder/relay/harness_test.go
@@ -105,6 +105,12 @@
 	h.server.Backends.Put(backend.Entry{ID: name, Service: "s", Address: listener.Addr().String(), Slots: 8})
 }
 
+// stuckServer adds a backend server that reads requests and answers none until done is closed.
+func (h *harness) stuckServer(name string, done <-chan struct{}) {
+	h.t.Helper()
+	h.backendServer(name, func(net.Conn, *http.Request) bool { <-done; return false })
+}
+
 // serve handles the requests of one connection.
 func (h *harness) serve(conn net.Conn, name string, handle func(conn net.Conn, r *http.Request) bool) {
 	defer conn.Close()
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -92,6 +93,7 @@
 		id: r.Header.Get(s.Dialect.RequestID), arrivedAt: time.Now(), header: backendRequestHeader(r.Header, s.Dialect),
 		method: r.Method, requestTarget: r.RequestURI, hostHeader: r.Host,
 	}
+	defer s.logPanic(c)
 	body, status := readBody(w, r, s.maxBodyBytes())
 	if status != 0 {
 		w.Header().Set("Connection", "close")
@@ -121,6 +123,18 @@
 	}
 }
 
+// logPanic logs a panic other than http.ErrAbortHandler. The panic goes on: net/http then closes the caller's connection.
+func (s *Server) logPanic(c *call) {
+	problem := recover()
+	if problem == nil {
+		return
+	}
+	if problem != http.ErrAbortHandler {
+		s.Log.Error("Handling a request panicked.", "request", c.id, "panic", problem, "stack", string(debug.Stack()))
+	}
+	panic(problem)
+}
+
 // maxBodyBytesWithoutConfig bounds request bodies while the node has no configuration. These requests are refused.
 const maxBodyBytesWithoutConfig = 1 << 20
 
@@ -306,6 +320,13 @@
 	return s.retryBudget(service).TakeRetry(time.Now())
 }
 
+// retriesLeft returns the level of the retry budget of a service.
+func (s *Server) retriesLeft(service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retryBudget(service).Level(time.Now())
+}
+
 // writeError answers a request that failed with the status of problem and an empty body.
 func (s *Server) writeError(w http.ResponseWriter, c *call, problem *outcome.Error) {
 	h := w.Header()
