Close the connection of a caller that has left instead of sending an empty success

A caller that ended its sending side before its answer came, and still read, got "HTTP/1.1 200 OK" with Content-Length 0: a success that no server had given. ServeHTTP returned without writing when the caller counted as gone, before the request was handled or while it was at a server, and net/http answers for a handler that returns without writing.

Each of these returns now panics with http.ErrAbortHandler after its log line, so that the connection closes without a byte. The quota of a request that has not run is still returned.

--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -225,7 +225,8 @@
 	return outcome.NotRunErrorf(http.StatusServiceUnavailable, 0, "request exceeded its deadline before it was run")
 }
 
-// fail answers the caller with an error, or aborts a response whose head was sent.
+// fail answers the caller with an error, or aborts a response whose head was sent. For a caller that has left it panics with
+// http.ErrAbortHandler.
 func (f *forwarder) fail(problem *outcome.Error) {
 	switch {
 	case problem == alreadyAnswered:
@@ -234,6 +235,7 @@
 		f.abort(problem.Reason)
 	case isClosed(f.callerDone):
 		f.server.Log.Info("Caller disconnected before a response was sent.", "request", f.call.id, "after_ms", time.Since(f.call.arrivedAt).Milliseconds(), "run", problem.Outcome.String())
+		panic(http.ErrAbortHandler)
 	default:
 		f.server.writeError(f.writer, f.call, problem)
 	}
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -85,7 +85,8 @@
 func (s *Server) RefuseRequests() { s.isRefusing.Store(true) }
 
 // ServeHTTP relays a request to a backend server and writes the response or an error. It panics with http.ErrAbortHandler
-// if a response fails after its head was sent.
+// if a response fails after its head was sent, or if the caller has left: net/http would write an empty success for a handler
+// that returns without an answer, and a caller that has ended only its sending side would read it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
@@ -103,7 +104,7 @@
 	c.body = body
 	if hasCallerLeft(r.Context()) {
 		s.Log.Info("Caller disconnected before the request was handled.", "request", c.id, "run", outcome.NotRun.String())
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if problem := s.admit(c, r); problem != nil {
 		s.writeError(w, c, problem)
@@ -117,10 +118,12 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	f := &forwarder{server: s, call: c, writer: w, callerDone: r.Context().Done()}
+	defer func() {
+		if !f.mayHaveRun && c.organisation != nil {
+			s.Quotas.Return(c.organisation, c.quotaAmount)
+		}
+	}()
 	f.run(ctx)
-	if !f.mayHaveRun && c.organisation != nil {
-		s.Quotas.Return(c.organisation, c.quotaAmount)
-	}
 }
 
 // logPanic logs a panic other than http.ErrAbortHandler. The panic goes on: net/http then closes the caller's connection.
