Leave a silent server only when the request can go elsewhere

A sound server may be silent for a second or so and go on. When a repeatable request had got no first byte, or a resumable stream no event, within its time, the relay ended the attempt first and looked afterwards whether the request could be sent again. Where that was forbidden (retry budget exhausted, no other server, maximum number of sends, crashes of similar requests, revoked key or old configuration), the caller got a 502 or a cut stream although its server was about to answer. Many servers that are silent at once exhaust the budget, so that the requests behind were all cut.

The decision has one place now, secureAlternative: when the time is over, it checks all that, takes the retry and reserves the place at another server; only then the attempt is given up, and the resend uses what is reserved. If any of it is not to be had, the attempt goes on and the check is repeated; the server is ejected meanwhile, as before. What is reserved and not used is given back. A read whose deadline expired in a process that was late itself is tried once more if its bytes have arrived.

Evidence: TestSilentServerIsAwaitedWithoutAlternative fails before in all of its 15 cases, e.g. "response {status:502 ...} after 1 sends, want 200 with "done" after 1"; it passes after. TestSilentServerIsLeftWhenAnotherIsAvailable shows that a dead server is still left, with one retry taken; TestUnusedAlternativeIsReleased and TestResponseThatWasReadLateIsNotSilence are for the new code. TestGivenUpRequestIsReset gets a second server, without which a silent one is not given up any more.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -418,6 +418,14 @@
 	}
 }
 
+// RecordSilence ejects the server for a while because it is silent for longer than requests should wait for it. This request
+// goes on waiting.
+func (p *Placement) RecordSilence() {
+	p.table.mu.Lock()
+	defer p.table.mu.Unlock()
+	p.Server.health.recordFailure(time.Now(), true)
+}
+
 // IsLeaving reports whether the registry says that the server drains, or does not list it any more.
 func (p *Placement) IsLeaving() bool {
 	p.table.mu.Lock()
--- a/rudder/limit/retry.go
+++ b/rudder/limit/retry.go
@@ -68,3 +68,6 @@
 	b.tokens--
 	return true
 }
+
+// ReturnRetry gives back a retry that was taken and not used.
+func (b *RetryBudget) ReturnRetry() { b.tokens = min(b.rate.Burst, b.tokens+1) }
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -49,6 +49,8 @@
 	sentAt       boottime.Instant // when the sending began
 	firstEventAt boottime.Instant // of the stream; 0 if none came
 	progressAt   boottime.Instant // when the server last sent a head or a whole event; at first sentAt
+	isSilent     bool             // the server was silent for too long, but the request could not go elsewhere
+	hasReadLate  bool             // bytes were read after the present read timeout had expired
 }
 
 // silence returns the time since the server last sent a head or a whole event, or since the request was sent; 0 if it was not.
@@ -76,6 +78,7 @@
 		return attemptResult{isKnownNotRun: true, backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
 	a.conn = conn
+	conn.OnReadTimeout(a.onSilence)
 	// The end of the connection makes the server cancel the request.
 	stop := context.AfterFunc(ctx, conn.Abort)
 	isReleased := false
@@ -110,6 +113,7 @@
 	r.isSent = true
 	if a.canReuseConn(response, r) && <-writeResult == nil && stop() {
 		a.clearReadDeadline()
+		conn.OnReadTimeout(nil)
 		conn.Release(response)
 		isReleased = true
 	}
@@ -168,15 +172,18 @@
 	a.server.awaitingResponse[a] = struct{}{}
 }
 
-// removeAwaitingResponse undoes addAwaitingResponse.
-func (a *attempt) removeAwaitingResponse() {
+// removeAwaitingResponse undoes addAwaitingResponse. It returns false if there is nothing to undo.
+func (a *attempt) removeAwaitingResponse() bool {
 	a.server.mu.Lock()
 	defer a.server.mu.Unlock()
+	_, found := a.server.awaitingResponse[a]
 	delete(a.server.awaitingResponse, a)
+	return found
 }
 
-// setReadTimeout bounds the time until the next byte from the backend server; 0 means no limit.
+// setReadTimeout sets the time after which onSilence is called; 0 means never.
 func (a *attempt) setReadTimeout(d time.Duration) {
+	a.hasReadLate = false
 	if d > 0 {
 		_ = a.conn.SetReadDeadline(time.Now().Add(d))
 		return
--- a/rudder/relay/caller_conn.go
+++ b/rudder/relay/caller_conn.go
@@ -22,20 +22,37 @@
 	if ctx.Err() != nil {
 		return true
 	}
-	conn, ok := ctx.Value(callerConnKey{}).(syscall.Conn)
+	conn, _ := ctx.Value(callerConnKey{}).(net.Conn)
+	_, hasEnded := peek(conn)
+	return hasEnded
+}
+
+// hasUnread reports whether bytes, or the end of the connection, have arrived and were not read yet.
+func hasUnread(conn net.Conn) bool {
+	hasBytes, hasEnded := peek(conn)
+	return hasBytes || hasEnded
+}
+
+// peek reports without waiting whether unread bytes have arrived on a connection, and whether its end has. Both are false if
+// that cannot be told.
+func peek(conn net.Conn) (hasBytes, hasEnded bool) {
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
-	raw, err := conn.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	hasLeft := false
-	// Control, unlike Read, does not wait for the read of net/http that is in progress.
+	// Control, unlike Read, neither waits for a read that is in progress nor fails after a read deadline.
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		hasLeft = n == 0 && peekErr == nil || peekErr == unix.ECONNRESET
+		hasBytes = n > 0
+		hasEnded = n == 0 && peekErr == nil || peekErr == unix.ECONNRESET
 	})
-	return err == nil && hasLeft
+	if err != nil {
+		return false, false
+	}
+	return hasBytes, hasEnded
 }
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -11,7 +11,6 @@
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/outcome"
-	"chestnutrudder.example/rudder/traffic"
 )
 
 const (
@@ -42,6 +41,9 @@
 	isHeadSent      bool            // the head of the response was sent to the caller
 	lastEventID     string          // id of the last event sent to the caller
 	lastFailure     string          // reason of the last attempt's failure
+	// alternative is the place at the server to which the request goes when the attempt in progress is given up. The retry was
+	// taken from the budget with it. It is nil if nothing is reserved.
+	alternative *backend.Placement
 	// crashObserved is closed when it is known whether the server of the last attempt crashed; nil if that is no question.
 	crashObserved <-chan struct{}
 }
@@ -50,6 +52,7 @@
 func (f *forwarder) run(ctx context.Context) {
 	s, c := f.server, f.call
 	s.recordFirstSend(c.service)
+	defer f.releaseAlternative()
 	for {
 		if problem := s.checkAllowed(c, s.StalenessLimits.Send); problem != nil {
 			if f.mayHaveRun {
@@ -58,7 +61,7 @@
 			f.fail(problem)
 			return
 		}
-		placement, refusal := s.Backends.Place(f.placementRequest(), f.maxPredictedFirstByte())
+		placement, refusal := f.place()
 		if refusal != nil {
 			f.failPlacement(refusal)
 			return
@@ -66,6 +69,7 @@
 		s.Log.Info("Selected a backend server for the request.", "request", c.id, "server", placement.ID, "send", f.sends+1, "choices", placement.CandidateCount,
 			"predicted_ms", placement.PredictedFirstByte.Milliseconds(), "running", placement.Running, "uncached_tokens", placement.UncachedTokens,
 			"route", c.route.Name, "service", c.service, "config_version", c.configVersion, "proof_age_ms", boottime.Since(s.Current.ConfirmedAt()).Milliseconds())
+		f.exclude(placement.ID)
 		a := &attempt{server: s, call: c, placement: placement, forwarder: f}
 		result := a.run(ctx)
 		placement.Release(result.backendResult)
@@ -87,6 +91,14 @@
 	}
 }
 
+// exclude prevents that the request is sent to the server again.
+func (f *forwarder) exclude(server string) {
+	if f.excludedServers == nil {
+		f.excludedServers = map[string]bool{}
+	}
+	f.excludedServers[server] = true
+}
+
 // placementRequest returns the request as the selection of a backend server needs it.
 func (f *forwarder) placementRequest() backend.Request {
 	c := f.call
@@ -123,10 +135,6 @@
 
 // recordResult updates the state of the request and the list of crashes after an attempt.
 func (f *forwarder) recordResult(a *attempt, r attemptResult) {
-	if f.excludedServers == nil {
-		f.excludedServers = map[string]bool{}
-	}
-	f.excludedServers[a.placement.ID] = true
 	f.sends++
 	f.lastFailure = r.reason
 	if !r.isKnownNotRun {
@@ -160,20 +168,16 @@
 }
 
 // checkResend returns nil if the request may be sent again. Otherwise it returns the final error, or alreadyAnswered if the
-// caller got the server's error response.
+// caller got the server's error response. The retry is taken from the budget, unless secureAlternative has taken it.
 func (f *forwarder) checkResend(r attemptResult) *outcome.Error {
-	c := f.call
-	switch {
-	case f.mayHaveRun && !c.route.IsRepeatable():
-		return f.giveUp(r, "request may have run and must not be repeated")
-	case !r.isKnownNotRun && f.possibleRuns >= c.route.MaxAttempts():
-		return f.giveUp(r, "maximum number of attempts was reached")
-	case f.sends >= maxSends:
-		return f.giveUp(r, "maximum number of sends was reached")
-	case f.isSuspect():
-		return f.giveUp(r, "backend servers crashed on similar requests")
-	case r.isSent && !f.server.takeRetry(c.service):
-		return f.giveUp(r, "retry budget is exhausted")
+	if denial := resendDenial(f.call.route, !r.isKnownNotRun, f.possibleRuns, f.sends); denial != "" {
+		return f.giveUp(r, denial)
+	}
+	if f.isSuspect() {
+		return f.giveUp(r, deniedSuspect)
+	}
+	if f.alternative == nil && r.isSent && !f.server.takeRetry(f.call.service) {
+		return f.giveUp(r, deniedBudget)
 	}
 	return nil
 }
@@ -295,32 +299,3 @@
 		out.Del(name)
 	}
 }
-
-// firstByteTimeout returns how long to wait for the first byte of a response before the request is sent to another server; 0
-// means until the deadline. Only requests that may be repeated have a timeout. While all servers respond late, waiting ends
-// later too: sending a request again that waits in a queue adds load and answers it no sooner.
-func (f *forwarder) firstByteTimeout(expected time.Duration) time.Duration {
-	c := f.call
-	if !c.route.IsRepeatable() || f.possibleRuns+1 >= c.route.MaxAttempts() {
-		return 0
-	}
-	return max(firstByteTimeoutFactor*expected, c.route.LatencyObjective)
-}
-
-// firstByteTimeoutFactor is the multiple of the expected time to the first byte after which a server is regarded as dead for
-// the request.
-const firstByteTimeoutFactor = 4
-
-// eventTimeout returns how long to wait for the next bytes of a stream before it is resumed on another server, 0 for no
-// limit.
-func (f *forwarder) eventTimeout() time.Duration {
-	r := f.call.route
-	if r.Kind != traffic.Streaming || !r.Resumable || r.MaxEventGap <= 0 || f.possibleRuns+1 >= r.MaxAttempts() {
-		return 0
-	}
-	return eventTimeoutFactor * r.MaxEventGap
-}
-
-// eventTimeoutFactor is the multiple of the route's MaxEventGap after which a resumable stream is resumed on another server.
-// Callers give up after eight times MaxEventGap.
-const eventTimeoutFactor = 4
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -323,6 +323,13 @@
 	return s.retryBudget(service).TakeRetry(time.Now())
 }
 
+// returnRetry credits a retry that was taken from the budget of a service and not used.
+func (s *Server) returnRetry(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryBudget(service).ReturnRetry()
+}
+
 // retriesLeft returns the level of the retry budget of a service.
 func (s *Server) retriesLeft(service string) float64 {
 	s.mu.Lock()
--- /dev/null
+++ b/rudder/relay/silence.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"time"
+
+	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/traffic"
+)
+
+const (
+	// firstByteTimeoutFactor is the multiple of the expected time to the first byte after which a server counts as silent.
+	firstByteTimeoutFactor = 4
+	// eventTimeoutFactor is the multiple of the route's MaxEventGap after which a server counts as silent. Callers give up
+	// after eight times MaxEventGap.
+	eventTimeoutFactor = 4
+	// silenceCheckInterval is the pause between two checks whether a request at a silent server can go elsewhere.
+	silenceCheckInterval = 100 * time.Millisecond
+	// lateReadTimeout bounds the reading of bytes that had arrived when the time for them was over.
+	lateReadTimeout = time.Second
+)
+
+// firstByteTimeout returns how long to wait for the first byte of a response before the server counts as silent; 0 means
+// until the deadline. Only requests that may be repeated have a timeout. While all servers respond late, it is longer:
+// sending a request again that waits in a queue adds load and answers it no sooner.
+func (f *forwarder) firstByteTimeout(expected time.Duration) time.Duration {
+	c := f.call
+	if !c.route.IsRepeatable() || f.possibleRuns+1 >= c.route.MaxAttempts() {
+		return 0
+	}
+	return max(firstByteTimeoutFactor*expected, c.route.LatencyObjective)
+}
+
+// eventTimeout returns how long to wait for the next event of a stream before the server counts as silent, 0 for no limit.
+func (f *forwarder) eventTimeout() time.Duration {
+	r := f.call.route
+	if r.Kind != traffic.Streaming || !r.Resumable || r.MaxEventGap <= 0 || f.possibleRuns+1 >= r.MaxAttempts() {
+		return 0
+	}
+	return eventTimeoutFactor * r.MaxEventGap
+}
+
+// onSilence decides whether the attempt at a silent server is given up. It returns 0 if it is, otherwise how much longer to
+// wait. A sound server may be silent for a moment: the attempt is given up only when the request can go elsewhere for certain.
+func (a *attempt) onSilence() time.Duration {
+	if !a.hasReadLate && hasUnread(a.conn.Conn) {
+		// This process was late, not the server.
+		a.hasReadLate = true
+		return lateReadTimeout
+	}
+	// WatchWaitingRequests uses the call too.
+	if a.removeAwaitingResponse() {
+		defer a.addAwaitingResponse()
+	}
+	denial := a.forwarder.secureAlternative()
+	if denial == "" {
+		return 0
+	}
+	if !a.isSilent {
+		a.isSilent = true
+		a.placement.RecordSilence()
+		a.server.Log.Info("Waits on for a silent backend server: the request cannot go elsewhere.", "request", a.call.id, "server", a.placement.ID, "send", a.forwarder.sends+1,
+			"silent_ms", a.silence().Milliseconds(), "retries_left", a.server.retriesLeft(a.call.service), "last_event", a.forwarder.lastEventID, "reason", denial)
+	}
+	return silenceCheckInterval
+}
+
+// secureAlternative reserves what the request needs to be sent to another server once the attempt in progress is given up: a
+// retry from the budget and the place at the server. It returns why that is not possible, or "".
+func (f *forwarder) secureAlternative() (denial string) {
+	s, c := f.server, f.call
+	if denial = resendDenial(c.route, true, f.possibleRuns+1, f.sends+1); denial != "" {
+		return denial
+	}
+	if s.Crashes.IsSuspicious(c.traits()) {
+		return deniedSuspect
+	}
+	if problem := s.checkAllowed(c, s.StalenessLimits.Send); problem != nil {
+		return problem.Reason
+	}
+	if !s.takeRetry(c.service) {
+		return deniedBudget
+	}
+	placement, refusal := s.Backends.Place(f.placementRequest(), 0)
+	if refusal != nil {
+		s.returnRetry(c.service)
+		return refusal.Reason
+	}
+	f.alternative = placement
+	return ""
+}
+
+// releaseAlternative returns what secureAlternative has reserved, if it was not used.
+func (f *forwarder) releaseAlternative() {
+	if f.alternative == nil {
+		return
+	}
+	f.alternative.Release(backend.ResultInconclusive)
+	f.alternative = nil
+	f.server.returnRetry(f.call.service)
+}
+
+// place returns the reserved place at a server, or selects a server.
+func (f *forwarder) place() (*backend.Placement, *backend.Refusal) {
+	if p := f.alternative; p != nil {
+		f.alternative = nil
+		return p, nil
+	}
+	return f.server.Backends.Place(f.placementRequest(), f.maxPredictedFirstByte())
+}
+
+const (
+	deniedSuspect = "backend servers crashed on similar requests"
+	deniedBudget  = "retry budget is exhausted"
+)
+
+// resendDenial returns why a request must not be sent again whatever the state of the system, or "". mayHaveRunLast tells
+// whether the last server may have run it, possibleRuns how many servers may have, and sends how often it was sent.
+func resendDenial(r *traffic.Route, mayHaveRunLast bool, possibleRuns, sends int) string {
+	switch {
+	case possibleRuns > 0 && !r.IsRepeatable():
+		return "request may have run and must not be repeated"
+	case mayHaveRunLast && possibleRuns >= r.MaxAttempts():
+		return "maximum number of attempts was reached"
+	case sends >= maxSends:
+		return "maximum number of sends was reached"
+	}
+	return ""
+}
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -103,21 +104,43 @@
 type headLimiter struct {
 	conn      net.Conn
 	isLimited bool
-	remaining int // bytes that may still be read while isLimited is true
+	remaining int                  // bytes that may still be read while isLimited is true
+	onTimeout func() time.Duration // see Conn.OnReadTimeout; may be nil
 }
 
 func (l *headLimiter) Read(b []byte) (int, error) {
 	if !l.isLimited {
-		return l.conn.Read(b)
+		return l.readConn(b)
 	}
 	if l.remaining <= 0 {
 		return 0, errors.Wrapf(ErrHeadTooLarge, "more than %d bytes", maxHeadBytes)
 	}
-	n, err := l.conn.Read(b[:min(len(b), l.remaining)])
+	n, err := l.readConn(b[:min(len(b), l.remaining)])
 	l.remaining -= n
 	return n, err
 }
 
+// readConn reads from the connection. When the read deadline expires, it asks onTimeout whether to go on.
+func (l *headLimiter) readConn(b []byte) (int, error) {
+	for {
+		n, err := l.conn.Read(b)
+		if l.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		wait := l.onTimeout()
+		if wait <= 0 {
+			return n, err
+		}
+		if err := l.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return n, err
+		}
+	}
+}
+
+// OnReadTimeout sets a function that is called when the read deadline expires, in the goroutine that reads. It returns how much
+// longer to wait, or 0 to let the read fail. Nil means that the read fails.
+func (c *Conn) OnReadTimeout(f func() time.Duration) { c.source.onTimeout = f }
+
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
