Do not cut a large response when the time for its first byte is over

The read timeout for the first byte of a repeatable request stayed in force while the body was read. A body of more than 64 KiB whose server was slow, or silent for a moment, was cut in the middle, although its head was with the caller and no other server could help.

The timeout ends when the head is sent to the caller. For a short body, which is still held back, it starts again with the head.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -53,14 +53,6 @@
 	hasReadLate  bool             // bytes were read after the present read timeout had expired
 }
 
-// silence returns the time since the server last sent a head or a whole event, or since the request was sent; 0 if it was not.
-func (a *attempt) silence() time.Duration {
-	if a.progressAt == 0 {
-		return 0
-	}
-	return boottime.Since(a.progressAt)
-}
-
 // bufferedResponse is a response that was read completely.
 type bufferedResponse struct {
 	status int
@@ -181,18 +173,6 @@
 	return found
 }
 
-// setReadTimeout sets the time after which onSilence is called; 0 means never.
-func (a *attempt) setReadTimeout(d time.Duration) {
-	a.hasReadLate = false
-	if d > 0 {
-		_ = a.conn.SetReadDeadline(time.Now().Add(d))
-		return
-	}
-	a.clearReadDeadline()
-}
-
-func (a *attempt) clearReadDeadline() { _ = a.conn.SetReadDeadline(time.Time{}) }
-
 // resultUnlessCancelled returns r, or ResultInconclusive if the caller disconnected or the deadline passed, so that the
 // failure is not attributed to the backend server.
 func (a *attempt) resultUnlessCancelled(ctx context.Context, r backend.Result) backend.Result {
@@ -241,6 +221,7 @@
 
 // forwardPlain forwards a response that is not an event stream.
 func (a *attempt) forwardPlain(ctx context.Context, response *http.Response, isSuccess bool) attemptResult {
+	a.setReadTimeout(a.forwarder.firstByteTimeout(a.placement.ExpectedFirstByte))
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	if err != nil {
 		return a.brokenResponse(ctx, errors.Wrap(err, "read response body"))
@@ -296,6 +277,7 @@
 		limit = defaultMaxResponseBytes
 	}
 	f.writeHead(response)
+	a.clearReadDeadline() // the request cannot go elsewhere any more
 	rest := &io.LimitedReader{R: response.Body, N: limit - int64(len(buffered)) + 1}
 	caller := &callerWriter{ResponseWriter: f.writer}
 	_, err := caller.Write(buffered)
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/traffic"
 )
 
@@ -39,6 +40,26 @@
 	return eventTimeoutFactor * r.MaxEventGap
 }
 
+// silence returns the time since the server last sent a head or a whole event, or since the request was sent; 0 if it was not.
+func (a *attempt) silence() time.Duration {
+	if a.progressAt == 0 {
+		return 0
+	}
+	return boottime.Since(a.progressAt)
+}
+
+// setReadTimeout sets the time after which onSilence is called; 0 means never.
+func (a *attempt) setReadTimeout(d time.Duration) {
+	a.hasReadLate = false
+	if d > 0 {
+		_ = a.conn.SetReadDeadline(time.Now().Add(d))
+		return
+	}
+	a.clearReadDeadline()
+}
+
+func (a *attempt) clearReadDeadline() { _ = a.conn.SetReadDeadline(time.Time{}) }
+
 // onSilence decides whether the attempt at a silent server is given up. It returns 0 if it is, otherwise how much longer to
 // wait. A sound server may be silent for a moment: the attempt is given up only when the request can go elsewhere for certain.
 func (a *attempt) onSilence() time.Duration {
--- a/rudder/relay/silence_test.go
+++ b/rudder/relay/silence_test.go
@@ -245,3 +245,24 @@
 		t.Errorf("a server that is silent after its response is awaited for %s, want it to be given up", wait)
 	}
 }
+
+// Guards against a large response that is cut because its body takes longer than a first byte may: its head is with the
+// caller, so that another server cannot help.
+func TestSilenceWithinLargeResponseIsAwaited(t *testing.T) {
+	h := newHarness(t)
+	h.allowLongCalls()
+	const half = 2 * maxBufferedBytes
+	for _, name := range []string{"a", "b"} {
+		h.backendServer(name, func(conn net.Conn, r *http.Request) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Rudder-Request: %s\r\nX-Rudder-Signature: sig\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Rudder-Request"), 2*half, strings.Repeat("a", half))
+			time.Sleep(time.Second) // longer than a first byte is awaited
+			fmt.Fprint(conn, strings.Repeat("b", half))
+			return true
+		})
+	}
+	response, done := h.longCall("/safe/x")
+	<-done
+	if response.err != nil || len(response.body) != 2*half || h.requestCount() != 1 {
+		t.Errorf("response with %d bytes, error %v after %d sends, want %d bytes after 1 send", len(response.body), response.err, h.requestCount(), 2*half)
+	}
+}
