Do not end requests without an API key because the configuration has grown old

A request that waited at its server was cancelled and answered 502 when the configuration had not been confirmed to be the newest for too long, whether it had an API key or not; one whose attempt had failed was not sent again. The limit is there since a key may have been revoked meanwhile. A request on a public route has none, so that an outage of the store alone ended its answer.

checkAllowed applies the limit to requests with a key. Admission of new requests is unchanged.

--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -241,10 +241,11 @@
 	return s.Quotas.Take(c.organisation, c.quotaAmount)
 }
 
-// checkAllowed returns nil if a request may still run, or an error if its API key was revoked, the configuration was not
-// confirmed to be the newest within the last maxAge, or similar requests were quarantined.
+// checkAllowed returns nil if a request that was admitted may still run, or an error if its API key was revoked, that cannot be
+// excluded since the configuration was not confirmed to be the newest within the last maxAge, or similar requests were
+// quarantined.
 func (s *Server) checkAllowed(c *call, maxAge time.Duration) *outcome.Error {
-	if !s.isConfigFresh(maxAge) {
+	if c.apiKey != "" && !s.isConfigFresh(maxAge) {
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, staleConfigRetryAfter, "configuration was not proved to be the newest within the time limit")
 	}
 	if c.apiKey != "" && s.Current.Config().OrganisationFor(c.apiKey) == nil {
