Test that many silent servers beside a change of the configuration lose no request

24 requests at four sound servers that are silent at once, with a retry budget of two, and a new version of the configuration in between: all get their whole answer once the servers go on, and no more retries are sent than the budget allows.

Evidence: the test passes; with onSilence giving each attempt up at once, as the relay did before, it fails in all three cases ("request 0: response {status:502 ...}, want 200").

--- a/rudder/relay/silence_test.go
+++ b/rudder/relay/silence_test.go
@@ -266,3 +266,40 @@
 		t.Errorf("response with %d bytes, error %v after %d sends, want %d bytes after 1 send", len(response.body), response.err, h.requestCount(), 2*half)
 	}
 }
+
+// Guards against requests that are lost beside a change of the configuration because many sound servers are silent at once and
+// use up the retry budget.
+func TestManySilentServersLoseNoRequest(t *testing.T) {
+	for _, kind := range []silentKind{{path: "/safe/x"}, {path: "/resumable/x"}, {path: "/resumable/x", hasBegun: true}} {
+		t.Run(fmt.Sprintf("%s, begun %t", kind.path, kind.hasBegun), func(t *testing.T) {
+			const requests, retries = 24, 2
+			h := newHarness(t)
+			h.allowLongCalls()
+			h.server.RetryRate = limit.RetryRate{Burst: retries}
+			log := h.recordLog()
+			silent := h.silentServers(4, 0, kind)
+			var responses []*callerResponse
+			var done []chan struct{}
+			for range requests {
+				response, isDone := h.longCall(kind.path)
+				responses, done = append(responses, response), append(done, isDone)
+			}
+			log.waitFor(t, waitsOnLine, done[0])
+			next := *h.config
+			next.Version = 2
+			next.BuildIndex()
+			h.server.Current.Apply(&next)
+			h.server.cancelDisallowed()
+			close(silent.goOn)
+			for i, response := range responses {
+				<-done[i]
+				if response.err != nil || response.status != http.StatusOK || response.body != kind.wantBody() {
+					t.Errorf("request %d: response %+v, want 200 with %q", i, *response, kind.wantBody())
+				}
+			}
+			if sent := h.requestCount(); sent > requests+retries {
+				t.Errorf("servers got %d requests, want at most %d", sent, requests+retries)
+			}
+		})
+	}
+}
