--- a/rudder/relay/silence_test.go
+++ b/rudder/relay/silence_test.go
@@ -285,10 +285,9 @@
 				responses, done = append(responses, response), append(done, isDone)
 			}
 			log.waitFor(t, waitsOnLine, done[0])
-			next := *h.config
-			next.Version = 2
+			next := &traffic.Config{Version: 2, Organisations: h.config.Organisations} // all routes and services are gone
 			next.BuildIndex()
-			h.server.Current.Apply(&next)
+			h.server.Current.Apply(next)
 			h.server.cancelDisallowed()
 			close(silent.goOn)
 			for i, response := range responses {
