Let a stream that has begun wait until it can be resumed

When a resumable stream broke off after its first event, or its silent server was given up and the next one refused the request as full, the relay cut it at once if no retry was left in the budget or no server could be chosen, although both come back within moments: each first send credits the budget. The caller had the begin of an answer that could have gone on.

Such a stream now waits, as a request at a silent server does, until a retry and a place at another server are reserved, or its time is over. Requests whose head is not with the caller are answered as before.

Evidence: TestBegunStreamWaitsUntilItCanBeResumed fails before in its three cases (events 1 only "after 1 sends, want events 1 and 2 after 2") and passes after.

--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -41,9 +41,7 @@
 	isHeadSent      bool            // the head of the response was sent to the caller
 	lastEventID     string          // id of the last event sent to the caller
 	lastFailure     string          // reason of the last attempt's failure
-	// alternative is the place at the server to which the request goes when the attempt in progress is given up. The retry was
-	// taken from the budget with it. It is nil if nothing is reserved.
-	alternative *backend.Placement
+	alternative     *alternative    // reserved for the next send; nil if nothing is
 	// crashObserved is closed when it is known whether the server of the last attempt crashed; nil if that is no question.
 	crashObserved <-chan struct{}
 }
@@ -84,7 +82,7 @@
 			f.fail(f.deadlineError())
 			return
 		}
-		if problem := f.checkResend(result); problem != nil {
+		if problem := f.checkResend(ctx, result); problem != nil {
 			f.fail(problem)
 			return
 		}
@@ -168,15 +166,23 @@
 }
 
 // checkResend returns nil if the request may be sent again. Otherwise it returns the final error, or alreadyAnswered if the
-// caller got the server's error response. The retry is taken from the budget, unless secureAlternative has taken it.
-func (f *forwarder) checkResend(r attemptResult) *outcome.Error {
+// caller got the server's error response. The retry is taken from the budget, unless secureAlternative has taken it. A stream
+// that has begun waits until it can go on elsewhere, since it could only be cut.
+func (f *forwarder) checkResend(ctx context.Context, r attemptResult) *outcome.Error {
 	if denial := resendDenial(f.call.route, !r.isKnownNotRun, f.possibleRuns, f.sends); denial != "" {
 		return f.giveUp(r, denial)
 	}
 	if f.isSuspect() {
 		return f.giveUp(r, deniedSuspect)
 	}
-	if f.alternative == nil && r.isSent && !f.server.takeRetry(f.call.service) {
+	switch {
+	case f.alternative != nil:
+		return nil
+	case f.isHeadSent:
+		if denial := f.awaitAlternative(ctx, r.isSent); denial != "" {
+			return f.giveUp(r, denial)
+		}
+	case r.isSent && !f.server.takeRetry(f.call.service):
 		return f.giveUp(r, deniedBudget)
 	}
 	return nil
@@ -220,9 +226,6 @@
 
 // deadlineError returns the error for a request whose deadline passed or whose caller disconnected.
 func (f *forwarder) deadlineError() *outcome.Error {
-	if isClosed(f.callerDone) {
-		return outcome.UnknownErrorf(http.StatusGatewayTimeout, errors.New(f.lastFailure), "caller disconnected")
-	}
 	if f.mayHaveRun {
 		return outcome.UnknownErrorf(http.StatusGatewayTimeout, errors.New(f.lastFailure), "request exceeded its deadline")
 	}
@@ -235,6 +238,8 @@
 	switch {
 	case problem == alreadyAnswered:
 		return
+	case f.isHeadSent && isClosed(f.callerDone):
+		f.abort("caller disconnected")
 	case f.isHeadSent:
 		f.abort(problem.Reason)
 	case isClosed(f.callerDone):
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"chestnutrudder.example/rudder/backend"
@@ -85,46 +86,89 @@
 	return silenceCheckInterval
 }
 
-// secureAlternative reserves what the request needs to be sent to another server once the attempt in progress is given up: a
-// retry from the budget and the place at the server. It returns why that is not possible, or "".
+// alternative is the place at the server to which a request goes next. It counts in the load of that server.
+type alternative struct {
+	placement *backend.Placement
+	hasRetry  bool // a retry was taken from the budget with it
+}
+
+// secureAlternative reserves what the request needs to be sent to another server once the attempt in progress is given up. It
+// returns why that is not possible, or "".
 func (f *forwarder) secureAlternative() (denial string) {
-	s, c := f.server, f.call
-	if denial = resendDenial(c.route, true, f.possibleRuns+1, f.sends+1); denial != "" {
+	if denial = resendDenial(f.call.route, true, f.possibleRuns+1, f.sends+1); denial != "" {
 		return denial
 	}
+	s, c := f.server, f.call
 	if s.Crashes.IsSuspicious(c.traits()) {
 		return deniedSuspect
 	}
 	if problem := s.checkAllowed(c, s.StalenessLimits.Send); problem != nil {
 		return problem.Reason
 	}
-	if !s.takeRetry(c.service) {
+	return f.reserve(true)
+}
+
+// reserve takes a retry from the budget if the request needs one, and a place at another server. It returns which of them is
+// not to be had, or "".
+func (f *forwarder) reserve(needsRetry bool) (denial string) {
+	s, c := f.server, f.call
+	if needsRetry && !s.takeRetry(c.service) {
 		return deniedBudget
 	}
 	placement, refusal := s.Backends.Place(f.placementRequest(), 0)
 	if refusal != nil {
-		s.returnRetry(c.service)
+		if needsRetry {
+			s.returnRetry(c.service)
+		}
 		return refusal.Reason
 	}
-	f.alternative = placement
+	f.alternative = &alternative{placement: placement, hasRetry: needsRetry}
 	return ""
 }
 
-// releaseAlternative returns what secureAlternative has reserved, if it was not used.
+// awaitAlternative waits until the request can be sent to another server, and reserves what it needs for that. It returns why
+// it cannot be sent if that is final or ctx ends.
+func (f *forwarder) awaitAlternative(ctx context.Context, needsRetry bool) (denial string) {
+	for hasLogged := false; ; {
+		if problem := f.server.checkAllowed(f.call, f.server.StalenessLimits.Send); problem != nil {
+			return problem.Reason
+		}
+		if f.isSuspect() {
+			return deniedSuspect
+		}
+		if denial = f.reserve(needsRetry); denial == "" {
+			return ""
+		}
+		if !hasLogged {
+			hasLogged = true
+			f.server.Log.Info("Waits to resume a stream: it cannot go to another server yet.", "request", f.call.id, "sends", f.sends, "last_event", f.lastEventID,
+				"retries_left", f.server.retriesLeft(f.call.service), "reason", denial)
+		}
+		select {
+		case <-ctx.Done():
+			return denial
+		case <-time.After(silenceCheckInterval):
+		}
+	}
+}
+
+// releaseAlternative returns what was reserved, if it was not used.
 func (f *forwarder) releaseAlternative() {
 	if f.alternative == nil {
 		return
 	}
-	f.alternative.Release(backend.ResultInconclusive)
+	f.alternative.placement.Release(backend.ResultInconclusive)
+	if f.alternative.hasRetry {
+		f.server.returnRetry(f.call.service)
+	}
 	f.alternative = nil
-	f.server.returnRetry(f.call.service)
 }
 
 // place returns the reserved place at a server, or selects a server.
 func (f *forwarder) place() (*backend.Placement, *backend.Refusal) {
-	if p := f.alternative; p != nil {
+	if a := f.alternative; a != nil {
 		f.alternative = nil
-		return p, nil
+		return a.placement, nil
 	}
 	return f.server.Backends.Place(f.placementRequest(), f.maxPredictedFirstByte())
 }
