--- a/rudder/relay/caller_conn_test.go
+++ b/rudder/relay/caller_conn_test.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// halfClosedCall sends a request on a connection of its own, ends the sending side when isSent is closed, and returns all bytes
-// that come back.
+// halfClosedCall sends a request on a connection of its own, ends the sending side when isSent is closed, and returns all
+// bytes that come back.
 func halfClosedCall(t *testing.T, address, path string, isSent <-chan struct{}) string {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
@@ -32,8 +32,8 @@
 	return string(got)
 }
 
-// Guards against an empty success: a caller that ends its sending side counts as gone, but it still reads. net/http answers a
-// request with an empty 200 if its handler returns without writing.
+// Guards against an empty success: a caller that ends its sending side counts as gone, but it still reads. net/http answers
+// a request with an empty 200 if its handler returns without writing.
 func TestHalfClosedCallerGetsNoEmptySuccess(t *testing.T) {
 	t.Run("before the request was handled", func(t *testing.T) {
 		h := newHarness(t)
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -166,8 +166,8 @@
 }
 
 // checkResend returns nil if the request may be sent again. Otherwise it returns the final error, or alreadyAnswered if the
-// caller got the server's error response. The retry is taken from the budget, unless secureAlternative has taken it. A stream
-// that has begun waits until it can go on elsewhere, since it could only be cut.
+// caller got the server's error response. The retry is taken from the budget, unless secureAlternative has taken it. A
+// stream that has begun waits until it can go on elsewhere, since it could only be cut.
 func (f *forwarder) checkResend(ctx context.Context, r attemptResult) *outcome.Error {
 	if denial := resendDenial(f.call.route, !r.isKnownNotRun, f.possibleRuns, f.sends); denial != "" {
 		return f.giveUp(r, denial)
--- a/rudder/relay/log_test.go
+++ b/rudder/relay/log_test.go
@@ -59,8 +59,8 @@
 
 func (panickingQuotas) Take(*traffic.Organisation, float64) *quota.Shortage { panic("broken ledger") }
 
-// Guards against a request that ends without an answer because its handler panicked, and of which no line tells: the error log
-// of net/http is not written.
+// Guards against a request that ends without an answer because its handler panicked, and of which no line tells: the error
+// log of net/http is not written.
 func TestPanicOfHandlerIsLogged(t *testing.T) {
 	h := newHarness(t)
 	log := h.recordLog()
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -84,8 +84,8 @@
 // RefuseRequests makes the node refuse new requests as not run. Requests in progress continue.
 func (s *Server) RefuseRequests() { s.isRefusing.Store(true) }
 
-// ServeHTTP relays a request to a backend server and writes the response or an error. It panics with http.ErrAbortHandler
-// if a response fails after its head was sent, or if the caller has left: net/http would write an empty success for a handler
+// ServeHTTP relays a request to a backend server and writes the response or an error. It panics with http.ErrAbortHandler if
+// a response fails after its head was sent, or if the caller has left: net/http would write an empty success for a handler
 // that returns without an answer, and a caller that has ended only its sending side would read it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inProgress.Add(1)
@@ -241,8 +241,8 @@
 	return s.Quotas.Take(c.organisation, c.quotaAmount)
 }
 
-// checkAllowed returns nil if a request that was admitted may still run, or an error if its API key was revoked, that cannot be
-// excluded since the configuration was not confirmed to be the newest within the last maxAge, or similar requests were
+// checkAllowed returns nil if an admitted request may still run. It returns an error if its API key was revoked, or may have
+// been since the configuration was last confirmed to be the newest, longer than maxAge ago, or if similar requests were
 // quarantined.
 func (s *Server) checkAllowed(c *call, maxAge time.Duration) *outcome.Error {
 	if c.apiKey != "" && !s.isConfigFresh(maxAge) {
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -41,7 +41,8 @@
 	return eventTimeoutFactor * r.MaxEventGap
 }
 
-// silence returns the time since the server last sent a head or a whole event, or since the request was sent; 0 if it was not.
+// silence returns the time since the server last sent a head or a whole event, or since the request was sent; 0 if it was
+// not.
 func (a *attempt) silence() time.Duration {
 	if a.progressAt == 0 {
 		return 0
@@ -62,7 +63,8 @@
 func (a *attempt) clearReadDeadline() { _ = a.conn.SetReadDeadline(time.Time{}) }
 
 // onSilence decides whether the attempt at a silent server is given up. It returns 0 if it is, otherwise how much longer to
-// wait. A sound server may be silent for a moment: the attempt is given up only when the request can go elsewhere for certain.
+// wait. A sound server may be silent for a moment: the attempt is given up only when the request can go elsewhere for
+// certain.
 func (a *attempt) onSilence() time.Duration {
 	if !a.hasReadLate && HasUnread(a.conn.Conn) {
 		// This process was late, not the server.
@@ -92,8 +94,8 @@
 	hasRetry  bool // a retry was taken from the budget with it
 }
 
-// secureAlternative reserves what the request needs to be sent to another server once the attempt in progress is given up. It
-// returns why that is not possible, or "".
+// secureAlternative reserves what the request needs to be sent to another server once the attempt in progress is given up.
+// It returns why that is not possible, or "".
 func (f *forwarder) secureAlternative() (denial string) {
 	if denial = resendDenial(f.call.route, true, f.possibleRuns+1, f.sends+1); denial != "" {
 		return denial
@@ -126,8 +128,8 @@
 	return ""
 }
 
-// awaitAlternative waits until the request can be sent to another server, and reserves what it needs for that. It returns why
-// it cannot be sent if that is final or ctx ends.
+// awaitAlternative waits until the request can be sent to another server, and reserves what it needs for that. It returns
+// why it cannot be sent if that is final or ctx ends.
 func (f *forwarder) awaitAlternative(ctx context.Context, needsRetry bool) (denial string) {
 	for hasLogged := false; ; {
 		if problem := f.server.checkAllowed(f.call, f.server.StalenessLimits.Send); problem != nil {
--- a/rudder/relay/silence_test.go
+++ b/rudder/relay/silence_test.go
@@ -148,8 +148,8 @@
 // retriesLeft returns the level of the retry budget of the harness's service.
 func (h *harness) retriesLeft() float64 { return h.server.retriesLeft("s") }
 
-// Guards against a request that stays at a dead server although it can go elsewhere, at once or later, and against a retry that
-// is taken from the budget twice, or not given back when it is not used.
+// Guards against a request that stays at a dead server although it can go elsewhere, at once or later, and against a retry
+// that is taken from the budget twice, or not given back when it is not used.
 func TestSilentServerIsLeftWhenAnotherIsAvailable(t *testing.T) {
 	for _, isLater := range []bool{false, true} {
 		for _, kind := range []silentKind{{path: "/safe/x"}, {path: "/resumable/x"}, {path: "/resumable/x", hasBegun: true}} {
@@ -267,8 +267,8 @@
 	}
 }
 
-// Guards against requests that are lost beside a change of the configuration because many sound servers are silent at once and
-// use up the retry budget.
+// Guards against requests that are lost beside a change of the configuration because many sound servers are silent at once
+// and use up the retry budget.
 func TestManySilentServersLoseNoRequest(t *testing.T) {
 	for _, kind := range []silentKind{{path: "/safe/x"}, {path: "/resumable/x"}, {path: "/resumable/x", hasBegun: true}} {
 		t.Run(fmt.Sprintf("%s, begun %t", kind.path, kind.hasBegun), func(t *testing.T) {
--- a/rudder/relay/waiting_test.go
+++ b/rudder/relay/waiting_test.go
@@ -10,8 +10,8 @@
 	"chestnutrudder.example/rudder/traffic"
 )
 
-// Guards against a request without an API key that is ended at its server because the configuration has grown old: the limit is
-// one for revoked keys, and the request has none.
+// Guards against a request without an API key that is ended at its server because the configuration has grown old: the limit
+// is one for revoked keys, and the request has none.
 func TestStaleConfigurationCancelsOnlyRequestsWithKey(t *testing.T) {
 	for key, want := range map[string]int{"": http.StatusOK, "Bearer key": http.StatusBadGateway} {
 		h := newHarness(t)
--- a/rudder/relaynode/caller_conn.go
+++ b/rudder/relaynode/caller_conn.go
@@ -16,8 +16,8 @@
 // lateReadTimeout bounds the reading of bytes that had arrived before an idle connection was to be closed.
 const lateReadTimeout = time.Second
 
-// callerConn is a connection of a caller. It stays open while it is idle for as long as the limits allow that are in force at
-// the time; net/http knows those that were in force when the connection was opened.
+// callerConn is a connection of a caller. It stays open while it is idle for as long as the limits allow that are in force
+// at the time; net/http knows those that were in force when the connection was opened.
 type callerConn struct {
 	*net.TCPConn
 	idleTimeout func() time.Duration // in force
--- a/rudder/relaynode/caller_conn_test.go
+++ b/rudder/relaynode/caller_conn_test.go
@@ -15,8 +15,8 @@
 	"chestnutrudder.example/rudder/traffic"
 )
 
-// Guards against a request that crosses the close of its connection beside a change of the configuration: callers may leave a
-// connection idle for longer as soon as the limit is raised, also one that was opened before.
+// Guards against a request that crosses the close of its connection beside a change of the configuration: callers may leave
+// a connection idle for longer as soon as the limit is raised, also one that was opened before.
 func TestRaisedIdleTimeoutAppliesToOpenConnections(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -40,8 +40,8 @@
 	}
 }
 
-// Guards against a request that is dropped because the node is late: it arrived on an idle connection in time, but a read whose
-// deadline has expired fails nevertheless.
+// Guards against a request that is dropped because the node is late: it arrived on an idle connection in time, but a read
+// whose deadline has expired fails nevertheless.
 func TestRequestThatWasReadLateIsNotDropped(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/rudder/relaynode/callers.go
+++ b/rudder/relaynode/callers.go
@@ -24,9 +24,9 @@
 // acceptRetryDelay is the pause after a connection could not be accepted.
 const acceptRetryDelay = 50 * time.Millisecond
 
-// callerServer serves callers under the connection limits of the configuration. A connection keeps the limits of headers that
-// were in force when it was opened: net/http reads them when a server starts, so that there is one http.Server for each set of
-// limits. Its idle time follows the limit in force, see callerConn.
+// callerServer serves callers under the connection limits of the configuration. A connection keeps the limits of headers
+// that were in force when it was opened: net/http reads them when a server starts, so that there is one http.Server for each
+// set of limits. Its idle time follows the limit in force, see callerConn.
 type callerServer struct {
 	listener net.Listener
 	handler  http.Handler
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -137,8 +137,8 @@
 	}
 }
 
-// OnReadTimeout sets a function that is called when the read deadline expires, in the goroutine that reads. It returns how much
-// longer to wait, or 0 to let the read fail. Nil means that the read fails.
+// OnReadTimeout sets a function that is called when the read deadline expires, in the goroutine that reads. It returns how
+// much longer to wait, or 0 to let the read fail. Nil means that the read fails.
 func (c *Conn) OnReadTimeout(f func() time.Duration) { c.source.onTimeout = f }
 
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
