Exclude a silent server only from the place that is reserved for its request

Whether a server may get a request again is decided where the result of an attempt is recorded, and only there. No change for callers; the tests of silent servers pass.

--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -67,7 +67,6 @@
 		s.Log.Info("Selected a backend server for the request.", "request", c.id, "server", placement.ID, "send", f.sends+1, "choices", placement.CandidateCount,
 			"predicted_ms", placement.PredictedFirstByte.Milliseconds(), "running", placement.Running, "uncached_tokens", placement.UncachedTokens,
 			"route", c.route.Name, "service", c.service, "config_version", c.configVersion, "proof_age_ms", boottime.Since(s.Current.ConfirmedAt()).Milliseconds())
-		f.exclude(placement.ID)
 		a := &attempt{server: s, call: c, placement: placement, forwarder: f}
 		result := a.run(ctx)
 		placement.Release(result.backendResult)
@@ -89,14 +88,6 @@
 	}
 }
 
-// exclude prevents that the request is sent to the server again.
-func (f *forwarder) exclude(server string) {
-	if f.excludedServers == nil {
-		f.excludedServers = map[string]bool{}
-	}
-	f.excludedServers[server] = true
-}
-
 // placementRequest returns the request as the selection of a backend server needs it.
 func (f *forwarder) placementRequest() backend.Request {
 	c := f.call
@@ -133,6 +124,10 @@
 
 // recordResult updates the state of the request and the list of crashes after an attempt.
 func (f *forwarder) recordResult(a *attempt, r attemptResult) {
+	if f.excludedServers == nil {
+		f.excludedServers = map[string]bool{}
+	}
+	f.excludedServers[a.placement.ID] = true
 	f.sends++
 	f.lastFailure = r.reason
 	if !r.isKnownNotRun {
@@ -169,7 +164,7 @@
 // caller got the server's error response. The retry is taken from the budget, unless secureAlternative has taken it. A
 // stream that has begun waits until it can go on elsewhere, since it could only be cut.
 func (f *forwarder) checkResend(ctx context.Context, r attemptResult) *outcome.Error {
-	if denial := resendDenial(f.call.route, !r.isKnownNotRun, f.possibleRuns, f.sends); denial != "" {
+	if denial := f.resendDenial(!r.isKnownNotRun, f.possibleRuns, f.sends); denial != "" {
 		return f.giveUp(r, denial)
 	}
 	if f.isSuspect() {
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"chestnutrudder.example/rudder/backend"
@@ -75,7 +76,7 @@
 	if a.removeAwaitingResponse() {
 		defer a.addAwaitingResponse()
 	}
-	denial := a.forwarder.secureAlternative()
+	denial := a.forwarder.secureAlternative(a.placement.ID)
 	if denial == "" {
 		return 0
 	}
@@ -94,10 +95,10 @@
 	hasRetry  bool // a retry was taken from the budget with it
 }
 
-// secureAlternative reserves what the request needs to be sent to another server once the attempt in progress is given up.
-// It returns why that is not possible, or "".
-func (f *forwarder) secureAlternative() (denial string) {
-	if denial = resendDenial(f.call.route, true, f.possibleRuns+1, f.sends+1); denial != "" {
+// secureAlternative reserves what the request needs to be sent to another server once the attempt in progress at the given
+// server is given up. It returns why that is not possible, or "".
+func (f *forwarder) secureAlternative(server string) (denial string) {
+	if denial = f.resendDenial(true, f.possibleRuns+1, f.sends+1); denial != "" {
 		return denial
 	}
 	s, c := f.server, f.call
@@ -107,17 +108,23 @@
 	if problem := s.checkAllowed(c, s.StalenessLimits.Send); problem != nil {
 		return problem.Reason
 	}
-	return f.reserve(true)
+	request := f.placementRequest()
+	request.Exclude = maps.Clone(request.Exclude)
+	if request.Exclude == nil {
+		request.Exclude = map[string]bool{}
+	}
+	request.Exclude[server] = true
+	return f.reserve(request, true)
 }
 
 // reserve takes a retry from the budget if the request needs one, and a place at another server. It returns which of them is
 // not to be had, or "".
-func (f *forwarder) reserve(needsRetry bool) (denial string) {
+func (f *forwarder) reserve(r backend.Request, needsRetry bool) (denial string) {
 	s, c := f.server, f.call
 	if needsRetry && !s.takeRetry(c.service) {
 		return deniedBudget
 	}
-	placement, refusal := s.Backends.Place(f.placementRequest(), 0)
+	placement, refusal := s.Backends.Place(r, 0)
 	if refusal != nil {
 		if needsRetry {
 			s.returnRetry(c.service)
@@ -138,7 +145,7 @@
 		if f.isSuspect() {
 			return deniedSuspect
 		}
-		if denial = f.reserve(needsRetry); denial == "" {
+		if denial = f.reserve(f.placementRequest(), needsRetry); denial == "" {
 			return ""
 		}
 		if !hasLogged {
@@ -182,7 +189,8 @@
 
 // resendDenial returns why a request must not be sent again whatever the state of the system, or "". mayHaveRunLast tells
 // whether the last server may have run it, possibleRuns how many servers may have, and sends how often it was sent.
-func resendDenial(r *traffic.Route, mayHaveRunLast bool, possibleRuns, sends int) string {
+func (f *forwarder) resendDenial(mayHaveRunLast bool, possibleRuns, sends int) string {
+	r := f.call.route
 	switch {
 	case possibleRuns > 0 && !r.IsRepeatable():
 		return "request may have run and must not be repeated"
--- a/rudder/relay/silence_test.go
+++ b/rudder/relay/silence_test.go
@@ -224,7 +224,6 @@
 	}
 	defer conn.Discard()
 	f := &forwarder{server: h.server, call: &call{id: "r1", service: "s", route: h.config.Routes[1], header: http.Header{"X-Rudder-Request": {"r1"}}}}
-	f.exclude("a")
 	a := &attempt{server: h.server, call: f.call, forwarder: f, placement: place, conn: conn}
 	request := f.call.newBackendRequest(h.server.Dialect, "a", time.Minute, "")
 	if err := conn.Send(request); err != nil {
