--- a/rudder/limit/retry.go
+++ b/rudder/limit/retry.go
@@ -47,6 +47,12 @@
 	b.refilledAt = now
 }
 
+// Level returns the number of retries that the budget allows at present.
+func (b *RetryBudget) Level(now time.Time) float64 {
+	b.refill(now)
+	return b.tokens
+}
+
 // RecordFirstAttempt adds the retries that one first attempt allows.
 func (b *RetryBudget) RecordFirstAttempt(now time.Time) {
 	b.refill(now)
@@ -62,3 +68,6 @@
 	b.tokens--
 	return true
 }
+
+// ReturnRetry gives back a retry that was taken and not used.
+func (b *RetryBudget) ReturnRetry() { b.tokens = min(b.rate.Burst, b.tokens+1) }
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -48,6 +48,9 @@
 
 	sentAt       boottime.Instant // when the sending began
 	firstEventAt boottime.Instant // of the stream; 0 if none came
+	progressAt   boottime.Instant // when the server last sent a head or a whole event; at first sentAt
+	isSilent     bool             // the server was silent for too long, but the request could not go elsewhere
+	hasReadLate  bool             // bytes were read after the present read timeout had expired
 }
 
 // bufferedResponse is a response that was read completely.
@@ -67,6 +70,7 @@
 		return attemptResult{isKnownNotRun: true, backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
 	a.conn = conn
+	conn.OnReadTimeout(a.onSilence)
 	// The end of the connection makes the server cancel the request.
 	stop := context.AfterFunc(ctx, conn.Abort)
 	isReleased := false
@@ -79,6 +83,7 @@
 	defer a.removeAwaitingResponse()
 	request := a.call.newBackendRequest(a.server.Dialect, a.placement.ID, time.Until(a.call.deadline), a.forwarder.lastEventID)
 	a.sentAt = boottime.Now()
+	a.progressAt = a.sentAt
 	writeResult, err := a.send(request)
 	if err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -100,6 +105,7 @@
 	r.isSent = true
 	if a.canReuseConn(response, r) && <-writeResult == nil && stop() {
 		a.clearReadDeadline()
+		conn.OnReadTimeout(nil)
 		conn.Release(response)
 		isReleased = true
 	}
@@ -158,24 +164,15 @@
 	a.server.awaitingResponse[a] = struct{}{}
 }
 
-// removeAwaitingResponse undoes addAwaitingResponse.
-func (a *attempt) removeAwaitingResponse() {
+// removeAwaitingResponse undoes addAwaitingResponse. It returns false if there is nothing to undo.
+func (a *attempt) removeAwaitingResponse() bool {
 	a.server.mu.Lock()
 	defer a.server.mu.Unlock()
+	_, found := a.server.awaitingResponse[a]
 	delete(a.server.awaitingResponse, a)
+	return found
 }
 
-// setReadTimeout bounds the time until the next byte from the backend server; 0 means no limit.
-func (a *attempt) setReadTimeout(d time.Duration) {
-	if d > 0 {
-		_ = a.conn.SetReadDeadline(time.Now().Add(d))
-		return
-	}
-	a.clearReadDeadline()
-}
-
-func (a *attempt) clearReadDeadline() { _ = a.conn.SetReadDeadline(time.Time{}) }
-
 // resultUnlessCancelled returns r, or ResultInconclusive if the caller disconnected or the deadline passed, so that the
 // failure is not attributed to the backend server.
 func (a *attempt) resultUnlessCancelled(ctx context.Context, r backend.Result) backend.Result {
@@ -197,6 +194,7 @@
 		return attemptResult{isKnownNotRun: true, backendResult: backend.ResultRejected, reason: "backend server refused the request with status " + strconv.Itoa(response.StatusCode)}
 	}
 	a.removeAwaitingResponse()
+	a.progressAt = boottime.Now()
 	a.placement.RecordFirstByte()
 	a.forwarder.countRun()
 	a.server.metrics.recordFirstByte(a.call, time.Since(a.call.arrivedAt))
@@ -223,6 +221,7 @@
 
 // forwardPlain forwards a response that is not an event stream.
 func (a *attempt) forwardPlain(ctx context.Context, response *http.Response, isSuccess bool) attemptResult {
+	a.setReadTimeout(a.forwarder.firstByteTimeout(a.placement.ExpectedFirstByte))
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	if err != nil {
 		return a.brokenResponse(ctx, errors.Wrap(err, "read response body"))
@@ -278,6 +277,7 @@
 		limit = defaultMaxResponseBytes
 	}
 	f.writeHead(response)
+	a.clearReadDeadline() // the request cannot go elsewhere any more
 	rest := &io.LimitedReader{R: response.Body, N: limit - int64(len(buffered)) + 1}
 	caller := &callerWriter{ResponseWriter: f.writer}
 	_, err := caller.Write(buffered)
@@ -327,8 +327,11 @@
 	a.setReadTimeout(f.eventTimeout())
 	for {
 		events, err := reader.next(chunk)
-		if len(events) > 0 && a.firstEventAt == 0 {
-			a.firstEventAt = boottime.Now()
+		if len(events) > 0 {
+			a.progressAt = boottime.Now()
+			if a.firstEventAt == 0 {
+				a.firstEventAt = a.progressAt
+			}
 		}
 		if skipUpTo != "" {
 			events = skipEvents(events, skipUpTo)
@@ -336,7 +339,7 @@
 		if len(events) > 0 {
 			skipUpTo = ""
 			if writeErr := f.writeEvents(events, response, controller); writeErr != nil {
-				return attemptResult{isFinal: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + writeErr.Error()}
+				return attemptResult{isPartial: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + writeErr.Error()}
 			}
 			f.lastEventID = reader.lastID
 			// Bytes that complete no event do not extend the time for the next one.
@@ -366,7 +369,7 @@
 	f := a.forwarder
 	if rest := reader.remainder(); len(rest) > 0 {
 		if err := f.writeEvents(rest, response, controller); err != nil {
-			return attemptResult{isFinal: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + err.Error()}
+			return attemptResult{isPartial: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + err.Error()}
 		}
 	}
 	if !f.isHeadSent {
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -11,7 +11,6 @@
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/outcome"
-	"chestnutrudder.example/rudder/traffic"
 )
 
 const (
@@ -42,6 +41,7 @@
 	isHeadSent      bool            // the head of the response was sent to the caller
 	lastEventID     string          // id of the last event sent to the caller
 	lastFailure     string          // reason of the last attempt's failure
+	alternative     *alternative    // reserved for the next send; nil if nothing is
 	// crashObserved is closed when it is known whether the server of the last attempt crashed; nil if that is no question.
 	crashObserved <-chan struct{}
 }
@@ -50,6 +50,7 @@
 func (f *forwarder) run(ctx context.Context) {
 	s, c := f.server, f.call
 	s.recordFirstSend(c.service)
+	defer f.releaseAlternative()
 	for {
 		if problem := s.checkAllowed(c, s.StalenessLimits.Send); problem != nil {
 			if f.mayHaveRun {
@@ -58,7 +59,7 @@
 			f.fail(problem)
 			return
 		}
-		placement, refusal := s.Backends.Place(f.placementRequest(), f.maxPredictedFirstByte())
+		placement, refusal := f.place()
 		if refusal != nil {
 			f.failPlacement(refusal)
 			return
@@ -80,7 +81,7 @@
 			f.fail(f.deadlineError())
 			return
 		}
-		if problem := f.checkResend(result); problem != nil {
+		if problem := f.checkResend(ctx, result); problem != nil {
 			f.fail(problem)
 			return
 		}
@@ -109,8 +110,8 @@
 
 // attemptResult is the result of an attempt.
 type attemptResult struct {
-	isFinal       bool           // the caller has a complete response, has disconnected, or does not read
-	isPartial     bool           // the caller has a part of a response that cannot be continued
+	isFinal       bool           // the caller has a complete response
+	isPartial     bool           // the caller has a part of a response that cannot be continued, or does not read
 	isSent        bool           // at least one byte of the request was sent
 	isKnownNotRun bool           // nothing was sent, or the server stated that it has not run the request
 	backendResult backend.Result // for the statistics of the server
@@ -141,7 +142,8 @@
 		f.server.recordAnswer(f.call)
 	}
 	if !r.isFinal {
-		f.server.Log.Info("Attempt to run the request on a backend server failed.", "request", f.call.id, "server", a.placement.ID, "send", f.sends, "not_run", r.isKnownNotRun, "sent", r.isSent, "reason", r.reason)
+		f.server.Log.Info("Attempt to run the request on a backend server failed.", "request", f.call.id, "server", a.placement.ID, "send", f.sends, "not_run", r.isKnownNotRun, "sent", r.isSent,
+			"given_up", r.isTimeout, "silent_ms", a.silence().Milliseconds(), "retries_left", f.server.retriesLeft(f.call.service), "reason", r.reason)
 	}
 }
 
@@ -159,20 +161,24 @@
 }
 
 // checkResend returns nil if the request may be sent again. Otherwise it returns the final error, or alreadyAnswered if the
-// caller got the server's error response.
-func (f *forwarder) checkResend(r attemptResult) *outcome.Error {
-	c := f.call
+// caller got the server's error response. The retry is taken from the budget, unless secureAlternative has taken it. A
+// stream that has begun waits until it can go on elsewhere, since it could only be cut.
+func (f *forwarder) checkResend(ctx context.Context, r attemptResult) *outcome.Error {
+	if denial := f.resendDenial(!r.isKnownNotRun, f.possibleRuns, f.sends); denial != "" {
+		return f.giveUp(r, denial)
+	}
+	if f.isSuspect() {
+		return f.giveUp(r, deniedSuspect)
+	}
 	switch {
-	case f.mayHaveRun && !c.route.IsRepeatable():
-		return f.giveUp(r, "request may have run and must not be repeated")
-	case !r.isKnownNotRun && f.possibleRuns >= c.route.MaxAttempts():
-		return f.giveUp(r, "maximum number of attempts was reached")
-	case f.sends >= maxSends:
-		return f.giveUp(r, "maximum number of sends was reached")
-	case f.isSuspect():
-		return f.giveUp(r, "backend servers crashed on similar requests")
-	case r.isSent && !f.server.takeRetry(c.service):
-		return f.giveUp(r, "retry budget is exhausted")
+	case f.alternative != nil:
+		return nil
+	case f.isHeadSent:
+		if denial := f.awaitAlternative(ctx, r.isSent); denial != "" {
+			return f.giveUp(r, denial)
+		}
+	case r.isSent && !f.server.takeRetry(f.call.service):
+		return f.giveUp(r, deniedBudget)
 	}
 	return nil
 }
@@ -221,15 +227,19 @@
 	return outcome.NotRunErrorf(http.StatusServiceUnavailable, 0, "request exceeded its deadline before it was run")
 }
 
-// fail answers the caller with an error, or aborts a response whose head was sent.
+// fail answers the caller with an error, or aborts a response whose head was sent. For a caller that has left it panics with
+// http.ErrAbortHandler.
 func (f *forwarder) fail(problem *outcome.Error) {
 	switch {
 	case problem == alreadyAnswered:
 		return
+	case f.isHeadSent && isClosed(f.callerDone):
+		f.abort("caller disconnected")
 	case f.isHeadSent:
 		f.abort(problem.Reason)
 	case isClosed(f.callerDone):
 		f.server.Log.Info("Caller disconnected before a response was sent.", "request", f.call.id, "after_ms", time.Since(f.call.arrivedAt).Milliseconds(), "run", problem.Outcome.String())
+		panic(http.ErrAbortHandler)
 	default:
 		f.server.writeError(f.writer, f.call, problem)
 	}
@@ -289,32 +299,3 @@
 		out.Del(name)
 	}
 }
-
-// firstByteTimeout returns how long to wait for the first byte of a response before the request is sent to another server; 0
-// means until the deadline. Only requests that may be repeated have a timeout. While all servers respond late, waiting ends
-// later too: sending a request again that waits in a queue adds load and answers it no sooner.
-func (f *forwarder) firstByteTimeout(expected time.Duration) time.Duration {
-	c := f.call
-	if !c.route.IsRepeatable() || f.possibleRuns+1 >= c.route.MaxAttempts() {
-		return 0
-	}
-	return max(firstByteTimeoutFactor*expected, c.route.LatencyObjective)
-}
-
-// firstByteTimeoutFactor is the multiple of the expected time to the first byte after which a server is regarded as dead for
-// the request.
-const firstByteTimeoutFactor = 4
-
-// eventTimeout returns how long to wait for the next bytes of a stream before it is resumed on another server, 0 for no
-// limit.
-func (f *forwarder) eventTimeout() time.Duration {
-	r := f.call.route
-	if r.Kind != traffic.Streaming || !r.Resumable || r.MaxEventGap <= 0 || f.possibleRuns+1 >= r.MaxAttempts() {
-		return 0
-	}
-	return eventTimeoutFactor * r.MaxEventGap
-}
-
-// eventTimeoutFactor is the multiple of the route's MaxEventGap after which a resumable stream is resumed on another server.
-// Callers give up after eight times MaxEventGap.
-const eventTimeoutFactor = 4
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,8 +84,9 @@
 // RefuseRequests makes the node refuse new requests as not run. Requests in progress continue.
 func (s *Server) RefuseRequests() { s.isRefusing.Store(true) }
 
-// ServeHTTP relays a request to a backend server and writes the response or an error. It panics with http.ErrAbortHandler
-// if a response fails after its head was sent.
+// ServeHTTP relays a request to a backend server and writes the response or an error. It panics with http.ErrAbortHandler if
+// a response fails after its head was sent, or if the caller has left: net/http would write an empty success for a handler
+// that returns without an answer, and a caller that has ended only its sending side would read it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
@@ -92,6 +94,7 @@
 		id: r.Header.Get(s.Dialect.RequestID), arrivedAt: time.Now(), header: backendRequestHeader(r.Header, s.Dialect),
 		method: r.Method, requestTarget: r.RequestURI, hostHeader: r.Host,
 	}
+	defer s.logPanic(c)
 	body, status := readBody(w, r, s.maxBodyBytes())
 	if status != 0 {
 		w.Header().Set("Connection", "close")
@@ -101,7 +104,7 @@
 	c.body = body
 	if hasCallerLeft(r.Context()) {
 		s.Log.Info("Caller disconnected before the request was handled.", "request", c.id, "run", outcome.NotRun.String())
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if problem := s.admit(c, r); problem != nil {
 		s.writeError(w, c, problem)
@@ -115,10 +118,24 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	f := &forwarder{server: s, call: c, writer: w, callerDone: r.Context().Done()}
+	defer func() {
+		if !f.mayHaveRun && c.organisation != nil {
+			s.Quotas.Return(c.organisation, c.quotaAmount)
+		}
+	}()
 	f.run(ctx)
-	if !f.mayHaveRun && c.organisation != nil {
-		s.Quotas.Return(c.organisation, c.quotaAmount)
+}
+
+// logPanic logs a panic other than http.ErrAbortHandler. The panic goes on: net/http then closes the caller's connection.
+func (s *Server) logPanic(c *call) {
+	problem := recover()
+	if problem == nil {
+		return
+	}
+	if problem != http.ErrAbortHandler {
+		s.Log.Error("Handling a request panicked.", "request", c.id, "panic", problem, "stack", string(debug.Stack()))
 	}
+	panic(problem)
 }
 
 // maxBodyBytesWithoutConfig bounds request bodies while the node has no configuration. These requests are refused.
@@ -224,10 +241,11 @@
 	return s.Quotas.Take(c.organisation, c.quotaAmount)
 }
 
-// checkAllowed returns nil if a request may still run, or an error if its API key was revoked, the configuration was not
-// confirmed to be the newest within the last maxAge, or similar requests were quarantined.
+// checkAllowed returns nil if an admitted request may still run. It returns an error if its API key was revoked, or may have
+// been since the configuration was last confirmed to be the newest, longer than maxAge ago, or if similar requests were
+// quarantined.
 func (s *Server) checkAllowed(c *call, maxAge time.Duration) *outcome.Error {
-	if !s.isConfigFresh(maxAge) {
+	if c.apiKey != "" && !s.isConfigFresh(maxAge) {
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, staleConfigRetryAfter, "configuration was not proved to be the newest within the time limit")
 	}
 	if c.apiKey != "" && s.Current.Config().OrganisationFor(c.apiKey) == nil {
@@ -306,6 +324,20 @@
 	return s.retryBudget(service).TakeRetry(time.Now())
 }
 
+// returnRetry credits a retry that was taken from the budget of a service and not used.
+func (s *Server) returnRetry(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryBudget(service).ReturnRetry()
+}
+
+// retriesLeft returns the level of the retry budget of a service.
+func (s *Server) retriesLeft(service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retryBudget(service).Level(time.Now())
+}
+
 // writeError answers a request that failed with the status of problem and an empty body.
 func (s *Server) writeError(w http.ResponseWriter, c *call, problem *outcome.Error) {
 	h := w.Header()
