Stop requests to backend servers that announce their leaving

Seen by callers: a backend server that leaves says so in its answers, but while the registry listed it as ready (or the store was away) it got new requests, which end with it.

Cause: only the registry, and a misdirected answer by way of the entry's Draining field, took a server out of use.

Change: a server has one set of reasons why it gets no new requests: draining by its entry, unlisted, announced, misdirected. The table of servers, the choice, the crash probe and the counts of runners for capacity ask only whether the set is empty. A request is looked at again right before it is sent. The header counts only with the single value "1", and neither in an interim answer nor in one of another server (421); malformed ones are logged once a server.

leavingSince, which nothing read, is gone.

Evidence, without the change: TestServerThatAnnouncesItsLeavingGetsNoNewRequests/200: "the leaving server got 22 requests, want only the one that it answered with its announcement"; platform TestAnnouncedLeavingStopsAllNodes: "node 1: status 200, want 503 while all servers leave", "the leaving server got 23 requests". Both pass with it. TestMalformedHeadersDoNotTakeServersOutOfUse guards the new code and passes without it too.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -413,22 +413,5 @@
 			s.health.recordInconclusiveProbe()
 		}
 	}
-	if s.isUnlisted && s.ownLoad.running == 0 && t.servers[s.ID] == s {
-		delete(t.servers, s.ID)
-	}
-}
-
-// IsLeaving reports whether the registry says that the server drains, or does not list it any more.
-func (p *Placement) IsLeaving() bool {
-	p.table.mu.Lock()
-	defer p.table.mu.Unlock()
-	return !p.Server.isServing()
-}
-
-// MarkMisdirected excludes the server from new requests because another server answers at its address. The next entry of the
-// server from the registry lifts this.
-func (p *Placement) MarkMisdirected() {
-	p.table.mu.Lock()
-	defer p.table.mu.Unlock()
-	p.Server.Draining = true
+	t.dropIfForgettable(s)
 }
--- a/rudder/backend/limit.go
+++ b/rudder/backend/limit.go
@@ -222,10 +222,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	servers := make(map[uint64]*Server, len(t.servers))
-	for _, s := range t.servers {
-		servers[s.incarnation()] = s
-	}
+	servers := t.serversByIncarnation()
 	now := time.Now()
 	for _, r := range reports {
 		if s, found := servers[r.Server]; found && r.AgeMillis >= 0 && r.PerSecond >= 0 {
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/upstream"
 )
 
@@ -31,8 +32,10 @@
 	Entry
 	Pool *upstream.Pool
 
-	isUnlisted   bool      // the registry no longer lists the server
-	leavingSince time.Time // when it was first seen draining or unlisted; zero while it serves
+	leaving          leaveReasons
+	announcedAt      boottime.Instant // of leaveAnnounced
+	unlistedAt       boottime.Instant // of leaveUnlisted
+	hasSentMalformed bool             // see logMalformed
 
 	ownLoad       load // requests of this node
 	peerLoad      load // requests of the peers, as they last reported
@@ -78,7 +81,10 @@
 	nodes     []Node                   // among which the limits of servers are divided
 	// hasUrgentLimit is true if a response to this node has changed a limit since the last report.
 	hasUrgentLimit bool
-	firstListedAt  time.Time // when Replace first received a listing
+	// hasUrgentDeparture is true if a response to this node has announced one since the last report.
+	hasUrgentDeparture bool
+	firstListedAt      time.Time // when Replace first received a listing
+	now                func() boottime.Instant
 }
 
 // peerReport is the last report of a peer: its load at each backend server.
@@ -113,7 +119,7 @@
 	return &Table{
 		DialTimeout: dialTimeout, Log: log,
 		servers: map[string]*Server{}, peerLoads: map[string]peerReport{},
-		prefixes: newPrefixIndex(), models: map[string]*latencyModel{}, demands: map[string]*demand{},
+		prefixes: newPrefixIndex(), models: map[string]*latencyModel{}, demands: map[string]*demand{}, now: boottime.Now,
 	}
 }
 
@@ -171,56 +177,62 @@
 
 func (t *Table) put(e Entry) {
 	s, found := t.servers[e.ID]
+	var sameProcess *Server // at another address
 	if found && (s.StartUnixMillis != e.StartUnixMillis || s.Address != e.Address) {
-		if e.StartUnixMillis < s.StartUnixMillis {
+		if e.StartUnixMillis < s.StartUnixMillis && (!s.leaving.has(leaveUnlisted) || s.ownLoad.running > 0) {
 			t.Log.Warn("Ignored a registry entry that is older than the known start of the server.", "server", e.ID, "born", e.StartUnixMillis, "known_born", s.StartUnixMillis)
 			return
 		}
 		t.Log.Info("Backend server restarted.", "server", e.ID, "born", e.StartUnixMillis, "address", e.Address)
 		s.Pool.CloseIdle(0)
+		if e.StartUnixMillis == s.StartUnixMillis && e.StartUnixMillis != 0 {
+			sameProcess = s
+		}
 		found = false
 	}
 	if !found {
-		s = &Server{Pool: &upstream.Pool{Address: e.Address, DialTimeout: t.DialTimeout}}
-		s.idHash = xxhash.Sum64String(e.ID)
-		t.servers[e.ID] = s
-		for _, r := range t.peerLoads {
-			if l, isReported := r.loads[e.ID]; isReported {
-				s.addPeerLoad(l, 1)
-			}
+		s = t.add(e)
+		if sameProcess != nil {
+			s.inheritFrom(sameProcess)
 		}
-		t.Log.Info("Added a backend server from the registry.", "server", e.ID, "service", e.Service, "address", e.Address, "failure_domain", e.FailureDomain, "draining", e.Draining, "reclaimable", e.Reclaimable)
 	}
-	if e.Draining && !s.Draining && found {
-		t.Log.Info("Backend server is draining and gets no new requests.", "server", e.ID, "reclaimable", e.Reclaimable, "running", s.ownLoad.running)
+	if found && s.leaving.has(leaveUnlisted) {
+		t.Log.Info("Backend server is in the registry again.", "server", e.ID, "draining", e.Draining, "announced_leaving", s.leaving.has(leaveAnnounced))
 	}
-	s.Entry, s.isUnlisted = e, false
-	if e.Draining && s.leavingSince.IsZero() {
-		s.leavingSince = time.Now()
+	if found && e.Draining && s.isServing() {
+		t.Log.Info("Backend server is draining and gets no new requests.", "server", e.ID, "reclaimable", e.Reclaimable, "running", s.ownLoad.running)
 	}
-	if !e.Draining {
-		s.leavingSince = time.Time{}
+	s.Entry = e
+	s.leaving.set(leaveDraining, e.Draining)
+	s.leaving.set(leaveUnlisted|leaveMisdirected, false)
+}
+
+// add adds a server that was not known before.
+func (t *Table) add(e Entry) *Server {
+	s := &Server{Pool: &upstream.Pool{Address: e.Address, DialTimeout: t.DialTimeout}, idHash: xxhash.Sum64String(e.ID)}
+	t.servers[e.ID] = s
+	for _, r := range t.peerLoads {
+		if l, isReported := r.loads[e.ID]; isReported {
+			s.addPeerLoad(l, 1)
+		}
 	}
+	t.Log.Info("Added a backend server from the registry.", "server", e.ID, "service", e.Service, "address", e.Address, "failure_domain", e.FailureDomain, "draining", e.Draining, "reclaimable", e.Reclaimable)
+	return s
 }
 
 func (t *Table) remove(id string, s *Server) {
-	if !s.isUnlisted {
+	if !s.leaving.has(leaveUnlisted) {
 		t.Log.Info("Backend server is no longer in the registry and gets no new requests.", "server", id, "running", s.ownLoad.running)
-		s.isUnlisted = true
-		s.leavingSince = time.Now()
+		s.leaving.set(leaveUnlisted, true)
+		s.unlistedAt = t.now()
 	}
 	s.Pool.CloseIdle(0)
-	if s.ownLoad.running == 0 {
-		delete(t.servers, id)
-	}
+	t.dropIfForgettable(s)
 }
 
 // incarnation identifies the server's process, on all nodes alike.
 func (s *Server) incarnation() uint64 { return mix(s.idHash ^ uint64(s.StartUnixMillis)) }
 
-// isServing reports whether the server may get new requests.
-func (s *Server) isServing() bool { return !s.isUnlisted && !s.Draining }
-
 // SetPeerLoads replaces the loads that a peer last reported, by server ID.
 func (t *Table) SetPeerLoads(peer string, loads map[string]PeerLoad) {
 	t.mu.Lock()
@@ -312,7 +324,7 @@
 // RunnerCounts holds the numbers of runners of a service in one failure domain.
 type RunnerCounts struct {
 	OnDemand, Reclaimable int // serving runners
-	Leaving               int // draining or unlisted runners
+	Leaving               int // runners that get no new requests
 }
 
 // CountRunners counts the runners of a service by failure domain.
@@ -339,7 +351,7 @@
 }
 
 // Maintain applies MaxIdleConns, closes connections that have been idle for the given time, and drops expired prefixes and
-// peer loads.
+// peer loads and servers that are gone.
 func (t *Table) Maintain(idle time.Duration) {
 	t.mu.Lock()
 	var pools []*upstream.Pool
@@ -351,6 +363,7 @@
 	}
 	t.prefixes.evictExpired(time.Now())
 	t.dropExpiredPeerLoads(time.Now())
+	t.forgetUnlisted()
 	t.mu.Unlock()
 	for _, p := range pools {
 		p.CloseIdle(idle)
--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -49,7 +49,7 @@
 	// IsWarmingUp is true while the sender may not know all that was admitted before its start; see quota.Ledger.IsWarmingUp.
 	IsWarmingUp bool `cbor:"18,keyasint,omitempty"`
 	// IsUrgent marks a digest that is sent between two full ones. It holds only Node, Incarnation and either some
-	// QuotaUsages with IsWarmingUp, some RunsByWindow, Crashes, or ServerLimits.
+	// QuotaUsages with IsWarmingUp, some RunsByWindow, or Crashes, ServerLimits and Departures.
 	IsUrgent bool `cbor:"19,keyasint,omitempty"`
 	// IsBrief marks a digest without Loads, Demand, QuotaUsages and RunsByWindow, for a node of another failure
 	// domain that gets these from summaries.
@@ -61,6 +61,8 @@
 	Crashes *culprit.Report `cbor:"22,keyasint,omitempty"`
 	// ServerLimits holds the limits of requests that backend servers name, as far as the sender knows.
 	ServerLimits []backend.LimitReport `cbor:"23,keyasint,omitempty"`
+	// Departures holds the backend servers that have announced that they leave, as far as the sender knows.
+	Departures []backend.DepartureReport `cbor:"24,keyasint,omitempty"`
 }
 
 // brief returns the digest without what summaries hold.
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -75,6 +75,9 @@
 			conn.Abort()
 		}
 	}()
+	if reason := a.checkSend(); reason != "" {
+		return attemptResult{isKnownNotRun: true, isWithdrawn: true, backendResult: backend.ResultInconclusive, reason: reason}
+	}
 	a.addAwaitingResponse()
 	defer a.removeAwaitingResponse()
 	request := a.call.newBackendRequest(a.server.Dialect, a.placement.ID, time.Until(a.call.deadline), a.forwarder.lastEventID)
@@ -188,7 +191,7 @@
 // handleResponse forwards a response whose head was received, or decides that it must not be forwarded.
 func (a *attempt) handleResponse(ctx context.Context, response *http.Response) attemptResult {
 	d := a.server.Dialect
-	a.recordServerLimit(response)
+	a.recordServerState(response)
 	if response.Header.Get(d.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
 		if response.StatusCode == http.StatusMisdirectedRequest {
@@ -210,17 +213,6 @@
 	return a.forwardPlain(ctx, response, isSuccess)
 }
 
-// recordServerLimit records the limit of requests that a response names, or that it names none. A refusal without a limit
-// tells nothing: the server may have sent it before it looked at its load. A misdirected request was answered by another one.
-func (a *attempt) recordServerLimit(response *http.Response) {
-	limit := response.Header.Get(a.server.Dialect.ServerLimit)
-	isRefusal := response.Header.Get(a.server.Dialect.NotRun) != ""
-	if response.StatusCode == http.StatusMisdirectedRequest || limit == "" && isRefusal {
-		return
-	}
-	a.placement.RecordLimit(limit)
-}
-
 // forwardPlain forwards a response that is not an event stream.
 func (a *attempt) forwardPlain(ctx context.Context, response *http.Response, isSuccess bool) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
--- a/rudder/relay/dialect.go
+++ b/rudder/relay/dialect.go
@@ -15,6 +15,7 @@
 	Urgency           string // set by this system: 0 (served first) to 9
 	NotRun            string // set by a backend server that has not run the request
 	ServerLimit       string // set by a backend server in need: requests a second that it takes from all nodes together
+	ServerLeaving     string // set to 1 by a backend server that leaves
 	ResponseSignature string // set by a backend server; a success response without it is treated as a failure
 	APIKeyScheme      string // scheme of API keys in the Authorization header
 	// Reserved lists further headers that only this system may set. They are removed from the requests of callers.
@@ -25,7 +26,7 @@
 var NativeDialect = Dialect{
 	RequestID: "X-Rudder-Request", Timeout: "X-Rudder-Timeout-Ms", TokenCounts: "X-Rudder-Tokens", PromptPrefix: "X-Rudder-Prefix",
 	Organisation: "X-Rudder-Organisation", ExpectInstance: "X-Rudder-Instance", Urgency: "X-Rudder-Urgency",
-	NotRun: "X-Rudder-Not-Run", ServerLimit: "X-Rudder-Limit", ResponseSignature: "X-Rudder-Signature", APIKeyScheme: "Bearer",
+	NotRun: "X-Rudder-Not-Run", ServerLimit: "X-Rudder-Limit", ServerLeaving: "X-Rudder-Leaving", ResponseSignature: "X-Rudder-Signature", APIKeyScheme: "Bearer",
 }
 
 const (
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -38,7 +38,7 @@
 	isRunCounted    bool            // by RunCounter
 	possibleRuns    int             // servers that may have run the request
 	sends           int             // finished attempts, including refused ones
-	excludedServers map[string]bool // servers that the request was sent to
+	excludedServers map[string]bool // servers that the request was sent to, or could not be
 	isHeadSent      bool            // the head of the response was sent to the caller
 	lastEventID     string          // id of the last event sent to the caller
 	lastFailure     string          // reason of the last attempt's failure
@@ -113,6 +113,7 @@
 	isPartial     bool           // the caller has a part of a response that cannot be continued
 	isSent        bool           // at least one byte of the request was sent
 	isKnownNotRun bool           // nothing was sent, or the server stated that it has not run the request
+	isWithdrawn   bool           // nothing was sent, since the server gets no requests any more
 	backendResult backend.Result // for the statistics of the server
 	isTimeout     bool           // the connection failed because this node did not wait any longer
 	isAnswer      bool           // the response is a complete success
@@ -126,7 +127,9 @@
 	if f.excludedServers == nil {
 		f.excludedServers = map[string]bool{}
 	}
-	f.excludedServers[a.placement.ID] = true
+	if !r.isWithdrawn {
+		f.excludedServers[a.placement.ID] = true
+	}
 	f.sends++
 	f.lastFailure = r.reason
 	if !r.isKnownNotRun {
--- a/rudder/relay/harness_test.go
+++ b/rudder/relay/harness_test.go
@@ -32,8 +32,9 @@
 	runCounter *runCounter
 
 	mu            sync.Mutex
-	requestCounts map[string]int  // number of requests that each backend server read, by its name
-	requests      []*http.Request // that the backend servers read
+	requestCounts map[string]int    // number of requests that each backend server read, by its name
+	addresses     map[string]string // of the backend servers, by name
+	requests      []*http.Request   // that the backend servers read
 }
 
 // runCounter is the RunCounter of the server under test.
@@ -43,7 +44,7 @@
 
 func newHarness(t testing.TB) *harness {
 	t.Helper()
-	h := &harness{t: t, requestCounts: map[string]int{}, runCounter: &runCounter{}}
+	h := &harness{t: t, requestCounts: map[string]int{}, addresses: map[string]string{}, runCounter: &runCounter{}}
 	h.config = &traffic.Config{
 		Version: 1, Services: map[string]*traffic.Service{"s": {Name: "s"}},
 		Routes: []*traffic.Route{
@@ -91,6 +92,9 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
+	h.mu.Lock()
+	h.addresses[name] = listener.Addr().String()
+	h.mu.Unlock()
 	crash := func() { listener.Close() }
 	h.t.Cleanup(crash)
 	go func() {
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -195,7 +195,7 @@
 		ConfirmationAgeMillis: -1, HoldsDutyLease: n.holdsDutyLease.Load(),
 		Loads: n.backends.OwnLoads(), Demand: n.backends.Demand(), QuotaUsages: n.quotas.FullReport(),
 		Crashes: n.relay.Crashes.FullReport(), ServerLimits: n.backends.Limits(), RunsByWindow: n.usageCounter.WindowsForPeers(),
-		Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
+		Departures: n.backends.Departures(), Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
 	}
 	if config := n.currentConfig.Config(); config != nil {
 		d.ConfigVersion = config.Version
@@ -207,7 +207,7 @@
 }
 
 // composeUrgentDigests returns what peers must know before the next full digest: for all peers, what this node admitted near a
-// limit, crashes of backend servers and limits that they name; for the holder of the duty lease, the request counts that have
+// limit, crashes of backend servers, limits that they name and those that leave; for the holder of the duty lease, the request counts that have
 // changed, which would be lost if all nodes ended.
 func (n *node) composeUrgentDigests() []mesh.UrgentDigest {
 	var list []mesh.UrgentDigest
@@ -217,9 +217,9 @@
 		toAll.QuotaUsages = quotaUsages
 		list = append(list, mesh.UrgentDigest{Digest: toAll})
 	}
-	if crashes, limits := n.relay.Crashes.UrgentReport(), n.backends.UrgentLimits(); crashes != nil || limits != nil {
-		toAll := digest
-		toAll.Crashes, toAll.ServerLimits = crashes, limits
+	toAll := digest
+	toAll.Crashes, toAll.ServerLimits, toAll.Departures = n.relay.Crashes.UrgentReport(), n.backends.UrgentLimits(), n.backends.UrgentDepartures()
+	if toAll.Crashes != nil || toAll.ServerLimits != nil || toAll.Departures != nil {
 		list = append(list, mesh.UrgentDigest{Digest: toAll})
 	}
 	if holder := n.dutyHolder(); holder != "" {
@@ -285,6 +285,7 @@
 	}
 	n.relay.Crashes.Apply(m.Crashes)
 	n.backends.ApplyLimits(m.ServerLimits)
+	n.backends.ApplyDepartures(m.Node, m.Departures)
 	if m.IsUrgent {
 		return
 	}
