Keep headers about the state of backend servers on their hop

Seen by callers: the header by which a server announces its leaving, and the one that names its limit, were passed on to callers, for whom they look like the state of the node; a caller's own ones (and Retry-After) reached the server, which may return them.

Change: neither is forwarded, in answers of any kind or in requests. A 503 of a server and its Retry-After were never passed on: the node answers with a 503 of its own, or 502 where the request may have run. docs/platform.md asks whether an answer without the header counts as passed on.

Evidence, without the change, TestHeadersAboutServersAreNotForwarded: "error: the server got X-Rudder-Leaving ["1"] of the caller", "error: headers map[... X-Rudder-Leaving:[1] X-Rudder-Limit:[3] ...], error <nil>, want X-Other without those about the server". It passes with it.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -386,7 +386,7 @@
 // writeHead sends the head of a response whose body follows in several writes.
 func (f *forwarder) writeHead(response *http.Response) {
 	h := f.writer.Header()
-	copyHeader(h, response.Header)
+	f.server.copyHeader(h, response.Header)
 	h.Del("Content-Length")
 	f.server.closeConnectionIfDraining(h)
 	f.isHeadSent = true
--- a/rudder/relay/dialect.go
+++ b/rudder/relay/dialect.go
@@ -4,7 +4,7 @@
 package relay
 
 // Dialect holds the names of the headers that callers, this system and backend servers exchange. Other headers are
-// forwarded unchanged, except hop-by-hop headers.
+// forwarded unchanged, except hop-by-hop headers and Retry-After in requests.
 type Dialect struct {
 	RequestID         string // id of one attempt of a caller; the backend server returns it
 	Timeout           string // milliseconds that the caller, or this system towards a backend server, waits for the response
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -271,7 +271,7 @@
 // writeResponse sends a complete response of a backend server to the caller.
 func (f *forwarder) writeResponse(b *bufferedResponse) {
 	h := f.writer.Header()
-	copyHeader(h, b.header)
+	f.server.copyHeader(h, b.header)
 	h.Set("Content-Length", strconv.Itoa(len(b.body)))
 	f.server.closeConnectionIfDraining(h)
 	f.isHeadSent = true
@@ -283,14 +283,16 @@
 	f.server.metrics.countRequest(f.call, b.status)
 }
 
-// copyHeader copies the headers of a response except hop-by-hop headers.
-func copyHeader(out, in http.Header) {
+// copyHeader copies the headers of a response except hop-by-hop headers and those about the state of the backend server.
+func (s *Server) copyHeader(out, in http.Header) {
 	for name, values := range in {
 		out[name] = values
 	}
 	for _, name := range hopByHopHeaders {
 		out.Del(name)
 	}
+	out.Del(s.Dialect.ServerLimit)
+	out.Del(s.Dialect.ServerLeaving)
 }
 
 // firstByteTimeout returns how long to wait for the first byte of a response before the request is sent to another server; 0
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -63,7 +63,7 @@
 	for _, name := range d.Reserved {
 		out.Del(name)
 	}
-	for _, name := range []string{headerAuthorization, d.Organisation, d.ExpectInstance, d.Urgency, d.Timeout} {
+	for _, name := range []string{headerAuthorization, headerRetryAfter, d.Organisation, d.ExpectInstance, d.Urgency, d.Timeout, d.ServerLimit, d.ServerLeaving} {
 		out.Del(name)
 	}
 	if _, found := out["User-Agent"]; !found {
--- a/rudder/relay/server_state_test.go
+++ b/rudder/relay/server_state_test.go
@@ -185,3 +185,32 @@
 		t.Errorf("result %+v after %d requests, want a withdrawn attempt and none", got, h.requestCount())
 	}
 }
+
+// Guards against headers about the state of a server that reach a caller, who would take them for the state of this node, and
+// against those of a caller that reach a server, which may return them.
+func TestHeadersAboutServersAreNotForwarded(t *testing.T) {
+	own := http.Header{"X-Rudder-Leaving": {"1"}, "X-Rudder-Limit": {"3"}, "Retry-After": {"7"}}
+	extra := "X-Rudder-Leaving: 1\r\nX-Rudder-Limit: 3\r\nX-Other: kept\r\n"
+	for name, handle := range map[string]func(conn net.Conn, r *http.Request) bool{
+		"short": func(conn net.Conn, r *http.Request) bool { return respond(conn, r, 200, extra, "done") },
+		"error": func(conn net.Conn, r *http.Request) bool { return respond(conn, r, 500, extra, "done") },
+		"large": func(conn net.Conn, r *http.Request) bool {
+			return respond(conn, r, 200, extra, strings.Repeat("a", 100_000))
+		},
+		"stream": func(conn net.Conn, r *http.Request) bool {
+			return respond(conn, r, 200, extra+"Content-Type: text/event-stream\r\n", eventText(1, 2))
+		},
+	} {
+		h := newHarness(t)
+		h.backendServer("a", handle)
+		got := h.call(t.Context(), http.MethodGet, "/stream/x", "", own)
+		if got.err != nil || got.header.Get("X-Other") != "kept" || got.header.Get("X-Rudder-Leaving")+got.header.Get("X-Rudder-Limit") != "" {
+			t.Errorf("%s: headers %v, error %v, want X-Other without those about the server", name, got.header, got.err)
+		}
+		for header := range own {
+			if sent := h.requests[0].Header.Values(header); len(sent) > 0 {
+				t.Errorf("%s: the server got %s %q of the caller", name, header, sent)
+			}
+		}
+	}
+}
