Stop requests to backend servers that ask for a pause

Seen by callers and servers: a server that refused requests with 503 and Retry-After went on getting them from the same node, each of which cost a part of the retry budget; where no other server was left, callers were sent away with a Retry-After of 0.05 s while the pause still went on. A refusal that did not say "not run" counted as a failure of the server and ejected it.

Cause: nothing read the Retry-After of a server.

Change: a 503 with Retry-After pauses this node's requests to the process of the server. The pause stands beside the named limit (backpressure): the choice asks one function how long this node must wait. A request waits if the paused server is still the best choice within what is left of its objective, else it goes elsewhere or is refused at once with the shortest wait. Right before a send the server is looked at again; such a withdrawn request and one that the server has not run may go there later. After a pause the nodes together begin with 5 requests a second, doubled each half second for 3 s. Prompt parts that others read meanwhile are forgotten then, so that prompts go to their home again. Pauses count up to 2 minutes, on the clock that counts suspensions, and survive the loss of the registry entry. Malformed values, other statuses, interim answers, trailers and answers to other requests say nothing.

Evidence, without the change, TestServerThatAsksForPauseGetsNoRequests: "the server got 192 requests later than 0.5 s after it asked for a pause, allowed 2" (idempotent; 194 and 246 for non-idempotent requests and resumable streams), "the server was ejected because of its pause"; TestRequestsWaitForPauseWithinTheirObjective: "long pause: Retry-After "0.060", want the end of a pause of 30s". TestTrafficReturnsGradually- AfterPause with a return of 0 s: "s01 got 52 requests in the first 0.5 s after its pause, want at most a quarter of the usual 50". All pass with the change. TestMalformedPausesDoNotStopRequests passes without it too.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"chestnutrudder.example/rudder/boottime"
 )
 
 const (
@@ -61,6 +63,9 @@
 	Urgency         int             // 0 is the most urgent; see UrgencyLevels
 	Exclude         map[string]bool // servers that have already received the request, by ID
 	FailureDomain   string          // of this node; among equal servers, those in it go first
+	// Patience is how long the request may wait for the end of a pause and its first byte together; 0 if it may not wait.
+	Patience  time.Duration
+	HasWaited bool // for the end of a pause
 }
 
 func (r *Request) urgencyLevel() int { return min(max(r.Urgency, 0), UrgencyLevels-1) }
@@ -73,9 +78,12 @@
 	UncachedTokens    int     // prompt tokens that the server has to prefill
 	Running           int     // requests of all nodes at the server
 	IsFull            bool
-	LimitWait         time.Duration // until this node may send a request to the server, which names a limit; 0 if it may
+	SendWait          time.Duration // until this node may send the request to the server, which is in need; 0 if it may
+	PauseWait         time.Duration // the same, as far as a pause is the reason
+	MayAwait          bool          // only a pause keeps this node from sending the request
 	HasPendingPrompts bool          // other prompts wait for prefill at the server
 	IsLocal           bool          // in the failure domain of this node
+	IsHome            bool          // of the shared parts; see homeServer
 }
 
 // Pick returns the candidate with the lowest score that is not full, false if all are full. Among equal scores, local
@@ -122,6 +130,13 @@
 	Reason     string
 	RetryAfter time.Duration // estimated time until a server can take the request; 0 if unknown
 	NoServers  bool          // no server of the service serves or all are excluded
+	PausedFor  time.Duration // until the first pause is over; 0 unless all servers have asked for one
+
+	// Wait is above 0 if the request is not refused but is to wait for the end of a pause: the caller of Place calls Await,
+	// and then Place again with HasWaited.
+	Wait   time.Duration
+	table  *Table
+	server *Server // that is waited for
 }
 
 // Place chooses a server for a request and counts the request in the server's load until Release. It returns a refusal
@@ -130,9 +145,14 @@
 func (t *Table) Place(r Request, firstByteLimit time.Duration) (*Placement, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	candidates := t.candidates(r, now)
+	now, bootNow := time.Now(), t.now()
+	candidates := t.candidates(r, now, bootNow)
 	best, found := Pick(candidates)
+	if awaited, mayWait := pickAwaited(candidates, best, found, r.Patience); mayWait {
+		s := t.servers[awaited.ID]
+		s.pause.waiting++
+		return nil, &Refusal{Reason: "waits for the end of a pause", Wait: awaited.PauseWait, table: t, server: s}
+	}
 	uncachedTokens := max(r.PromptTokens-sumTokens(r.Parts), 0)
 	if found {
 		uncachedTokens = best.UncachedTokens
@@ -142,7 +162,7 @@
 	case len(candidates) == 0:
 		return nil, &Refusal{Reason: "no backend server of the service is available", NoServers: true}
 	case !found:
-		return nil, &Refusal{Reason: "all backend servers of the service are full or at their limits", RetryAfter: shortestWait(candidates)}
+		return nil, &Refusal{Reason: "all backend servers of the service are full or at their limits", RetryAfter: shortestWait(candidates), PausedFor: t.pausedFor(candidates, bootNow)}
 	}
 	predicted := time.Duration(best.FirstByteMillis * float64(time.Millisecond))
 	// Without waiting prompts, the prediction alone is no reason to refuse, since it may rest on old measurements. It does not
@@ -163,11 +183,9 @@
 		p.pendingTokens = float64(best.UncachedTokens)
 		total := s.totalLoad()
 		p.isUncontended = total.tokensAhead(UrgencyLevels-1) == 0
-		t.prefixes.recordPrefill(s.ID, r.Parts, now)
-	}
-	if s.limit.isNamed {
-		s.limit.tokens--
+		t.lendPrefixes(candidates, t.prefixes.recordPrefill(s.ID, r.Parts, now))
 	}
+	s.recordSend()
 	s.ownLoad.running++
 	s.ownLoad.pendingTokens[r.urgencyLevel()] += p.pendingTokens
 	p.isProbe = s.health.recordPlacement(now)
@@ -199,16 +217,17 @@
 func shortestWait(candidates []Candidate) time.Duration {
 	shortest := time.Duration(math.MaxInt64)
 	for _, c := range candidates {
-		shortest = min(shortest, max(time.Duration(c.FirstByteMillis*float64(time.Millisecond)), c.LimitWait))
+		shortest = min(shortest, max(time.Duration(c.FirstByteMillis*float64(time.Millisecond)), c.SendWait))
 	}
 	return shortest
 }
 
 // candidates returns the servers that may take a request. The home server of the shared parts is assumed to have them
 // cached, since all nodes prefer it for these parts. A server that names a limit is home only if all do.
-func (t *Table) candidates(r Request, now time.Time) []Candidate {
+func (t *Table) candidates(r Request, now time.Time, bootNow boottime.Instant) []Candidate {
 	var serving, unlimited []*Server
 	for _, s := range t.servers {
+		t.updatePause(s, bootNow)
 		if s.Service == r.Service && !r.Exclude[s.ID] && s.isServing() {
 			serving = append(serving, s)
 			if !s.limit.isNamed {
@@ -223,14 +242,14 @@
 	m := t.model(r.Service)
 	candidates := make([]Candidate, 0, len(serving))
 	for _, s := range serving {
-		candidates = append(candidates, t.candidate(s, s == home, r, m, now))
+		candidates = append(candidates, t.candidate(s, s == home, r, m, now, bootNow))
 	}
 	return candidates
 }
 
-func (t *Table) candidate(s *Server, isHome bool, r Request, m *latencyModel, now time.Time) Candidate {
+func (t *Table) candidate(s *Server, isHome bool, r Request, m *latencyModel, now time.Time, bootNow boottime.Instant) Candidate {
 	total := s.totalLoad()
-	c := Candidate{ID: s.ID, Running: total.running, IsLocal: s.FailureDomain == r.FailureDomain}
+	c := Candidate{ID: s.ID, Running: total.running, IsLocal: s.FailureDomain == r.FailureDomain, IsHome: isHome}
 	slots := max(s.Slots, 1)
 	slowFactor := s.slowdown.current(now)
 	if r.IsGeneration {
@@ -252,8 +271,9 @@
 		// server by the same outdated loads. This node's own requests and jitter spread them better.
 		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*rand.Float64())
 	}
-	c.LimitWait = s.limitWait(now)
-	c.IsFull = c.IsFull || c.LimitWait > 0
+	c.SendWait, c.PauseWait = t.sendWait(s, r, now, bootNow)
+	c.MayAwait = !c.IsFull && c.PauseWait > 0 && c.SendWait == c.PauseWait
+	c.IsFull = c.IsFull || c.SendWait > 0
 	c.Score += c.FirstByteMillis * slowFactor * failurePenaltyFactor * s.health.failureRate(now)
 	if s.health.isEjected(now) || s.ejectingPeers > 1 {
 		c.Score += ejectionPenaltyMillis
--- a/rudder/backend/leaving.go
+++ b/rudder/backend/leaving.go
@@ -177,6 +177,8 @@
 func (s *Server) inheritFrom(previous *Server) {
 	s.leaving.set(leaveAnnounced, previous.leaving.has(leaveAnnounced))
 	s.announcedAt = previous.announcedAt
+	s.pause = previous.pause
+	s.pause.waiting = 0
 }
 
 // dropIfForgettable removes a server that the registry does not list, unless it has requests or has to be remembered in case
@@ -185,7 +187,8 @@
 	if t.servers[s.ID] != s || !s.leaving.has(leaveUnlisted) || s.ownLoad.running > 0 {
 		return
 	}
-	if s.leaving.has(leaveAnnounced) && t.now().Sub(s.unlistedAt) < departureRetention {
+	now := t.now()
+	if s.pause.isInForce(now) || s.leaving.has(leaveAnnounced) && now.Sub(s.unlistedAt) < departureRetention {
 		return
 	}
 	delete(t.servers, s.ID)
--- a/rudder/backend/prefix.go
+++ b/rudder/backend/prefix.go
@@ -35,10 +35,23 @@
 	return tokens
 }
 
-// recordPrefill records that the server prefills the parts.
-func (p *prefixIndex) recordPrefill(server string, parts []PromptPart, now time.Time) {
+// recordPrefill records that the server prefills the parts, and returns those that it was not assumed to have cached.
+func (p *prefixIndex) recordPrefill(server string, parts []PromptPart, now time.Time) []prefixKey {
+	var added []prefixKey
 	for _, part := range parts {
-		p.prefilledAt[prefixKey{server, part.ID}] = now
+		key := prefixKey{server, part.ID}
+		if at, found := p.prefilledAt[key]; !found || now.Sub(at) > prefixTTL {
+			added = append(added, key)
+		}
+		p.prefilledAt[key] = now
+	}
+	return added
+}
+
+// forget removes parts that servers are not to be assumed to have cached.
+func (p *prefixIndex) forget(keys []prefixKey) {
+	for _, key := range keys {
+		delete(p.prefilledAt, key)
 	}
 }
 
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -43,7 +43,7 @@
 	idHash        uint64
 	health        health
 	slowdown      slowdown
-	limit         serverLimit
+	backpressure
 }
 
 // load is the load of a backend server.
@@ -363,6 +363,7 @@
 	}
 	t.prefixes.evictExpired(time.Now())
 	t.dropExpiredPeerLoads(time.Now())
+	t.updatePauses()
 	t.forgetUnlisted()
 	t.mu.Unlock()
 	for _, p := range pools {
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -75,7 +75,7 @@
 			conn.Abort()
 		}
 	}()
-	if reason := a.checkSend(); reason != "" {
+	if reason := a.placement.SendProblem(); reason != "" {
 		return attemptResult{isKnownNotRun: true, isWithdrawn: true, backendResult: backend.ResultInconclusive, reason: reason}
 	}
 	a.addAwaitingResponse()
@@ -191,13 +191,13 @@
 // handleResponse forwards a response whose head was received, or decides that it must not be forwarded.
 func (a *attempt) handleResponse(ctx context.Context, response *http.Response) attemptResult {
 	d := a.server.Dialect
-	a.recordServerState(response)
+	isPaused := a.recordServerState(response)
 	if response.Header.Get(d.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			a.placement.MarkMisdirected()
 		}
-		return attemptResult{isKnownNotRun: true, backendResult: backend.ResultRejected, reason: "backend server refused the request with status " + strconv.Itoa(response.StatusCode)}
+		return attemptResult{isKnownNotRun: true, isPaused: isPaused, backendResult: backend.ResultRejected, reason: "backend server refused the request with status " + strconv.Itoa(response.StatusCode)}
 	}
 	a.removeAwaitingResponse()
 	a.placement.RecordFirstByte()
@@ -210,7 +210,11 @@
 	if isSuccess && a.call.route.Kind == traffic.Streaming && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		return a.forwardStream(ctx, response)
 	}
-	return a.forwardPlain(ctx, response, isSuccess)
+	r := a.forwardPlain(ctx, response, isSuccess)
+	if isPaused && r.backendResult == backend.ResultServerFailure {
+		r.backendResult = backend.ResultRejected // a server that asks for a pause has not failed
+	}
+	return r
 }
 
 // forwardPlain forwards a response that is not an event stream.
--- a/rudder/relay/metrics.go
+++ b/rudder/relay/metrics.go
@@ -44,6 +44,14 @@
 	m.instruments.CrashedRequests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", c.service)))
 }
 
+// countPause counts a pause that a backend server asked for, by service.
+func (m *Metrics) countPause(c *call) {
+	if m.instruments == nil {
+		return
+	}
+	m.instruments.ServerPauses.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", c.service)))
+}
+
 // countDeparture counts a backend server that announced in a response that it leaves, by service.
 func (m *Metrics) countDeparture(c *call) {
 	if m.instruments == nil {
--- a/rudder/relay/server_state.go
+++ b/rudder/relay/server_state.go
@@ -1,30 +1,53 @@
 package relay
 
 import (
+	"context"
 	"net/http"
+	"time"
+
+	"chestnutrudder.example/rudder/backend"
 )
 
-// recordServerState records what a response says of the state of its server: that it leaves, and the limit of requests that it
-// names. An interim response and that of another server than the expected one say nothing of it.
-func (a *attempt) recordServerState(response *http.Response) {
+// recordServerState records what a response says of the state of its server: that it leaves, that it wants no requests for a
+// time, and the limit of requests that it names. An interim response and that of another server than the expected one say
+// nothing of it. It reports whether the server asked for a pause.
+func (a *attempt) recordServerState(response *http.Response) (isPaused bool) {
 	if response.StatusCode < http.StatusOK || response.StatusCode == http.StatusMisdirectedRequest {
-		return
+		return false
 	}
 	d := a.server.Dialect
 	if a.placement.RecordDeparture(a.call.id, response.Header.Values(d.ServerLeaving)) {
 		a.server.metrics.countDeparture(a.call)
 	}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		var isNew bool
+		if isPaused, isNew = a.placement.RecordPause(a.call.id, response.Header.Values(headerRetryAfter)); isNew {
+			a.server.metrics.countPause(a.call)
+		}
+	}
 	// A refusal without a limit tells nothing: the server may have sent it before it looked at its load.
 	if limit := response.Header.Get(d.ServerLimit); limit != "" || response.Header.Get(d.NotRun) == "" {
 		a.placement.RecordLimit(limit)
 	}
+	return isPaused
+}
+
+// patience returns how long the request may wait for a server that has asked for a pause: until its first byte is late, or for
+// as long after its stream broke.
+func (f *forwarder) patience() time.Duration {
+	c := f.call
+	begin := c.arrivedAt
+	if f.isHeadSent {
+		begin = f.failedAt
+	}
+	return min(c.route.LatencyObjective-time.Since(begin), time.Until(c.deadline))
 }
 
-// checkSend returns why a request must not be sent to the server that was chosen for it, empty if it may be sent. The state of
-// the server may have changed since the choice, while a connection was opened.
-func (a *attempt) checkSend() string {
-	if a.placement.IsLeaving() {
-		return "backend server leaves"
+// awaitReturn waits until the server of the refusal can be expected to take the request again, or ctx ends.
+func (f *forwarder) awaitReturn(ctx context.Context, refusal *backend.Refusal) {
+	if !f.hasWaited {
+		f.server.Log.Info("Request waits for a backend server that asked for a pause.", "request", f.call.id, "wait_ms", refusal.Wait.Milliseconds())
 	}
-	return ""
+	f.hasWaited = true
+	refusal.Await(ctx)
 }
