Bound the requests that wait for a pause at a node

Seen by callers: with an objective longer than a pause and the return after it, all requests for a paused server would wait at the node, without bound, and go out together when the return is over.

Cause: each request that waits lengthens the wait of the next one only up to the end of the return.

Change: no more requests than the server has slots wait for it; the rest goes elsewhere or is refused at once. A request that has waited may go on.

Evidence, without the change, TestFewRequestsWaitForPause: "100 of 100 requests wait for a server with 8 slots, want 8". It passes with it.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -272,7 +272,8 @@
 		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*rand.Float64())
 	}
 	c.SendWait, c.PauseWait = t.sendWait(s, r, now, bootNow)
-	c.MayAwait = !c.IsFull && c.PauseWait > 0 && c.SendWait == c.PauseWait
+	mayQueue := r.HasWaited || s.pause.waiting < slots
+	c.MayAwait = !c.IsFull && c.PauseWait > 0 && c.SendWait == c.PauseWait && mayQueue
 	c.IsFull = c.IsFull || c.SendWait > 0
 	c.Score += c.FirstByteMillis * slowFactor * failurePenaltyFactor * s.health.failureRate(now)
 	if s.health.isEjected(now) || s.ejectingPeers > 1 {
--- a/rudder/backend/pause_test.go
+++ b/rudder/backend/pause_test.go
@@ -197,6 +197,30 @@
 	})
 }
 
+// Guards against requests that collect at a node without bound while a pause goes on.
+func TestFewRequestsWaitForPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTestTable(1, 8)
+		table.useTestClock()
+		p, _ := table.Place(Request{Service: "m"}, 0)
+		p.RecordPause("r", []string{"5"})
+		p.Release(ResultRejected)
+		waiting := 0
+		for range 100 {
+			_, refusal := table.Place(Request{Service: "m", Patience: time.Minute}, 0)
+			if refusal.Wait > 0 {
+				waiting++
+			}
+		}
+		if waiting != 8 {
+			t.Errorf("%d of 100 requests wait for a server with 8 slots, want 8", waiting)
+		}
+		if _, refusal := table.Place(Request{Service: "m", Patience: time.Minute, HasWaited: true}, 0); refusal.Wait == 0 {
+			t.Error("a request that has waited is refused because others wait")
+		}
+	})
+}
+
 // The latest end of overlapping pauses holds, and no server is kept out for longer than the bound, whatever it asks for.
 func TestLatestEndOfPausesHolds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
