Count what a server says after its address has changed

Seen by callers: a server whose entry changed its address while a request was there, and whose answer then announced its leaving or asked for a pause, went on getting requests at the new address.

Cause: the answer was recorded at the entry with the old address only.

Change: what an answer says is recorded at the latest entry of the same process (id and known start time), and the last look before a send reads that entry too.

Evidence, without the change, TestAnswerAfterChangeOfAddressCounts: "the server serves after it has announced that it leaves", "the server gets requests in its pause". It passes with it.

--- a/rudder/backend/backpressure.go
+++ b/rudder/backend/backpressure.go
@@ -34,9 +34,10 @@
 // SendProblem returns why the request must not be sent any more to the server that was chosen for it, empty if it may be sent.
 // The state of the server may have changed since the choice, while a connection was opened.
 func (p *Placement) SendProblem() string {
-	t, s := p.table, p.Server
+	t := p.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s := t.latestEntry(p.Server)
 	switch {
 	case !s.isServing():
 		return "backend server leaves"
--- a/rudder/backend/leaving.go
+++ b/rudder/backend/leaving.go
@@ -73,9 +73,10 @@
 	if len(values) == 0 {
 		return false
 	}
-	t, s := p.table, p.Server
+	t := p.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s := t.latestEntry(p.Server)
 	if len(values) > 1 || values[0] != announcedValue {
 		t.logMalformed(s, requestID, "leaving", values)
 		return false
@@ -173,6 +174,14 @@
 	return servers
 }
 
+// latestEntry returns the server of the same process with its latest address. The caller holds the lock.
+func (t *Table) latestEntry(s *Server) *Server {
+	if latest, found := t.servers[s.ID]; found && latest.StartUnixMillis == s.StartUnixMillis && s.StartUnixMillis != 0 {
+		return latest
+	}
+	return s
+}
+
 // inheritFrom takes over what outlives a change of the server's address from its entry before: it is the same process.
 func (s *Server) inheritFrom(previous *Server) {
 	s.leaving.set(leaveAnnounced, previous.leaving.has(leaveAnnounced))
--- a/rudder/backend/leaving_test.go
+++ b/rudder/backend/leaving_test.go
@@ -67,6 +67,33 @@
 	}
 }
 
+// Guards against an answer that is lost on the way to the process of its server, because the server's address changed while the
+// request was there.
+func TestAnswerAfterChangeOfAddressCounts(t *testing.T) {
+	entry := Entry{ID: "a", Service: "m", Address: "127.0.0.1:9", Slots: 4, StartUnixMillis: 5}
+	place := func() (*Table, *Placement) {
+		table := newTestTable(0, 0)
+		table.Put(entry)
+		p, refusal := table.Place(Request{Service: "m"}, 0)
+		if refusal != nil {
+			t.Fatal(refusal.Reason)
+		}
+		moved := entry
+		moved.Address = "127.0.0.1:8"
+		table.Put(moved)
+		return table, p
+	}
+	table, p := place()
+	if p.RecordDeparture("r", []string{"1"}); table.isServing("a") {
+		t.Error("the server serves after it has announced that it leaves")
+	}
+	table, p = place()
+	p.RecordPause("r", []string{"5"})
+	if _, refusal := table.Place(Request{Service: "m"}, 0); refusal == nil || p.SendProblem() == "" {
+		t.Error("the server gets requests in its pause")
+	}
+}
+
 // Guards against nodes that do not stop together, and against announcements that are passed on among nodes without end.
 func TestPeersLearnOfAnnouncedLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/rudder/backend/pause.go
+++ b/rudder/backend/pause.go
@@ -69,9 +69,10 @@
 	if len(values) == 0 {
 		return false, false
 	}
-	t, s := p.table, p.Server
+	t := p.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s := t.latestEntry(p.Server)
 	d, isValid := parsePause(values)
 	if !isValid {
 		t.logMalformed(s, requestID, headerNameRetryAfter, values)
