Name the subject of a malformed header in the log line

The line gave "leaving" as if it were the name of a header, beside Retry-After; it now says what the header was about. No test covers the line.

--- a/rudder/backend/leaving.go
+++ b/rudder/backend/leaving.go
@@ -98,13 +98,13 @@
 }
 
 // logMalformed logs a header of a server that cannot be used, once for each process of the server. The caller holds the lock.
-func (t *Table) logMalformed(s *Server, requestID, header string, values []string) {
+func (t *Table) logMalformed(s *Server, requestID, subject string, values []string) {
 	if s.hasSentMalformed {
 		return
 	}
 	s.hasSentMalformed = true
 	t.Log.Warn("Ignored a malformed header of a backend server; further ones of this server are not logged.", "server", s.ID, "request", requestID,
-		"header", header, "values", len(values), "value", values[0][:min(len(values[0]), maxLoggedValueBytes)])
+		"subject", subject, "values", len(values), "value", values[0][:min(len(values[0]), maxLoggedValueBytes)])
 }
 
 // maxLoggedValueBytes bounds the part of a malformed value that is logged.
--- a/rudder/backend/pause.go
+++ b/rudder/backend/pause.go
@@ -49,8 +49,8 @@
 	return p.until > 0 && !p.isInForce(now) && now.Sub(p.until) < returnTime
 }
 
-// parsePause returns the time that a Retry-After header asks for, false if it is not a single number of seconds. A time in the
-// form of a date is none, since the clocks of hosts differ.
+// parsePause returns the time that a Retry-After header (RFC 9110, section 10.2.3) asks for, false if it is not a single number
+// of seconds. A date is none, since the clocks of hosts differ.
 func parsePause(values []string) (time.Duration, bool) {
 	if len(values) != 1 || strings.Trim(values[0], "0123456789.") != "" {
 		return 0, false
@@ -75,7 +75,7 @@
 	s := t.latestEntry(p.Server)
 	d, isValid := parsePause(values)
 	if !isValid {
-		t.logMalformed(s, requestID, headerNameRetryAfter, values)
+		t.logMalformed(s, requestID, "pause", values)
 	}
 	if d <= 0 {
 		return false, false
@@ -96,9 +96,6 @@
 	return true, isNew
 }
 
-// headerNameRetryAfter is the name of the header in log lines (RFC 9110, section 10.2.3).
-const headerNameRetryAfter = "Retry-After"
-
 // updatePause logs the end of a pause once, and forgets the pause when the return is over. The caller holds the lock.
 func (t *Table) updatePause(s *Server, now boottime.Instant) {
 	p := &s.pause
