--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -124,6 +124,7 @@
 	if needsRetry && !s.takeRetry(c.service) {
 		return deniedBudget
 	}
+	r.Patience = 0 // a server that asked for a pause is no alternative until it is over
 	placement, refusal := s.Backends.Place(r, 0)
 	if refusal != nil {
 		if needsRetry {
