Decode each entry of a listing or watch of the platform alone

What callers would see: one registry entry of another writer that can't be read (nested beyond the decoder's 10,000 levels, a literal that is no JSON, a revision of 1e19 or text, metadata of another type, null) made every listing and watch that held it fail. Running nodes followed the registry no more, sent requests to servers that were gone, and never learnt of new ones; starting nodes served nothing.

Cause: the answer was decoded as a whole by encoding/json.

An object that can't be decoded has an Err and its key, so that it names no server and one that was good counts as gone. A change without a readable name makes the node list again.

--- a/rudder/objectapi/objectapi.go
+++ b/rudder/objectapi/objectapi.go
@@ -39,6 +39,17 @@
 	Version int64           `json:"version"`
 	Token   string          `json:"token"` // unique token of the last write
 	Value   json.RawMessage `json:"value"`
+	// Err is set if a listing or a watch holds the object but it could not be decoded. It then has no Version, Token and
+	// Value, and the name in its Key is empty if that was not readable either.
+	Err error `json:"-"`
+}
+
+// Decode decodes the value into out. It returns Err if the object could not be decoded.
+func (o Object) Decode(out any) error {
+	if o.Err != nil {
+		return o.Err
+	}
+	return json.Unmarshal(o.Value, out)
 }
 
 // Listing is a consistent snapshot of objects at a revision of the store.
@@ -57,7 +68,8 @@
 type Changes struct {
 	Revision int64   `json:"revision"` // up to which the events are complete; pass it to the next watch
 	Events   []Event `json:"events"`
-	// Reset means that the store no longer has the history since the requested revision: the caller must list again.
+	// Reset means that the changes are not known, since the store no longer has the history since the requested revision or
+	// it is not readable which object has changed: the caller must list again.
 	Reset bool `json:"reset"`
 }
 
--- a/rudder/objectapi/watcher.go
+++ b/rudder/objectapi/watcher.go
@@ -26,8 +26,8 @@
 // dead.
 const WatchGrace = 500 * time.Millisecond
 
-// Watcher follows the objects with one key prefix: it lists them, watches for changes, and lists again when the store no
-// longer has the history since the last watch. The exported fields are set before Run and not changed afterwards.
+// Watcher follows the objects with one key prefix: it lists them, watches for changes, and lists again when the
+// changes since the last watch are not known. The exported fields are set before Run and not changed afterwards.
 type Watcher struct {
 	Store  Store
 	Prefix string
@@ -161,7 +161,7 @@
 		w.endCall(revision, true)
 		return err
 	case changes.Reset:
-		w.Log.Info("Watch history is no longer available, objects are listed again.", "prefix", w.Prefix, "revision", revision)
+		w.Log.Info("Changes since the last watch are not known, objects are listed again.", "prefix", w.Prefix, "revision", revision)
 		w.endCall(0, false)
 		return nil
 	}
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -10,6 +10,7 @@
 	"chestnutrudder.example/rudder/mesh"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/sleep"
+	"chestnutrudder.example/rudder/traffic"
 )
 
 const (
@@ -154,10 +155,10 @@
 // applyConfigObjects applies the configuration if it is among the objects.
 func (n *node) applyConfigObjects(objects []objectapi.Object) {
 	for _, o := range objects {
-		if o.Key != n.platform.ConfigKey || len(o.Value) == 0 {
+		if o.Key != n.platform.ConfigKey || o.Err == nil && len(o.Value) == 0 {
 			continue
 		}
-		config, err := n.platform.DecodeConfig(o.Value)
+		config, err := n.decodeConfig(o)
 		if err != nil {
 			n.log.Error("Decoding the configuration failed; it is not applied.", "revision", o.Version, "error", err)
 			continue
@@ -168,6 +169,14 @@
 	}
 }
 
+// decodeConfig translates the object of the configuration.
+func (n *node) decodeConfig(o objectapi.Object) (*traffic.Config, error) {
+	if o.Err != nil {
+		return nil, o.Err
+	}
+	return n.platform.DecodeConfig(o.Value)
+}
+
 // confirmConfig records that the configuration in force was the newest one when the answered call was sent.
 func (n *node) confirmConfig(sentAt boottime.Instant, _ int64) {
 	if config := n.currentConfig.Config(); config != nil {
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -83,7 +82,7 @@
 
 func decodeNodeRecord(o objectapi.Object) (nodeRecord, error) {
 	var record nodeRecord
-	return record, errors.Wrapf(json.Unmarshal(o.Value, &record), "decode node record %s", o.Key)
+	return record, errors.Wrapf(o.Decode(&record), "decode node record %s", o.Key)
 }
 
 // registerAndDiscover keeps a record of this node if few others of its failure domain have one, and reads the records while
--- a/rudder/relaynode/quarantines.go
+++ b/rudder/relaynode/quarantines.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strconv"
 	"time"
 
@@ -79,7 +78,7 @@
 // decodeQuarantine translates a record to the report of a peer at the given time.
 func decodeQuarantine(o objectapi.Object, now time.Time) (quarantineRecord, culprit.QuarantineReport, error) {
 	var record quarantineRecord
-	if err := json.Unmarshal(o.Value, &record); err != nil {
+	if err := o.Decode(&record); err != nil {
 		return record, culprit.QuarantineReport{}, errors.Wrapf(err, "decode quarantine %s", o.Key)
 	}
 	age := max(now.UnixMilli()-record.BeganUnixMillis, 0)
