Bound the registry's changes in a digest by bytes

What callers would see: an entry with a huge name or field made the digests of the nodes that watch the registry larger than a datagram for 4 s. These digests weren't sent: peers took the watchers for unreachable, others began to call the object API, and loads, limits and usage of these nodes weren't told.

Cause: the changes in a digest were bounded by their number alone.

Change: at most 24 KiB of changes, about 200 usual ones; older ones are dropped with their revision, so that peers find out that they miss some and ask the object API.

Evidence, before: TestHugeChangesAreLeftOutOfDigests "the changes have 1048614 bytes, error <nil>, want at most 32768" and two further cases. After: passes.

--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -37,8 +37,10 @@
 	// changeRetention is how long a change is included in digests: four digests at the longest interval, since datagrams
 	// get lost.
 	changeRetention = 4 * time.Second
-	// maxChangesPerDigest bounds the changes in one digest. A node that misses some asks the object API.
-	maxChangesPerDigest = 200
+	// maxChangesPerDigest and maxChangeBytesPerDigest bound the changes in one digest, which must fit in a datagram. A node that
+	// misses some asks the object API.
+	maxChangesPerDigest     = 200
+	maxChangeBytesPerDigest = 24 << 10
 )
 
 // registrySync keeps the table of backend servers in line with the platform's registry. Two nodes, the watchers, watch
@@ -66,6 +68,12 @@
 	learntAt boottime.Instant
 }
 
+// encodedBytes returns about how much the change adds to a digest.
+func (c *recentChange) encodedBytes() int {
+	const numbersAndLengths = 48
+	return numbersAndLengths + len(c.Server.ID) + len(c.Server.Service) + len(c.Server.Address) + len(c.Server.FailureDomain)
+}
+
 func newRegistrySync(n *node) *registrySync {
 	r := &registrySync{node: n, log: n.logger.Part("registry")}
 	r.objectWatcher = &objectapi.Watcher{
@@ -146,13 +154,17 @@
 	r.pruneChanges()
 }
 
-// pruneChanges drops changes that are older than changeRetention or exceed maxChangesPerDigest. The caller holds the
-// lock.
+// pruneChanges drops changes that are older than changeRetention or exceed maxChangesPerDigest or maxChangeBytesPerDigest. The
+// caller holds the lock.
 func (r *registrySync) pruneChanges() {
-	pruned := 0
+	pruned, size := 0, 0
+	for _, c := range r.recentChanges {
+		size += c.encodedBytes()
+	}
 	for pruned < len(r.recentChanges) && r.recentChanges[pruned].Revision > 0 &&
-		(boottime.Since(r.recentChanges[pruned].learntAt) > changeRetention || len(r.recentChanges)-pruned > maxChangesPerDigest) {
+		(boottime.Since(r.recentChanges[pruned].learntAt) > changeRetention || len(r.recentChanges)-pruned > maxChangesPerDigest || size > maxChangeBytesPerDigest) {
 		r.fromRevision = r.recentChanges[pruned].Revision
+		size -= r.recentChanges[pruned].encodedBytes()
 		pruned++
 	}
 	// The remaining changes of an answer are of no use once its first ones are dropped.
--- a/rudder/relaynode/registry_sync_test.go
+++ b/rudder/relaynode/registry_sync_test.go
@@ -8,11 +8,15 @@
 	"log/slog"
 	"net"
 	"path"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/mesh"
@@ -210,3 +214,43 @@
 		t.Fatalf("delta is %+v, want the change from revision 0 to 5", delta)
 	}
 }
+
+// One registry entry with a huge field or name made the digests of the nodes that watch the registry too large for a datagram:
+// their peers took them for unreachable. Such a change must be left out, and the peers must find out that they miss it.
+func TestHugeChangesAreLeftOutOfDigests(t *testing.T) {
+	const maxDigestBytes = 32 << 10
+	huge := strings.Repeat("x", 1<<20)
+	manyLong := make([]objectapi.Object, maxChangesPerDigest/2)
+	for i := range manyLong {
+		manyLong[i].Key = fmt.Sprintf("servers/%03d%s", i, huge[:500])
+	}
+	for name, objects := range map[string][]objectapi.Object{
+		"huge service":                {{Key: "servers/s2", Value: json.RawMessage(huge)}},
+		"huge name that is no server": {{Key: "servers/" + huge, Err: errors.New("not readable")}},
+		"many long names":             manyLong,
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := &node{logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, "n"), backends: backend.NewTable(time.Second, slog.New(slog.DiscardHandler))}
+			n.platform = Platform{ServerPrefix: "servers/", DecodeServer: func(o objectapi.Object) (backend.Entry, error) {
+				return backend.Entry{ID: path.Base(o.Key), Service: string(o.Value)}, o.Err
+			}}
+			r := newRegistrySync(n)
+			r.applyListing(nil, boottime.Now())
+			r.recordAnswer(boottime.Now(), 6)
+			for _, o := range objects {
+				r.applyEvent(objectapi.Event{Object: o})
+			}
+			r.recordAnswer(boottime.Now(), 7)
+			r.applyEvent(objectapi.Event{Object: objectapi.Object{Key: "servers/s3"}})
+			r.recordAnswer(boottime.Now(), 8)
+			delta := r.delta()
+			raw, err := cbor.Marshal(delta)
+			if err != nil || len(raw) > maxDigestBytes {
+				t.Errorf("the changes have %d bytes, error %v, want at most %d", len(raw), err, maxDigestBytes)
+			}
+			if delta.FromRevision != 7 || delta.Revision != 8 || len(delta.Changes) != 1 || delta.Changes[0].Server.ID != "s3" {
+				t.Errorf("delta from revision %d to %d with %d changes, want the change from 7 to 8", delta.FromRevision, delta.Revision, len(delta.Changes))
+			}
+		})
+	}
+}
