Take all of a registry key for the id of its server

What callers would see: a change of another writer's entry "x/s1" was taken for one of the server s1: when it turned unreadable or was deleted, s1 got no requests until its own entry changed, and the server of "x/s1" was never removed.

Cause: the id of a change was the last part of the key's path, while a listing takes the whole rest of the key.

Change: both take the whole rest. The log lines for entries that can't be decoded hold at most 100 bytes of the key.

Evidence, before: TestChangeOfEntryWithSlashInItsIDIsItsOwn "after x/s1 has become unreadable: requests to s1 false, to x/s1 true, want only to s1" and "2 log lines with 2097463 bytes". After: passes.

--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -2,7 +2,7 @@
 
 import (
 	"log/slog"
-	"path"
+	"strings"
 	"sync"
 	"time"
 
@@ -99,7 +99,7 @@
 	for _, o := range objects {
 		entry, err := r.node.platform.DecodeServer(o)
 		if err != nil {
-			r.log.Warn("Decoding a registry entry failed; it is left out.", "key", o.Key, "error", err)
+			r.log.Warn("Decoding a registry entry failed; it is left out.", "key", abbreviate(o.Key), "error", err)
 			continue
 		}
 		entries = append(entries, entry)
@@ -113,11 +113,11 @@
 // applyEvent applies one change of the registry and keeps it for digests. An entry that cannot be decoded counts as
 // removed.
 func (r *registrySync) applyEvent(e objectapi.Event) {
-	c := mesh.RegistryChange{Server: backend.Entry{ID: path.Base(e.Object.Key)}, Removed: e.Deleted}
+	c := mesh.RegistryChange{Server: backend.Entry{ID: strings.TrimPrefix(e.Object.Key, r.node.platform.ServerPrefix)}, Removed: e.Deleted}
 	if !e.Deleted {
 		entry, err := r.node.platform.DecodeServer(e.Object)
 		if err != nil {
-			r.log.Warn("Decoding a registry entry failed; its server is removed.", "key", e.Object.Key, "error", err)
+			r.log.Warn("Decoding a registry entry failed; its server is removed.", "key", abbreviate(e.Object.Key), "error", err)
 			c.Removed = true
 		} else {
 			c.Server = entry
@@ -129,6 +129,11 @@
 	r.recentChanges = append(r.recentChanges, recentChange{RegistryChange: c, learntAt: boottime.Now()})
 }
 
+// maxLoggedKeyBytes bounds a key in a log line; another writer may choose a huge one.
+const maxLoggedKeyBytes = 100
+
+func abbreviate(key string) string { return key[:min(len(key), maxLoggedKeyBytes)] }
+
 // applyChange puts a server into the table of backend servers or removes it.
 func (r *registrySync) applyChange(c mesh.RegistryChange) {
 	if c.Removed {
--- a/rudder/relaynode/registry_sync_test.go
+++ b/rudder/relaynode/registry_sync_test.go
@@ -1,6 +1,7 @@
 package relaynode
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -254,3 +255,41 @@
 		})
 	}
 }
+
+// A change of a registry entry whose id has a slash was taken for one of the server named by the rest of the id: another
+// writer's entry "x/s1" removed the server s1, and its own server was never removed.
+func TestChangeOfEntryWithSlashInItsIDIsItsOwn(t *testing.T) {
+	var lines bytes.Buffer
+	n := &node{logger: telemetry.NewLogger(&lines, slog.LevelInfo, "n"), backends: backend.NewTable(time.Second, slog.New(slog.DiscardHandler))}
+	n.platform = Platform{ServerPrefix: "servers/", DecodeServer: func(o objectapi.Object) (backend.Entry, error) {
+		id := strings.TrimPrefix(o.Key, "servers/")
+		return backend.Entry{ID: id, Service: id, Slots: 1}, o.Err
+	}}
+	canPlaceAt := (&registryNode{node: n}).canPlaceAt
+	r := newRegistrySync(n)
+	s1, odd := objectapi.Object{Key: "servers/s1"}, objectapi.Object{Key: "servers/x/s1"}
+	r.applyListing([]objectapi.Object{s1, odd}, boottime.Now())
+	if !canPlaceAt("s1") || !canPlaceAt("x/s1") {
+		t.Fatal("a listed server gets no requests")
+	}
+	odd.Err = errors.New("not readable")
+	r.applyEvent(objectapi.Event{Object: odd})
+	if !canPlaceAt("s1") || canPlaceAt("x/s1") {
+		t.Errorf("after x/s1 has become unreadable: requests to s1 %t, to x/s1 %t, want only to s1", canPlaceAt("s1"), canPlaceAt("x/s1"))
+	}
+	odd.Err = nil
+	r.applyEvent(objectapi.Event{Object: odd})
+	r.applyEvent(objectapi.Event{Object: odd, Deleted: true})
+	if !canPlaceAt("s1") || canPlaceAt("x/s1") {
+		t.Errorf("after x/s1 has been deleted: requests to s1 %t, to x/s1 %t, want only to s1", canPlaceAt("s1"), canPlaceAt("x/s1"))
+	}
+	for range 2 {
+		lines.Reset()
+		huge := objectapi.Object{Key: "servers/" + strings.Repeat("x", 1<<20), Err: errors.New("not readable")}
+		r.applyEvent(objectapi.Event{Object: huge})
+		r.applyListing([]objectapi.Object{s1, huge}, boottime.Now())
+		if count := bytes.Count(lines.Bytes(), []byte("\n")); count != 2 || lines.Len() > 1000 {
+			t.Errorf("%d log lines with %d bytes for a change and a listing, want 2 lines with at most 1000 bytes", count, lines.Len())
+		}
+	}
+}
