Decode each object of a listing or watch of the own object API alone

What callers would see: as on the platform: one object that can't be decoded (nested too deeply, a version of 1e19 or text) made every listing and watch of its prefix fail; configuration, node records and leases of that prefix were followed no more.

Cause: objectapi.Client decoded the answer as a whole. A value that is accepted in a write at 9,999 levels is too deep in a listing.

Evidence, before: TestUnreadableObjectHidesNoOtherObject "broken answer: invalid character '[' exceeded max depth: object API is unavailable" and further cases. After: passes; objectapi, revision, membership, command, rawjson pass with -race.

--- a/rudder/objectapi/client.go
+++ b/rudder/objectapi/client.go
@@ -186,7 +186,11 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(out); err != nil {
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err == nil {
+		err = decodeResponse(raw, out)
+	}
+	if err != nil {
 		if method == http.MethodGet {
 			return errors.Wrap(ErrUnavailable, "broken answer: "+err.Error())
 		}
--- a/rudder/rawjson/rawjson.go
+++ b/rudder/rawjson/rawjson.go
@@ -51,6 +51,26 @@
 	return elements, nil
 }
 
+// SplitList returns the fields of a JSON object and the elements of the list in one of them, which may be absent or null.
+func SplitList(object []byte, list string) (fields map[string]json.RawMessage, elements []json.RawMessage, err error) {
+	if fields, err = Fields(object); err != nil {
+		return nil, nil, err
+	}
+	if value, found := fields[list]; found && string(value) != "null" {
+		elements, err = Elements(value)
+	}
+	return fields, elements, errors.Wrapf(err, "%s", list)
+}
+
+// DecodeField decodes a field into out, which keeps its value if the field is absent.
+func DecodeField(fields map[string]json.RawMessage, name string, out any) error {
+	value, found := fields[name]
+	if !found {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(value, out), "%s", name)
+}
+
 // scanner reads a document from its start.
 type scanner struct {
 	data   []byte
