Decode and check each entry of the host list alone

What callers would see (own engines): one entry that can't be read left all nodes with the hosts that they knew: requests went to hosts that were gone, and new hosts got none. An entry with port 0 or 65536, without a URL or without a name was used.

Cause: the host list was decoded as a whole, and its values weren't checked.

Change: each entry is decoded by itself; name, state, price and address are checked. Entries that can't be read count as not listed, as the gaps of the list do (a host that answers stays usable for a minute); one log line when they change.

Evidence, before: TestOddEntryHidesNoOtherHost "serving hosts: "", want first and last" for 6 kinds of entries, "serving hosts: "first last odd ", want first and last" for others. After: passes; fleet, TestMembershipStaleHostListDoesNotReviveHosts and TestFleetReplacesReclaimedHostsWithOnDemand pass with -race.

--- a/rudder/fleet/fleet.go
+++ b/rudder/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"chestnutrudder.example/rudder/cloud"
 )
 
@@ -30,7 +32,7 @@
 	waveWindow   = 30 * time.Second
 )
 
-// HostLister reads the host list.
+// HostLister reads the host list. It returns the errors of cloud.HostList.
 type HostLister interface {
 	Hosts(ctx context.Context) ([]cloud.Host, error)
 }
@@ -230,15 +232,25 @@
 // finish its runs until the given time.
 func (t *Table) Drain(host string, at time.Time) { t.MarkLeaving(host, at) }
 
-// Poll reads the host list every second until ctx ends. While the list cannot be read, the known hosts stay.
+// Poll reads the host list every second until ctx ends. While the list cannot be read, the known hosts stay; entries that
+// cannot be read count as not listed.
 func (t *Table) Poll(ctx context.Context, lister HostLister, log *slog.Logger) {
 	ticker := time.NewTicker(hostListPollInterval)
 	defer ticker.Stop()
+	loggedProblem := ""
 	for {
 		hosts, err := lister.Hosts(ctx)
-		if err != nil {
+		isPartial := errors.Is(err, cloud.ErrUnreadableEntries)
+		switch {
+		case err == nil:
+			loggedProblem = ""
+		case !isPartial:
 			log.Warn("Failed to read the host list; keeping the known hosts.", "error", err)
-		} else {
+		case err.Error() != loggedProblem:
+			log.Warn("Entries of the host list cannot be read; they are left out.", "error", err)
+			loggedProblem = err.Error()
+		}
+		if err == nil || isPartial {
 			t.Update(hosts)
 		}
 		select {
