Ignore quarantine reports with impossible numbers

What callers would see: a record or digest with a negative number of trials ended the process at the next trial ("negative shift amount"), on each node that read it; ages and times to the trial beyond the range of a duration refused requests without end.

Cause: numbers of reports went into a shift and into durations unchecked.

Change: reports with ages or numbers of trials that can't be are ignored, the time to the trial is bounded by the longest interval.

Evidence, before: TestImpossibleNumbersInQuarantineReports "panic: runtime error: negative shift amount". After: passes; package culprit passes with -race.

--- a/rudder/culprit/report.go
+++ b/rudder/culprit/report.go
@@ -243,14 +243,28 @@
 	l.evaluate(now)
 }
 
+// maxQuarantineAge bounds the ages in reports: greater ones cannot be told from the future.
+const maxQuarantineAge = 10 * 365 * 24 * time.Hour
+
+// maxTrials bounds the number of trials in reports.
+const maxTrials = 1 << 20
+
 // applyQuarantine adds the quarantine of a peer or merges it with the known one. The caller holds the lock.
 func (l *List) applyQuarantine(r QuarantineReport, before func(int64) boottime.Instant, now boottime.Instant) {
+	isOdd := r.Trials < 0 || r.Trials > maxTrials
+	for _, age := range []int64{r.AgeMillis, r.ClearAgeMillis, r.MatchAgeMillis} {
+		isOdd = isOdd || age < 0 || age > maxQuarantineAge.Milliseconds()
+	}
+	if isOdd || len(r.Traits) == 0 {
+		return
+	}
+	trialInMillis := min(max(r.TrialInMillis, -maxTrialInterval.Milliseconds()), maxTrialInterval.Milliseconds())
 	reported := &quarantine{
 		traits: r.Traits, convictedAt: before(r.AgeMillis), clearedFrom: before(r.ClearAgeMillis), matchedAt: before(r.MatchAgeMillis),
-		trialAt: before(-r.TrialInMillis), trials: r.Trials,
+		trialAt: before(-trialInMillis), trials: r.Trials,
 	}
 	isExpired := now.Sub(reported.matchedAt) > quarantineRetention
-	if len(r.Traits) == 0 || r.AgeMillis < 0 || r.ClearAgeMillis < 0 || r.MatchAgeMillis < 0 || isExpired || l.isCleared(reported) || l.isImplied(reported) || l.wasNearby(reported) {
+	if isExpired || l.isCleared(reported) || l.isImplied(reported) || l.wasNearby(reported) {
 		return
 	}
 	known, found := l.quarantines[quarantineID(reported.traits)]
--- a/rudder/culprit/report_test.go
+++ b/rudder/culprit/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -100,3 +101,27 @@
 		t.Errorf("requests with the part are sent after %d crashes", certainCrashes)
 	}
 }
+
+// A quarantine with an impossible number, from a digest or a record in the object API, ended the process at its next trial or
+// refused requests for ever.
+func TestImpossibleNumbersInQuarantineReports(t *testing.T) {
+	traits := []Trait{PartTrait("a"), PartTrait("b")}
+	for _, q := range []QuarantineReport{
+		{Trials: -2}, {Trials: math.MinInt}, {Trials: math.MaxInt - 1}, {TrialInMillis: math.MaxInt64}, {TrialInMillis: math.MinInt64}, {TrialInMillis: 1e17},
+		{AgeMillis: math.MaxInt64}, {ClearAgeMillis: math.MaxInt64}, {MatchAgeMillis: math.MaxInt64}, {MatchAgeMillis: 1e16}, {MatchAgeMillis: math.MinInt64}, {AgeMillis: -1},
+	} {
+		c := newClock()
+		l := c.newList()
+		q.Traits = traits
+		l.Apply(&Report{Quarantines: []QuarantineReport{q}})
+		isTried := false
+		for range 2 * maxTrialInterval / time.Minute {
+			c.advance(time.Minute)
+			refusal, isTrial := l.Check(traits, true)
+			isTried = isTried || isTrial || refusal == nil
+		}
+		if !isTried {
+			t.Errorf("the quarantine %+v refuses requests for %s without a trial", q, 2*maxTrialInterval)
+		}
+	}
+}
