Tell peers only addresses that can be sent to

What callers would see: a node record with a huge address made every digest of the nodes that read it too large for a datagram for 20 s: their peers took them for unreachable. Malformed addresses went around among all nodes.

Cause: addresses from records and digests were kept and told unchecked.

Change: AddAddresses logs and drops what is not IP:port.

Evidence, before: TestMalformedAddressesAreNotTold "6 addresses are sent digests and 10 told, want only 127.0.0.1:3". After: passes; packages mesh and relaynode pass with -race.

--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -96,15 +97,21 @@
 	return m
 }
 
-// AddAddresses adds addresses of peers to send digests to. It skips known and empty addresses and the node's own.
+// AddAddresses adds addresses of peers to send digests to. It skips known and empty addresses and the node's own, and logs and
+// drops those that are not IP:port.
 func (m *Mesh) AddAddresses(addresses []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	for _, a := range addresses {
-		if _, known := m.targetsSeenAt[a]; !known && a != m.SelfAddress && a != "" {
-			m.targetsSeenAt[a], m.targetsAddedAt[a] = now, now
+		if _, known := m.targetsSeenAt[a]; known || a == m.SelfAddress || a == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			m.Log.Warn("Dropped a malformed address of a peer.", "bytes", len(a), "error", fmt.Sprintf("%.100s", err.Error()))
+			continue
 		}
+		m.targetsSeenAt[a], m.targetsAddedAt[a] = now, now
 	}
 }
 
@@ -202,7 +209,7 @@
 	for _, target := range targets {
 		address, err := netip.ParseAddrPort(target)
 		if err != nil {
-			continue // AddAddresses takes addresses from peers unchecked; handleDatagram logs malformed digests
+			continue // AddAddresses has logged a malformed one
 		}
 		// The next digest makes up for one that could not be sent.
 		_, _ = conn.WriteTo(data, net.UDPAddrFromAddrPort(address))
--- a/rudder/mesh/mesh_test.go
+++ b/rudder/mesh/mesh_test.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -203,3 +205,14 @@
 		t.Fatalf("second digest was sent after %s, want about %s", pause, BaseInterval)
 	}
 }
+
+// The address in a node's record, as another writer left it, was told to all peers; a huge one made every digest too large for
+// a datagram.
+func TestMalformedAddressesAreNotTold(t *testing.T) {
+	m := newTestMesh()
+	m.AddAddresses([]string{strings.Repeat("x", 1<<20), "127.0.0.1", "127.0.0.1:99999", "127.0.0.1:-1", "host:80", "127.0.0.1:3"})
+	direct, _ := m.targets()
+	if told := m.nextPeerAddresses(direct); !slices.Equal(direct, []string{"127.0.0.1:3"}) || slices.ContainsFunc(told, func(a string) bool { return a != "127.0.0.1:3" }) {
+		t.Errorf("%d addresses are sent digests and %d told, want only 127.0.0.1:3", len(direct), len(told))
+	}
+}
