Send no request over a connection that has carried its id

What callers would see: a server refused a request as not run, the caller sent it again with the same id over the same kept connection, and a late copy of the refusal was taken for its response: 503 for a request that ran, or a second run at another server.

Cause: only the echoed id tells a late response from the one that is due.

Change: a connection keeps hashes of its last 32 ids; Pool.Get takes the id and leaves out connections that carried it.

Evidence, before: TestCopyOfEarlierRefusalIsNotTakenForTheNextResponse/503_for_the_same_id "second request: status 503, error <nil> after 1 runs, want 200 after 1", TestConnectionIsNotReusedForTheSameID ""response 3" on a reused connection: true". After: pass; the cases with another id and without an id passed before too. upstream, relay, backend pass with -race. Calls of Pool.Get in the tests name the id now.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	a.cancel = cancel
-	conn, err := a.placement.Server.Pool.Get(ctx, a.maxIdleTime())
+	conn, err := a.placement.Server.Pool.Get(ctx, a.call.id, a.maxIdleTime())
 	if err != nil {
 		return attemptResult{isKnownNotRun: true, backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
--- a/rudder/upstream/faulty_server_test.go
+++ b/rudder/upstream/faulty_server_test.go
@@ -17,7 +17,7 @@
 // receive sends a request on a new connection of the pool and returns what Receive returns.
 func receive(t *testing.T, pool *upstream.Pool, id string) (*http.Response, error) {
 	t.Helper()
-	conn, err := pool.Get(context.Background(), time.Minute)
+	conn, err := pool.Get(context.Background(), id, time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,7 +90,7 @@
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
-			conn, err := pool.Get(context.Background(), time.Minute)
+			conn, err := pool.Get(context.Background(), "first", time.Minute)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -126,7 +126,7 @@
 		return false
 	})
 	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
-	conn, err := pool.Get(context.Background(), time.Second)
+	conn, err := pool.Get(context.Background(), "mine", time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,3 +149,20 @@
 		t.Fatal("the end of a response to an earlier request is awaited")
 	}
 }
+
+// A connection that has carried a request must not carry another one with the same id: the server may send a copy of the first
+// response, which would be taken for the second.
+func TestConnectionIsNotReusedForTheSameID(t *testing.T) {
+	address, connections := serve(t, func(conn net.Conn, number int, r *http.Request) bool {
+		writeResponse(conn, r.Header.Get("Id"), fmt.Sprint("response ", number))
+		return true
+	})
+	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
+	exchange(t, pool, "first")
+	if body, reused := exchange(t, pool, "second"); !reused || body != "response 2" {
+		t.Fatalf("request with another id: %q on a reused connection: %t, want the second response on it", body, reused)
+	}
+	if body, reused := exchange(t, pool, "first"); reused || body != "response 1" || connections.Load() != 2 {
+		t.Fatalf("request with the same id: %q on a reused connection: %t, want the first response on a new one", body, reused)
+	}
+}
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -9,12 +9,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
@@ -32,6 +34,8 @@
 	maxInterimResponses = 16
 	// maxHeadBytes bounds what one Receive call reads from the connection for the heads of responses.
 	maxHeadBytes = 256 << 10
+	// recentIDCount is the number of requests on a connection whose ids are kept.
+	recentIDCount = 32
 	// tcpUserTimeout is how long sent data may stay unacknowledged before the kernel closes the connection.
 	tcpUserTimeout = 2 * time.Second
 )
@@ -70,20 +74,23 @@
 	pool              *Pool
 	source            *headLimiter // of reader
 	reader            *bufio.Reader
-	Reused            bool // the connection came from the pool
+	Reused            bool                  // the connection came from the pool
+	recentIDs         [recentIDCount]uint64 // hashes of the ids of the latest requests, as a ring
+	requestCount      int
 	idleSince         time.Time
 	serverIdleTimeout time.Duration // from the server's Keep-Alive header; 0 means unknown
 }
 
-// Get returns a pooled connection that was idle for at most maxIdleTime, or a new one. Errors wrap ErrNotSent. The caller
-// passes the connection to Release or Discard.
-func (p *Pool) Get(ctx context.Context, maxIdleTime time.Duration) (*Conn, error) {
+// Get returns a pooled connection that was idle for at most maxIdleTime, or a new one, for the request with the id. A connection
+// that lately carried a request with the same id is not used: a late copy of its response could not be told from the response
+// to this request. Errors wrap ErrNotSent. The caller passes the connection to Release or Discard.
+func (p *Pool) Get(ctx context.Context, id string, maxIdleTime time.Duration) (*Conn, error) {
 	for {
 		c := p.pop()
 		if c == nil {
 			break
 		}
-		if c.isUsable(maxIdleTime) {
+		if c.isUsable(maxIdleTime) && !c.hasCarried(id) {
 			c.Reused = true
 			return c, nil
 		}
@@ -187,6 +194,17 @@
 	return err == nil && isIdle
 }
 
+// hasCarried reports whether a request with the id is among the latest requests on the connection.
+func (c *Conn) hasCarried(id string) bool {
+	return slices.Contains(c.recentIDs[:min(c.requestCount, recentIDCount)], xxhash.Sum64String(id))
+}
+
+// recordID records the id of a request on the connection.
+func (c *Conn) recordID(id string) {
+	c.recentIDs[c.requestCount%recentIDCount] = xxhash.Sum64String(id)
+	c.requestCount++
+}
+
 // Discard closes an idle connection or one whose response was read completely.
 func (c *Conn) Discard() { _ = c.Conn.Close() }
 
@@ -281,6 +299,7 @@
 // wraps ErrMismatchedResponse. Bytes without end that contain no head give ErrHeadTooLarge.
 func (c *Conn) Receive(request *http.Request, idHeader string) (*http.Response, error) {
 	id := request.Header.Get(idHeader)
+	c.recordID(id)
 	c.source.remaining = maxHeadBytes
 	interim, mismatched := 0, 0
 	for interim <= maxInterimResponses && mismatched <= maxMismatchedResponses {
--- a/rudder/upstream/upstream_test.go
+++ b/rudder/upstream/upstream_test.go
@@ -63,7 +63,7 @@
 // exchange sends a request and returns the body of its response and whether the connection was reused.
 func exchange(t *testing.T, pool *upstream.Pool, id string) (string, bool) {
 	t.Helper()
-	conn, err := pool.Get(context.Background(), time.Minute)
+	conn, err := pool.Get(context.Background(), id, time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -135,7 +135,7 @@
 	})
 	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
 	exchange(t, pool, "first")
-	conn, err := pool.Get(context.Background(), time.Minute)
+	conn, err := pool.Get(context.Background(), "second", time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -161,7 +161,7 @@
 	address := listener.Addr().String()
 	listener.Close()
 	pool := &upstream.Pool{Address: address, DialTimeout: time.Second}
-	if _, err := pool.Get(context.Background(), time.Minute); !errors.Is(err, upstream.ErrNotSent) {
+	if _, err := pool.Get(context.Background(), "first", time.Minute); !errors.Is(err, upstream.ErrNotSent) {
 		t.Fatalf("error %v, want ErrNotSent", err)
 	}
 }
@@ -177,7 +177,7 @@
 	var conns []*upstream.Conn
 	var responses []*http.Response
 	for i := range 3 {
-		conn, err := pool.Get(context.Background(), time.Minute)
+		conn, err := pool.Get(context.Background(), fmt.Sprint(i), time.Minute)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -197,11 +197,11 @@
 	for i, conn := range conns {
 		conn.Release(responses[i])
 	}
-	first, err := pool.Get(context.Background(), time.Minute)
+	first, err := pool.Get(context.Background(), "next", time.Minute)
 	if err != nil || !first.Reused {
 		t.Fatalf("the idle connection was not reused: %v", err)
 	}
-	second, err := pool.Get(context.Background(), time.Minute)
+	second, err := pool.Get(context.Background(), "next", time.Minute)
 	if err != nil || second.Reused {
 		t.Fatalf("a second idle connection was in the pool: %v", err)
 	}
