Return a service's redirect instead of following it

What callers would see (own services): a call that its service answered with 302 or 303 was sent on as a second request, which may have run at another server. If that one was refused as not run, or its host refused the connection, the caller was told that the call hadn't run.

Cause: net/http's client follows redirects by itself.

Change: the client of services returns the redirect as the response.

Evidence, before: TestRedirectOfServiceIsItsAnswer "POST with status 302 ...: outcome OUTCOME_NOT_RUN, status 0, want done with the service's status" and "4 calls reached another service, want none". After: passes.

--- a/rudder/service/service.go
+++ b/rudder/service/service.go
@@ -54,9 +54,12 @@
 		return connection, nil
 	}
 	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: callTimeout}
-	return &Client{baseURL: baseURL, dial: dial, httpClient: &http.Client{Transport: transport}}
+	return &Client{baseURL: baseURL, dial: dial, httpClient: &http.Client{Transport: transport, CheckRedirect: returnRedirect}}
 }
 
+// returnRedirect makes net/http return a redirect as the response: following it would send the call a second time.
+func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Call sends a call and returns its outcome: done with the response of the service, not run, or unknown if the service may
 // have run the call and no complete response arrived. Responses of more than maxResponseBytes count as unknown.
 func (c *Client) Call(ctx context.Context, request *peerpb.CallRequest) *peerpb.CallResponse {
--- a/rudder/service/service_test.go
+++ b/rudder/service/service_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"chestnutrudder.example/rudder/peer/peerpb"
@@ -48,3 +50,35 @@
 		t.Errorf("live service: outcome %s with body %q, want done", response.Outcome, response.Body)
 	}
 }
+
+// A redirect of a service was followed by a second request, which could run elsewhere. If that one could not be sent or was
+// refused, the call counted as not run although the service had answered it.
+func TestRedirectOfServiceIsItsAnswer(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	var calls atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.Header().Set(notRunHeader, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(other.Close)
+	for _, target := range []string{"http://" + closed.Addr().String() + "/x", other.URL + "/x"} {
+		for _, status := range []int{http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect} {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, target, status) }))
+			t.Cleanup(server.Close)
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				response := NewClient(server.URL).Call(context.Background(), &peerpb.CallRequest{Method: method, Path: "x", Call: "c1", Body: []byte("body")})
+				if response.Outcome != peerpb.Outcome_OUTCOME_DONE || int(response.Status) != status {
+					t.Errorf("%s with status %d to %s: outcome %s, status %d, want done with the service's status", method, status, target, response.Outcome, response.Status)
+				}
+			}
+		}
+	}
+	if calls.Load() != 0 {
+		t.Errorf("%d calls reached another service, want none", calls.Load())
+	}
+}
