Give each export, import, order and cancel a connection of its own

What callers would see (own engines): an engine sent an earlier response once more on a kept connection, and it counted for the next request: the export of one run returned the handle of another, whose KV cache the run then went on with; an order that was carried out counted as refused, or a refused one as done.

Cause: these requests shared kept connections with the reads of reports, and their responses echo no id. Runs had own connections.

Change: only reads of load reports and cache events use kept connections.

Evidence, before: TestCopyOfEarlierResponseIsNotTakenForTheNext "export of run b: {Handle:of run a Tokens:0 Bytes:0}, error <nil>, want its own handle" and "order after a refusal: ... status 409: outdated fencing token: engine refused". After: passes.

--- a/rudder/engine/client.go
+++ b/rudder/engine/client.go
@@ -52,7 +52,8 @@
 // Client is an HTTP client for the engine of one model runner. It is safe for concurrent use.
 type Client struct {
 	baseURL      string
-	callClient   *http.Client // short requests
+	readClient   *http.Client // reads of reports, on kept connections
+	callClient   *http.Client // other short requests, one connection each: a late response to an earlier one must not count
 	runClient    *http.Client // one connection per run, so that a stalled connection affects only one run
 	resumeClient *http.Client // the same for resume requests
 }
@@ -70,14 +71,17 @@
 		}
 		return connection, nil
 	}
-	newStreamClient := func(headerTimeout time.Duration) *http.Client {
-		return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout}}
+	newClient := func(headerTimeout time.Duration) *http.Client {
+		return &http.Client{
+			Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout},
+		}
 	}
 	return &Client{
 		baseURL:      baseURL,
-		callClient:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second}},
-		runClient:    newStreamClient(runHeaderTimeout),
-		resumeClient: newStreamClient(resumeHeaderTimeout),
+		readClient:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second}},
+		callClient:   newClient(0),
+		runClient:    newClient(runHeaderTimeout),
+		resumeClient: newClient(resumeHeaderTimeout),
 	}
 }
 
@@ -195,7 +199,11 @@
 	if err != nil {
 		return err
 	}
-	response, err := c.callClient.Do(request)
+	client := c.callClient
+	if method == http.MethodGet {
+		client = c.readClient
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		if errors.Is(err, ErrNotSent) {
 			return err
