Take an engine's redirect for its response

What callers would see (own engines): a run whose engine answered with a redirect was sent to the named address as a second request. Its refusal counted as the first engine's, "not run", so that the run was given to yet another engine.

Cause: net/http's client follows redirects by itself.

Change: the clients of engines return the redirect, which counts as a broken response: the engine may have run the request.

Evidence, before: TestRedirectOfEngineIsNotFollowed "redirected run: status 503: : engine refused, want ErrBroken" and "2 requests reached another engine, want none". After: passes; engine and dispatch pass with -race.

--- a/rudder/engine/client.go
+++ b/rudder/engine/client.go
@@ -73,18 +73,22 @@
 	}
 	newClient := func(headerTimeout time.Duration) *http.Client {
 		return &http.Client{
-			Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout},
+			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout},
+			CheckRedirect: returnRedirect,
 		}
 	}
 	return &Client{
 		baseURL:      baseURL,
-		readClient:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second}},
+		readClient:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second}, CheckRedirect: returnRedirect},
 		callClient:   newClient(0),
 		runClient:    newClient(runHeaderTimeout),
 		resumeClient: newClient(resumeHeaderTimeout),
 	}
 }
 
+// returnRedirect makes net/http return a redirect as the response: following it could run the request on another engine.
+func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Stream reads the chunks that an engine sends for one attempt of a run. It is not safe for concurrent use.
 type Stream struct {
 	body      io.ReadCloser
--- a/rudder/engine/client_test.go
+++ b/rudder/engine/client_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -89,3 +91,29 @@
 		}
 	}
 }
+
+// A redirect must not make a second engine run the request, and its refusal must not count for the first one.
+func TestRedirectOfEngineIsNotFollowed(t *testing.T) {
+	var calls atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(other.Close)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		http.Redirect(w, r, other.URL+r.URL.Path, http.StatusFound)
+	}))
+	t.Cleanup(server.Close)
+	client := NewClient(server.URL)
+	_, err := client.Run(context.Background(), RunRequest{RunID: "a", Prompt: strings.Repeat("x", 10)})
+	if !errors.Is(err, ErrBroken) || errors.Is(err, ErrRefused) {
+		t.Errorf("redirected run: %v, want ErrBroken", err)
+	}
+	if err := client.SendOrder(context.Background(), Order{}); !errors.Is(err, ErrBroken) || errors.Is(err, ErrRefused) {
+		t.Errorf("redirected order: %v, want ErrBroken", err)
+	}
+	if calls.Load() != 0 {
+		t.Errorf("%d requests reached another engine, want none", calls.Load())
+	}
+}
