Forward only event streams after a stream has begun

What callers would see: a resumable stream broke off and the next server answered with a 2xx, 3xx or 4xx that was no event stream, or a 5xx of more than 64 KiB. Its body followed the events that the caller had, and the stream ended as if it were complete.

Cause: such responses were forwarded like the first response to a request, though the head of the stream had been sent.

Change: once the head is sent, a response that is no signed event stream is a failure of its server: the stream is resumed elsewhere as long as attempts are left, else the caller's connection is cut.

Evidence, before: TestAnswerThatContinuesNoStreamIsNotForwarded/404 "status 200, stream "...id: 2\ndata: t2\n\n{\"error\":\"boom\"}", error <nil>, want events 1 and 2 and a broken connection" and 7 further cases (302, 204, 400 and 500 large, 200 with JSON, large JSON, without a type). After: pass; package relay passes with -race. Small 500s, 429, 503, cut heads and other requests' responses were cut before too.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -204,9 +205,13 @@
 	if isSuccess && (response.Header.Get(d.ResponseSignature) == "" || response.Header.Get("Content-Encoding") != "") {
 		return attemptResult{backendResult: backend.ResultServerFailure, reason: "success response has no signature header or has a content encoding"}
 	}
-	if isSuccess && a.call.route.Kind == traffic.Streaming && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+	contentType := response.Header.Get("Content-Type")
+	if isSuccess && a.call.route.Kind == traffic.Streaming && strings.HasPrefix(contentType, "text/event-stream") {
 		return a.forwardStream(ctx, response)
 	}
+	if a.forwarder.isHeadSent {
+		return attemptResult{backendResult: backend.ResultServerFailure, reason: fmt.Sprintf("response with status %d and content type %.40q does not continue the stream", response.StatusCode, contentType)}
+	}
 	return a.forwardPlain(ctx, response, isSuccess)
 }
 
--- /dev/null
+++ b/rudder/relay/resume_test.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// breakingHarness has two servers. The one that gets a request first breaks its stream off after event 2; the other one gets the
+// request with the id of that event and answers with resume.
+func breakingHarness(t *testing.T, resume func(conn net.Conn, r *http.Request) bool) *harness {
+	t.Helper()
+	h := newHarness(t)
+	for _, name := range []string{"a", "b"} {
+		h.backendServer(name, func(conn net.Conn, r *http.Request) bool {
+			if r.Header.Get(headerLastEventID) == "" {
+				return sendEvents(conn, r, 1, 2, false)
+			}
+			return resume(conn, r)
+		})
+	}
+	return h
+}
+
+// responseText returns a handler that sends a text after a status line and the headers of a signed response.
+func responseText(status int, text string) func(net.Conn, *http.Request) bool {
+	return func(conn net.Conn, r *http.Request) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nX-Rudder-Request: %s\r\nX-Rudder-Signature: sig\r\n%s", status, r.Header.Get("X-Rudder-Request"), text)
+		return false
+	}
+}
+
+// withBody returns the end of a head and a complete body with a length.
+func withBody(contentType, body string) string {
+	return fmt.Sprintf("Content-Type: %s\r\nContent-Length: %d\r\n\r\n%s", contentType, len(body), body)
+}
+
+// A stream had begun and broke off, and the next server answered with something else than its continuation. That ended up in the
+// middle of the caller's stream, which then looked complete. The caller must get the events before the break and then a broken
+// connection.
+func TestAnswerThatContinuesNoStreamIsNotForwarded(t *testing.T) {
+	const problem, jsonType, streamType = `{"error":"boom"}`, "application/json", "text/event-stream"
+	large := `{"error":"` + strings.Repeat("boom ", 40_000) + `"}`
+	for name, resume := range map[string]func(net.Conn, *http.Request) bool{
+		"500":                          responseText(500, withBody(jsonType, problem)),
+		"500 with a large body":        responseText(500, withBody(jsonType, large)),
+		"500 as an event stream":       responseText(500, withBody(streamType, "event: error\ndata: boom\n\n")),
+		"500 in chunks that break off": responseText(500, "Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n"+problem+"\r\n"),
+		"500 without a length":         responseText(500, "Content-Type: application/json\r\n\r\n"+problem),
+		"503 that has not run":         refuseNotRun,
+		"503":                          responseText(503, withBody(jsonType, problem)),
+		"429":                          responseText(429, withBody(jsonType, problem)),
+		"421":                          responseText(421, withBody(jsonType, problem)),
+		"404":                          responseText(404, withBody(jsonType, problem)),
+		"400 with a large body":        responseText(400, withBody(jsonType, large)),
+		"302":                          responseText(302, "Location: /other\r\n"+withBody("text/html", "<a>other</a>")),
+		"204":                          responseText(204, "\r\n"),
+		"200 with JSON":                responseText(200, withBody(jsonType, problem)),
+		"200 with large JSON":          responseText(200, withBody(jsonType, large)),
+		"200 without a content type":   responseText(200, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(problem), problem)),
+		"200 with an encoding":         responseText(200, "Content-Encoding: gzip\r\n"+withBody(streamType, eventText(3, 4))),
+		"head that is cut":             responseText(200, "Content-Type: text/ev"),
+		"no response":                  func(net.Conn, *http.Request) bool { return false },
+		"response to another request": func(conn net.Conn, _ *http.Request) bool {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Rudder-Request: r9\r\nX-Rudder-Signature: sig\r\n"+withBody(streamType, eventText(3, 4)))
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := breakingHarness(t, resume)
+			got := h.get("/resumable/x")
+			if got.status != 200 || got.body != eventText(1, 2) || got.err == nil {
+				t.Errorf("status %d, stream %.300q, error %v, want events 1 and 2 and a broken connection", got.status, got.body, got.err)
+			}
+			if h.requestCount() != 2 {
+				t.Errorf("%d requests reached the servers, want 2", h.requestCount())
+			}
+		})
+	}
+}
