Check that a resumed stream follows the events before the break

What callers would see: the next server answered a resumed stream with an event stream that was no continuation: an error event without an id or text without events was passed on in the middle of the stream, which ended as if complete. When it sent a comment first and then began anew, the caller got events twice.

Cause: events were skipped only up to the first one without a numeric id.

Change: until the first event after the break, comments and reconnection times are dropped, and an event with content whose id doesn't show that it follows is a failure of the server, as is an end within an event. The function replaces skipEvents; TestSkipEventsWithCRLF calls it with the same input and expectation.

Evidence, before: TestAnswerThatContinuesNoStreamIsNotForwarded/200_with_an_error_event "stream ... event: error\ndata: boom\n\n", error <nil>, want events 1 and 2 and a broken connection" and 3 further cases; TestEventsBeforeTheBreakAreNotRepeated/comment,_then_anew with events 1 and 2 twice. After: pass; package relay passes with -race.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -265,8 +265,8 @@
 	errResponseTooLarge = errors.New("response body is too large")
 	// errEndedWithServer means that a response without a length ended when its server crashed.
 	errEndedWithServer = errors.New("response without a length ended with its server")
-	// errEndedWithinEvent means that an event stream without a length ended in the middle of an event, or before the first.
-	errEndedWithinEvent = errors.New("event stream without a length ended within an event")
+	// errEndedWithinEvent means that an event stream ended in the middle of an event, or before the first.
+	errEndedWithinEvent = errors.New("event stream ended within an event")
 )
 
 // brokenResponse returns the result for a response that could not be read to its end.
@@ -336,7 +336,10 @@
 			a.firstEventAt = boottime.Now()
 		}
 		if skipUpTo != "" {
-			events = skipEvents(events, skipUpTo)
+			var continuationErr error
+			if events, continuationErr = continuation(events, skipUpTo); continuationErr != nil {
+				return attemptResult{backendResult: backend.ResultServerFailure, reason: continuationErr.Error()}
+			}
 		}
 		if len(events) > 0 {
 			skipUpTo = ""
@@ -348,6 +351,8 @@
 			a.setReadTimeout(f.eventTimeout())
 		}
 		switch {
+		case err == io.EOF && skipUpTo != "" && reader.isWithinEvent():
+			return a.brokenResponse(ctx, errEndedWithinEvent) // part of an event that continues nothing may be anything
 		case err == io.EOF && endsWithConnection(response) && (a.firstEventAt == 0 || reader.isWithinEvent()):
 			return a.brokenResponse(ctx, errEndedWithinEvent)
 		case err == io.EOF && endsWithConnection(response) && a.hasServerCrashed():
@@ -412,22 +417,3 @@
 	f.server.Log.Info("Forwarded the response to the caller.", "request", f.call.id, "status", status, "sends", f.sends+1, "last_event", f.lastEventID, "after_ms", time.Since(f.call.arrivedAt).Milliseconds())
 	f.server.metrics.countRequest(f.call, status)
 }
-
-// skipEvents removes the leading events up to the one with id lastID, which the caller has already received. It compares ids
-// as numbers; it removes nothing if lastID is not a number, and stops at an event without a numeric id.
-func skipEvents(events []byte, lastID string) []byte {
-	lastNumber, err := strconv.ParseInt(lastID, 10, 64)
-	if err != nil {
-		return events
-	}
-	for len(events) > 0 {
-		end := firstEventEnd(events)
-		id, found := parseLastEventID(events[:end])
-		number, err := strconv.ParseInt(id, 10, 64)
-		if end == 0 || !found || err != nil || number > lastNumber {
-			return events
-		}
-		events = events[end:]
-	}
-	return nil
-}
--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
 )
 
 // eventReader splits a stream of server-sent events into complete events without changing their bytes. An event ends with
@@ -77,3 +80,37 @@
 	}
 	return id, found
 }
+
+// continuation removes the leading events that the caller has, up to the one with id lastID, and those without content. It
+// compares ids as numbers; if lastID is not a number, it removes no event with an id. It returns an error for an event whose id
+// does not tell that it follows lastID.
+func continuation(events []byte, lastID string) ([]byte, error) {
+	lastNumber, lastErr := strconv.ParseInt(lastID, 10, 64)
+	for len(events) > 0 {
+		end := firstEventEnd(events)
+		if end == 0 {
+			end = len(events) // further line ends after the empty line
+		}
+		id, found := parseLastEventID(events[:end])
+		number, err := strconv.ParseInt(id, 10, 64)
+		switch {
+		case !found && hasContent(events[:end]), found && lastErr == nil && err != nil:
+			return nil, errors.Errorf("event %.40q does not tell that it follows event %.40q", events[:end], lastID)
+		case found && (lastErr != nil || number > lastNumber):
+			return events, nil
+		}
+		events = events[end:]
+	}
+	return nil, nil
+}
+
+// hasContent reports whether an event has other lines than comments and reconnection times.
+func hasContent(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if isComment := len(name) == 0; !isComment && string(name) != "retry" {
+			return true
+		}
+	}
+	return false
+}
--- a/rudder/relay/faulty_server_test.go
+++ b/rudder/relay/faulty_server_test.go
@@ -187,8 +187,8 @@
 func TestSkipEventsWithCRLF(t *testing.T) {
 	events := strings.ReplaceAll(eventText(1, 4), "\n", "\r\n")
 	want := strings.ReplaceAll(eventText(3, 4), "\n", "\r\n")
-	if got := string(skipEvents([]byte(events), "2")); got != want {
-		t.Errorf("events after id 2 are %q, want %q", got, want)
+	if got, err := continuation([]byte(events), "2"); err != nil || string(got) != want {
+		t.Errorf("events after id 2 are %q, error %v, want %q", got, err, want)
 	}
 }
 
--- a/rudder/relay/resume_test.go
+++ b/rudder/relay/resume_test.go
@@ -44,25 +44,29 @@
 	const problem, jsonType, streamType = `{"error":"boom"}`, "application/json", "text/event-stream"
 	large := `{"error":"` + strings.Repeat("boom ", 40_000) + `"}`
 	for name, resume := range map[string]func(net.Conn, *http.Request) bool{
-		"500":                          responseText(500, withBody(jsonType, problem)),
-		"500 with a large body":        responseText(500, withBody(jsonType, large)),
-		"500 as an event stream":       responseText(500, withBody(streamType, "event: error\ndata: boom\n\n")),
-		"500 in chunks that break off": responseText(500, "Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n"+problem+"\r\n"),
-		"500 without a length":         responseText(500, "Content-Type: application/json\r\n\r\n"+problem),
-		"503 that has not run":         refuseNotRun,
-		"503":                          responseText(503, withBody(jsonType, problem)),
-		"429":                          responseText(429, withBody(jsonType, problem)),
-		"421":                          responseText(421, withBody(jsonType, problem)),
-		"404":                          responseText(404, withBody(jsonType, problem)),
-		"400 with a large body":        responseText(400, withBody(jsonType, large)),
-		"302":                          responseText(302, "Location: /other\r\n"+withBody("text/html", "<a>other</a>")),
-		"204":                          responseText(204, "\r\n"),
-		"200 with JSON":                responseText(200, withBody(jsonType, problem)),
-		"200 with large JSON":          responseText(200, withBody(jsonType, large)),
-		"200 without a content type":   responseText(200, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(problem), problem)),
-		"200 with an encoding":         responseText(200, "Content-Encoding: gzip\r\n"+withBody(streamType, eventText(3, 4))),
-		"head that is cut":             responseText(200, "Content-Type: text/ev"),
-		"no response":                  func(net.Conn, *http.Request) bool { return false },
+		"500":                              responseText(500, withBody(jsonType, problem)),
+		"500 with a large body":            responseText(500, withBody(jsonType, large)),
+		"500 as an event stream":           responseText(500, withBody(streamType, "event: error\ndata: boom\n\n")),
+		"500 in chunks that break off":     responseText(500, "Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n"+problem+"\r\n"),
+		"500 without a length":             responseText(500, "Content-Type: application/json\r\n\r\n"+problem),
+		"503 that has not run":             refuseNotRun,
+		"503":                              responseText(503, withBody(jsonType, problem)),
+		"429":                              responseText(429, withBody(jsonType, problem)),
+		"421":                              responseText(421, withBody(jsonType, problem)),
+		"404":                              responseText(404, withBody(jsonType, problem)),
+		"400 with a large body":            responseText(400, withBody(jsonType, large)),
+		"302":                              responseText(302, "Location: /other\r\n"+withBody("text/html", "<a>other</a>")),
+		"204":                              responseText(204, "\r\n"),
+		"200 with JSON":                    responseText(200, withBody(jsonType, problem)),
+		"200 with large JSON":              responseText(200, withBody(jsonType, large)),
+		"200 without a content type":       responseText(200, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(problem), problem)),
+		"200 with an encoding":             responseText(200, "Content-Encoding: gzip\r\n"+withBody(streamType, eventText(3, 4))),
+		"200 with an error event":          responseText(200, withBody(streamType, "event: error\ndata: boom\n\n")),
+		"200 with a comment and an error":  responseText(200, withBody(streamType, ": ok\n\nevent: error\r\ndata: boom\r\n\r\n"+eventText(3, 4))),
+		"200 with text in place of events": responseText(200, withBody(streamType, problem)),
+		"200 with part of an event":        responseText(200, withBody(streamType, "id: 3\ndata: par")),
+		"head that is cut":                 responseText(200, "Content-Type: text/ev"),
+		"no response":                      func(net.Conn, *http.Request) bool { return false },
 		"response to another request": func(conn net.Conn, _ *http.Request) bool {
 			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Rudder-Request: r9\r\nX-Rudder-Signature: sig\r\n"+withBody(streamType, eventText(3, 4)))
 			return false
@@ -80,3 +84,25 @@
 		})
 	}
 }
+
+// Guards against events that come twice when the next server begins anew or sends comments first.
+func TestEventsBeforeTheBreakAreNotRepeated(t *testing.T) {
+	for name, text := range map[string]string{
+		"continuation":                eventText(3, 5),
+		"from the last event on":      eventText(2, 5),
+		"anew":                        eventText(1, 5),
+		"comment, then continuation":  ": ok\n\n" + eventText(3, 5),
+		"comment, then anew":          ":\n\n" + eventText(1, 5),
+		"anew with further line ends": eventText(1, 1) + "\n" + eventText(2, 2) + "\n" + eventText(3, 5),
+		"retry field, then anew":      "retry: 5\r\n\r\n" + eventText(1, 5),
+		"anew with comments between":  ":\n\n" + eventText(1, 1) + ": still here\n\n" + eventText(2, 5),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := breakingHarness(t, responseText(200, withBody("text/event-stream", text)))
+			got := h.get("/resumable/x")
+			if body := strings.ReplaceAll(got.body, "\n\n\n", "\n\n"); got.err != nil || body != eventText(1, 5) {
+				t.Errorf("stream %q, error %v, want events 1 to 5 and no error", got.body, got.err)
+			}
+		})
+	}
+}
