Resume no stream whose events have no ids

What callers would see: a resumable stream without ids broke off, the next server began anew, and the caller got the first events twice.

Cause: without an id the request was sent again as if nothing had been forwarded.

Change: after the first event, a stream without ids is cut when it breaks off.

Evidence, before: TestStreamWithoutIDsIsNotResumed "stream "data: x\n\ndata: x\n\n", error unexpected EOF after 2 requests". After: passes; package relay passes with -race.

--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -165,6 +165,8 @@
 	switch {
 	case f.mayHaveRun && !c.route.IsRepeatable():
 		return f.giveUp(r, "request may have run and must not be repeated")
+	case f.isHeadSent && f.lastEventID == "":
+		return f.giveUp(r, "stream without event ids cannot be resumed")
 	case !r.isKnownNotRun && f.possibleRuns >= c.route.MaxAttempts():
 		return f.giveUp(r, "maximum number of attempts was reached")
 	case f.sends >= maxSends:
--- a/rudder/relay/resume_test.go
+++ b/rudder/relay/resume_test.go
@@ -106,3 +106,15 @@
 		})
 	}
 }
+
+// A stream whose events have no ids began anew on the next server after the events that the caller had.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	h := newHarness(t)
+	const event = "data: x\n\n"
+	for _, name := range []string{"a", "b"} {
+		h.backendServer(name, responseText(200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n"+event+"\r\n"))
+	}
+	if got := h.get("/resumable/x"); got.body != event || got.err == nil || h.requestCount() != 1 {
+		t.Errorf("stream %q, error %v after %d requests, want one event, a broken connection and one request", got.body, got.err, h.requestCount())
+	}
+}
