Treat a response's head within an event stream as its break

What callers would see: a server whose stream failed wrote an error response, head and body, after the events, in a chunk or in a body without a length. The caller got both in its stream, which could look complete or go on at another server behind them.

Change: a line that begins with "HTTP/1." ends the stream as broken; events before it are forwarded, and a resumable stream goes on elsewhere.

Evidence, before: TestHeadWithinStreamIsNotForwarded "stream "...id: 2\ndata: t2\n\nHTTP/1.1 500 Internal Server Error\r\nContent-Type: application/json\r\n\r\n{\"error\":\"boom\"}", error <nil>, want it resumed after event 2 or cut" and 11 further cases. After: passes; package relay passes with -race. A head in place of a chunk was a broken chunk before too.

--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -19,15 +19,21 @@
 // maxEventBytes bounds the buffer of an incomplete event.
 const maxEventBytes = 1 << 20
 
+// errHeadWithinStream means that a server has written the head of another response into its event stream.
+var errHeadWithinStream = errors.New("head of a response within the event stream")
+
 // next reads from the source once and returns the bytes of all complete events in the buffer. A nil slice without an error
-// means that no event is complete yet. It returns io.ErrShortBuffer if the buffer exceeds maxEventBytes, and io.EOF at the
-// end of the stream; remainder then returns the bytes of an incomplete event.
+// means that no event is complete yet. It returns io.ErrShortBuffer if the buffer exceeds maxEventBytes, errHeadWithinStream
+// with the events before the head, and io.EOF at the end of the stream; remainder then returns the bytes of an incomplete event.
 func (r *eventReader) next(chunk []byte) ([]byte, error) {
 	n, err := r.source.Read(chunk)
 	r.buffer = append(r.buffer, chunk[:n]...)
 	if len(r.buffer) > maxEventBytes {
 		return nil, io.ErrShortBuffer
 	}
+	if head := headOffset(r.buffer); head >= 0 {
+		r.buffer, err = r.buffer[:head], errHeadWithinStream
+	}
 	end := lastEventEnd(r.buffer)
 	if end == 0 {
 		return nil, err
@@ -46,6 +52,18 @@
 // isWithinEvent reports whether the buffered bytes are more than line ends.
 func (r *eventReader) isWithinEvent() bool { return len(bytes.Trim(r.buffer, "\r\n")) > 0 }
 
+// headOffset returns the offset of the first line that begins a response, or -1. No line of an event begins like that. b begins
+// with a line.
+func headOffset(b []byte) int {
+	if bytes.HasPrefix(b, []byte("HTTP/1.")) {
+		return 0
+	}
+	if i := bytes.Index(b, []byte("\nHTTP/1.")); i >= 0 {
+		return i + 1
+	}
+	return -1
+}
+
 // lastEventEnd returns the offset after the last empty line, or 0 if there is none.
 func lastEventEnd(b []byte) int {
 	end := 0
--- a/rudder/relay/resume_test.go
+++ b/rudder/relay/resume_test.go
@@ -118,3 +118,50 @@
 		t.Errorf("stream %q, error %v after %d requests, want one event, a broken connection and one request", got.body, got.err, h.requestCount())
 	}
 }
+
+// A server whose stream failed wrote the head and the body of an error after the events, in a chunk or in a body without a length.
+// The caller found them in its stream.
+func TestHeadWithinStreamIsNotForwarded(t *testing.T) {
+	const problem = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: application/json\r\n\r\n{\"error\":\"boom\"}"
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	chunked, unframed := "Transfer-Encoding: chunked\r\n\r\n", "\r\n"
+	for name, text := range map[string]string{
+		"in a chunk of its own":           chunked + chunk(eventText(1, 2)) + chunk(problem) + chunk("\n\n") + "0\r\n\r\n",
+		"in the chunk of the events":      chunked + chunk(eventText(1, 2)+problem) + "0\r\n\r\n",
+		"in chunks that split it":         chunked + chunk(eventText(1, 2)+problem[:5]) + chunk(problem[5:]) + "0\r\n\r\n",
+		"in a line of an event":           chunked + chunk(eventText(1, 2)+"id: 3\n"+problem) + "0\r\n\r\n",
+		"in a body without a length":      unframed + eventText(1, 2) + problem,
+		"in a body without a length, 1.0": unframed + eventText(1, 2) + strings.Replace(problem, "1.1", "1.0", 1) + "\n\n",
+		"in place of a chunk":             chunked + chunk(eventText(1, 2)) + problem,
+	} {
+		for _, path := range []string{"/stream/x", "/resumable/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				h := newHarness(t)
+				for _, name := range []string{"a", "b"} {
+					h.backendServer(name, func(conn net.Conn, r *http.Request) bool {
+						if r.Header.Get(headerLastEventID) == "2" {
+							return sendEvents(conn, r, 3, 5, true)
+						}
+						return responseText(200, "Content-Type: text/event-stream\r\n"+text)(conn, r)
+					})
+				}
+				got := h.get(path)
+				isWhole := got.body == eventText(1, 5) && got.err == nil
+				isCut := got.body == eventText(1, 2) && got.err != nil
+				if path == "/resumable/x" && !isWhole || path == "/stream/x" && !isCut {
+					t.Errorf("stream %q, error %v, want it resumed after event 2 or cut", got.body, got.err)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a sound event that is taken for a head.
+func TestEventsThatSpeakOfHeadsAreForwarded(t *testing.T) {
+	h := newHarness(t)
+	text := "id: 1\ndata: HTTP/1.1 500 Internal Server Error\ndata:HTTP/1.0\n\nid: 2\ndata: x\n\n"
+	h.backendServer("a", responseText(200, withBody("text/event-stream", text)))
+	if got := h.get("/stream/x"); got.body != text || got.err != nil {
+		t.Errorf("stream %q, error %v, want %q", got.body, got.err, text)
+	}
+}
