List again when the answer to a watch is too large

What callers would see: another writer changed a huge entry several times between two watches.

Cause: an answer above the limit was taken for a broken one.

Change: it gives an error of its own, on which a watch asks for a new listing; other reads fail as before.

--- a/rudder/objectapi/client.go
+++ b/rudder/objectapi/client.go
@@ -152,9 +152,16 @@
 	}
 	var changes Changes
 	err := c.call(ctx, "watch", http.MethodGet, "/v1/watch?"+query.Encode(), nil, &changes)
+	if errors.Is(err, errResponseTooLarge) {
+		return Changes{Reset: true}, nil
+	}
 	return changes, errors.Wrapf(err, "watch %q", prefix)
 }
 
+// errResponseTooLarge wraps ErrUnavailable. The body of a response exceeds maxResponseBytes, as that of a watch may after many
+// changes.
+var errResponseTooLarge = errors.WithMessage(ErrUnavailable, "response is too large")
+
 // call sends one HTTP request and decodes the response into out unless out is nil. Errors are ErrNotFound, ErrConflict,
 // ErrUnavailable, or ErrOutcomeUnknown for a write that was sent without a valid response. Any other status than those of
 // the first three also gives ErrOutcomeUnknown, whatever the method.
@@ -186,7 +193,10 @@
 	if out == nil {
 		return nil
 	}
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(raw) > maxResponseBytes && method == http.MethodGet {
+		return errors.Wrapf(errResponseTooLarge, "more than %d bytes", maxResponseBytes)
+	}
 	if err == nil {
 		err = decodeResponse(raw, out)
 	}
--- a/rudder/objectapi/decode_test.go
+++ b/rudder/objectapi/decode_test.go
@@ -62,3 +62,16 @@
 		})
 	}
 }
+
+// A watch after many large changes was cut at the size limit, could not be decoded, and was repeated from the same revision
+// without end. The objects must be listed again.
+func TestTooManyChangesForOneWatch(t *testing.T) {
+	event := `{"object":{"key":"a/b","version":1,"value":"` + strings.Repeat("x", 1<<20) + `"}},`
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"revision":9,"events":[%s{"object":{"key":"a/c"}}]}`, strings.Repeat(event, 64))
+	}))
+	t.Cleanup(server.Close)
+	if changes, err := objectapi.NewClient(server.URL, nil).Watch(context.Background(), "a/", 8); err != nil || !changes.Reset {
+		t.Errorf("%d changes, reset %t, error %v, want a reset", len(changes.Events), changes.Reset, err)
+	}
+}
