Don't wait for the rest of a long body after the response

What callers would see: a server refused or answered a request before it had read a body of 32 KiB or more, and read on slowly or not at all. The caller got the answer, or the next server the request, only when the body was sent or the kernel gave up (2 s).

Cause: before a connection is kept, the relay waited for the end of the write without a limit.

Change: it waits 50 ms at most; a connection with an unfinished request is reset.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -99,7 +99,7 @@
 	}
 	r := a.handleResponse(parent, response)
 	r.isSent = true
-	if a.canReuseConn(response, r) && <-writeResult == nil && stop() {
+	if a.canReuseConn(response, r) && isWritten(writeResult) && stop() {
 		a.clearReadDeadline()
 		conn.Release(response)
 		isReleased = true
@@ -138,6 +138,19 @@
 	return done, nil
 }
 
+// writeResultWait is how long the result of a write may come after the response to a request that was received whole.
+const writeResultWait = 50 * time.Millisecond
+
+// isWritten reports whether a request was written completely. A server may respond before that and read on slowly or not at all.
+func isWritten(writeResult <-chan error) bool {
+	select {
+	case err := <-writeResult:
+		return err == nil
+	case <-time.After(writeResultWait):
+		return false
+	}
+}
+
 // canReuseConn reports whether the connection can be used for another request: the response was read to its end and the
 // server did not ask to close the connection.
 func (a *attempt) canReuseConn(response *http.Response, r attemptResult) bool {
