Decode each notice of the cloud alone

What callers would see (own engines): one notice that can't be read made its page unreadable; the page was read again without end, so that the hosts of its other notices and of all later ones got new work until they went away.

Cause: a page of notices was decoded as a whole, and the next one is asked for only after that.

Change: each notice is decoded by itself; those that can't be read or name no host are logged and left out.

Evidence, before: TestOddNoticeHidesNoOtherNotice "the notice of host first is missing" (also last, later) for 6 kinds of notices. After: passes; package fleet passes with -race.

--- a/rudder/cloud/api.go
+++ b/rudder/cloud/api.go
@@ -13,6 +13,7 @@
 
 	"chestnutrudder.example/rudder/jsonhttp"
 	"chestnutrudder.example/rudder/object"
+	"chestnutrudder.example/rudder/rawjson"
 )
 
 var (
@@ -90,19 +91,50 @@
 	return errors.Wrapf(a.call(ctx, http.MethodDelete, "/v1/hosts/"+url.PathEscape(host), nil, nil), "release host %q", host)
 }
 
-// Notices returns the reclaim notices from a sequence number on. If there are none, it waits for up to noticePollTimeout.
+// Notices returns the reclaim notices from a sequence number on. If there are none, it waits for up to noticePollTimeout. An
+// error that wraps ErrUnreadableEntries comes with the other notices.
 func (a *API) Notices(ctx context.Context, from int64) (Notices, error) {
 	query := url.Values{
 		"from":    {strconv.FormatInt(from, 10)},
 		"wait_ms": {strconv.FormatInt(noticePollTimeout.Milliseconds(), 10)},
 	}
-	var notices Notices
-	err := a.call(ctx, http.MethodGet, "/v1/notices?"+query.Encode(), nil, &notices)
-	return notices, errors.Wrap(err, "read notices")
+	var raw json.RawMessage
+	if err := a.call(ctx, http.MethodGet, "/v1/notices?"+query.Encode(), nil, &raw); err != nil {
+		return Notices{}, errors.Wrap(err, "read notices")
+	}
+	notices, err := decodeNotices(raw)
+	return notices, errors.Wrap(err, "decode notices")
 }
 
-// call sends one request and decodes the JSON response into out unless out is nil. Status 409 is ErrStartRefused; any other
-// failure after the request was built is ErrOutcomeUnknown.
+// decodeNotices decodes a page of notices, each notice alone. The errors are those of Notices.
+func decodeNotices(raw []byte) (Notices, error) {
+	var page Notices
+	fields, entries, err := rawjson.SplitList(raw, "notices")
+	if err != nil {
+		return page, err
+	}
+	if err := rawjson.DecodeField(fields, "next", &page.Next); err != nil {
+		return page, err
+	}
+	unreadable := 0
+	for i, entry := range entries {
+		var notice Notice
+		entryErr := json.Unmarshal(entry, &notice)
+		if entryErr == nil && notice.Host == "" {
+			entryErr = errors.New("notice names no host")
+		}
+		if entryErr != nil {
+			unreadable++
+			err = errors.Wrapf(ErrUnreadableEntries, "%d of %d, the last one at %d: %.200s", unreadable, len(entries), i, entryErr.Error())
+			continue
+		}
+		page.Notices = append(page.Notices, notice)
+	}
+	return page, err
+}
+
+// call sends one request and decodes the JSON response into out unless out is nil or a *json.RawMessage, which gets the body
+// as it is. Status 409 is ErrStartRefused; any other failure after the request was built is ErrOutcomeUnknown.
 func (a *API) call(ctx context.Context, method, path string, in, out any) error {
 	request, err := jsonhttp.NewRequest(ctx, method, a.baseURL+path, in)
 	if err != nil {
@@ -123,7 +155,15 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(out); err != nil {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if raw, isRaw := out.(*json.RawMessage); isRaw && err == nil {
+		*raw = body
+		return nil
+	}
+	if err == nil {
+		err = json.Unmarshal(body, out)
+	}
+	if err != nil {
 		return errors.Wrap(ErrOutcomeUnknown, err.Error())
 	}
 	return nil
--- a/rudder/cloud/hostlist.go
+++ b/rudder/cloud/hostlist.go
@@ -57,8 +57,8 @@
 	return &HostList{baseURL: baseURL, http: &http.Client{Timeout: callTimeout}}
 }
 
-// ErrUnreadableEntries means that some entries of the host list cannot be read or name no host; the others hold.
-var ErrUnreadableEntries = errors.New("host list has unreadable entries")
+// ErrUnreadableEntries means that some entries of a list cannot be read or name no host; the others hold.
+var ErrUnreadableEntries = errors.New("list has unreadable entries")
 
 // Hosts returns the hosts that are currently in the list. An error that wraps ErrUnreadableEntries comes with the hosts of the
 // other entries.
--- a/rudder/fleet/hostlist_test.go
+++ b/rudder/fleet/hostlist_test.go
@@ -10,8 +10,10 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"chestnutrudder.example/rudder/cloud"
+	"chestnutrudder.example/rudder/membership"
 )
 
 // oddHosts are entries of a host list that name no host.
@@ -79,3 +81,48 @@
 		}
 	})
 }
+
+// One notice that cannot be read made its whole page unreadable, which was read again without end: the hosts of the other notices,
+// and of all later ones, got new work until they went away.
+func TestOddNoticeHidesNoOtherNotice(t *testing.T) {
+	for name, odd := range map[string]string{
+		"nested too deeply":  strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001),
+		"a literal":          `{"host":"odd","in_ms":NaN}`,
+		"time is too large":  `{"host":"odd","in_ms":1e19}`,
+		"time is a fraction": `{"host":"odd","in_ms":0.5}`,
+		"time is text":       `{"host":"odd","in_ms":"5"}`,
+		"host is absent":     `{"in_ms":5}`,
+		"host is a number":   `{"host":5,"in_ms":5}`,
+		"null":               `null`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch r.URL.Query().Get("from") {
+				case "0":
+					fmt.Fprintf(w, `{"notices":[{"host":"first","in_ms":60000},%s,{"host":"last","in_ms":60000}],"next":3}`, odd)
+				case "3":
+					fmt.Fprint(w, `{"notices":[{"host":"later","in_ms":60000}],"next":4}`)
+				default:
+					cancel()
+				}
+			}))
+			t.Cleanup(server.Close)
+			n := &NoticeDistributor{
+				Table: NewTable(), Members: membership.NewTable(membership.Node{Name: "n", FailureDomain: "d"}), Records: membership.NewRecords(),
+				Source: cloud.NewAPI(server.URL), Log: slog.New(slog.DiscardHandler),
+			}
+			n.Start()
+			n.pollCloud(ctx)
+			for _, host := range []string{"first", "last", "later"} {
+				if _, isLeaving := n.Table.LeavingAt(host); !isLeaving {
+					t.Errorf("the notice of host %s is missing", host)
+				}
+			}
+			if _, isLeaving := n.Table.LeavingAt(""); isLeaving {
+				t.Error("a notice without a host is kept")
+			}
+		})
+	}
+}
--- a/rudder/fleet/notices.go
+++ b/rudder/fleet/notices.go
@@ -30,7 +30,8 @@
 
 // NoticeSource is the part of the cloud API that announces reclaims.
 type NoticeSource interface {
-	// Notices waits for notices from a sequence number on. It returns an empty page if none comes in time.
+	// Notices waits for notices from a sequence number on. It returns an empty page if none comes in time, and the errors of
+	// cloud.API.Notices.
 	Notices(ctx context.Context, from int64) (cloud.Notices, error)
 }
 
@@ -126,6 +127,10 @@
 			continue
 		}
 		page, err := n.Source.Notices(ctx, nextSequence)
+		if errors.Is(err, cloud.ErrUnreadableEntries) {
+			n.Log.Warn("Notices of the cloud cannot be read; they are left out.", "error", err)
+			err = nil
+		}
 		if err != nil {
 			if !isFailing {
 				n.Log.Warn("Failed to read notices from the cloud; retrying until it answers.", "error", err)
