--- a/rudder/cloud/hostlist.go
+++ b/rudder/cloud/hostlist.go
@@ -60,8 +60,8 @@
 // ErrUnreadableEntries means that some entries of a list cannot be read or name no host; the others hold.
 var ErrUnreadableEntries = errors.New("list has unreadable entries")
 
-// Hosts returns the hosts that are currently in the list. An error that wraps ErrUnreadableEntries comes with the hosts of the
-// other entries.
+// Hosts returns the hosts that are currently in the list. An error that wraps ErrUnreadableEntries comes with the hosts of
+// the other entries.
 func (l *HostList) Hosts(ctx context.Context) ([]Host, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.baseURL+"/v1/hosts", nil)
 	if err != nil {
--- a/rudder/culprit/report_test.go
+++ b/rudder/culprit/report_test.go
@@ -102,8 +102,8 @@
 	}
 }
 
-// A quarantine with an impossible number, from a digest or a record in the object API, ended the process at its next trial or
-// refused requests for ever.
+// A quarantine with an impossible number, from a digest or a record in the object API, ended the process at its next trial
+// or refused requests for ever.
 func TestImpossibleNumbersInQuarantineReports(t *testing.T) {
 	traits := []Trait{PartTrait("a"), PartTrait("b")}
 	for _, q := range []QuarantineReport{
--- a/rudder/dispatch/resume_test.go
+++ b/rudder/dispatch/resume_test.go
@@ -32,8 +32,8 @@
 	return b.String()
 }
 
-// Pattern: a stream had begun and broke off, and the engine answered the request to resume it with something else. Nothing of that
-// may get into the answer, and the run must not end as complete.
+// Pattern: a stream had begun and broke off, and the engine answered the request to resume it with something else. Nothing
+// of that may get into the answer, and the run must not end as complete.
 func TestResumedRunIsNotMixedWithErrors(t *testing.T) {
 	const attempt, problem = "r.1", `{"error":"boom"}`
 	respond := func(status int, body string) http.HandlerFunc {
--- a/rudder/engine/client_test.go
+++ b/rudder/engine/client_test.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 )
 
-// serveCopies starts an engine that responds to the first request on each connection with the given status and body, and to each
-// later one with a copy of that, and then with status 200 and the path as its body. It returns the base URL.
+// serveCopies starts an engine that responds to the first request on each connection with the given status and body, and to
+// each later one with a copy of that, and then with status 200 and the path as its body. It returns the base URL.
 func serveCopies(t *testing.T, firstStatus int, firstBody string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -57,8 +57,8 @@
 	return "http://" + listener.Addr().String()
 }
 
-// An engine that sent an earlier response once more on a kept connection made the next call succeed or fail with it: a run went on
-// with the KV cache of another run, or an order that was carried out counted as refused.
+// An engine that sent an earlier response once more on a kept connection made the next call succeed or fail with it: a run
+// went on with the KV cache of another run, or an order that was carried out counted as refused.
 func TestCopyOfEarlierResponseIsNotTakenForTheNext(t *testing.T) {
 	ctx := context.Background()
 	client := NewClient(serveCopies(t, http.StatusOK, `{"handle":"of run a"}`))
--- a/rudder/fleet/hostlist_test.go
+++ b/rudder/fleet/hostlist_test.go
@@ -82,8 +82,8 @@
 	})
 }
 
-// One notice that cannot be read made its whole page unreadable, which was read again without end: the hosts of the other notices,
-// and of all later ones, got new work until they went away.
+// One notice that cannot be read made its whole page unreadable, which was read again without end: the hosts of the other
+// notices, and of all later ones, got new work until they went away.
 func TestOddNoticeHidesNoOtherNotice(t *testing.T) {
 	for name, odd := range map[string]string{
 		"nested too deeply":  strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001),
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -97,8 +97,8 @@
 	return m
 }
 
-// AddAddresses adds addresses of peers to send digests to. It skips known and empty addresses and the node's own, and logs and
-// drops those that are not IP:port.
+// AddAddresses adds addresses of peers to send digests to. It skips known and empty addresses and the node's own, and logs
+// and drops those that are not IP:port.
 func (m *Mesh) AddAddresses(addresses []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/rudder/mesh/mesh_test.go
+++ b/rudder/mesh/mesh_test.go
@@ -206,8 +206,8 @@
 	}
 }
 
-// The address in a node's record, as another writer left it, was told to all peers; a huge one made every digest too large for
-// a datagram.
+// The address in a node's record, as another writer left it, was told to all peers; a huge one made every digest too large
+// for a datagram.
 func TestMalformedAddressesAreNotTold(t *testing.T) {
 	m := newTestMesh()
 	m.AddAddresses([]string{strings.Repeat("x", 1<<20), "127.0.0.1", "127.0.0.1:99999", "127.0.0.1:-1", "host:80", "127.0.0.1:3"})
--- a/rudder/objectapi/client.go
+++ b/rudder/objectapi/client.go
@@ -158,8 +158,8 @@
 	return changes, errors.Wrapf(err, "watch %q", prefix)
 }
 
-// errResponseTooLarge wraps ErrUnavailable. The body of a response exceeds maxResponseBytes, as that of a watch may after many
-// changes.
+// errResponseTooLarge wraps ErrUnavailable. The body of a response exceeds maxResponseBytes, as that of a watch may after
+// many changes.
 var errResponseTooLarge = errors.WithMessage(ErrUnavailable, "response is too large")
 
 // call sends one HTTP request and decodes the response into out unless out is nil. Errors are ErrNotFound, ErrConflict,
--- a/rudder/rawjson/rawjson.go
+++ b/rudder/rawjson/rawjson.go
@@ -1,6 +1,6 @@
-// Package rawjson splits a JSON object or array into its parts without decoding them. It lets a client read the other parts of
-// a document of which one cannot be decoded: encoding/json fails for the whole document if a part is not JSON or is nested too
-// deeply.
+// Package rawjson splits a JSON object or array into its parts without decoding them. It lets a client read the other parts
+// of a document of which one cannot be decoded: encoding/json fails for the whole document if a part is not JSON or is
+// nested too deeply.
 package rawjson
 
 import (
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 )
 
-// Fields returns the values of the fields of a JSON object by name; of duplicate names the last one counts. The values may be
-// malformed as long as their strings and brackets are closed.
+// Fields returns the values of the fields of a JSON object by name; of duplicate names the last one counts. The values may
+// be malformed as long as their strings and brackets are closed.
 func Fields(object []byte) (map[string]json.RawMessage, error) {
 	s := &scanner{data: object}
 	if !s.accept('{') {
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -141,7 +141,8 @@
 // writeResultWait is how long the result of a write may come after the response to a request that was received whole.
 const writeResultWait = 50 * time.Millisecond
 
-// isWritten reports whether a request was written completely. A server may respond before that and read on slowly or not at all.
+// isWritten reports whether a request was written completely. A server may respond before that and read on slowly or not at
+// all.
 func isWritten(writeResult <-chan error) bool {
 	select {
 	case err := <-writeResult:
--- a/rudder/relay/copied_refusal_test.go
+++ b/rudder/relay/copied_refusal_test.go
@@ -9,8 +9,8 @@
 	"testing"
 )
 
-// copyingServer refuses its first request as not run and runs all later ones. On the connection of the refusal it sends a copy of
-// the refusal before the response to the next request.
+// copyingServer refuses its first request as not run and runs all later ones. On the connection of the refusal it sends a
+// copy of the refusal before the response to the next request.
 type copyingServer struct {
 	refusal func(id string) string // text of the refusal of a request
 
@@ -36,8 +36,8 @@
 	return succeed(conn, r)
 }
 
-// A faulty server may send an earlier refusal once more where the response to the next request is due. A caller must not be told
-// that this request has not run. (After a 421 the server gets no further request.)
+// A faulty server may send an earlier refusal once more where the response to the next request is due. A caller must not be
+// told that this request has not run. (After a 421 the server gets no further request.)
 func TestCopyOfEarlierRefusalIsNotTakenForTheNextResponse(t *testing.T) {
 	const notRun = "X-Rudder-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	withID := func(status int) func(string) string {
--- a/rudder/relay/early_response_test.go
+++ b/rudder/relay/early_response_test.go
@@ -12,8 +12,8 @@
 	"chestnutrudder.example/rudder/backend"
 )
 
-// slowServer adds a backend server that answers each request as soon as it has read its head, and then reads the body slowly.
-// The channel receives the number of bytes that it could read.
+// slowServer adds a backend server that answers each request as soon as it has read its head, and then reads the body
+// slowly. The channel receives the number of bytes that it could read.
 func (h *harness) slowServer(name string, answer func(conn net.Conn, r *http.Request) bool) <-chan int {
 	h.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -46,8 +46,8 @@
 	return bodyBytes
 }
 
-// A server that refused or answered a request before it had read a long body, and read on slowly, made the relay hold the answer
-// until the body was sent.
+// A server that refused or answered a request before it had read a long body, and read on slowly, made the relay hold the
+// answer until the body was sent.
 func TestResponseBeforeTheEndOfTheBodyEndsTheSending(t *testing.T) {
 	body := strings.Repeat("x", 64<<20)
 	for name, c := range map[string]struct {
--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -24,7 +24,8 @@
 
 // next reads from the source once and returns the bytes of all complete events in the buffer. A nil slice without an error
 // means that no event is complete yet. It returns io.ErrShortBuffer if the buffer exceeds maxEventBytes, errHeadWithinStream
-// with the events before the head, and io.EOF at the end of the stream; remainder then returns the bytes of an incomplete event.
+// with the events before the head, and io.EOF at the end of the stream; remainder then returns the bytes of an incomplete
+// event.
 func (r *eventReader) next(chunk []byte) ([]byte, error) {
 	n, err := r.source.Read(chunk)
 	r.buffer = append(r.buffer, chunk[:n]...)
@@ -52,8 +53,8 @@
 // isWithinEvent reports whether the buffered bytes are more than line ends.
 func (r *eventReader) isWithinEvent() bool { return len(bytes.Trim(r.buffer, "\r\n")) > 0 }
 
-// headOffset returns the offset of the first line that begins a response, or -1. No line of an event begins like that. b begins
-// with a line.
+// headOffset returns the offset of the first line that begins a response, or -1. No line of an event begins like that. b
+// begins with a line.
 func headOffset(b []byte) int {
 	if bytes.HasPrefix(b, []byte("HTTP/1.")) {
 		return 0
@@ -100,8 +101,8 @@
 }
 
 // continuation removes the leading events that the caller has, up to the one with id lastID, and those without content. It
-// compares ids as numbers; if lastID is not a number, it removes no event with an id. It returns an error for an event whose id
-// does not tell that it follows lastID.
+// compares ids as numbers; if lastID is not a number, it removes no event with an id. It returns an error for an event whose
+// id does not tell that it follows lastID.
 func continuation(events []byte, lastID string) ([]byte, error) {
 	lastNumber, lastErr := strconv.ParseInt(lastID, 10, 64)
 	for len(events) > 0 {
--- a/rudder/relay/resume_test.go
+++ b/rudder/relay/resume_test.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// breakingHarness has two servers. The one that gets a request first breaks its stream off after event 2; the other one gets the
-// request with the id of that event and answers with resume.
+// breakingHarness has two servers. The one that gets a request first breaks its stream off after event 2; the other one gets
+// the request with the id of that event and answers with resume.
 func breakingHarness(t *testing.T, resume func(conn net.Conn, r *http.Request) bool) *harness {
 	t.Helper()
 	h := newHarness(t)
@@ -37,9 +37,9 @@
 	return fmt.Sprintf("Content-Type: %s\r\nContent-Length: %d\r\n\r\n%s", contentType, len(body), body)
 }
 
-// A stream had begun and broke off, and the next server answered with something else than its continuation. That ended up in the
-// middle of the caller's stream, which then looked complete. The caller must get the events before the break and then a broken
-// connection.
+// A stream had begun and broke off, and the next server answered with something else than its continuation. That ended up in
+// the middle of the caller's stream, which then looked complete. The caller must get the events before the break and then a
+// broken connection.
 func TestAnswerThatContinuesNoStreamIsNotForwarded(t *testing.T) {
 	const problem, jsonType, streamType = `{"error":"boom"}`, "application/json", "text/event-stream"
 	large := `{"error":"` + strings.Repeat("boom ", 40_000) + `"}`
@@ -119,8 +119,8 @@
 	}
 }
 
-// A server whose stream failed wrote the head and the body of an error after the events, in a chunk or in a body without a length.
-// The caller found them in its stream.
+// A server whose stream failed wrote the head and the body of an error after the events, in a chunk or in a body without a
+// length. The caller found them in its stream.
 func TestHeadWithinStreamIsNotForwarded(t *testing.T) {
 	const problem = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: application/json\r\n\r\n{\"error\":\"boom\"}"
 	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -37,8 +37,8 @@
 	// changeRetention is how long a change is included in digests: four digests at the longest interval, since datagrams
 	// get lost.
 	changeRetention = 4 * time.Second
-	// maxChangesPerDigest and maxChangeBytesPerDigest bound the changes in one digest, which must fit in a datagram. A node that
-	// misses some asks the object API.
+	// maxChangesPerDigest and maxChangeBytesPerDigest bound the changes in one digest, which must fit in a datagram. A node
+	// that misses some asks the object API.
 	maxChangesPerDigest     = 200
 	maxChangeBytesPerDigest = 24 << 10
 )
@@ -159,8 +159,8 @@
 	r.pruneChanges()
 }
 
-// pruneChanges drops changes that are older than changeRetention or exceed maxChangesPerDigest or maxChangeBytesPerDigest. The
-// caller holds the lock.
+// pruneChanges drops changes that are older than changeRetention or exceed maxChangesPerDigest or maxChangeBytesPerDigest.
+// The caller holds the lock.
 func (r *registrySync) pruneChanges() {
 	pruned, size := 0, 0
 	for _, c := range r.recentChanges {
--- a/rudder/relaynode/registry_sync_test.go
+++ b/rudder/relaynode/registry_sync_test.go
@@ -216,8 +216,9 @@
 	}
 }
 
-// One registry entry with a huge field or name made the digests of the nodes that watch the registry too large for a datagram:
-// their peers took them for unreachable. Such a change must be left out, and the peers must find out that they miss it.
+// One registry entry with a huge field or name made the digests of the nodes that watch the registry too large for a
+// datagram: their peers took them for unreachable. Such a change must be left out, and the peers must find out that they
+// miss it.
 func TestHugeChangesAreLeftOutOfDigests(t *testing.T) {
 	const maxDigestBytes = 32 << 10
 	huge := strings.Repeat("x", 1<<20)
--- a/rudder/upstream/faulty_server_test.go
+++ b/rudder/upstream/faulty_server_test.go
@@ -150,8 +150,8 @@
 	}
 }
 
-// A connection that has carried a request must not carry another one with the same id: the server may send a copy of the first
-// response, which would be taken for the second.
+// A connection that has carried a request must not carry another one with the same id: the server may send a copy of the
+// first response, which would be taken for the second.
 func TestConnectionIsNotReusedForTheSameID(t *testing.T) {
 	address, connections := serve(t, func(conn net.Conn, number int, r *http.Request) bool {
 		writeResponse(conn, r.Header.Get("Id"), fmt.Sprint("response ", number))
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -81,9 +81,9 @@
 	serverIdleTimeout time.Duration // from the server's Keep-Alive header; 0 means unknown
 }
 
-// Get returns a pooled connection that was idle for at most maxIdleTime, or a new one, for the request with the id. A connection
-// that lately carried a request with the same id is not used: a late copy of its response could not be told from the response
-// to this request. Errors wrap ErrNotSent. The caller passes the connection to Release or Discard.
+// Get returns a pooled connection that was idle for at most maxIdleTime, or a new one, for the request with the id. A
+// connection that lately carried a request with the same id is not used: a late copy of its response could not be told from
+// the response to this request. Errors wrap ErrNotSent. The caller passes the connection to Release or Discard.
 func (p *Pool) Get(ctx context.Context, id string, maxIdleTime time.Duration) (*Conn, error) {
 	for {
 		c := p.pop()
