--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -65,7 +66,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	a.cancel = cancel
-	conn, err := a.placement.Server.Pool.Get(ctx, a.maxIdleTime())
+	conn, err := a.placement.Server.Pool.Get(ctx, a.call.id, a.maxIdleTime())
 	if err != nil {
 		return attemptResult{isKnownNotRun: true, backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
@@ -106,7 +107,7 @@
 	}
 	r := a.handleResponse(parent, response)
 	r.isSent = true
-	if a.canReuseConn(response, r) && <-writeResult == nil && stop() {
+	if a.canReuseConn(response, r) && isWritten(writeResult) && stop() {
 		a.clearReadDeadline()
 		conn.OnReadTimeout(nil)
 		conn.Release(response)
@@ -146,6 +147,20 @@
 	return done, nil
 }
 
+// writeResultWait is how long the result of a write may come after the response to a request that was received whole.
+const writeResultWait = 50 * time.Millisecond
+
+// isWritten reports whether a request was written completely. A server may respond before that and read on slowly or not at
+// all.
+func isWritten(writeResult <-chan error) bool {
+	select {
+	case err := <-writeResult:
+		return err == nil
+	case <-time.After(writeResultWait):
+		return false
+	}
+}
+
 // canReuseConn reports whether the connection can be used for another request: the response was read to its end and the
 // server did not ask to close the connection.
 func (a *attempt) canReuseConn(response *http.Response, r attemptResult) bool {
@@ -205,9 +220,13 @@
 	if isSuccess && (response.Header.Get(d.ResponseSignature) == "" || response.Header.Get("Content-Encoding") != "") {
 		return attemptResult{backendResult: backend.ResultServerFailure, reason: "success response has no signature header or has a content encoding"}
 	}
-	if isSuccess && a.call.route.Kind == traffic.Streaming && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+	contentType := response.Header.Get("Content-Type")
+	if isSuccess && a.call.route.Kind == traffic.Streaming && strings.HasPrefix(contentType, "text/event-stream") {
 		return a.forwardStream(ctx, response)
 	}
+	if a.forwarder.isHeadSent {
+		return attemptResult{backendResult: backend.ResultServerFailure, reason: fmt.Sprintf("response with status %d and content type %.40q does not continue the stream", response.StatusCode, contentType)}
+	}
 	r := a.forwardPlain(ctx, response, isSuccess)
 	if isPaused && r.backendResult == backend.ResultServerFailure {
 		r.backendResult = backend.ResultRejected // a server that asks for a pause has not failed
@@ -255,8 +274,8 @@
 	errResponseTooLarge = errors.New("response body is too large")
 	// errEndedWithServer means that a response without a length ended when its server crashed.
 	errEndedWithServer = errors.New("response without a length ended with its server")
-	// errEndedWithinEvent means that an event stream without a length ended in the middle of an event, or before the first.
-	errEndedWithinEvent = errors.New("event stream without a length ended within an event")
+	// errEndedWithinEvent means that an event stream ended in the middle of an event, or before the first.
+	errEndedWithinEvent = errors.New("event stream ended within an event")
 )
 
 // brokenResponse returns the result for a response that could not be read to its end.
@@ -330,7 +349,10 @@
 			}
 		}
 		if skipUpTo != "" {
-			events = skipEvents(events, skipUpTo)
+			var continuationErr error
+			if events, continuationErr = continuation(events, skipUpTo); continuationErr != nil {
+				return attemptResult{backendResult: backend.ResultServerFailure, reason: continuationErr.Error()}
+			}
 		}
 		if len(events) > 0 {
 			skipUpTo = ""
@@ -342,6 +364,8 @@
 			a.setReadTimeout(f.eventTimeout())
 		}
 		switch {
+		case err == io.EOF && skipUpTo != "" && reader.isWithinEvent():
+			return a.brokenResponse(ctx, errEndedWithinEvent) // part of an event that continues nothing may be anything
 		case err == io.EOF && endsWithConnection(response) && (a.firstEventAt == 0 || reader.isWithinEvent()):
 			return a.brokenResponse(ctx, errEndedWithinEvent)
 		case err == io.EOF && endsWithConnection(response) && a.hasServerCrashed():
@@ -406,22 +430,3 @@
 	f.server.Log.Info("Forwarded the response to the caller.", "request", f.call.id, "status", status, "sends", f.sends+1, "last_event", f.lastEventID, "after_ms", time.Since(f.call.arrivedAt).Milliseconds())
 	f.server.metrics.countRequest(f.call, status)
 }
-
-// skipEvents removes the leading events up to the one with id lastID, which the caller has already received. It compares ids
-// as numbers; it removes nothing if lastID is not a number, and stops at an event without a numeric id.
-func skipEvents(events []byte, lastID string) []byte {
-	lastNumber, err := strconv.ParseInt(lastID, 10, 64)
-	if err != nil {
-		return events
-	}
-	for len(events) > 0 {
-		end := firstEventEnd(events)
-		id, found := parseLastEventID(events[:end])
-		number, err := strconv.ParseInt(id, 10, 64)
-		if end == 0 || !found || err != nil || number > lastNumber {
-			return events
-		}
-		events = events[end:]
-	}
-	return nil
-}
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -195,6 +195,8 @@
 	switch {
 	case possibleRuns > 0 && !r.IsRepeatable():
 		return "request may have run and must not be repeated"
+	case f.isHeadSent && f.lastEventID == "":
+		return "stream without event ids cannot be resumed"
 	case mayHaveRunLast && possibleRuns >= r.MaxAttempts():
 		return "maximum number of attempts was reached"
 	case sends >= maxSends:
--- a/rudder/relay/silence_test.go
+++ b/rudder/relay/silence_test.go
@@ -218,7 +218,7 @@
 		t.Fatal(refusal.Reason)
 	}
 	h.backendServer("b", succeed)
-	conn, err := place.Server.Pool.Get(context.Background(), time.Hour)
+	conn, err := place.Server.Pool.Get(context.Background(), "r1", time.Hour)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -154,9 +155,12 @@
 	}
 }
 
-// applyConfigListing applies the configuration of a listing.
+// applyConfigListing applies the configuration of a listing. One that cannot be decoded counts as not written.
 func (n *node) applyConfigListing(listing objectapi.Listing, _ boottime.Instant) {
-	n.setStoredVersion(0)
+	isListed := func(o objectapi.Object) bool { return o.Key == n.platform.ConfigKey }
+	if !slices.ContainsFunc(listing.Objects, isListed) {
+		n.setStoredVersion(0)
+	}
 	for _, o := range listing.Objects {
 		n.applyStoredConfig(o)
 	}
@@ -178,10 +182,10 @@
 // applyConfigObject applies an object if it is the configuration and newer than the one in force. It returns the decoded
 // configuration, nil if there is none.
 func (n *node) applyConfigObject(o objectapi.Object) *traffic.Config {
-	if o.Key != n.platform.ConfigKey || len(o.Value) == 0 {
+	if o.Key != n.platform.ConfigKey || o.Err == nil && len(o.Value) == 0 {
 		return nil
 	}
-	config, err := n.platform.DecodeConfig(o.Value)
+	config, err := n.decodeConfig(o)
 	if err != nil {
 		n.log.Error("Decoding the configuration failed; it is not applied.", "revision", o.Version, "error", err)
 		return nil
@@ -192,6 +196,14 @@
 	return config
 }
 
+// decodeConfig translates the object of the configuration.
+func (n *node) decodeConfig(o objectapi.Object) (*traffic.Config, error) {
+	if o.Err != nil {
+		return nil, o.Err
+	}
+	return n.platform.DecodeConfig(o.Value)
+}
+
 // confirmConfig records that the configuration in force was the newest one when the answered call was sent. While the object
 // API holds an older one than this node or a peer, it was restored from an older copy, and the answer shows nothing until the
 // newest one is written again.
--- a/rudder/relaynode/registry_restore_test.go
+++ b/rudder/relaynode/registry_restore_test.go
@@ -49,6 +49,7 @@
 // newLoneRegistrySync returns a registrySync whose node has no peers. The value of an entry is true while its server drains.
 func newLoneRegistrySync() *registrySync {
 	n := &node{logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, "n"), backends: backend.NewTable(time.Second, slog.New(slog.DiscardHandler))}
+	n.platform.ServerPrefix = "servers/"
 	n.platform.DecodeServer = func(o objectapi.Object) (backend.Entry, error) {
 		e := backend.Entry{ID: path.Base(o.Key), Service: path.Base(o.Key), Slots: 1, StartUnixMillis: 1}
 		return e, json.Unmarshal(o.Value, &e.Draining)
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -2,7 +2,7 @@
 
 import (
 	"log/slog"
-	"path"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,8 +37,10 @@
 	// changeRetention is how long a change is included in digests: four digests at the longest interval, since datagrams
 	// get lost.
 	changeRetention = 4 * time.Second
-	// maxChangesPerDigest bounds the changes in one digest. A node that misses some asks the object API.
-	maxChangesPerDigest = 200
+	// maxChangesPerDigest and maxChangeBytesPerDigest bound the changes in one digest, which must fit in a datagram. A node
+	// that misses some asks the object API.
+	maxChangesPerDigest     = 200
+	maxChangeBytesPerDigest = 24 << 10
 )
 
 // registrySync keeps the table of backend servers in line with the platform's registry. Two nodes, the watchers, watch
@@ -68,6 +70,12 @@
 	learntAt boottime.Instant
 }
 
+// encodedBytes returns about how much the change adds to a digest.
+func (c *recentChange) encodedBytes() int {
+	const numbersAndLengths = 48
+	return numbersAndLengths + len(c.Server.ID) + len(c.Server.Service) + len(c.Server.Address) + len(c.Server.FailureDomain)
+}
+
 func newRegistrySync(n *node) *registrySync {
 	r := &registrySync{node: n, log: n.logger.Part("registry")}
 	r.objectWatcher = &objectapi.Watcher{
@@ -94,7 +102,7 @@
 	for _, o := range listing.Objects {
 		entry, err := r.node.platform.DecodeServer(o)
 		if err != nil {
-			r.log.Warn("Decoding a registry entry failed; it is left out.", "key", o.Key, "error", err)
+			r.log.Warn("Decoding a registry entry failed; it is left out.", "key", abbreviate(o.Key), "error", err)
 			continue
 		}
 		entries = append(entries, entry)
@@ -115,11 +123,11 @@
 // applyEvent applies one change of the registry and keeps it for digests. An entry that cannot be decoded counts as
 // removed.
 func (r *registrySync) applyEvent(e objectapi.Event) {
-	c := mesh.RegistryChange{Server: backend.Entry{ID: path.Base(e.Object.Key)}, Removed: e.Deleted}
+	c := mesh.RegistryChange{Server: backend.Entry{ID: strings.TrimPrefix(e.Object.Key, r.node.platform.ServerPrefix)}, Removed: e.Deleted}
 	if !e.Deleted {
 		entry, err := r.node.platform.DecodeServer(e.Object)
 		if err != nil {
-			r.log.Warn("Decoding a registry entry failed; its server is removed.", "key", e.Object.Key, "error", err)
+			r.log.Warn("Decoding a registry entry failed; its server is removed.", "key", abbreviate(e.Object.Key), "error", err)
 			c.Removed = true
 		} else {
 			c.Server = entry
@@ -131,6 +139,11 @@
 	r.recentChanges = append(r.recentChanges, recentChange{RegistryChange: c, learntAt: boottime.Now()})
 }
 
+// maxLoggedKeyBytes bounds a key in a log line; another writer may choose a huge one.
+const maxLoggedKeyBytes = 100
+
+func abbreviate(key string) string { return key[:min(len(key), maxLoggedKeyBytes)] }
+
 // applyChange puts a server into the table of backend servers or removes it. The caller holds the lock.
 func (r *registrySync) applyChange(c mesh.RegistryChange) {
 	delete(r.unsettled, c.Server.ID)
@@ -158,13 +171,17 @@
 	r.pruneChanges()
 }
 
-// pruneChanges drops changes that are older than changeRetention or exceed maxChangesPerDigest. The caller holds the
-// lock.
+// pruneChanges drops changes that are older than changeRetention or exceed maxChangesPerDigest or maxChangeBytesPerDigest.
+// The caller holds the lock.
 func (r *registrySync) pruneChanges() {
-	pruned := 0
+	pruned, size := 0, 0
+	for _, c := range r.recentChanges {
+		size += c.encodedBytes()
+	}
 	for pruned < len(r.recentChanges) && !r.recentChanges[pruned].Revision.IsZero() &&
-		(boottime.Since(r.recentChanges[pruned].learntAt) > changeRetention || len(r.recentChanges)-pruned > maxChangesPerDigest) {
+		(boottime.Since(r.recentChanges[pruned].learntAt) > changeRetention || len(r.recentChanges)-pruned > maxChangesPerDigest || size > maxChangeBytesPerDigest) {
 		r.fromRevision = r.recentChanges[pruned].Revision
+		size -= r.recentChanges[pruned].encodedBytes()
 		pruned++
 	}
 	// The remaining changes of an answer are of no use once its first ones are dropped.
--- a/rudder/relaynode/registry_sync_test.go
+++ b/rudder/relaynode/registry_sync_test.go
@@ -1,6 +1,7 @@
 package relaynode
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,11 +9,15 @@
 	"log/slog"
 	"net"
 	"path"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/mesh"
@@ -210,3 +215,82 @@
 		t.Fatalf("delta is %+v, want the change from revision 0 to 5", delta)
 	}
 }
+
+// One registry entry with a huge field or name made the digests of the nodes that watch the registry too large for a
+// datagram: their peers took them for unreachable. Such a change must be left out, and the peers must find out that they
+// miss it.
+func TestHugeChangesAreLeftOutOfDigests(t *testing.T) {
+	const maxDigestBytes = 32 << 10
+	huge := strings.Repeat("x", 1<<20)
+	manyLong := make([]objectapi.Object, maxChangesPerDigest/2)
+	for i := range manyLong {
+		manyLong[i].Key = fmt.Sprintf("servers/%03d%s", i, huge[:500])
+	}
+	for name, objects := range map[string][]objectapi.Object{
+		"huge service":                {{Key: "servers/s2", Value: json.RawMessage(huge)}},
+		"huge name that is no server": {{Key: "servers/" + huge, Err: errors.New("not readable")}},
+		"many long names":             manyLong,
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := &node{logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, "n"), backends: backend.NewTable(time.Second, slog.New(slog.DiscardHandler))}
+			n.platform = Platform{ServerPrefix: "servers/", DecodeServer: func(o objectapi.Object) (backend.Entry, error) {
+				return backend.Entry{ID: path.Base(o.Key), Service: string(o.Value)}, o.Err
+			}}
+			r := newRegistrySync(n)
+			r.applyListing(objectapi.Listing{}, boottime.Now())
+			r.recordAnswer(boottime.Now(), objectapi.Version{Number: 6})
+			for _, o := range objects {
+				r.applyEvent(objectapi.Event{Object: o})
+			}
+			r.recordAnswer(boottime.Now(), objectapi.Version{Number: 7})
+			r.applyEvent(objectapi.Event{Object: objectapi.Object{Key: "servers/s3"}})
+			r.recordAnswer(boottime.Now(), objectapi.Version{Number: 8})
+			delta := r.delta()
+			raw, err := cbor.Marshal(delta)
+			if err != nil || len(raw) > maxDigestBytes {
+				t.Errorf("the changes have %d bytes, error %v, want at most %d", len(raw), err, maxDigestBytes)
+			}
+			if delta.FromRevision.Number != 7 || delta.Revision.Number != 8 || len(delta.Changes) != 1 || delta.Changes[0].Server.ID != "s3" {
+				t.Errorf("delta from revision %s to %s with %d changes, want the change from 7 to 8", delta.FromRevision, delta.Revision, len(delta.Changes))
+			}
+		})
+	}
+}
+
+// A change of a registry entry whose id has a slash was taken for one of the server named by the rest of the id: another
+// writer's entry "x/s1" removed the server s1, and its own server was never removed.
+func TestChangeOfEntryWithSlashInItsIDIsItsOwn(t *testing.T) {
+	var lines bytes.Buffer
+	n := &node{logger: telemetry.NewLogger(&lines, slog.LevelInfo, "n"), backends: backend.NewTable(time.Second, slog.New(slog.DiscardHandler))}
+	n.platform = Platform{ServerPrefix: "servers/", DecodeServer: func(o objectapi.Object) (backend.Entry, error) {
+		id := strings.TrimPrefix(o.Key, "servers/")
+		return backend.Entry{ID: id, Service: id, Slots: 1}, o.Err
+	}}
+	canPlaceAt := (&registryNode{node: n}).canPlaceAt
+	r := newRegistrySync(n)
+	s1, odd := objectapi.Object{Key: "servers/s1"}, objectapi.Object{Key: "servers/x/s1"}
+	r.applyListing(objectapi.Listing{Objects: []objectapi.Object{s1, odd}}, boottime.Now())
+	if !canPlaceAt("s1") || !canPlaceAt("x/s1") {
+		t.Fatal("a listed server gets no requests")
+	}
+	odd.Err = errors.New("not readable")
+	r.applyEvent(objectapi.Event{Object: odd})
+	if !canPlaceAt("s1") || canPlaceAt("x/s1") {
+		t.Errorf("after x/s1 has become unreadable: requests to s1 %t, to x/s1 %t, want only to s1", canPlaceAt("s1"), canPlaceAt("x/s1"))
+	}
+	odd.Err = nil
+	r.applyEvent(objectapi.Event{Object: odd})
+	r.applyEvent(objectapi.Event{Object: odd, Deleted: true})
+	if !canPlaceAt("s1") || canPlaceAt("x/s1") {
+		t.Errorf("after x/s1 has been deleted: requests to s1 %t, to x/s1 %t, want only to s1", canPlaceAt("s1"), canPlaceAt("x/s1"))
+	}
+	for range 2 {
+		lines.Reset()
+		huge := objectapi.Object{Key: "servers/" + strings.Repeat("x", 1<<20), Err: errors.New("not readable")}
+		r.applyEvent(objectapi.Event{Object: huge})
+		r.applyListing(objectapi.Listing{Objects: []objectapi.Object{s1, huge}}, boottime.Now())
+		if count := bytes.Count(lines.Bytes(), []byte("\n")); count != 2 || lines.Len() > 1000 {
+			t.Errorf("%d log lines with %d bytes for a change and a listing, want 2 lines with at most 1000 bytes", count, lines.Len())
+		}
+	}
+}
