Take the random choices of a table of servers from one source

What callers saw: nothing.

Cause: the code under test. Place took the first of several servers with equal scores in the order in which Go iterates a map, which differs in each run, and the scores of plain requests from an unseeded source. The test has a fixed seed and the clock of testing/synctest, so that nothing else differed.

Change: each table has one random source, which a test seeds. Candidate.TieBreak, a hash of the server and a random number of the request, decides among equals and lowers the scores of plain requests, so that the order of the servers does not matter. The bound of the test stays. On another architecture, a seed can give other placements, since floating-point results differ in the last bit.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -76,10 +75,11 @@
 	LimitWait         time.Duration // until this node may send a request to the server, which names a limit; 0 if it may
 	HasPendingPrompts bool          // other prompts wait for prefill at the server
 	IsLocal           bool          // in the failure domain of this node
+	TieBreak          uint64        // random for each request; the lowest wins among equals
 }
 
 // Pick returns the candidate with the lowest score that is not full, false if all are full. Among equal scores, local
-// candidates go first, then earlier ones.
+// candidates go first, then those with the lowest TieBreak.
 func Pick(candidates []Candidate) (Candidate, bool) {
 	available := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.IsFull })
 	if len(available) == 0 {
@@ -92,7 +92,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(a.Score, b.Score)
+		return cmp.Or(cmp.Compare(a.Score, b.Score), cmp.Compare(a.TieBreak, b.TieBreak))
 	}), true
 }
 
@@ -179,7 +179,7 @@
 func (t *Table) admitsPlain(r Request, now time.Time) bool {
 	serviceThrottle := t.model(r.Service).throttle
 	serviceThrottle.adapt(r.Objective, now)
-	return serviceThrottle.admittedShare >= 1 || !t.isUnderLoad(r.Service) || rand.Float64() < serviceThrottle.admittedShare
+	return serviceThrottle.admittedShare >= 1 || !t.isUnderLoad(r.Service) || t.random.Float64() < serviceThrottle.admittedShare
 }
 
 // isUnderLoad reports whether so many slots of a service are in use that late responses are attributed to load.
@@ -221,16 +221,19 @@
 		home = homeServer(serving, r.Parts)
 	}
 	m := t.model(r.Service)
+	requestNumber := t.random.Uint64()
 	candidates := make([]Candidate, 0, len(serving))
 	for _, s := range serving {
-		candidates = append(candidates, t.candidate(s, s == home, r, m, now))
+		candidates = append(candidates, t.candidate(s, s == home, r, m, mix(s.idHash^requestNumber), now))
 	}
 	return candidates
 }
 
-func (t *Table) candidate(s *Server, isHome bool, r Request, m *latencyModel, now time.Time) Candidate {
+// candidate returns a server as a candidate for a request. random is a random number that differs between servers and between
+// requests.
+func (t *Table) candidate(s *Server, isHome bool, r Request, m *latencyModel, random uint64, now time.Time) Candidate {
 	total := s.totalLoad()
-	c := Candidate{ID: s.ID, Running: total.running, IsLocal: s.FailureDomain == r.FailureDomain}
+	c := Candidate{ID: s.ID, Running: total.running, IsLocal: s.FailureDomain == r.FailureDomain, TieBreak: random}
 	slots := max(s.Slots, 1)
 	slowFactor := s.slowdown.current(now)
 	if r.IsGeneration {
@@ -250,7 +253,7 @@
 		c.IsFull = s.ownLoad.running >= maxRunningFactor*slots
 		// Plain requests are shorter than the interval at which nodes exchange their loads, so all nodes would choose the same
 		// server by the same outdated loads. This node's own requests and jitter spread them better.
-		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*rand.Float64())
+		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*unitInterval(random))
 	}
 	c.LimitWait = s.limitWait(now)
 	c.IsFull = c.IsFull || c.LimitWait > 0
@@ -297,6 +300,12 @@
 	return h ^ h>>33
 }
 
+// unitInterval maps a random number to one of at least 0 and below 1.
+func unitInterval(random uint64) float64 {
+	const precisionBits = 53 // of a float64
+	return float64(random>>(64-precisionBits)) / (1 << precisionBits)
+}
+
 // RecordFirstByte records the arrival of the first byte of the response: it updates the measurements of the service and of
 // the server. Further calls have no effect.
 func (p *Placement) RecordFirstByte() {
--- a/rudder/backend/limit_test.go
+++ b/rudder/backend/limit_test.go
@@ -55,8 +55,8 @@
 
 func newLimitedFleet(o limitedFleetOptions) *limitedFleet {
 	f := &limitedFleet{limitedFleetOptions: o, rng: rand.New(rand.NewPCG(o.seed, 0)), arrivals: map[string][]time.Time{}, begin: time.Now()}
-	for range o.nodes {
-		f.tables = append(f.tables, f.newTable())
+	for i := range o.nodes {
+		f.tables = append(f.tables, f.newTable(i))
 		f.isUp = append(f.isUp, true)
 	}
 	limitedCount := int(o.limitedShare * fleetServers)
@@ -67,8 +67,9 @@
 	return f
 }
 
-func (f *limitedFleet) newTable() *Table {
+func (f *limitedFleet) newTable(node int) *Table {
 	t := NewTable(time.Second, slog.New(slog.DiscardHandler))
+	t.random = rand.New(rand.NewPCG(f.seed, uint64(node)+1))
 	var entries []Entry
 	for i := range fleetServers {
 		entries = append(entries, Entry{ID: serverID(i), Service: "s", Address: "127.0.0.1:1", FailureDomain: fmt.Sprint("d", i%3), Slots: 64})
@@ -102,7 +103,7 @@
 		case now > 14*time.Second && now <= 14*time.Second+limitStep:
 			f.setNodes() // the others notice it
 		case now > 20*time.Second && now <= 20*time.Second+limitStep:
-			f.tables[0], f.isUp[0] = f.newTable(), true
+			f.tables[0], f.isUp[0] = f.newTable(0), true
 			f.setNodes()
 		}
 		for n := f.rng.ExpFloat64(); n < f.requestsPerS*limitStep.Seconds(); n += f.rng.ExpFloat64() {
@@ -246,6 +247,28 @@
 	}
 }
 
+// Guards against placements that differ between runs with the same seed, by the order of a map or an unseeded source.
+func TestSameSeedGivesSamePlacements(t *testing.T) {
+	for _, isPlain := range []bool{false, true} {
+		o := limitedFleetOptions{nodes: 3, perSecond: 1, limitedShare: 0.7, requestsPerS: 60, digestInterval: 250 * time.Millisecond, isPlain: isPlain}
+		var first map[string][]time.Time
+		for range 2 {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLimitedFleet(o)
+				f.run()
+				if first == nil {
+					first = f.arrivals
+				}
+				for i := range fleetServers {
+					if id := serverID(i); !slices.Equal(f.arrivals[id], first[id]) {
+						t.Errorf("plain requests %t: %d requests at %s, or others than %d in the run before", isPlain, len(f.arrivals[id]), id, len(first[id]))
+					}
+				}
+			})
+		}
+	}
+}
+
 // The newest answer of a server counts, wherever it arrived. Malformed limits, older reports and those of an earlier process of
 // the server change nothing.
 func TestNewestAnswerDecidesLimit(t *testing.T) {
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -76,6 +77,7 @@
 	demands   map[string]*demand       // by service
 	selfName  string                   // of this node
 	nodes     []Node                   // among which the limits of servers are divided
+	random    *rand.Rand               // of all random choices
 	// hasUrgentLimit is true if a response to this node has changed a limit since the last report.
 	hasUrgentLimit bool
 	firstListedAt  time.Time // when Replace first received a listing
@@ -114,6 +116,7 @@
 		DialTimeout: dialTimeout, Log: log,
 		servers: map[string]*Server{}, peerLoads: map[string]peerReport{},
 		prefixes: newPrefixIndex(), models: map[string]*latencyModel{}, demands: map[string]*demand{},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
