Probe servers whose limit no response has confirmed for 5 s

What callers would see: a server that named a limit of 0 requests a second in a need takes part again only long after the need, if the load is low. Its prompts stay on the other servers, and when these fill up, it takes a request each 5 s until a response tells that the limit has ended.

Cause: only responses tell that a limit has ended, and such a server was allowed a request each 5 s, but nothing sent one: it is home of no shared part, so that its score is rarely the lowest.

Change: a server whose newest response named a limit 5 s ago or longer gets the next request of a node whose part of the limit allows one. Repeated requests, those that would be late there, and servers that are ejected or have prompts waiting are left out. A node probes at most once in 5 s. homeServer and sumTokens move to prefix.go.

Why it works: the node with a part of the limit sends the probe whatever the scores are, within its token bucket, so that the sum over all nodes stays bounded.

Evidence, arm64: TestEndOfLimitsIsNoticedAtLowLoad (9 nodes, 20 requests a second) before: "limit 0, plain requests false: node 0 holds that 18 of 25 servers name a limit, 11s after they named the last", the same at all nodes.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -73,19 +71,26 @@
 	Running           int     // requests of all nodes at the server
 	IsFull            bool
 	LimitWait         time.Duration // until this node may send a request to the server, which names a limit; 0 if it may
+	IsLimitProbe      bool          // the response shows whether the server still names a limit
 	HasPendingPrompts bool          // other prompts wait for prefill at the server
 	IsLocal           bool          // in the failure domain of this node
 	TieBreak          uint64        // random for each request; the lowest wins among equals
 }
 
-// Pick returns the candidate with the lowest score that is not full, false if all are full. Among equal scores, local
-// candidates go first, then those with the lowest TieBreak.
+// Pick returns the candidate with the lowest score that is not full, false if all are full. Limit probes go before other
+// candidates. Among equal scores, local candidates go first, then those with the lowest TieBreak.
 func Pick(candidates []Candidate) (Candidate, bool) {
 	available := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.IsFull })
 	if len(available) == 0 {
 		return Candidate{}, false
 	}
 	return slices.MinFunc(available, func(a, b Candidate) int {
+		if a.IsLimitProbe != b.IsLimitProbe {
+			if a.IsLimitProbe {
+				return -1
+			}
+			return 1
+		}
 		if a.Score == b.Score && a.IsLocal != b.IsLocal {
 			if a.IsLocal {
 				return -1
@@ -167,6 +172,7 @@
 	}
 	if s.limit.isNamed {
 		s.limit.tokens--
+		s.limit.placedAt = now
 	}
 	s.ownLoad.running++
 	s.ownLoad.pendingTokens[r.urgencyLevel()] += p.pendingTokens
@@ -257,40 +263,16 @@
 	}
 	c.LimitWait = s.limitWait(now)
 	c.IsFull = c.IsFull || c.LimitWait > 0
+	isLate := r.Objective > 0 && c.FirstByteMillis*slowFactor > r.Objective.Seconds()*1000
+	c.IsLimitProbe = s.limit.isProbeDue(now) && len(r.Exclude) == 0 && !isLate && !c.HasPendingPrompts
 	c.Score += c.FirstByteMillis * slowFactor * failurePenaltyFactor * s.health.failureRate(now)
 	if s.health.isEjected(now) || s.ejectingPeers > 1 {
 		c.Score += ejectionPenaltyMillis
+		c.IsLimitProbe = false
 	}
 	return c
 }
 
-func sumTokens(parts []PromptPart) int {
-	sum := 0
-	for _, p := range parts {
-		sum += p.Tokens
-	}
-	return sum
-}
-
-// homeServer returns the server with the highest rendezvous hash for the shared parts. All nodes with the same servers choose
-// the same one, so prompts with a common prefix go to the same prefix cache.
-func homeServer(servers []*Server, parts []PromptPart) *Server {
-	key := xxhash.New()
-	for _, p := range parts {
-		_, _ = key.WriteString(p.ID)
-		_, _ = key.WriteString(",")
-	}
-	seed := key.Sum64()
-	var home *Server
-	highest := uint64(0)
-	for _, s := range servers {
-		if weight := mix(seed ^ s.idHash); home == nil || weight > highest {
-			home, highest = s, weight
-		}
-	}
-	return home
-}
-
 // mix spreads the bits of two combined hashes (the finaliser of MurmurHash3).
 func mix(h uint64) uint64 {
 	h ^= h >> 33
--- a/rudder/backend/limit.go
+++ b/rudder/backend/limit.go
@@ -23,6 +23,9 @@
 	// otherNodesLimitWait is when a request that this node may not send to a limited server may be tried again: another node
 	// may send it.
 	otherNodesLimitWait = time.Second
+	// limitProbeInterval is the age of a server's newest response from which on a limit in it is doubted, and the time between two
+	// requests of a node that probe it.
+	limitProbeInterval = 5 * time.Second
 	// liftedLimitRetention is how long peers are told that a server names no limit any more.
 	liftedLimitRetention = 20 * time.Second
 )
@@ -36,6 +39,7 @@
 	share    float64 // requests per second that this node may send
 	tokens   float64 // requests that this node may send at filledAt
 	filledAt time.Time
+	placedAt time.Time // when this node last placed a request at the server while it named a limit
 }
 
 // Node is a node of the relay that sends requests to backend servers.
@@ -165,6 +169,12 @@
 	}
 }
 
+// isProbeDue reports whether the newest response of the server named a limit long ago and this node has not placed a request
+// there since. Otherwise a server whose limit has ended could be chosen too rarely for a response to tell it.
+func (l *serverLimit) isProbeDue(now time.Time) bool {
+	return l.isNamed && now.Sub(l.at) >= limitProbeInterval && now.Sub(l.placedAt) >= limitProbeInterval
+}
+
 // SetNodes sets the nodes among which the limits of servers are divided. A node that does not serve callers is not among
 // them.
 func (t *Table) SetNodes(self string, nodes []Node) {
--- a/rudder/backend/limit_test.go
+++ b/rudder/backend/limit_test.go
@@ -269,6 +269,36 @@
 	}
 }
 
+// Guards against servers that get no usual requests any more although their need has ended: at low load no request went to them,
+// so that no response could lift their limits.
+func TestEndOfLimitsIsNoticedAtLowLoad(t *testing.T) {
+	for _, o := range []limitedFleetOptions{
+		{nodes: 9, perSecond: 0, limitedShare: 0.7, requestsPerS: 20, digestInterval: 250 * time.Millisecond},
+		{nodes: 9, perSecond: 1, limitedShare: 0.7, requestsPerS: 20, digestInterval: 250 * time.Millisecond},
+		{nodes: 3, perSecond: 12, limitedShare: 0.7, requestsPerS: 20, digestInterval: 250 * time.Millisecond, isPlain: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newLimitedFleet(o)
+			f.run()
+			for i, table := range f.tables {
+				stillNamed := 0
+				for _, s := range table.servers {
+					if s.limit.isNamed {
+						stillNamed++
+					}
+				}
+				if stillNamed > 0 {
+					t.Errorf("limit %g, plain requests %t: node %d holds that %d of %d servers name a limit, %s after they named the last",
+						o.perSecond, o.isPlain, i, stillNamed, int(o.limitedShare*fleetServers), limitSimulated-limitNamedUntil)
+				}
+			}
+			if most, allowed := f.mostInWindow(), int(1.5*o.perSecond*limitWindow.Seconds())+5; most > allowed {
+				t.Errorf("%d requests in %s at a server with a limit of %g a second, allowed %d", most, limitWindow, o.perSecond, allowed)
+			}
+		})
+	}
+}
+
 // The newest answer of a server counts, wherever it arrived. Malformed limits, older reports and those of an earlier process of
 // the server change nothing.
 func TestNewestAnswerDecidesLimit(t *testing.T) {
--- a/rudder/backend/prefix.go
+++ b/rudder/backend/prefix.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // PromptPart is one part of a prompt. Prompts that begin with the same parts share these in the prefix cache of a runner.
 type PromptPart struct {
@@ -54,3 +58,30 @@
 		}
 	}
 }
+
+func sumTokens(parts []PromptPart) int {
+	sum := 0
+	for _, p := range parts {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// homeServer returns the server with the highest rendezvous hash for the shared parts. All nodes with the same servers choose
+// the same one, so prompts with a common prefix go to the same prefix cache.
+func homeServer(servers []*Server, parts []PromptPart) *Server {
+	key := xxhash.New()
+	for _, p := range parts {
+		_, _ = key.WriteString(p.ID)
+		_, _ = key.WriteString(",")
+	}
+	seed := key.Sum64()
+	var home *Server
+	highest := uint64(0)
+	for _, s := range servers {
+		if weight := mix(seed ^ s.idHash); home == nil || weight > highest {
+			home, highest = s, weight
+		}
+	}
+	return home
+}
