Seed the tables of the load and throttle tests

Cause: these tests had a fixed seed for the load, but the tables chose servers from an unseeded source.

Change: each table of the tests gets a seeded source.

--- a/rudder/backend/load_test.go
+++ b/rudder/backend/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 
 func newTestTable(servers, slots int) *Table {
 	t := NewTable(time.Second, slog.New(slog.DiscardHandler))
+	t.random = rand.New(rand.NewPCG(1, uint64(servers)))
 	for i := range servers {
 		t.Put(Entry{ID: fmt.Sprintf("s%02d", i), Service: "m", Address: "127.0.0.1:9", FailureDomain: string(rune('a' + i%3)), Slots: slots})
 	}
--- a/rudder/backend/throttle_test.go
+++ b/rudder/backend/throttle_test.go
@@ -39,7 +39,7 @@
 // simulateService sends plain requests for a service through many nodes in several runs and returns the mean shares of
 // requests that are answered within the objective, answered late, and refused.
 func simulateService(nodes, servers int, requestsPerSecond float64, meanWork time.Duration) (inTime, late, refused float64) {
-	const runs = 6 // the result of a single run varies by a tenth, since tables choose servers at random
+	const runs = 6 // the results of single runs differ by a tenth
 	for seed := range uint64(runs) {
 		i, l, r := simulateServiceOnce(seed, nodes, servers, requestsPerSecond, meanWork)
 		inTime, late, refused = inTime+i/runs, late+l/runs, refused+r/runs
@@ -56,8 +56,9 @@
 	)
 	queues := map[string]*queueServer{}
 	var tables []*Table
-	for range nodes {
+	for node := range nodes {
 		t := NewTable(time.Second, slog.New(slog.DiscardHandler))
+		t.random = rand.New(rand.NewPCG(seed, uint64(node)))
 		for i := range servers {
 			id := string(rune('a' + i))
 			t.Put(Entry{ID: id, Service: "m", Address: "127.0.0.1:9", Slots: slots})
