Tell how processes of the tests ended before a failure

Change: a signal to an ended process fails with the time of its end, its exit status or signal, the out-of-memory kills that the kernel counted at its start and at its end, and its last output. A failed test of e2e reports the same of every process that had ended before, which shows whether others ended with it. The test logs when it pauses and resumes the dispatcher.

--- a/standin/e2e/entry_failure_test.go
+++ b/standin/e2e/entry_failure_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"syscall"
 	"testing"
+	"time"
 
 	"chestnutrudder.example/standin/caller"
 	"chestnutrudder.example/standin/engine"
@@ -75,6 +76,7 @@
 	}
 	host := b.waitForRuns(1)
 	dispatcher := b.dispatcherFor(host)
+	t.Logf("pausing %s (process %d) at %s", dispatcher.Name, dispatcher.PID(), time.Now().Format(time.RFC3339Nano))
 	b.must(dispatcher.Signal(syscall.SIGSTOP))
 	b.must(process.DoJSON(http.MethodPost, b.cluster.CloudURL+"/control/hosts/"+host+"/crash", nil, nil))
 	if dispatcher == b.cluster.Nodes[1] {
@@ -82,6 +84,7 @@
 		t.Log("the paused dispatcher is also the entry node")
 	}
 	b.requireAnswer(results[0])
+	t.Logf("resuming %s at %s", dispatcher.Name, time.Now().Format(time.RFC3339Nano))
 	b.must(dispatcher.Signal(syscall.SIGCONT))
 	b.requireAnswer(results[1])
 }
--- a/standin/e2e/main_test.go
+++ b/standin/e2e/main_test.go
@@ -58,6 +58,11 @@
 		t.Fatalf("start cluster: %v (logs in %s)", err, logDir)
 	}
 	t.Cleanup(func() {
+		if t.Failed() {
+			for _, description := range cluster.DescribeEnded() {
+				t.Log(description)
+			}
+		}
 		cluster.Stop()
 		if t.Failed() {
 			t.Logf("logs of the failed test are in %s", logDir)
--- a/standin/process/cluster.go
+++ b/standin/process/cluster.go
@@ -220,6 +220,19 @@
 	return string(output), errors.Wrapf(err, "rudderctl %s: %s", strings.Join(args, " "), output)
 }
 
+// DescribeEnded tells of each process that has ended, by Kill too, when and how it ended, with its last output.
+func (c *Cluster) DescribeEnded() []string {
+	var descriptions []string
+	for _, p := range c.processes {
+		select {
+		case <-p.done:
+			descriptions = append(descriptions, p.describeEnd())
+		default:
+		}
+	}
+	return descriptions
+}
+
 // Stop kills all processes, the last started first, and closes the proxies.
 func (c *Cluster) Stop() {
 	for i := len(c.processes) - 1; i >= 0; i-- {
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +25,8 @@
 const (
 	waitTimeout  = 20 * time.Second
 	pollInterval = 50 * time.Millisecond
+	// lastOutputBytes bounds the output of an ended process in an error.
+	lastOutputBytes = 2000
 )
 
 // Process is a process that Start has started.
@@ -32,6 +35,9 @@
 	cmd     *exec.Cmd
 	logFile *os.File
 	done    chan struct{} // closed when the process has ended
+	endedAt time.Time     // meaningful once done is closed
+	// oomKillsAtStart and oomKillsAtEnd are what the kernel says of its out-of-memory kills; the latter once done is closed.
+	oomKillsAtStart, oomKillsAtEnd string
 }
 
 // Start starts a program and appends its output to the file name.log in logDir. The caller kills the process; the kernel
@@ -56,9 +62,10 @@
 		_ = logFile.Close()
 		return nil, errors.Wrapf(err, "start %s", name)
 	}
-	p := &Process{Name: name, cmd: cmd, logFile: logFile, done: make(chan struct{})}
+	p := &Process{Name: name, cmd: cmd, logFile: logFile, done: make(chan struct{}), oomKillsAtStart: readOOMKills()}
 	go func() {
-		_ = cmd.Wait()
+		_ = cmd.Wait() // the exit status is in cmd.ProcessState
+		p.endedAt, p.oomKillsAtEnd = time.Now(), readOOMKills()
 		_ = logFile.Close()
 		close(p.done)
 	}()
@@ -94,8 +101,44 @@
 // LogPath returns the path of the file that has the output of the process.
 func (p *Process) LogPath() string { return p.logFile.Name() }
 
-// Signal sends a signal to the process.
-func (p *Process) Signal(signal os.Signal) error { return p.cmd.Process.Signal(signal) }
+// Signal sends a signal to the process. If the process has ended, the error tells how and has its last output.
+func (p *Process) Signal(signal os.Signal) error {
+	err := p.cmd.Process.Signal(signal)
+	if !errors.Is(err, os.ErrProcessDone) {
+		return errors.Wrapf(err, "send signal %q to %s", signal, p.Name)
+	}
+	<-p.done
+	return errors.Wrapf(err, "send signal %q: %s", signal, p.describeEnd())
+}
+
+// describeEnd tells when and how an ended process ended, with its last output.
+func (p *Process) describeEnd() string {
+	return fmt.Sprintf("%s (process %d) ended at %s: %s; out-of-memory kills of the kernel: %q at its start, %q at its end; last output: %q",
+		p.Name, p.PID(), p.endedAt.Format(time.RFC3339Nano), p.cmd.ProcessState, p.oomKillsAtStart, p.oomKillsAtEnd, p.lastOutput())
+}
+
+// readOOMKills returns the line of /proc/vmstat that counts the processes ended for lack of memory, or why there is none.
+func readOOMKills() string {
+	stat, err := os.ReadFile("/proc/vmstat")
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(stat)) {
+		if strings.HasPrefix(line, "oom_kill ") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return "no oom_kill in /proc/vmstat"
+}
+
+// lastOutput returns the end of the output of the process, or why it cannot be read.
+func (p *Process) lastOutput() string {
+	output, err := os.ReadFile(p.LogPath())
+	if err != nil {
+		return err.Error()
+	}
+	return string(output[max(len(output)-lastOutputBytes, 0):])
+}
 
 // PID returns the process ID.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
