--- a/rudder/backend/backpressure.go
+++ b/rudder/backend/backpressure.go
@@ -21,9 +21,10 @@
 }
 
 // recordSend takes a request that is placed on the server into account.
-func (b *backpressure) recordSend() {
+func (b *backpressure) recordSend(now time.Time) {
 	if b.limit.isNamed {
 		b.limit.tokens--
+		b.limit.placedAt = now
 	}
 	b.pause.recordSend()
 }
--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -3,12 +3,9 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"chestnutrudder.example/rudder/boottime"
 )
 
@@ -81,26 +78,34 @@
 	SendWait          time.Duration // until this node may send the request to the server, which is in need; 0 if it may
 	PauseWait         time.Duration // the same, as far as a pause is the reason
 	MayAwait          bool          // only a pause keeps this node from sending the request
+	IsLimitProbe      bool          // the response shows whether the server still names a limit
 	HasPendingPrompts bool          // other prompts wait for prefill at the server
 	IsLocal           bool          // in the failure domain of this node
 	IsHome            bool          // of the shared parts; see homeServer
+	TieBreak          uint64        // random for each request; the lowest wins among equals
 }
 
-// Pick returns the candidate with the lowest score that is not full, false if all are full. Among equal scores, local
-// candidates go first, then earlier ones.
+// Pick returns the candidate with the lowest score that is not full, false if all are full. Limit probes go before other
+// candidates. Among equal scores, local candidates go first, then those with the lowest TieBreak.
 func Pick(candidates []Candidate) (Candidate, bool) {
 	available := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.IsFull })
 	if len(available) == 0 {
 		return Candidate{}, false
 	}
 	return slices.MinFunc(available, func(a, b Candidate) int {
+		if a.IsLimitProbe != b.IsLimitProbe {
+			if a.IsLimitProbe {
+				return -1
+			}
+			return 1
+		}
 		if a.Score == b.Score && a.IsLocal != b.IsLocal {
 			if a.IsLocal {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Compare(a.Score, b.Score)
+		return cmp.Or(cmp.Compare(a.Score, b.Score), cmp.Compare(a.TieBreak, b.TieBreak))
 	}), true
 }
 
@@ -185,7 +190,7 @@
 		p.isUncontended = total.tokensAhead(UrgencyLevels-1) == 0
 		t.lendPrefixes(candidates, t.prefixes.recordPrefill(s.ID, r.Parts, now))
 	}
-	s.recordSend()
+	s.recordSend(now)
 	s.ownLoad.running++
 	s.ownLoad.pendingTokens[r.urgencyLevel()] += p.pendingTokens
 	p.isProbe = s.health.recordPlacement(now)
@@ -197,7 +202,7 @@
 func (t *Table) admitsPlain(r Request, now time.Time) bool {
 	serviceThrottle := t.model(r.Service).throttle
 	serviceThrottle.adapt(r.Objective, now)
-	return serviceThrottle.admittedShare >= 1 || !t.isUnderLoad(r.Service) || rand.Float64() < serviceThrottle.admittedShare
+	return serviceThrottle.admittedShare >= 1 || !t.isUnderLoad(r.Service) || t.random.Float64() < serviceThrottle.admittedShare
 }
 
 // isUnderLoad reports whether so many slots of a service are in use that late responses are attributed to load.
@@ -240,16 +245,19 @@
 		home = homeServer(serving, r.Parts)
 	}
 	m := t.model(r.Service)
+	requestNumber := t.random.Uint64()
 	candidates := make([]Candidate, 0, len(serving))
 	for _, s := range serving {
-		candidates = append(candidates, t.candidate(s, s == home, r, m, now, bootNow))
+		candidates = append(candidates, t.candidate(s, s == home, r, m, mix(s.idHash^requestNumber), now, bootNow))
 	}
 	return candidates
 }
 
-func (t *Table) candidate(s *Server, isHome bool, r Request, m *latencyModel, now time.Time, bootNow boottime.Instant) Candidate {
+// candidate returns a server as a candidate for a request. random is a random number that differs between servers and between
+// requests.
+func (t *Table) candidate(s *Server, isHome bool, r Request, m *latencyModel, random uint64, now time.Time, bootNow boottime.Instant) Candidate {
 	total := s.totalLoad()
-	c := Candidate{ID: s.ID, Running: total.running, IsLocal: s.FailureDomain == r.FailureDomain, IsHome: isHome}
+	c := Candidate{ID: s.ID, Running: total.running, IsLocal: s.FailureDomain == r.FailureDomain, IsHome: isHome, TieBreak: random}
 	slots := max(s.Slots, 1)
 	slowFactor := s.slowdown.current(now)
 	if r.IsGeneration {
@@ -269,46 +277,22 @@
 		c.IsFull = s.ownLoad.running >= maxRunningFactor*slots
 		// Plain requests are shorter than the interval at which nodes exchange their loads, so all nodes would choose the same
 		// server by the same outdated loads. This node's own requests and jitter spread them better.
-		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*rand.Float64())
+		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*unitInterval(random))
 	}
 	c.SendWait, c.PauseWait = t.sendWait(s, r, now, bootNow)
 	mayQueue := r.HasWaited || s.pause.waiting < slots
 	c.MayAwait = !c.IsFull && c.PauseWait > 0 && c.SendWait == c.PauseWait && mayQueue
 	c.IsFull = c.IsFull || c.SendWait > 0
+	isLate := r.Objective > 0 && c.FirstByteMillis*slowFactor > r.Objective.Seconds()*1000
+	c.IsLimitProbe = s.limit.isProbeDue(now) && len(r.Exclude) == 0 && !isLate && !c.HasPendingPrompts
 	c.Score += c.FirstByteMillis * slowFactor * failurePenaltyFactor * s.health.failureRate(now)
 	if s.health.isEjected(now) || s.ejectingPeers > 1 {
 		c.Score += ejectionPenaltyMillis
+		c.IsLimitProbe = false
 	}
 	return c
 }
 
-func sumTokens(parts []PromptPart) int {
-	sum := 0
-	for _, p := range parts {
-		sum += p.Tokens
-	}
-	return sum
-}
-
-// homeServer returns the server with the highest rendezvous hash for the shared parts. All nodes with the same servers choose
-// the same one, so prompts with a common prefix go to the same prefix cache.
-func homeServer(servers []*Server, parts []PromptPart) *Server {
-	key := xxhash.New()
-	for _, p := range parts {
-		_, _ = key.WriteString(p.ID)
-		_, _ = key.WriteString(",")
-	}
-	seed := key.Sum64()
-	var home *Server
-	highest := uint64(0)
-	for _, s := range servers {
-		if weight := mix(seed ^ s.idHash); home == nil || weight > highest {
-			home, highest = s, weight
-		}
-	}
-	return home
-}
-
 // mix spreads the bits of two combined hashes (the finaliser of MurmurHash3).
 func mix(h uint64) uint64 {
 	h ^= h >> 33
@@ -318,6 +302,12 @@
 	return h ^ h>>33
 }
 
+// unitInterval maps a random number to one of at least 0 and below 1.
+func unitInterval(random uint64) float64 {
+	const precisionBits = 53 // of a float64
+	return float64(random>>(64-precisionBits)) / (1 << precisionBits)
+}
+
 // RecordFirstByte records the arrival of the first byte of the response: it updates the measurements of the service and of
 // the server. Further calls have no effect.
 func (p *Placement) RecordFirstByte() {
--- a/rudder/backend/pause.go
+++ b/rudder/backend/pause.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -85,7 +84,7 @@
 	if isNew {
 		t.updatePause(s, now)
 		// A random part of a request spreads the first requests of the nodes after the pause.
-		s.pause = serverPause{beganAt: now, tokens: rand.Float64(), waiting: s.pause.waiting, lent: s.pause.lent}
+		s.pause = serverPause{beganAt: now, tokens: t.random.Float64(), waiting: s.pause.waiting, lent: s.pause.lent}
 		t.Log.Info("Backend server asked for a pause and gets no requests from this node.", "server", s.ID, "service", s.Service, "request", requestID,
 			"pause_ms", d.Milliseconds(), "asked", values[0][:min(len(values[0]), maxLoggedValueBytes)], "running", s.ownLoad.running)
 	}
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -6,6 +6,7 @@
 import (
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -80,6 +81,7 @@
 	demands   map[string]*demand       // by service
 	selfName  string                   // of this node
 	nodes     []Node                   // among which the limits of servers are divided
+	random    *rand.Rand               // of all random choices
 	// hasUrgentLimit is true if a response to this node has changed a limit since the last report.
 	hasUrgentLimit bool
 	// hasUrgentDeparture is true if a response to this node has announced one since the last report.
@@ -132,6 +134,7 @@
 		DialTimeout: dialTimeout, Log: log,
 		servers: map[string]*Server{}, peerLoads: map[string]peerReport{}, removals: map[string]removal{},
 		prefixes: newPrefixIndex(), models: map[string]*latencyModel{}, demands: map[string]*demand{}, now: boottime.Now,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
