Reject late responses of an earlier epoch in the own client of the object API, and tell all nodes of a new epoch

What callers would see: a node takes for current what a restored object API has lost, because the response is late; nodes that don't call the object API at the time don't learn that what they wrote is lost.

Cause: the client returned every response, whatever epoch it named; only the node that happens to watch saw the new epoch.

Change: the client notes the latest epoch. A read that was answered in an earlier one is ErrUnavailable; a write is ErrOutcomeUnknown and is looked up by its token. A new epoch is announced in a membership record, which all nodes have within an exchange. Version.Ordinal orders versions as one number, for records.

--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -67,6 +67,7 @@
 		Incarnation:   time.Now().UnixMilli(),
 	})
 	records := membership.NewRecords()
+	store.OnNewEpoch = records.AnnounceEpoch
 	hosts := fleet.NewTable()
 	noticeDistributor := startNoticeDistributor(s, hosts, members, records, store, logger)
 	currentSnapshot := &revision.CurrentSnapshot{}
--- a/rudder/membership/records.go
+++ b/rudder/membership/records.go
@@ -21,6 +21,7 @@
 	RecordQuarantine = "quarantine/"
 	RecordCrashes    = "crashes/" // followed by the node that reports crashes of backend servers
 	RecordRollout    = "rollout/" // followed by the deployment; the value is the state of its rollout
+	RecordEpoch      = "epoch"    // a single key, not a prefix; its version is the latest known epoch of the object API
 )
 
 const (
--- a/rudder/objectapi/client.go
+++ b/rudder/objectapi/client.go
@@ -32,9 +32,14 @@
 
 // Client is a Store that calls the object API over HTTP.
 type Client struct {
+	// OnNewEpoch is called with the epoch of a response if it is later than that of all earlier ones and not 0. It must be set
+	// before the first call, must not block, and may be nil.
+	OnNewEpoch func(epoch int64)
+
 	baseURL   string
 	http      *http.Client
 	countCall func(kind string)
+	epochs    EpochTracker
 }
 
 var _ Store = (*Client)(nil)
@@ -66,7 +71,7 @@
 	defer cancel()
 	var object Object
 	err := c.call(ctx, "get", http.MethodGet, "/v1/objects/"+key, nil, &object)
-	return object, errors.Wrapf(err, "get %q", key)
+	return object, errors.Wrapf(c.observe(object.Version, err), "get %q", key)
 }
 
 // List implements Store.
@@ -75,7 +80,7 @@
 	defer cancel()
 	var listing Listing
 	err := c.call(ctx, "list", http.MethodGet, "/v1/list?prefix="+url.QueryEscape(prefix), nil, &listing)
-	return listing, errors.Wrapf(err, "list %q", prefix)
+	return listing, errors.Wrapf(c.observe(listing.Revision, err), "list %q", prefix)
 }
 
 // Put implements Store. If the response to a write is lost, Put reads the object back and looks for the token of the write.
@@ -91,7 +96,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var object Object
-	err = c.call(callCtx, "put", http.MethodPut, "/v1/objects/"+key, body, &object)
+	err = c.put(callCtx, key, body, &object)
 	if !errors.Is(err, ErrOutcomeUnknown) {
 		return object, errors.Wrapf(err, "put %q", key)
 	}
@@ -99,6 +104,33 @@
 	return object, errors.Wrapf(err, "put %q", key)
 }
 
+// put sends a write. A response of an earlier epoch does not tell whether the write is lost, so the outcome then is unknown.
+func (c *Client) put(ctx context.Context, key string, body PutBody, object *Object) error {
+	if err := c.call(ctx, "put", http.MethodPut, "/v1/objects/"+key, body, object); err != nil {
+		return err
+	}
+	if err := c.observe(object.Version, nil); err != nil {
+		return errors.Wrap(ErrOutcomeUnknown, err.Error())
+	}
+	return nil
+}
+
+// observe notes the epoch of a response that was received with callErr. It returns callErr, or ErrUnavailable if the response
+// was sent before the object API was restored.
+func (c *Client) observe(v Version, callErr error) error {
+	if callErr != nil && !errors.Is(callErr, ErrNotFound) {
+		return callErr
+	}
+	isNew, err := c.epochs.advance(v.Epoch)
+	if err != nil {
+		return err
+	}
+	if isNew && c.OnNewEpoch != nil {
+		c.OnNewEpoch(v.Epoch)
+	}
+	return callErr
+}
+
 // resolvePut finds out whether a write with a lost response took effect. If the object still has the expected version, the
 // write may still be in transit, so the same write is sent again: its condition lets it take effect only once.
 func (c *Client) resolvePut(ctx context.Context, key string, body PutBody) (Object, error) {
@@ -124,7 +156,7 @@
 		}
 		var object Object
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err = c.call(callCtx, "put", http.MethodPut, "/v1/objects/"+key, body, &object)
+		err = c.put(callCtx, key, body, &object)
 		cancel()
 		if err == nil {
 			return object, nil
@@ -157,7 +189,7 @@
 	}
 	var changes Changes
 	err := c.call(ctx, "watch", http.MethodGet, "/v1/watch?"+query.Encode(), nil, &changes)
-	return changes, errors.Wrapf(err, "watch %q", prefix)
+	return changes, errors.Wrapf(c.observe(changes.Revision, err), "watch %q", prefix)
 }
 
 // call sends one HTTP request and decodes the response into out unless out is nil. Errors are ErrNotFound, ErrConflict,
--- a/rudder/objectapi/epoch.go
+++ b/rudder/objectapi/epoch.go
@@ -14,13 +14,22 @@
 // Observe records the epoch of a response. It returns an error that wraps ErrUnavailable if an earlier response named a later
 // epoch: the response then was sent before the object API was restored, and what it says may have been lost.
 func (t *EpochTracker) Observe(epoch int64) error {
+	_, err := t.advance(epoch)
+	return err
+}
+
+// advance is Observe, and reports whether the epoch is later than all earlier ones.
+func (t *EpochTracker) advance(epoch int64) (isNew bool, err error) {
 	for {
 		latest := t.latest.Load()
 		if epoch < latest {
-			return errors.Wrapf(ErrUnavailable, "response of epoch %d arrived in epoch %d", epoch, latest)
+			return false, errors.Wrapf(ErrUnavailable, "response of epoch %d arrived in epoch %d", epoch, latest)
+		}
+		if epoch == latest {
+			return false, nil
 		}
-		if epoch == latest || t.latest.CompareAndSwap(latest, epoch) {
-			return nil
+		if t.latest.CompareAndSwap(latest, epoch) {
+			return true, nil
 		}
 	}
 }
--- a/rudder/objectapi/version.go
+++ b/rudder/objectapi/version.go
@@ -23,6 +23,13 @@
 	return cmp.Or(cmp.Compare(v.Epoch, other.Epoch), cmp.Compare(v.Number, other.Number))
 }
 
+// numbersPerEpoch is the difference between the ordinals of equal numbers in two successive epochs: more than there are numbers
+// in one epoch.
+const numbersPerEpoch = 1 << 40
+
+// Ordinal returns v as one number, in the order of Compare. It is the number itself in epoch 0.
+func (v Version) Ordinal() int64 { return v.Epoch*numbersPerEpoch + v.Number }
+
 // IsZero reports whether v is the zero Version, which no object and no revision has.
 func (v Version) IsZero() bool { return v == Version{} }
 
