Register a node again after the object API has lost its object

What operators would see: after a restore, or after a node refuted its death, new nodes find it only through others, and rudderctl, which lists the objects, does not ask it.

Cause: a node wrote its object at its start and when it refuted its death. A restored object API may lack it. And a node that does not watch the objects took the signal of the refutation in its wait and then asked whether there is one.

Change: a node writes its object again when it learns of a new epoch; the result of the wait is used.

Evidence: TestNodeRegistersAgainAfterRestore fails without the first part ("node a (rank 0) is not registered after the restore") and without the second ("node b (rank 1) is not registered after the restore") and passes now.

--- a/rudder/membership/discovery.go
+++ b/rudder/membership/discovery.go
@@ -40,8 +40,7 @@
 			}
 		case !e.Table.IsResponsibleFor(taskWatchNodes):
 			afterRevision = objectapi.UnknownRevision
-			wait(ctx, heartbeatInterval, e.reregister)
-			isRegistered = isRegistered && len(e.reregister) == 0
+			isRegistered = !wait(ctx, heartbeatInterval, e.reregister)
 		case afterRevision == objectapi.UnknownRevision:
 			afterRevision = e.listNodeObjects(ctx)
 			if afterRevision == objectapi.UnknownRevision {
--- a/rudder/membership/exchange.go
+++ b/rudder/membership/exchange.go
@@ -68,6 +68,8 @@
 		e.nodesChanged = make(chan struct{}, 1)
 		e.reregister = make(chan struct{}, 1)
 		e.Records.Watch(RecordNode, e.handleNodeRecord)
+		// The object may be among what a restored object API has lost.
+		e.Records.WatchEpoch(func(int64) { signal(e.reregister) })
 		e.Records.setOnLocalPut(e.pushAll)
 		e.putNode(e.Table.Self())
 	})
