Keep the state of a rollout when the object API has lost it

What callers would see: after a restore, a model version that was rolled back is rolled out again; dispatchers blame the crashes of a version that is being rolled out on requests, because they keep the record of an old state.

Cause: the record of a rollout had the number of the object's version as its version, which goes back. The next states, with numbers given out again, were ignored by all nodes. The stored state, older by some changes, counted, for a new holder of the lease at once and for the present one after a conflict.

Change: the record's version is the version with its epoch as one number. Where the record is of an earlier epoch and higher in number than the stored state, that state is lost: the known one counts and is stored again, once. A holder reads the stored state again in a new epoch. Not kept: a state whose holder died before any node had its record.

Evidence: TestRolloutStateSurvivesRestore fails with the number alone ("the stored state is {Target:v4 ...}, that in the record {Target:v3 ...}"), without the known state ("state after the restore: {Target:v3 Previous:v1 ...}, before: {Target:v3 Previous:v2 ...}") and without the second read ("the stored state is {Target:v1 ...}, that in the record {Target:v3 ...}"); passes now.

--- a/rudder/objectapi/version.go
+++ b/rudder/objectapi/version.go
@@ -30,6 +30,11 @@
 // Ordinal returns v as one number, in the order of Compare. It is the number itself in epoch 0.
 func (v Version) Ordinal() int64 { return v.Epoch*numbersPerEpoch + v.Number }
 
+// VersionOfOrdinal returns the version with an ordinal.
+func VersionOfOrdinal(ordinal int64) Version {
+	return Version{Epoch: ordinal / numbersPerEpoch, Number: ordinal % numbersPerEpoch}
+}
+
 // IsZero reports whether v is the zero Version, which no object and no revision has.
 func (v Version) IsZero() bool { return v == Version{} }
 
--- a/rudder/rollout/loop.go
+++ b/rudder/rollout/loop.go
@@ -80,13 +80,15 @@
 	lease         *lease.Lease
 	state         State
 	objectVersion objectapi.Version // version of the stored state in the object API
+	isStateLoaded bool
+	epoch         int64 // of the object API when the state was read
+	isStateLost   bool  // the object API has lost the state, which must be stored again
 	runners       map[string]*trackedRunner
 }
 
 // runDeployment runs a step each pollInterval until ctx ends or the deployment is deleted.
 func (l *Loop) runDeployment(ctx context.Context, deployment string, rolloutLease *lease.Lease) {
 	d := &deploymentRollout{loop: l, deployment: deployment, lease: rolloutLease, runners: map[string]*trackedRunner{}}
-	isStateLoaded := false
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
@@ -99,39 +101,59 @@
 		if !found {
 			return
 		}
-		var err error
-		if !isStateLoaded {
-			err = d.loadState(ctx)
-			isStateLoaded = err == nil
-		}
-		if err == nil {
-			err = d.step(ctx, spec)
-		}
-		if err != nil {
+		if err := d.step(ctx, spec); err != nil {
 			// After a conflict or a write with unknown outcome the stored state must be read again.
-			isStateLoaded = false
+			d.isStateLoaded = false
 			l.Log.Warn("Rollout step failed, it will be retried.", "deployment", deployment, "error", err)
 		}
 	}
 }
 
-// loadState reads the stored state. A deployment without one starts with the zero State.
+// loadState reads the stored state. A deployment without one starts with the zero State. If the object API was restored from an
+// older copy and lacks the state that the nodes know, the known one counts.
 func (d *deploymentRollout) loadState(ctx context.Context) error {
 	o, err := d.loop.Store.Get(ctx, StatePrefix+d.deployment)
-	if errors.Is(err, objectapi.ErrNotFound) {
-		d.state, d.objectVersion = State{}, objectapi.AbsentVersion
-		return nil
-	}
-	if err != nil {
+	stored, version := State{}, objectapi.AbsentVersion
+	switch {
+	case errors.Is(err, objectapi.ErrNotFound):
+	case err != nil:
 		return err
+	default:
+		version = o.Version
+		if err := json.Unmarshal(o.Value, &stored); err != nil {
+			return errors.Wrapf(err, "decode rollout state %q", o.Key)
+		}
+	}
+	known, isStateLost := d.findLostState(o.Version)
+	if isStateLost {
+		d.loop.Log.Warn("The object API has lost the state of the rollout, it is stored again.", "deployment", d.deployment, "phase", known.Phase, "target", known.Target)
+		stored = known
 	}
-	d.objectVersion = o.Version
-	return errors.Wrapf(json.Unmarshal(o.Value, &d.state), "decode rollout state %q", o.Key)
+	d.state, d.objectVersion, d.epoch, d.isStateLost, d.isStateLoaded = stored, version, o.Version.Epoch, isStateLost, true
+	return nil
+}
+
+// findLostState returns the state in the record of the deployment if it was stored in an earlier epoch than that of the stored
+// version, and after that version.
+func (d *deploymentRollout) findLostState(stored objectapi.Version) (state State, found bool) {
+	key := membership.RecordRollout + d.deployment
+	for _, r := range d.loop.Records.List(key) {
+		version := objectapi.VersionOfOrdinal(r.Version)
+		if r.Key == key && version.Epoch < stored.Epoch && version.Number > stored.Number {
+			return state, json.Unmarshal(r.Value, &state) == nil
+		}
+	}
+	return state, false
 }
 
 // step observes the runners, decides, stores the next state and sends the orders. The state is always stored before the
-// orders that follow from it are sent.
+// orders that follow from it are sent. It reads the stored state first if it is not known, or the object API was restored.
 func (d *deploymentRollout) step(ctx context.Context, spec object.DeploymentSpec) error {
+	if !d.isStateLoaded || d.loop.Records.Epoch() > d.epoch {
+		if err := d.loadState(ctx); err != nil {
+			return err
+		}
+	}
 	now := time.Now()
 	in := Input{
 		State:      d.state,
@@ -144,16 +166,16 @@
 		return nil
 	}
 	next, orders := Decide(in)
-	if next != d.state {
+	if next != d.state || d.isStateLost {
 		o, err := d.loop.Store.Put(ctx, StatePrefix+d.deployment, next, d.objectVersion)
 		if err != nil {
 			return err
 		}
-		if err := d.loop.Records.Put(membership.RecordRollout+d.deployment, o.Version.Number, next); err != nil {
+		if err := d.loop.Records.Put(membership.RecordRollout+d.deployment, o.Version.Ordinal(), next); err != nil {
 			return err
 		}
 		d.loop.Decisions.Record("rollout", d.deployment, next.Reason, string(next.Phase)+" "+next.Target, nil)
-		d.state, d.objectVersion = next, o.Version
+		d.state, d.objectVersion, d.isStateLost = next, o.Version, false
 	}
 	for _, order := range orders {
 		if err := d.sendOrder(ctx, order, now); err != nil {
--- a/rudder/rollout/tracker.go
+++ b/rudder/rollout/tracker.go
@@ -12,7 +12,10 @@
 // Records distributes rollout states to all nodes.
 type Records interface {
 	Put(key string, version int64, value any) error
+	List(prefix string) []*peerpb.Record
 	Watch(prefix string, notify func(*peerpb.Record))
+	// Epoch returns the latest known epoch of the object API.
+	Epoch() int64
 }
 
 // Tracker follows the rollout states on each node. When a runner crashes, the dispatcher asks it whether the runner's model
