Write claims again that a restored object API has lost, and grant none meanwhile

Cause: after a conflict a coordinator replaced its cached state by the restored one, also where it knew more. The first write to a segment has no condition that a restore breaks, so it also took effect on a cached state of an earlier epoch. A settlement of a claim that the log lacks was confirmed and not recorded.

Change: when a coordinator reads a log of a later epoch, it writes those cached records again that the log lacks, unless the key has a later state, once. Nodes write the claims again that they were granted in the last two minutes (a settlement with an unknown outcome), and a settlement with an answer whose claim is lost is recorded. All nodes do so as soon as they learn of the epoch. For 4 s after a node has learned of it, it grants no claims; callers are told that the call was not run (503). A first write that took effect in a later epoch than its cached state counts as unknown. A record without a fingerprint, as it comes from a settlement, fits any content. Not kept: claims whose bucket owner and claimant have both died or are cut off for longer than 4 s, and a lost answer whose owner has died (the key then says unknown).

Evidence: TestLostClaimsAreWrittenAgain fails without the rewriting ("coordinator knows the lost claim: the second one is CLAIM_STATE_GRANTED, expected CLAIMED"), without the wait ("... had no time to write it: the second one is CLAIM_STATE_GRANTED") and without the settlements ("claimant knows the lost claim: 0 writes, expected 1") and passes now.

--- a/rudder/claim/bucket.go
+++ b/rudder/claim/bucket.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,10 +27,13 @@
 
 // bucket caches the state of one bucket and commits operations to it, all pending ones together in one conditional write.
 type bucket struct {
-	number int
-	store  objectapi.Store
-	now    func() time.Time
-	log    *slog.Logger
+	number   int
+	store    objectapi.Store
+	now      func() time.Time
+	log      *slog.Logger
+	restores *restoreTracker
+
+	hasStates atomic.Bool // the bucket has been read on this node
 
 	mu           sync.Mutex
 	pending      []*operation
@@ -38,6 +42,8 @@
 	// The fields below are used only by the goroutine that runs commitPending. They cache the log.
 	isLoaded       bool
 	loadedAt       time.Time
+	epoch          int64             // of the object API when the log was read
+	lostRecords    map[string]record // by key; states that the object API has lost and that are not written again yet
 	states         map[string]record // by key
 	lastSegment    segment           // the segment to append to
 	lastNumber     int64             // number of lastSegment
@@ -102,8 +108,12 @@
 	defer cancel()
 	isFresh := false // whether the cached state was read in this commit
 	for range maxCommitAttempts {
-		if !b.isLoaded || b.now().Sub(b.loadedAt) > maxCacheAge {
-			if err := b.load(ctx); err != nil {
+		if !b.isLoaded || b.now().Sub(b.loadedAt) > maxCacheAge || b.restores.latestEpoch() > b.epoch {
+			err := b.load(ctx)
+			if errors.Is(err, objectapi.ErrConflict) {
+				continue
+			}
+			if err != nil {
 				return nil, err
 			}
 			isFresh = true
@@ -125,6 +135,9 @@
 		if !errors.Is(err, objectapi.ErrUnavailable) {
 			b.isLoaded = false
 		}
+		if errors.Is(err, errRestored) {
+			return nil, err
+		}
 		if !errors.Is(err, objectapi.ErrConflict) {
 			return nil, err
 		}
@@ -154,7 +167,7 @@
 		if !hasState {
 			state, hasState = b.states[op.key]
 		}
-		next, response := apply(state, hasState, op, b.now().Unix())
+		next, response := apply(state, hasState, op, b.now().Unix(), b.restores.mayGrant())
 		responses[i] = response
 		if next != nil {
 			updates[op.key] = *next
@@ -172,6 +185,11 @@
 	if err != nil {
 		return err
 	}
+	if written.Version.Epoch != b.epoch {
+		// Only a first write to a segment gets here. It does not prove that the cache is current.
+		b.restores.observe(written.Version.Epoch)
+		return errRestored
+	}
 	for _, r := range records {
 		b.states[r.Key] = r
 	}
@@ -203,12 +221,21 @@
 	return at
 }
 
-// load reads all segments of the bucket and replaces the cached state.
+// load reads all segments of the bucket and replaces the cached state. If the object API was restored from an older copy since
+// the last time, it writes again what the cached state shows to be lost.
 func (b *bucket) load(ctx context.Context) error {
 	listing, err := b.store.List(ctx, bucketPrefix(b.number))
 	if err != nil {
 		return err
 	}
+	b.restores.observe(listing.Revision.Epoch)
+	b.isLoaded = false
+	switch {
+	case listing.Revision.Epoch < b.epoch:
+		return errors.Wrapf(objectapi.ErrUnavailable, "claims bucket %d is known of epoch %d, read of %d", b.number, b.epoch, listing.Revision.Epoch)
+	case listing.Revision.Epoch > b.epoch:
+		b.beginEpoch(listing.Revision.Epoch)
+	}
 	sort.Slice(listing.Objects, func(i, j int) bool { return listing.Objects[i].Key < listing.Objects[j].Key })
 	b.states = map[string]record{}
 	b.sealedSegments = nil
@@ -220,7 +247,8 @@
 	}
 	b.isLoaded = true
 	b.loadedAt = b.now()
-	return nil
+	b.hasStates.Store(true)
+	return b.writeLostRecords(ctx)
 }
 
 func (b *bucket) loadSegment(o objectapi.Object) error {
@@ -234,6 +262,9 @@
 	}
 	for _, r := range s.Records {
 		b.states[r.Key] = r
+		if b.lostRecords[r.Key].isSameAs(r) {
+			delete(b.lostRecords, r.Key)
+		}
 	}
 	if s.Sealed {
 		b.sealedSegments = append(b.sealedSegments, sealedSegment{number, o.Version, newestRecordTime(s)})
--- a/rudder/claim/claim_test.go
+++ b/rudder/claim/claim_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"strings"
 	"sync"
 	"testing"
@@ -24,8 +25,9 @@
 // but lose its response ("lose"), or be delayed ("late"). While it is "down", all writes and lists fail.
 type faultyStore struct {
 	mu            sync.Mutex
-	objects       map[string]objectapi.Object
+	objects       map[string]objectapi.Object // versions are stored without the epoch
 	versions      map[string]int64
+	epoch         int64
 	fault         string
 	delayedWrites []func()
 	writeCount    int
@@ -39,7 +41,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o, found := s.objects[key]; found {
-		return o, nil
+		return s.stamp(o), nil
 	}
 	return objectapi.Object{}, objectapi.ErrNotFound
 }
@@ -50,10 +52,10 @@
 	if s.fault == "down" {
 		return objectapi.Listing{}, objectapi.ErrUnavailable
 	}
-	var listing objectapi.Listing
+	listing := objectapi.Listing{Revision: objectapi.Version{Epoch: s.epoch}}
 	for key, o := range s.objects {
 		if strings.HasPrefix(key, prefix) {
-			listing.Objects = append(listing.Objects, o)
+			listing.Objects = append(listing.Objects, s.stamp(o))
 		}
 	}
 	return listing, nil
@@ -88,14 +90,40 @@
 }
 
 func (s *faultyStore) write(key string, raw []byte, expected objectapi.Version) (objectapi.Object, error) {
-	if expected != objectapi.AnyVersion && s.objects[key].Version != expected {
+	current, found := s.objects[key]
+	if found {
+		current = s.stamp(current)
+	}
+	if expected != objectapi.AnyVersion && current.Version != expected {
 		return objectapi.Object{}, objectapi.ErrConflict
 	}
 	s.versions[key]++
 	s.writeCount++
 	o := objectapi.Object{Key: key, Version: objectapi.Version{Number: s.versions[key]}, Value: raw}
 	s.objects[key] = o
-	return o, nil
+	return s.stamp(o), nil
+}
+
+// stamp returns the object with the epoch in its version. The caller holds mu.
+func (s *faultyStore) stamp(o objectapi.Object) objectapi.Object {
+	o.Version.Epoch = s.epoch
+	return o
+}
+
+// copyObjects returns a copy for restore.
+func (s *faultyStore) copyObjects() (objects map[string]objectapi.Object, versions map[string]int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.objects), maps.Clone(s.versions)
+}
+
+// restore replaces the contents by a copy and returns the new epoch.
+func (s *faultyStore) restore(objects map[string]objectapi.Object, versions map[string]int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.versions = maps.Clone(objects), maps.Clone(versions)
+	s.epoch++
+	return s.epoch
 }
 
 func (s *faultyStore) Delete(_ context.Context, key string, _ objectapi.Version) error {
@@ -125,8 +153,10 @@
 	s.delayedWrites = nil
 }
 
-func newTestCoordinator(store objectapi.Store) *Coordinator {
-	return NewCoordinator(store, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+func newTestCoordinator(store objectapi.Store) *Coordinator { return newCoordinatorAt(store, time.Now) }
+
+func newCoordinatorAt(store objectapi.Store, now func() time.Time) *Coordinator {
+	return NewCoordinator(store, now, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
 // call is the state of one call as the oracle knows it.
@@ -165,11 +195,18 @@
 }
 
 // TestNoKeyIsGrantedTwice guards against a non-idempotent call that takes effect twice when writes fail, are delayed or lose
-// their response, nodes restart, and several nodes write to the same bucket.
+// their response, nodes restart, several nodes write to the same bucket, and the object API is restored from an older copy.
+// After a restore all claims are recorded again by one of those who know them: the coordinators, if none has restarted, else
+// the nodes that were granted them.
 func TestNoKeyIsGrantedTwice(t *testing.T) {
+	restores, grants := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		store := newFaultyStore()
-		coordinators := []*Coordinator{newTestCoordinator(store), newTestCoordinator(store), newTestCoordinator(store)}
+		clock := time.Unix(1_000_000, 0)
+		now := func() time.Time { return clock }
+		coordinators := []*Coordinator{newCoordinatorAt(store, now), newCoordinatorAt(store, now), newCoordinatorAt(store, now)}
+		copiedObjects, copiedVersions := store.copyObjects()
+		isRestoring, hasRestarted := false, false
 		o := &oracle{}
 		ctx := context.Background()
 		drawCoordinator := func(t *rapid.T) *Coordinator { return coordinators[rapid.IntRange(0, 2).Draw(t, "coordinator")] }
@@ -184,6 +221,7 @@
 					t.Fatalf("key %s was granted to %s after that call had released it", c.key, c.claimant)
 				}
 				c.isGranted = true
+				grants++
 			case peerpb.ClaimState_CLAIM_STATE_DONE:
 				if !o.isOutcomeSent(c.key, string(response.Body)) {
 					t.Fatalf("key %s: response %q is not that of any settled call with this key", c.key, response.Body)
@@ -219,13 +257,56 @@
 				c.isReleased = true
 				drawCoordinator(t).Settle(ctx, request)
 			},
-			"restart": func(t *rapid.T) { coordinators[rapid.IntRange(0, 2).Draw(t, "restarted")] = newTestCoordinator(store) },
+			"restart": func(t *rapid.T) {
+				coordinators[rapid.IntRange(0, 2).Draw(t, "restarted")] = newCoordinatorAt(store, now)
+				hasRestarted = true
+			},
+			"copy": func(*rapid.T) { copiedObjects, copiedVersions = store.copyObjects() },
+			"restore": func(t *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "rarity") > 0 {
+					t.Skip("not restored now")
+				}
+				restores++
+				isRestoring = true
+				store.restore(copiedObjects, copiedVersions)
+				for _, c := range o.calls {
+					c.isSettled = false
+				}
+			},
+			"recover": func(t *rapid.T) {
+				if !isRestoring {
+					t.Skip("nothing is lost")
+				}
+				isRestoring = false
+				store.setFault("")
+				if hasRestarted {
+					for _, c := range o.calls {
+						if c.isGranted {
+							drawCoordinator(t).Settle(ctx, &peerpb.SettleRequest{Organisation: "parish", Key: c.key, Claimant: c.claimant})
+						}
+					}
+				}
+				for _, c := range coordinators {
+					c.HandleEpoch(ctx, store.epoch)
+				}
+				clock = clock.Add(restoreGrace)
+			},
+			"wait": func(t *rapid.T) {
+				if isRestoring {
+					t.Skip("claims are being written again")
+				}
+				clock = clock.Add(restoreGrace)
+			},
 			"fault": func(t *rapid.T) {
 				store.setFault(rapid.SampledFrom([]string{"", "refuse", "lose", "late", "down"}).Draw(t, "fault"))
 			},
 			"late write": func(*rapid.T) { store.applyDelayedWrites() },
 		})
 	})
+	if restores == 0 || grants == 0 {
+		t.Error("the object API was never restored or no claim was granted, so that the test has checked nothing")
+	}
+	t.Logf("%d claims granted, %d restores", grants, restores)
 }
 
 // isOutcomeSent reports whether the response of a claimant's call was sent to a coordinator. It need not be confirmed.
@@ -280,7 +361,8 @@
 func TestClaimsSurviveSegmentSealing(t *testing.T) {
 	store := newFaultyStore()
 	clock := time.Unix(1_000_000, 0)
-	b := &bucket{store: store, now: func() time.Time { return clock }, log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	now := func() time.Time { return clock }
+	b := &bucket{store: store, now: now, log: slog.New(slog.NewTextHandler(io.Discard, nil)), restores: &restoreTracker{now: now}}
 	commit := func(b *bucket, key string) peerpb.ClaimState {
 		responses, err := b.commit([]*operation{{key: key, kind: kindClaimed, claimant: fmt.Sprint(store.writeCount)}})
 		if err != nil {
@@ -295,7 +377,7 @@
 	if len(store.objects) < 2 {
 		t.Fatalf("%d segments, expected more than one", len(store.objects))
 	}
-	other := &bucket{store: store, now: b.now, log: b.log}
+	other := &bucket{store: store, now: b.now, log: b.log, restores: b.restores}
 	for i := range claims {
 		if state := commit(other, fmt.Sprint(i)); state != peerpb.ClaimState_CLAIM_STATE_CLAIMED {
 			t.Fatalf("claim %d is %s on another node, expected CLAIMED", i, state)
--- a/rudder/claim/client.go
+++ b/rudder/claim/client.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
 
 	"chestnutrudder.example/rudder/membership"
 	"chestnutrudder.example/rudder/peer/peerpb"
@@ -19,6 +22,9 @@
 	maxOwners         = 2
 	maxSettleAttempts = 10
 	settleRetryDelay  = 500 * time.Millisecond
+	// heldRetention is how long a granted claim is remembered, which is longer than a restored copy of the object API is old.
+	heldRetention = 2 * time.Minute
+	pruneInterval = 10 * time.Second
 )
 
 // Client sends claims and outcomes to the owner of the key's bucket: the live node that is first by rendezvous hash or, if
@@ -27,6 +33,16 @@
 	Members          *membership.Table
 	LocalCoordinator *Coordinator // serves the buckets that this node owns
 	Dial             func(address string) peerpbconnect.PeerServiceClient
+
+	mu       sync.Mutex
+	held     map[string]heldClaim // by claimant
+	prunedAt time.Time
+}
+
+// heldClaim is a claim that this node was granted.
+type heldClaim struct {
+	organisation, key string
+	grantedAt         time.Time
 }
 
 // Claim requests the right to send a call. CLAIM_STATE_UNAVAILABLE means that the claimant must not send the call; the claim
@@ -36,6 +52,9 @@
 	for _, owner := range c.owners(request.Organisation, request.Key) {
 		ownerResponse, err := c.claimAt(ctx, owner, request)
 		if err == nil {
+			if ownerResponse.State == peerpb.ClaimState_CLAIM_STATE_GRANTED {
+				c.hold(request)
+			}
 			return ownerResponse
 		}
 		response = unavailable(err.Error())
@@ -59,6 +78,11 @@
 // Settle records the outcome of a call and reports whether it is durable. It retries for several seconds, so a caller's
 // request need not wait for it.
 func (c *Client) Settle(ctx context.Context, request *peerpb.SettleRequest) bool {
+	if request.Outcome == peerpb.Outcome_OUTCOME_NOT_RUN {
+		c.mu.Lock()
+		delete(c.held, request.Claimant)
+		c.mu.Unlock()
+	}
 	for range maxSettleAttempts {
 		for _, owner := range c.owners(request.Organisation, request.Key) {
 			if c.settleAt(ctx, owner, request) {
@@ -82,6 +106,40 @@
 	return err == nil && response.Msg.Recorded
 }
 
+// hold remembers a claim that this node was granted, and forgets those that were granted longer ago than heldRetention.
+func (c *Client) hold(request *peerpb.ClaimRequest) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held == nil {
+		c.held = map[string]heldClaim{}
+	}
+	if now.Sub(c.prunedAt) > pruneInterval {
+		maps.DeleteFunc(c.held, func(_ string, h heldClaim) bool { return now.Sub(h.grantedAt) > heldRetention })
+		c.prunedAt = now
+	}
+	c.held[request.Claimant] = heldClaim{request.Organisation, request.Key, now}
+}
+
+// RecordHeldClaims records the claims that this node was granted again, after the object API may have lost them and the owner
+// of their bucket may have died.
+func (c *Client) RecordHeldClaims(ctx context.Context) {
+	c.mu.Lock()
+	held := maps.Clone(c.held)
+	c.mu.Unlock()
+	var settlements errgroup.Group
+	settlements.SetLimit(maxConcurrentRewrite)
+	for claimant, h := range held {
+		settlements.Go(func() error {
+			c.Settle(ctx, &peerpb.SettleRequest{
+				Organisation: h.organisation, Key: h.key, Claimant: claimant, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN,
+			})
+			return nil
+		})
+	}
+	_ = settlements.Wait()
+}
+
 // owners returns the nodes to ask for a key, in order.
 func (c *Client) owners(organisation, key string) []membership.Node {
 	ranked := membership.Rank(keyPrefix+strconv.Itoa(Bucket(organisation, key)), c.Members.Live())
--- a/rudder/claim/coordinator.go
+++ b/rudder/claim/coordinator.go
@@ -12,16 +12,17 @@
 
 // Coordinator commits claims and outcomes to the object API on behalf of all nodes. It implements peer.Claims.
 type Coordinator struct {
-	buckets [BucketCount]*bucket
+	buckets  [BucketCount]*bucket
+	restores *restoreTracker
 }
 
 var _ peer.Claims = (*Coordinator)(nil)
 
 // NewCoordinator returns a coordinator for all buckets. now is the wall clock; it gives records their time and age.
 func NewCoordinator(store objectapi.Store, now func() time.Time, log *slog.Logger) *Coordinator {
-	c := &Coordinator{}
+	c := &Coordinator{restores: &restoreTracker{now: now}}
 	for i := range c.buckets {
-		c.buckets[i] = &bucket{number: i, store: store, now: now, log: log}
+		c.buckets[i] = &bucket{number: i, store: store, now: now, log: log, restores: c.restores}
 	}
 	return c
 }
@@ -39,7 +40,7 @@
 }
 
 // Settle records the outcome of a claimed call: done, with its response, or not run, which lets another call claim the key.
-// An unknown outcome is not recorded, so the claim stays. A claimant that settles with not run must never send the call,
+// With an unknown outcome the claim stays; it is recorded again if the object API has lost it. A claimant that settles with not run must never send the call,
 // even if it does not learn that the release was recorded, because the release may still take effect later.
 func (c *Coordinator) Settle(ctx context.Context, request *peerpb.SettleRequest) *peerpb.SettleResponse {
 	op := &operation{
@@ -55,7 +56,7 @@
 	case peerpb.Outcome_OUTCOME_NOT_RUN:
 		op.kind = kindReleased
 	default:
-		return &peerpb.SettleResponse{}
+		op.kind = kindUnknown
 	}
 	response := c.buckets[Bucket(request.Organisation, request.Key)].submit(ctx, op)
 	return &peerpb.SettleResponse{Recorded: response.State != peerpb.ClaimState_CLAIM_STATE_UNAVAILABLE}
@@ -74,23 +75,40 @@
 }
 
 // apply evaluates an operation against the state of its key; hasState is false if the key has none. It returns the record to
-// append, nil if none, and the response that is valid once that record is durable.
-func apply(state record, hasState bool, op *operation, unixSeconds int64) (*record, *peerpb.ClaimResponse) {
-	if op.kind == kindClaimed {
-		return applyClaim(state, hasState, op, unixSeconds)
+// append, nil if none, and the response that is valid once that record is durable. mayGrant is false while claims are not granted.
+func apply(state record, hasState bool, op *operation, unixSeconds int64, mayGrant bool) (*record, *peerpb.ClaimResponse) {
+	switch op.kind {
+	case kindNone:
+		return nil, &peerpb.ClaimResponse{State: peerpb.ClaimState_CLAIM_STATE_GRANTED}
+	case kindClaimed:
+		next, response := applyClaim(state, hasState, op, unixSeconds)
+		if !mayGrant && response.State == peerpb.ClaimState_CLAIM_STATE_GRANTED {
+			return nil, unavailable("claims may have been lost with a restored object API")
+		}
+		return next, response
 	}
-	response := &peerpb.ClaimResponse{State: peerpb.ClaimState_CLAIM_STATE_GRANTED}
-	if !hasState && op.kind == kindReleased {
+	return applySettlement(state, hasState, op, unixSeconds), &peerpb.ClaimResponse{State: peerpb.ClaimState_CLAIM_STATE_GRANTED}
+}
+
+// applySettlement evaluates a settlement; see apply.
+func applySettlement(state record, hasState bool, op *operation, unixSeconds int64) *record {
+	next := state
+	switch {
+	case !hasState && op.kind == kindReleased:
 		// The write of the claim may still be in progress. This record keeps the claim from being granted later.
-		return &record{Key: op.key, Kind: kindReleased, Claimant: op.claimant, UnixSeconds: unixSeconds}, response
-	}
-	if !hasState || state.Claimant != op.claimant || state.Kind != kindClaimed {
-		return nil, response
+		return &record{Key: op.key, Kind: kindReleased, Claimant: op.claimant, UnixSeconds: unixSeconds}
+	case op.kind != kindReleased && (!hasState || state.Claimant != op.claimant && state.Kind != kindDone):
+		// The claim was granted, so a restored object API has lost it; see record.supersedes.
+		next = record{Key: op.key, Kind: kindClaimed, Claimant: op.claimant}
+	case state.Claimant != op.claimant || state.Kind != kindClaimed || op.kind == kindUnknown:
+		return nil
 	}
-	next := state
-	next.Kind = op.kind
 	next.UnixSeconds = unixSeconds
-	if op.kind == kindDone {
+	switch op.kind {
+	case kindReleased:
+		next.Kind = kindReleased
+	case kindDone:
+		next.Kind = kindDone
 		next.Status = op.status
 		next.ContentType = op.contentType
 		next.Body = op.body
@@ -99,7 +117,7 @@
 			next.BodyDropped = true
 		}
 	}
-	return &next, response
+	return &next
 }
 
 // applyClaim evaluates a claim; see apply.
@@ -117,7 +135,7 @@
 	case state.Kind == kindReleased:
 		// The claimant has released its claim, so a delayed duplicate of the claim must not be granted.
 		return nil, unavailable("the claim was released")
-	case state.Fingerprint != op.fingerprint:
+	case state.Fingerprint != op.fingerprint && state.Fingerprint != "":
 		return nil, &peerpb.ClaimResponse{State: peerpb.ClaimState_CLAIM_STATE_MISMATCH}
 	case state.Kind == kindDone:
 		return nil, doneResponse(state)
--- a/rudder/claim/record.go
+++ b/rudder/claim/record.go
@@ -39,13 +39,17 @@
 	kindClaimed  kind = "claimed"  // the claimant may send the call
 	kindReleased kind = "released" // the claimant has not sent the call and never will
 	kindDone     kind = "done"     // the call was run; the record has its response
+
+	// Kinds of operations that no record has.
+	kindUnknown kind = "unknown" // the call was sent; its outcome is not known
+	kindNone    kind = ""        // only reads the log if it has to be read
 )
 
 // record is one entry of a bucket's log. The last record of a key is the state of the key.
 type record struct {
 	Key         string `json:"key"` // hash of organisation and idempotency key, see hashKey
 	Kind        kind   `json:"kind"`
-	Fingerprint string `json:"fingerprint"` // hash of the call's content
+	Fingerprint string `json:"fingerprint"` // hash of the call's content; empty if it is not known
 	Claimant    string `json:"claimant"`    // identity of the call that holds the claim
 	UnixSeconds int64  `json:"unix_seconds"`
 	Status      int32  `json:"status,omitempty"`
--- /dev/null
+++ b/rudder/claim/restore_test.go
@@ -0,0 +1,59 @@
+package claim
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/membership"
+	"chestnutrudder.example/rudder/peer/peerpb"
+)
+
+// TestLostClaimsAreWrittenAgain guards against a second run of a non-idempotent call whose claim the object API lost when it was
+// restored from an older copy: while a coordinator that knows the claim runs, and while the node that was granted it runs.
+func TestLostClaimsAreWrittenAgain(t *testing.T) {
+	ctx := context.Background()
+	claimOf := func(claimant string) *peerpb.ClaimRequest {
+		return &peerpb.ClaimRequest{Organisation: "parish", Key: "k", Fingerprint: "f", Claimant: claimant}
+	}
+	for _, knows := range []string{"coordinator", "claimant"} {
+		store := newFaultyStore()
+		emptyObjects, emptyVersions := store.copyObjects()
+		clock := time.Unix(1_000_000, 0)
+		now := func() time.Time { return clock }
+		owner, successor := newCoordinatorAt(store, now), newCoordinatorAt(store, now)
+		claimant := &Client{Members: membership.NewTable(membership.Node{Name: "n"}), LocalCoordinator: owner}
+		if state := claimant.Claim(ctx, claimOf("first")).State; state != peerpb.ClaimState_CLAIM_STATE_GRANTED {
+			t.Fatalf("first claim: %s", state)
+		}
+		epoch := store.restore(emptyObjects, emptyVersions)
+		if response := successor.Claim(ctx, claimOf("second")); response.State != peerpb.ClaimState_CLAIM_STATE_UNAVAILABLE {
+			t.Errorf("%s knows the lost claim and had no time to write it: the second one is %s", knows, response.State)
+		}
+		writes := store.writeCount
+		for range 2 {
+			if knows == "coordinator" {
+				owner.HandleEpoch(ctx, epoch)
+			} else {
+				claimant.LocalCoordinator = successor
+				claimant.RecordHeldClaims(ctx)
+			}
+		}
+		if store.writeCount != writes+1 {
+			t.Errorf("%s knows the lost claim: %d writes, expected 1", knows, store.writeCount-writes)
+		}
+		clock = clock.Add(restoreGrace)
+		if response := successor.Claim(ctx, claimOf("second")); response.State != peerpb.ClaimState_CLAIM_STATE_CLAIMED {
+			t.Errorf("%s knows the lost claim: the second one is %s, expected CLAIMED", knows, response.State)
+		}
+		settlement := &peerpb.SettleRequest{
+			Organisation: "parish", Key: "k", Claimant: "first", Outcome: peerpb.Outcome_OUTCOME_DONE, Status: 200, Body: []byte("answer"),
+		}
+		if !claimant.Settle(ctx, settlement) {
+			t.Errorf("%s knows the lost claim: its outcome was not recorded", knows)
+		}
+		if response := successor.Claim(ctx, claimOf("second")); string(response.Body) != "answer" {
+			t.Errorf("%s knows the lost claim: the second one is %s with body %q, expected the answer", knows, response.State, response.Body)
+		}
+	}
+}
--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -88,6 +88,10 @@
 	}
 	claimCoordinator := claim.NewCoordinator(store, time.Now, logger.Part("claim"))
 	claimClient := &claim.Client{Members: members, LocalCoordinator: claimCoordinator, Dial: dialer.Client}
+	records.WatchEpoch(func(epoch int64) {
+		go claimCoordinator.HandleEpoch(context.Background(), epoch)
+		go claimClient.RecordHeldClaims(context.Background())
+	})
 	entryServer := &entry.Server{
 		Members: members, Fleet: hosts, CurrentSnapshot: currentSnapshot, Claims: claimClient, Dial: dialer.Client, Metrics: metrics,
 		Log: logger.Part("entry"),
