Write a revision again that a restored object API has lost

With the lost revision on other nodes only, its number was given out again with other contents, and nodes with either ignored the other one.

Cause: the acceptor took the restored pointer for what is in force, and the next number only from the pointer and its own node.

An object that an operator wrote since the copy is a change to the one in force. It is told apart by its contents and by the version that its status has seen. Revision numbers of an epoch are above those of earlier ones. Statuses are read again in a new epoch. Not told apart: a change that the copy holds and that was not accepted yet when it was made counts as written since.

--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -115,7 +115,7 @@
 	nodeDrainer := &drainer{exchanger: exchanger, dispatcher: dispatcher, entryServer: entryServer, log: logger.Part("daemon"), drainRequests: make(chan time.Duration, 1)}
 	acceptor := &revision.Acceptor{
 		Store: store, CurrentSnapshot: currentSnapshot, ReadyRunners: hosts.CountServingHosts, Node: s.Node,
-		OnPublish: follower.ApplyPublished, Log: logger.Part("revision"),
+		OnPublish: follower.ApplyPublished, NewestKnownNumber: follower.NewestKnownNumber, Log: logger.Part("revision"),
 	}
 	leases := &lease.Manager{
 		Store: store, Node: s.Node, Timing: lease.DefaultTiming, Log: logger.Part("lease"),
--- a/rudder/revision/acceptor.go
+++ b/rudder/revision/acceptor.go
@@ -39,6 +39,8 @@
 	// CurrentSnapshot holds the snapshot in force on this node. A new revision gets a higher number even if the object
 	// API has lost revisions.
 	CurrentSnapshot *CurrentSnapshot
+	// NewestKnownNumber returns the number of the newest revision of which this node has heard. It is optional.
+	NewestKnownNumber func() int64
 	// ReadyRunners returns the number of ready runners by deployment. A nil function, a nil map or a missing entry
 	// means that the number is unknown.
 	ReadyRunners func() map[string]int
@@ -61,6 +63,7 @@
 	acceptedKey     string     // key of that snapshot
 	statuses        statusCache
 	decodedObjects  map[string]desiredObject // results of the last pass; only changed objects are decoded again
+	missingSince    time.Time                // since when this node lacks a revision that the object API has lost
 }
 
 // Run accepts changes until ctx is done or the lease is lost. It is meant to be passed to lease.Manager.Hold.
@@ -147,6 +150,9 @@
 		}
 		a.acceptedObjects, a.acceptedKey = object.NewSet(snapshot.Objects), pointer.SnapshotKey
 	}
+	if version.Epoch != a.pointerVersion.Epoch {
+		a.statuses = nil
+	}
 	a.pointer, a.pointerVersion = pointer, version
 	return nil
 }
@@ -174,6 +180,29 @@
 	if err := a.loadPointer(ctx); err != nil {
 		return objectapi.UnknownRevision, err
 	}
+	specs := a.decodeListing(listing)
+	previous := a.acceptedObjects
+	isLost := a.hasLostRevision()
+	if isLost {
+		if previous, err = a.recoverSpecs(ctx, specs); err != nil {
+			return objectapi.UnknownRevision, err
+		}
+		if listing, err = a.Store.List(ctx, object.SpecPrefix); err != nil {
+			return objectapi.UnknownRevision, err
+		}
+		specs = a.decodeListing(listing)
+	}
+	next, reasons := resolveWithinSize(maxSnapshotBytes, previous, specs)
+	if isLost || !sameObjects(previous, next) {
+		if err := a.publish(ctx, next); err != nil {
+			return objectapi.UnknownRevision, err
+		}
+	}
+	return listing.Revision, a.writeStatuses(ctx, previous, specs, reasons)
+}
+
+// decodeListing decodes the objects that operators have written. Only those that changed since the last pass are decoded again.
+func (a *acceptorSession) decodeListing(listing objectapi.Listing) map[string]desiredObject {
 	specs := map[string]desiredObject{}
 	for _, o := range listing.Objects {
 		id := strings.TrimPrefix(o.Key, object.SpecPrefix)
@@ -184,14 +213,7 @@
 		specs[id] = desired
 	}
 	a.decodedObjects = specs
-	next, reasons := resolveWithinSize(maxSnapshotBytes, a.acceptedObjects, specs)
-	previous := a.acceptedObjects
-	if !sameObjects(previous, next) {
-		if err := a.publish(ctx, next); err != nil {
-			return objectapi.UnknownRevision, err
-		}
-	}
-	return listing.Revision, a.writeStatuses(ctx, previous, specs, reasons)
+	return specs
 }
 
 // decodeDesired decodes and validates an object. An object whose ID does not match its key is invalid.
@@ -210,7 +232,7 @@
 // publish writes an immutable snapshot and then updates the pointer to name it. If the process ends between the two
 // writes, the next holder of the lease deletes the snapshot.
 func (a *acceptorSession) publish(ctx context.Context, objects object.Set) error {
-	snapshot := Snapshot{Number: max(a.pointer.Number, a.CurrentSnapshot.Index().Number) + 1, Objects: objects.List()}
+	snapshot := Snapshot{Number: a.nextNumber(), Objects: objects.List()}
 	key := fmt.Sprintf("%s%012d-%s", SnapshotPrefix, snapshot.Number, uuid.NewString()[:8])
 	if err := a.checkLease(); err != nil {
 		return err
--- a/rudder/revision/follower.go
+++ b/rudder/revision/follower.go
@@ -230,6 +230,15 @@
 	return nil
 }
 
+// NewestKnownNumber returns the number of the newest revision that is in force on this node or in the membership record.
+func (f *Follower) NewestKnownNumber() int64 {
+	number := f.CurrentSnapshot.Index().Number
+	if r := f.newestRecord(); r != nil {
+		number = max(number, r.Version)
+	}
+	return number
+}
+
 // isBehind reports whether the membership record has a higher revision number than the snapshot in force.
 func (f *Follower) isBehind() bool {
 	r := f.newestRecord()
