--- a/rudder/revision/acceptor.go
+++ b/rudder/revision/acceptor.go
@@ -267,6 +267,9 @@
 	if err != nil {
 		return err
 	}
+	if listing.Revision.Epoch != a.pointerVersion.Epoch {
+		return errors.Wrapf(objectapi.ErrConflict, "list snapshots in epoch %d, the pointer is of epoch %d", listing.Revision.Epoch, a.pointerVersion.Epoch)
+	}
 	var orphans []string
 	for _, o := range listing.Objects {
 		if o.Key != PointerKey && !slices.Contains(a.pointer.RetainedKeys, o.Key) {
@@ -277,13 +280,15 @@
 	return nil
 }
 
-// deleteSnapshots deletes as many of the snapshots as it can. The next holder of the lease deletes the rest as orphans.
+// deleteSnapshots deletes as many of the snapshots as it can, unless the object API was restored since the pointer was read: the
+// restored pointer may name one of them. The next holder of the lease deletes the rest as orphans.
 func (a *acceptorSession) deleteSnapshots(ctx context.Context, keys []string) {
+	version := objectapi.Version{Epoch: a.pointerVersion.Epoch, Number: 1} // a snapshot is written once
 	for _, key := range keys {
 		if a.checkLease() != nil {
 			return
 		}
-		if err := a.Store.Delete(ctx, key, objectapi.AnyVersion); err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		if err := a.Store.Delete(ctx, key, version); err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 			a.Log.Warn("Failed to delete an old snapshot; the next lease holder deletes it.", "key", key, "error", err)
 		}
 	}
--- a/rudder/revision/restore_test.go
+++ b/rudder/revision/restore_test.go
@@ -186,3 +186,46 @@
 		}
 	}
 }
+
+// TestRestoredPointerKeepsItsSnapshot guards against a pointer that names a deleted snapshot, because the object API was restored
+// between the update of the pointer and the deletion of surplus snapshots or orphans.
+func TestRestoredPointerKeepsItsSnapshot(t *testing.T) {
+	for _, isStart := range []bool{false, true} {
+		r := newRestoreTest(t)
+		var oldCopy any
+		for share := 1; share <= maxRetainedSnapshots+1; share++ {
+			r.write(map[string]int{"a": share})
+			if share <= maxRetainedSnapshots {
+				r.accept()
+			}
+			if share == 1 {
+				oldCopy = r.store.Copy()
+			}
+		}
+		if isStart {
+			r.accept()
+		}
+		isRestored := false
+		r.store.AfterWrite = func(kind, key string) error {
+			if kind == "put" && key == PointerKey && !isRestored {
+				isRestored = true
+				r.store.Restore(oldCopy)
+			}
+			return nil
+		}
+		ctx := context.Background()
+		if isStart {
+			_ = r.acceptor.start(ctx)
+		} else {
+			_, _ = r.acceptor.accept(ctx)
+		}
+		r.store.AfterWrite = nil
+		pointer, _, err := readPointer(ctx, r.store)
+		if err != nil || !isRestored {
+			t.Fatalf("start %t: restored %t, %v", isStart, isRestored, err)
+		}
+		if _, err := readSnapshot(ctx, r.store, pointer.SnapshotKey); err != nil {
+			t.Errorf("start %t: snapshot of the restored pointer: %v", isStart, err)
+		}
+	}
+}
