Save notices again that a restored object API has lost

Cause: a notice was written once, by the node that dispatches to the host.

Change: that node writes the notices of the last ten minutes again, on condition that they are missing, when it learns of a new epoch. A notice that was deleted in the lost seconds (24 h after its host left) comes back and is deleted by the next listing; host names are not used again, so it withholds no host.

Evidence: TestLostNoticeIsSavedAgain fails without it ("0 notices are stored, expected 1") and passes now.

--- a/rudder/fleet/fleet_test.go
+++ b/rudder/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"testing"
@@ -8,6 +9,8 @@
 
 	"chestnutrudder.example/rudder/cloud"
 	"chestnutrudder.example/rudder/membership"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/objectapi/objectapitest"
 )
 
 func host(name string, state cloud.HostState) cloud.Host {
@@ -96,3 +99,45 @@
 		t.Errorf("second node: host is leaving: %v at %v, expected true within an hour", leaving, at)
 	}
 }
+
+// TestLostNoticeIsSavedAgain guards against a host that gets work from a node that starts after the object API has lost its
+// notice, and against saving notices that are older than a copy of the object API.
+func TestLostNoticeIsSavedAgain(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store, records := objectapitest.NewMemoryStore(), membership.NewRecords()
+	emptyCopy := store.Copy()
+	n := &NoticeDistributor{
+		Table: NewTable(), Members: membership.NewTable(membership.Node{Name: "n", FailureDomain: "d"}), Records: records, Store: store,
+		Log: slog.New(slog.DiscardHandler),
+	}
+	n.Start()
+	n.Table.markLeaving("old", "d", time.Now().Add(-maxCopyAge-time.Minute))
+	n.Table.markLeaving("new", "d", time.Now().Add(time.Hour))
+	old := NoticeRecord{FailureDomain: "d", LeavingAtUnixMillis: time.Now().Add(-maxCopyAge - time.Minute).UnixMilli()}
+	if err := records.Put(membership.RecordHostNotice+"old", 2, old); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); n.saveNotices(ctx) }()
+	waitForNotices := func(want int) []objectapi.Object {
+		// The limit only ends a test that would hang.
+		for started := time.Now(); ; time.Sleep(time.Millisecond) {
+			listing, err := store.List(ctx, noticeKeyPrefix)
+			if err == nil && len(listing.Objects) == want {
+				return listing.Objects
+			}
+			if time.Since(started) > 10*time.Second {
+				t.Fatalf("%d notices are stored, expected %d", len(listing.Objects), want)
+			}
+		}
+	}
+	waitForNotices(2)
+	store.Restore(emptyCopy)
+	records.AnnounceEpoch(1)
+	if stored := waitForNotices(1); stored[0].Key != noticeKeyPrefix+"new" {
+		t.Errorf("%s was saved again, expected the notice of the host new", stored[0].Key)
+	}
+	cancel()
+	<-done
+}
--- a/rudder/fleet/notices.go
+++ b/rudder/fleet/notices.go
@@ -26,6 +26,8 @@
 	responsibilityCheckInterval = 250 * time.Millisecond
 	// storedNoticeRetention is how long a notice stays in the object API after the time when its host goes away.
 	storedNoticeRetention = 24 * time.Hour
+	// maxCopyAge is how old a copy is at most from which the object API is restored.
+	maxCopyAge = 10 * time.Minute
 )
 
 // NoticeSource is the part of the cloud API that announces reclaims.
@@ -64,6 +66,7 @@
 	n.Table.onNewNotice = n.propagate
 	n.Table.mu.Unlock()
 	n.Records.Watch(membership.RecordHostNotice, n.applyRecord)
+	n.Records.WatchEpoch(func(int64) { n.saveAgain() })
 }
 
 // Run polls the cloud API, watches the object API and saves notices until ctx ends.
@@ -84,7 +87,12 @@
 	if err := n.Records.Put(membership.RecordHostNotice+host, 1, notice); err != nil {
 		n.Log.Error("Failed to store the notice in the membership records.", "host", host, "error", err)
 	}
-	dispatcher, found := membership.DispatcherFor(host, failureDomain, n.Members.Live())
+	n.save(host, notice)
+}
+
+// save writes a notice to the object API, in the background, if this node dispatches to the host.
+func (n *NoticeDistributor) save(host string, notice NoticeRecord) {
+	dispatcher, found := membership.DispatcherFor(host, notice.FailureDomain, n.Members.Live())
 	if found && dispatcher.Name != n.Members.Self().Name {
 		return
 	}
@@ -97,6 +105,19 @@
 	}
 }
 
+// saveAgain writes the notices again that an object API that was restored from an older copy may have lost.
+func (n *NoticeDistributor) saveAgain() {
+	for _, record := range n.Records.List(membership.RecordHostNotice) {
+		var notice NoticeRecord
+		if json.Unmarshal(record.Value, &notice) != nil {
+			continue
+		}
+		if recordedAt := time.UnixMilli(notice.LeavingAtUnixMillis - notice.RemainingMillis); time.Since(recordedAt) < maxCopyAge {
+			n.save(strings.TrimPrefix(record.Key, membership.RecordHostNotice), notice)
+		}
+	}
+}
+
 func (n *NoticeDistributor) applyRecord(record *peerpb.Record) {
 	n.applyNotice(strings.TrimPrefix(record.Key, membership.RecordHostNotice), record.Value)
 }
