--- a/standin/process/cluster.go
+++ b/standin/process/cluster.go
@@ -220,6 +220,16 @@
 	return string(output), errors.Wrapf(err, "rudderctl %s: %s", strings.Join(args, " "), output)
 }
 
+// CopyObjectAPI makes the copy to which RestoreObjectAPI goes back.
+func (c *Cluster) CopyObjectAPI() error {
+	return DoJSON(http.MethodPost, c.ObjectAPIURL+"/control/copy", nil, nil)
+}
+
+// RestoreObjectAPI makes the object API lose everything that was written since CopyObjectAPI.
+func (c *Cluster) RestoreObjectAPI() error {
+	return DoJSON(http.MethodPost, c.ObjectAPIURL+"/control/restore", nil, nil)
+}
+
 // Stop kills all processes, the last started first, and closes the proxies.
 func (c *Cluster) Stop() {
 	for i := len(c.processes) - 1; i >= 0; i-- {
