Write the answers of lost claims again

What callers would see: after a restore in which the owner of a claim's bucket died, a repeated call gets an unknown outcome, although the node that was granted the claim has the answer.

Cause: a node wrote the claims again that it was granted, but not their answers.

Change: it keeps answers of up to 1 KiB with the claims of the last two minutes.

--- a/rudder/claim/client.go
+++ b/rudder/claim/client.go
@@ -25,6 +25,8 @@
 	// heldRetention is how long a granted claim is remembered, which is longer than a restored copy of the object API is old.
 	heldRetention = 2 * time.Minute
 	pruneInterval = 10 * time.Second
+	// maxHeldBodyBytes is the size of the largest answer that is remembered with its claim.
+	maxHeldBodyBytes = 1 << 10
 )
 
 // Client sends claims and outcomes to the owner of the key's bucket: the live node that is first by rendezvous hash or, if
@@ -41,8 +43,8 @@
 
 // heldClaim is a claim that this node was granted.
 type heldClaim struct {
-	organisation, key string
-	grantedAt         time.Time
+	settlement *peerpb.SettleRequest // the outcome, unknown until the call is done
+	grantedAt  time.Time
 }
 
 // Claim requests the right to send a call. CLAIM_STATE_UNAVAILABLE means that the claimant must not send the call; the claim
@@ -78,11 +80,7 @@
 // Settle records the outcome of a call and reports whether it is durable. It retries for several seconds, so a caller's
 // request need not wait for it.
 func (c *Client) Settle(ctx context.Context, request *peerpb.SettleRequest) bool {
-	if request.Outcome == peerpb.Outcome_OUTCOME_NOT_RUN {
-		c.mu.Lock()
-		delete(c.held, request.Claimant)
-		c.mu.Unlock()
-	}
+	c.updateHeld(request)
 	for range maxSettleAttempts {
 		for _, owner := range c.owners(request.Organisation, request.Key) {
 			if c.settleAt(ctx, owner, request) {
@@ -118,10 +116,25 @@
 		maps.DeleteFunc(c.held, func(_ string, h heldClaim) bool { return now.Sub(h.grantedAt) > heldRetention })
 		c.prunedAt = now
 	}
-	c.held[request.Claimant] = heldClaim{request.Organisation, request.Key, now}
+	settlement := &peerpb.SettleRequest{Organisation: request.Organisation, Key: request.Key, Claimant: request.Claimant}
+	c.held[request.Claimant] = heldClaim{settlement, now}
+}
+
+// updateHeld notes the outcome of a call. A claim whose call was not run is forgotten before the key is released.
+func (c *Client) updateHeld(request *peerpb.SettleRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h, isHeld := c.held[request.Claimant]
+	switch {
+	case !isHeld:
+	case request.Outcome == peerpb.Outcome_OUTCOME_NOT_RUN:
+		delete(c.held, request.Claimant)
+	case request.Outcome == peerpb.Outcome_OUTCOME_DONE && len(request.Body) <= maxHeldBodyBytes:
+		c.held[request.Claimant] = heldClaim{request, h.grantedAt}
+	}
 }
 
-// RecordHeldClaims records the claims that this node was granted again, after the object API may have lost them and the owner
+// RecordHeldClaims records the claims that this node was granted again, with the answers that it has, after the object API may have lost them and the owner
 // of their bucket may have died.
 func (c *Client) RecordHeldClaims(ctx context.Context) {
 	c.mu.Lock()
@@ -129,11 +142,9 @@
 	c.mu.Unlock()
 	var settlements errgroup.Group
 	settlements.SetLimit(maxConcurrentRewrite)
-	for claimant, h := range held {
+	for _, h := range held {
 		settlements.Go(func() error {
-			c.Settle(ctx, &peerpb.SettleRequest{
-				Organisation: h.organisation, Key: h.key, Claimant: claimant, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN,
-			})
+			c.Settle(ctx, h.settlement)
 			return nil
 		})
 	}
--- a/rudder/claim/restore_test.go
+++ b/rudder/claim/restore_test.go
@@ -57,3 +57,26 @@
 		}
 	}
 }
+
+// TestLostAnswerIsWrittenAgain guards against an unknown outcome of a repeated call although the node that has its answer runs.
+func TestLostAnswerIsWrittenAgain(t *testing.T) {
+	ctx, store, clock := context.Background(), newFaultyStore(), time.Unix(1_000_000, 0)
+	emptyObjects, emptyVersions := store.copyObjects()
+	now := func() time.Time { return clock }
+	claimant := &Client{Members: membership.NewTable(membership.Node{Name: "n"}), LocalCoordinator: newCoordinatorAt(store, now)}
+	claimant.Claim(ctx, &peerpb.ClaimRequest{Organisation: "parish", Key: "k", Fingerprint: "f", Claimant: "first"})
+	answered := &peerpb.SettleRequest{
+		Organisation: "parish", Key: "k", Claimant: "first", Outcome: peerpb.Outcome_OUTCOME_DONE, Status: 200, Body: []byte("answer"),
+	}
+	if !claimant.Settle(ctx, answered) {
+		t.Fatal("the answer was not recorded")
+	}
+	store.restore(emptyObjects, emptyVersions)
+	claimant.LocalCoordinator = newCoordinatorAt(store, now)
+	claimant.RecordHeldClaims(ctx)
+	clock = clock.Add(restoreGrace)
+	repeated := &peerpb.ClaimRequest{Organisation: "parish", Key: "k", Fingerprint: "f", Claimant: "second"}
+	if response := claimant.Claim(ctx, repeated); string(response.Body) != "answer" {
+		t.Errorf("repeated call: %s with body %q, expected the answer", response.State, response.Body)
+	}
+}
