Restore the store in the acceptance test

Cause: nothing checked that a revision number stands for one content on all nodes when the object API goes back, with acceptors that die, are paused, or know only a part of what was lost. Change: TestAcceptance copies and restores the store; acceptors run on nodes that follow or on new ones. It doesn't see a reverted content: TestLostRevisionIsWrittenAgain does.

--- a/rudder/revision/acceptance_test.go
+++ b/rudder/revision/acceptance_test.go
@@ -76,6 +76,8 @@
 	pointerHistory  []objectapi.Object // every pointer that checkInvariants has read
 	highestRevision int64              // number of the newest revision
 	hasFaults       bool               // whether the store injects faults
+	copies          []any              // of the store
+	restores        int
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -101,14 +103,20 @@
 	return s
 }
 
-// replaceAcceptor replaces the acceptor, at whatever point it was, by the next holder of the lease. The former acceptor
-// keeps trying, as a process that resumes after a pause does.
+// replaceAcceptor replaces the acceptor, at whatever point it was, by the next holder of the lease, on one of the nodes that
+// follow or on a new one. The former acceptor keeps trying, as a process that resumes after a pause does.
 func (s *simulation) replaceAcceptor() {
 	if former := s.acceptor; former != nil {
 		s.formerAcceptors = append(s.formerAcceptors, former)
 	}
 	s.fencingToken++
-	a := &Acceptor{Store: s.store, CurrentSnapshot: &CurrentSnapshot{}, Log: discardLogger}
+	f := newFollower(s.store, "acceptor")
+	if i := rapid.IntRange(0, len(s.followers)).Draw(s.t, "acceptor's node"); i < len(s.followers) {
+		f = s.followers[i]
+	}
+	a := &Acceptor{
+		Store: s.store, CurrentSnapshot: f.CurrentSnapshot, NewestKnownNumber: f.NewestKnownNumber, OnPublish: f.ApplyPublished, Log: discardLogger,
+	}
 	s.acceptor = &acceptorSession{
 		Acceptor: a, fencingToken: s.fencingToken, maxStatusWrites: 1, checkLease: func() error { return nil },
 	}
@@ -117,6 +125,16 @@
 	}
 }
 
+// restore replaces the contents of the store by a copy. Former acceptors are gone then: a lease does not last that long.
+func (s *simulation) restore(t *rapid.T) {
+	if len(s.copies) == 0 || rapid.IntRange(0, 3).Draw(t, "rarity") > 0 {
+		t.Skip("there is no copy, or it is not restored now")
+	}
+	s.store.Restore(rapid.SampledFrom(s.copies).Draw(t, "copy"))
+	s.restores++
+	s.highestRevision, s.formerAcceptors = 0, nil
+}
+
 func (s *simulation) write(o object.Object) {
 	raw, err := json.Marshal(o)
 	if err != nil {
@@ -287,9 +305,9 @@
 
 // TestAcceptance guards against a configuration that is inconsistent, was not written by an operator or reverts,
 // against a change that is rejected needlessly, and against changes that are never accepted after an acceptor died or
-// was paused at any point.
+// was paused at any point, or the store was restored from an older copy.
 func TestAcceptance(t *testing.T) {
-	revisions := int64(0)
+	pointers, restores := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
 		t.Repeat(map[string]func(*rapid.T){
@@ -308,12 +326,22 @@
 				}
 				s.resumeFormer(rapid.SampledFrom(s.formerAcceptors).Draw(t, "former"))
 			},
-			"follow": func(t *rapid.T) { s.updateFollower(t) },
-			"settle": func(*rapid.T) { s.checkConverged() },
+			"follow":  func(t *rapid.T) { s.updateFollower(t) },
+			"settle":  func(*rapid.T) { s.checkConverged() },
+			"copy":    func(*rapid.T) { s.copies = append(s.copies, s.store.Copy()) },
+			"restore": func(t *rapid.T) { s.restore(t) },
 		})
-		revisions += s.highestRevision
+		different := map[string]bool{}
+		for _, o := range s.pointerHistory {
+			different[string(o.Value)] = true
+		}
+		pointers += len(different)
+		restores += s.restores
 	})
-	t.Logf("accepted %d revisions", revisions)
+	if pointers == 0 || restores == 0 {
+		t.Error("no pointer was written or no copy was ever restored, so that the test has checked nothing")
+	}
+	t.Logf("%d pointers, %d restores", pointers, restores)
 }
 
 // resumeFormer lets a former acceptor continue with the versions that it read before its pause. It must not update the
