Show a version with an epoch to operators as they have to pass it on

Cause: the JSON of a version with an epoch was an array. Change: it is the text, in the object API's messages too. The golden test "restored" also shows that apply and delete with a version that was given out again are conflicts, and that a restored status does not pass for that of the present version.

Evidence: the golden test fails before ("version": [1, 2] in place of "version": "1.2") and passes now.

--- a/rudder/command/command_test.go
+++ b/rudder/command/command_test.go
@@ -163,6 +163,22 @@
 		}
 		s.runWithStore(fmt.Sprintf(organisationManifest, 4), "apply", "-f", "-")
 	})
+	// A version that is given out again after a restore must not pass for the one that the operator has read.
+	checkGolden(t, "restored", func(s *session) {
+		s.runWithStore(fmt.Sprintf(organisationManifest, 1), "apply", "-f", "-")
+		oldCopy := s.store.Copy()
+		s.runWithStore(fmt.Sprintf(organisationManifest, 2), "apply", "-f", "-")
+		s.store.Restore(oldCopy)
+		s.put("spec/Organisation/workshop", json.RawMessage(fmt.Sprintf(organisationManifest, 9)))
+		s.put("status/Organisation/workshop", object.Status{ObservedVersion: objectapi.Version{Number: 2}, Accepted: true, Revision: 3})
+		s.runWithStore("", "status")
+		s.runWithStore(fmt.Sprintf(organisationManifest, 3), "apply", "-f", "-", "--expect-version", "2")
+		s.runWithStore("", "delete", "Organisation/workshop", "--expect-version", "2")
+		s.runWithStore("", "get", "Organisation/workshop", "-o", "json")
+		s.runWithStore(fmt.Sprintf(organisationManifest, 3), "apply", "-f", "-", "--expect-version", "1.2")
+		s.runWithStore("", "apply", "-f", "-", "--expect-version", "1.x")
+		s.runWithStore("", "watch", "Organisation", "--count", "1")
+	})
 	checkGolden(t, "unavailable", func(s *session) {
 		s.store.BeforeCall = func(kind, _ string) error {
 			if kind == "put" {
--- a/rudder/objectapi/version.go
+++ b/rudder/objectapi/version.go
@@ -61,22 +61,19 @@
 	return nil
 }
 
-// MarshalJSON encodes a version of epoch 0 as its number, any other as an array of epoch and number.
+// MarshalJSON encodes a version of epoch 0 as its number, any other as the text that String returns.
 func (v Version) MarshalJSON() ([]byte, error) {
 	if v.Epoch == 0 {
 		return json.Marshal(v.Number)
 	}
-	return json.Marshal([2]int64{v.Epoch, v.Number})
+	return json.Marshal(v.String())
 }
 
 // UnmarshalJSON decodes what MarshalJSON encodes.
 func (v *Version) UnmarshalJSON(raw []byte) error {
-	var pair [2]int64
-	if err := json.Unmarshal(raw, &pair[1]); err != nil {
-		if err := json.Unmarshal(raw, &pair); err != nil {
-			return errors.Wrapf(err, "version %.40q: neither a number nor an epoch and a number", raw)
-		}
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		text = string(raw)
 	}
-	*v = Version{Epoch: pair[0], Number: pair[1]}
-	return nil
+	return v.UnmarshalText([]byte(text))
 }
