Keep two nodes from appending to different segments of a claims bucket after a restore

Cause: a node that had sealed a segment creates the next one on condition that it does not exist. A restored object API may lack the seal, or the segment. The new segment then stands beside an earlier one, to which other nodes still append, so that no conditional write decides between them.

Change: whoever reads a bucket with a later segment seals the earlier ones first, or creates them as sealed ones; an append of a node that had read the bucket before is then a conflict. Not kept: a bucket of which the copy has no segment at all, while a node had sealed several since.

Evidence: TestLostSealForksNoLog fails before ("segment is lost: false, second claim: CLAIM_STATE_GRANTED, <nil>, expected CLAIMED", the same for "true") and passes now.

--- a/rudder/claim/bucket.go
+++ b/rudder/claim/bucket.go
@@ -240,8 +240,8 @@
 	b.states = map[string]record{}
 	b.sealedSegments = nil
 	b.lastSegment, b.lastNumber, b.lastVersion = segment{}, 0, objectapi.AbsentVersion
-	for _, o := range listing.Objects {
-		if err := b.loadSegment(o); err != nil {
+	for i, o := range listing.Objects {
+		if err := b.loadSegment(ctx, o, i == 0); err != nil {
 			return err
 		}
 	}
@@ -251,7 +251,8 @@
 	return b.writeLostRecords(ctx)
 }
 
-func (b *bucket) loadSegment(o objectapi.Object) error {
+// loadSegment adds a segment to the cached state.
+func (b *bucket) loadSegment(ctx context.Context, o objectapi.Object, isFirst bool) error {
 	number, err := strconv.ParseInt(strings.TrimPrefix(o.Key, bucketPrefix(b.number)), 10, 64)
 	if err != nil {
 		return errors.Wrapf(err, "segment key %q", o.Key)
@@ -260,6 +261,11 @@
 	if err := json.Unmarshal(o.Value, &s); err != nil {
 		return errors.Wrapf(err, "decode segment %q", o.Key)
 	}
+	for !isFirst && b.lastNumber < number {
+		if err := b.sealLastSegment(ctx); err != nil {
+			return err
+		}
+	}
 	for _, r := range s.Records {
 		b.states[r.Key] = r
 		if b.lostRecords[r.Key].isSameAs(r) {
@@ -275,6 +281,24 @@
 	return nil
 }
 
+// sealLastSegment seals the last segment, or creates it as a sealed one, because a later one exists: the latter was created by a
+// node that did not know that a restored object API had lost the seal. No other node may append to the earlier one any more.
+func (b *bucket) sealLastSegment(ctx context.Context) error {
+	s := b.lastSegment
+	s.Sealed = true
+	written, err := b.store.Put(ctx, segmentKey(b.number, b.lastNumber), s, b.lastVersion)
+	if err != nil {
+		return err
+	}
+	if written.Version.Epoch != b.epoch {
+		b.restores.observe(written.Version.Epoch)
+		return errRestored
+	}
+	b.sealedSegments = append(b.sealedSegments, sealedSegment{b.lastNumber, written.Version, newestRecordTime(s)})
+	b.lastSegment, b.lastNumber, b.lastVersion = segment{}, b.lastNumber+1, objectapi.AbsentVersion
+	return nil
+}
+
 // deleteExpiredSegments deletes the sealed segments whose records are all older than Retention. The newest sealed segment is
 // kept, so that the number of the next segment is always known.
 func (b *bucket) deleteExpiredSegments(ctx context.Context) {
--- a/rudder/claim/restore_test.go
+++ b/rudder/claim/restore_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"chestnutrudder.example/rudder/membership"
+	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/peer/peerpb"
 )
 
@@ -80,3 +84,45 @@
 		t.Errorf("repeated call: %s with body %q, expected the answer", response.State, response.Body)
 	}
 }
+
+// TestLostSealForksNoLog guards against two nodes that append to different segments of a bucket, and thereby grant a key twice:
+// one of them sealed a segment, which the restored object API has lost, and creates the next one.
+func TestLostSealForksNoLog(t *testing.T) {
+	for _, isSegmentLost := range []bool{false, true} {
+		store, clock := newFaultyStore(), time.Unix(1_000_000, 0)
+		now := func() time.Time { return clock }
+		owner, other := newCoordinatorAt(store, now).buckets[0], newCoordinatorAt(store, now).buckets[0]
+		claimAt := func(b *bucket, key, claimant string) (peerpb.ClaimState, error) {
+			responses, err := b.commit([]*operation{{key: key, kind: kindClaimed, claimant: claimant}})
+			if err != nil {
+				return peerpb.ClaimState_CLAIM_STATE_UNAVAILABLE, err
+			}
+			return responses[0].State, nil
+		}
+		isCopied := false
+		copiedObjects, copiedVersions := store.copyObjects()
+		for i := 0; owner.lastNumber < 2; i++ {
+			if _, err := claimAt(owner, fmt.Sprint(i), fmt.Sprint(i)); err != nil {
+				t.Fatal(err)
+			}
+			hasSegment := owner.lastVersion != objectapi.AbsentVersion
+			if !isCopied && owner.lastNumber == 1 && (isSegmentLost || hasSegment) {
+				isCopied = true
+				copiedObjects, copiedVersions = store.copyObjects()
+			}
+		}
+		store.restore(copiedObjects, copiedVersions)
+		_, _ = claimAt(other, "k", "before")
+		_, err := claimAt(owner, "x", "x")
+		if !errors.Is(err, errRestored) {
+			t.Fatalf("segment is lost: %t, first write after the restore: %v, expected %v", isSegmentLost, err, errRestored)
+		}
+		clock = clock.Add(restoreGrace)
+		if state, err := claimAt(owner, "k", "first"); state != peerpb.ClaimState_CLAIM_STATE_GRANTED {
+			t.Fatalf("segment is lost: %t, first claim: %s, %v", isSegmentLost, state, err)
+		}
+		if state, err := claimAt(other, "k", "second"); state != peerpb.ClaimState_CLAIM_STATE_CLAIMED {
+			t.Errorf("segment is lost: %t, second claim: %s, %v, expected CLAIMED", isSegmentLost, state, err)
+		}
+	}
+}
