Wait for lost claims while the object API is away once more after a restore

Change: a failed read of a bucket within the time without grants begins it anew; a node tries to record its claims until they were granted two minutes ago, a coordinator for two minutes.

Evidence: TestOutageAfterRestoreDelaysGrants fails before ("claim soon after the outage: CLAIM_STATE_GRANTED"), TestHeldClaimIsRecordedAfterOutage too ("0 segments after the outage, object API is unavailable; expected the claim"); both pass now. The longer attempts of the coordinator have no test of their own.

--- a/rudder/claim/bucket.go
+++ b/rudder/claim/bucket.go
@@ -226,6 +226,7 @@
 func (b *bucket) load(ctx context.Context) error {
 	listing, err := b.store.List(ctx, bucketPrefix(b.number))
 	if err != nil {
+		b.restores.extend()
 		return err
 	}
 	b.restores.observe(listing.Revision.Epoch)
--- a/rudder/claim/claim_test.go
+++ b/rudder/claim/claim_test.go
@@ -31,6 +31,7 @@
 	fault         string
 	delayedWrites []func()
 	writeCount    int
+	failingLists  int // number of lists that fail next
 }
 
 func newFaultyStore() *faultyStore {
@@ -49,7 +50,8 @@
 func (s *faultyStore) List(_ context.Context, prefix string) (objectapi.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fault == "down" {
+	if s.failingLists > 0 || s.fault == "down" {
+		s.failingLists = max(s.failingLists-1, 0)
 		return objectapi.Listing{}, objectapi.ErrUnavailable
 	}
 	listing := objectapi.Listing{Revision: objectapi.Version{Epoch: s.epoch}}
@@ -137,6 +139,12 @@
 	return objectapi.Changes{}, objectapi.ErrUnavailable
 }
 
+func (s *faultyStore) failLists(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failingLists = count
+}
+
 func (s *faultyStore) setFault(fault string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/rudder/claim/client.go
+++ b/rudder/claim/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"strconv"
 	"sync"
@@ -35,6 +36,7 @@
 	Members          *membership.Table
 	LocalCoordinator *Coordinator // serves the buckets that this node owns
 	Dial             func(address string) peerpbconnect.PeerServiceClient
+	Log              *slog.Logger
 
 	mu       sync.Mutex
 	held     map[string]heldClaim // by claimant
@@ -144,7 +146,9 @@
 	settlements.SetLimit(maxConcurrentRewrite)
 	for _, h := range held {
 		settlements.Go(func() error {
-			c.Settle(ctx, h.settlement)
+			for !c.Settle(ctx, h.settlement) && ctx.Err() == nil && time.Since(h.grantedAt) < heldRetention {
+				c.Log.Warn("Failed to record a claim that the object API may have lost; retrying.", "claimant", h.settlement.Claimant)
+			}
 			return nil
 		})
 	}
--- a/rudder/claim/restore.go
+++ b/rudder/claim/restore.go
@@ -22,8 +22,8 @@
 	// restoreGrace is how long after a node has learned of a restore it grants no claims: longer than it takes until all
 	// nodes have learned of it and have written the claims that they know.
 	restoreGrace         = 4 * time.Second
-	rewriteRetryDelay    = 500 * time.Millisecond
-	maxRewriteAttempts   = 20
+	rewriteRetryDelay    = 2 * time.Second
+	maxRewriteAttempts   = 60
 	maxConcurrentRewrite = 16
 )
 
@@ -48,6 +48,16 @@
 	}
 }
 
+// extend begins the time without grants anew, unless it is over: the object API did not answer, so that others could not write
+// what they know either.
+func (t *restoreTracker) extend() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now := t.now(); t.epoch > 0 && now.Sub(t.seenAt) < restoreGrace {
+		t.seenAt = now
+	}
+}
+
 func (t *restoreTracker) latestEpoch() int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -113,7 +123,7 @@
 }
 
 // HandleEpoch writes again what an object API that was restored before this epoch has lost, as far as this node knows it. It
-// returns when that is done or has failed for several seconds; later operations on a bucket try it again.
+// returns when that is done or has failed for two minutes; later operations on a bucket try it again.
 func (c *Coordinator) HandleEpoch(ctx context.Context, epoch int64) {
 	c.restores.observe(epoch)
 	for range maxRewriteAttempts {
--- a/rudder/claim/restore_test.go
+++ b/rudder/claim/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -126,3 +127,43 @@
 		}
 	}
 }
+
+// TestOutageAfterRestoreDelaysGrants guards against a second run of a call whose claim could not be written again in time, because
+// the object API went away once more after nodes had learned of the restore.
+func TestOutageAfterRestoreDelaysGrants(t *testing.T) {
+	ctx, store, clock := context.Background(), newFaultyStore(), time.Unix(1_000_000, 0)
+	coordinator := newCoordinatorAt(store, func() time.Time { return clock })
+	coordinator.HandleEpoch(ctx, store.restore(store.copyObjects()))
+	claimAfter := func(d time.Duration, fault, claimant string) peerpb.ClaimState {
+		clock = clock.Add(d)
+		store.setFault(fault)
+		return coordinator.Claim(ctx, &peerpb.ClaimRequest{Organisation: "parish", Key: "k", Claimant: claimant}).State
+	}
+	if state := claimAfter(restoreGrace-time.Second, "down", "a"); state != peerpb.ClaimState_CLAIM_STATE_UNAVAILABLE {
+		t.Errorf("claim during the outage: %s", state)
+	}
+	if state := claimAfter(restoreGrace-time.Second, "", "b"); state != peerpb.ClaimState_CLAIM_STATE_UNAVAILABLE {
+		t.Errorf("claim soon after the outage: %s", state)
+	}
+	if state := claimAfter(time.Second, "", "c"); state != peerpb.ClaimState_CLAIM_STATE_GRANTED {
+		t.Errorf("claim when all nodes had the time to write: %s", state)
+	}
+}
+
+// TestHeldClaimIsRecordedAfterOutage guards against a claim that is given up because the object API is away for longer than one
+// settlement is tried.
+func TestHeldClaimIsRecordedAfterOutage(t *testing.T) {
+	ctx, store := context.Background(), newFaultyStore()
+	claimant := &Client{
+		Members: membership.NewTable(membership.Node{Name: "n"}), LocalCoordinator: newTestCoordinator(store), Log: slog.New(slog.DiscardHandler),
+	}
+	request := &peerpb.ClaimRequest{Organisation: "parish", Key: "k", Claimant: "first"}
+	claimant.Claim(ctx, request)
+	store.restore(map[string]objectapi.Object{}, map[string]int64{})
+	claimant.LocalCoordinator = newTestCoordinator(store)
+	store.failLists(maxSettleAttempts + 1)
+	claimant.RecordHeldClaims(ctx)
+	if listing, err := store.List(ctx, bucketPrefix(Bucket("parish", "k"))); err != nil || len(listing.Objects) != 1 {
+		t.Errorf("%d segments after the outage, %v; expected the claim", len(listing.Objects), err)
+	}
+}
--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -87,7 +87,7 @@
 		return localDigests
 	}
 	claimCoordinator := claim.NewCoordinator(store, time.Now, logger.Part("claim"))
-	claimClient := &claim.Client{Members: members, LocalCoordinator: claimCoordinator, Dial: dialer.Client}
+	claimClient := &claim.Client{Members: members, LocalCoordinator: claimCoordinator, Dial: dialer.Client, Log: logger.Part("claim")}
 	records.WatchEpoch(func(epoch int64) {
 		go claimCoordinator.HandleEpoch(context.Background(), epoch)
 		go claimClient.RecordHeldClaims(context.Background())
