--- a/rudder/daemon/daemon.go
+++ b/rudder/daemon/daemon.go
@@ -67,6 +67,7 @@
 		Incarnation:   time.Now().UnixMilli(),
 	})
 	records := membership.NewRecords()
+	store.OnNewEpoch = records.AnnounceEpoch
 	hosts := fleet.NewTable()
 	noticeDistributor := startNoticeDistributor(s, hosts, members, records, store, logger)
 	currentSnapshot := &revision.CurrentSnapshot{}
@@ -86,7 +87,11 @@
 		return localDigests
 	}
 	claimCoordinator := claim.NewCoordinator(store, time.Now, logger.Part("claim"))
-	claimClient := &claim.Client{Members: members, LocalCoordinator: claimCoordinator, Dial: dialer.Client}
+	claimClient := &claim.Client{Members: members, LocalCoordinator: claimCoordinator, Dial: dialer.Client, Log: logger.Part("claim")}
+	records.WatchEpoch(func(epoch int64) {
+		go claimCoordinator.HandleEpoch(context.Background(), epoch)
+		go claimClient.RecordHeldClaims(context.Background())
+	})
 	entryServer := &entry.Server{
 		Members: members, Fleet: hosts, CurrentSnapshot: currentSnapshot, Claims: claimClient, Dial: dialer.Client, Metrics: metrics,
 		Log: logger.Part("entry"),
@@ -110,7 +115,7 @@
 	nodeDrainer := &drainer{exchanger: exchanger, dispatcher: dispatcher, entryServer: entryServer, log: logger.Part("daemon"), drainRequests: make(chan time.Duration, 1)}
 	acceptor := &revision.Acceptor{
 		Store: store, CurrentSnapshot: currentSnapshot, ReadyRunners: hosts.CountServingHosts, Node: s.Node,
-		OnPublish: follower.ApplyPublished, Log: logger.Part("revision"),
+		OnPublish: follower.ApplyPublished, NewestKnownNumber: follower.NewestKnownNumber, Log: logger.Part("revision"),
 	}
 	leases := &lease.Manager{
 		Store: store, Node: s.Node, Timing: lease.DefaultTiming, Log: logger.Part("lease"),
--- a/rudder/lease/lease.go
+++ b/rudder/lease/lease.go
@@ -61,10 +61,6 @@
 	Released               bool   `json:"released"`
 }
 
-// fencingTokensPerEpoch is the difference between the first fencing tokens of two successive epochs of the object API: more
-// than there are versions in one.
-const fencingTokensPerEpoch = 1 << 40
-
 // nextFencingToken returns the token of an acquisition that replaces the record with a version, in an epoch of the object API.
 // After a restore a late write of a former holder may have replaced a record with a higher token. The version then is higher
 // than that of the acquisition with that token, so that counting it keeps tokens unique.
@@ -72,7 +68,7 @@
 	if epoch == 0 {
 		return r.FencingToken + 1
 	}
-	return max(r.FencingToken, epoch*fencingTokensPerEpoch+version.Number) + 1
+	return max(r.FencingToken, objectapi.Version{Epoch: epoch, Number: version.Number}.Ordinal()) + 1
 }
 
 // takeoverDelay returns how long the record must be unchanged before another process may acquire the lease.
--- a/rudder/objectapi/version.go
+++ b/rudder/objectapi/version.go
@@ -23,6 +23,18 @@
 	return cmp.Or(cmp.Compare(v.Epoch, other.Epoch), cmp.Compare(v.Number, other.Number))
 }
 
+// numbersPerEpoch is the difference between the ordinals of equal numbers in two successive epochs: more than there are numbers
+// in one epoch.
+const numbersPerEpoch = 1 << 40
+
+// Ordinal returns v as one number, in the order of Compare. It is the number itself in epoch 0.
+func (v Version) Ordinal() int64 { return v.Epoch*numbersPerEpoch + v.Number }
+
+// VersionOfOrdinal returns the version with an ordinal.
+func VersionOfOrdinal(ordinal int64) Version {
+	return Version{Epoch: ordinal / numbersPerEpoch, Number: ordinal % numbersPerEpoch}
+}
+
 // IsZero reports whether v is the zero Version, which no object and no revision has.
 func (v Version) IsZero() bool { return v == Version{} }
 
@@ -49,22 +61,24 @@
 	return nil
 }
 
-// MarshalJSON encodes a version of epoch 0 as its number, any other as an array of epoch and number.
+// MarshalJSON encodes a version of epoch 0 as its number, any other as the text that String returns.
 func (v Version) MarshalJSON() ([]byte, error) {
 	if v.Epoch == 0 {
 		return json.Marshal(v.Number)
 	}
-	return json.Marshal([2]int64{v.Epoch, v.Number})
+	return json.Marshal(v.String())
 }
 
 // UnmarshalJSON decodes what MarshalJSON encodes.
 func (v *Version) UnmarshalJSON(raw []byte) error {
-	var pair [2]int64
-	if err := json.Unmarshal(raw, &pair[1]); err != nil {
-		if err := json.Unmarshal(raw, &pair); err != nil {
-			return errors.Wrapf(err, "version %.40q: neither a number nor an epoch and a number", raw)
-		}
+	var number int64
+	if json.Unmarshal(raw, &number) == nil {
+		*v = Version{Number: number}
+		return nil
 	}
-	*v = Version{Epoch: pair[0], Number: pair[1]}
-	return nil
+	var text string
+	if json.Unmarshal(raw, &text) != nil || !strings.Contains(text, ".") {
+		return errors.Errorf("version %.40q: neither a whole number nor a string of an epoch, a dot and a number", raw)
+	}
+	return v.UnmarshalText([]byte(text))
 }
--- a/rudder/objectapi/watcher_test.go
+++ b/rudder/objectapi/watcher_test.go
@@ -274,4 +274,9 @@
 			t.Errorf("JSON string %q gives version %s, want an error", text, v)
 		}
 	}
+	for _, raw := range []string{`"1"`, `1.5`, `[1,2]`, `9223372036854775808`} {
+		if err := json.Unmarshal([]byte(raw), &v); err == nil {
+			t.Errorf("JSON %s gives version %s, want an error", raw, v)
+		}
+	}
 }
