Do not merge a stored usage report with this node's counts

What would be seen: the platform accepts two usage reports of one window with different counts (rule ONE): the holder of the lease stored and sent a report and ended before it was marked as sent, and the next holder has counted an organisation that the stored report lacks.

Cause: the stored report was decoded into a value whose map already held the node's own counts. Decoding JSON keeps the entries of a map that it does not name.

Change: the report is decoded into an empty value.

Evidence: TestStoredReportIsNotMergedWithOwnCounts fails before ("the first holder sent {fence:1 window: counts:map[o:1]}, the next one [{fence:2 window: counts:map[o:1 p:1]}]") and passes now.

--- a/rudder/usage/reporter.go
+++ b/rudder/usage/reporter.go
@@ -179,6 +179,7 @@
 	if err != nil {
 		return report{}, objectapi.AbsentVersion, err
 	}
+	final = report{} // decoding would keep what a map holds already
 	if err := json.Unmarshal(o.Value, &final); err != nil {
 		return report{}, objectapi.AbsentVersion, errors.Wrapf(err, "decode %s", key)
 	}
--- a/rudder/usage/usage_test.go
+++ b/rudder/usage/usage_test.go
@@ -312,3 +312,23 @@
 		})
 	}
 }
+
+// The stored report of another lease holder has no entry for an organisation that this node has counted. The decoded counts
+// were merged with the node's own, so that the window was sent twice with different counts.
+func TestStoredReportIsNotMergedWithOwnCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectapitest.NewMemoryStore()
+		first := NewCounter("n1/1", 5*time.Second, time.Now)
+		first.CountRun("o")
+		before := runReporter(t, store, first, 8*time.Second, true) // perhaps accepted, but not answered
+		if len(before) == 0 {
+			t.Fatal("the first holder sent no report")
+		}
+		second := NewCounter("n2/1", 5*time.Second, time.Now)
+		second.MergePeerWindows("x", Windows{before[0].window: {"o": 1, "p": 1}})
+		after := runReporter(t, store, second, 4*time.Second, false)
+		if len(after) == 0 || after[0].window != before[0].window || !maps.Equal(after[0].counts, before[0].counts) {
+			t.Errorf("the first holder sent %+v, the next one %+v, want the same window and counts", before[0], after)
+		}
+	})
+}
