Do not add an earlier incarnation of a departed server from a restored registry

What would be seen: after the store has come back from an older copy, a node sends requests to a server whose leaving it has acknowledged (rule DRAIN), if the server had restarted between the copy and its leaving.

Cause: an entry of the restored registry was held back only if it named the same start as the removed incarnation. The copy names an earlier start, and the server was added at once.

Change: an entry is held back if it does not name a later start.

Evidence: TestEarlierIncarnationOfDepartedServerIsNotAddedAgain fails before ("start 1 after the removal of start 2: serving true, departed [], want serving false") and passes now.

--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -160,7 +160,7 @@
 		s, found := t.servers[e.ID]
 		isKnown := found && s.StartUnixMillis == e.StartUnixMillis
 		d, hasDeparted := t.departures[e.ID]
-		if isKnown && s.isUnlisted || !found && hasDeparted && d.startUnixMillis == e.StartUnixMillis {
+		if isKnown && s.isUnlisted || !found && hasDeparted && e.StartUnixMillis <= d.startUnixMillis {
 			departed = append(departed, e)
 			continue
 		}
