Do not claim a listing of the registry in progress as changes to peers

What would be seen: a passive node sends requests to a server that has left (rule DRAIN), after a watcher has listed the registry anew, as all do when the store has come back from an older copy. The window is the moment between the application of a listing and the note of its revision.

Cause: a digest composed in this window said that its changes, none, are all from the beginning up to the revision before. A peer that was behind took what lies between for known.

Change: a digest in this window says nothing of the registry.

Evidence: TestListingInProgressIsNotClaimedAsChanges fails before ("the digest claims 0 changes from revision 0 to 50, want none") and passes now.

--- a/rudder/relaynode/registry_restore_test.go
+++ b/rudder/relaynode/registry_restore_test.go
@@ -106,3 +106,16 @@
 	r.settleEntries(boottime.Now().Add(lapseTimeout))
 	check("after silent entries lapse", map[string]bool{"removed": true, "draining": false})
 }
+
+// A digest that was composed between the application of a listing and the note of its revision claimed to hold all changes
+// from the beginning, and held none: peers took the changes before the listing for known.
+func TestListingInProgressIsNotClaimedAsChanges(t *testing.T) {
+	r := newLoneRegistrySync()
+	listing := registryListing(0, map[string]bool{"s": false})
+	r.applyListing(listing, boottime.Now())
+	r.recordAnswer(boottime.Now(), listing.Revision)
+	r.applyListing(registryListing(1, map[string]bool{"s": true}), boottime.Now())
+	if delta := r.delta(); !delta.Revision.IsZero() {
+		t.Errorf("the digest claims %d changes from revision %s to %s, want none", len(delta.Changes), delta.FromRevision, delta.Revision)
+	}
+}
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -56,6 +56,7 @@
 	lastCallAt    boottime.Instant          // when the last answered call was sent
 	attemptedAt   boottime.Instant          // when the last watch was sent, answered or not
 	currentAsOf   boottime.Instant          // all changes that the object API acknowledged before this time are known
+	isListing     bool                      // a listing has been applied whose revision is not recorded yet
 	isPassive     bool                      // result of the last updatePassive
 	latestEpoch   int64                     // of the object API, as far as this node or a peer has heard
 	unsettled     map[string]unsettledEntry // by server ID; after the object API was restored
@@ -109,7 +110,7 @@
 	} else {
 		r.node.backends.Replace(entries)
 	}
-	r.recentChanges, r.fromRevision = nil, objectapi.Version{} // recordAnswer sets the revision
+	r.recentChanges, r.isListing = nil, true // recordAnswer sets the revision
 }
 
 // applyEvent applies one change of the registry and keeps it for digests. An entry that cannot be decoded counts as
@@ -148,6 +149,7 @@
 	if len(r.recentChanges) == 0 {
 		r.fromRevision = revision
 	}
+	r.isListing = false
 	for i := range r.recentChanges {
 		if r.recentChanges[i].Revision.IsZero() {
 			r.recentChanges[i].Revision = revision
@@ -178,7 +180,7 @@
 func (r *registrySync) delta() mesh.RegistryDelta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.currentAsOf == 0 {
+	if r.currentAsOf == 0 || r.isListing {
 		return mesh.RegistryDelta{}
 	}
 	r.pruneChanges()
