Keep what is unsettled after a restore when the registry is listed a second time

Cause: only the first listing of a new epoch was compared with what is known; the next one replaced the table and dropped the unsettled entries.

Change: until the last unsettled entry is due, listings of the same epoch go through the same comparison, and servers stay unsettled until the same time as before. Other differences are changes since the restore.

Evidence: TestSecondListingAfterRestoreDoesNotUndoKnownChanges fails before ("at the second listing: server draining gets requests: true, want false", "server removed gets requests: true", "server started gets requests: false") and passes now.

--- a/rudder/relaynode/registry_restore.go
+++ b/rudder/relaynode/registry_restore.go
@@ -23,11 +23,12 @@
 	settledAt boottime.Instant
 }
 
-// keepUnsettled remembers the servers that a restored registry lacks, and the entries of servers that had departed before. The
-// caller holds the lock.
-func (r *registrySync) keepUnsettled(unlisted []string, departed []backend.Entry) {
+// applyRestoredListing applies the first listing of a restored registry. Servers that it lacks and entries of servers that had
+// departed before are remembered as unsettled. The caller holds the lock.
+func (r *registrySync) applyRestoredListing(entries []backend.Entry) {
+	unlisted, departed := r.node.backends.ReplaceAfterRestore(entries)
 	now := boottime.Now()
-	r.unsettled = map[string]unsettledEntry{}
+	r.unsettled, r.lapsedAt = map[string]unsettledEntry{}, now.Add(lapseTimeout)
 	for _, id := range unlisted {
 		r.unsettled[id] = unsettledEntry{isMissing: true, settledAt: now.Add(rewriteTimeout)}
 	}
@@ -39,6 +40,28 @@
 	}
 }
 
+// applyListingAfterRestored applies a later listing of the same epoch. Unsettled servers stay so until the same time; other
+// differences are changes since the restore. The caller holds the lock.
+func (r *registrySync) applyListingAfterRestored(entries []backend.Entry) {
+	unlisted, departed := r.node.backends.ReplaceAfterRestore(entries)
+	previous := r.unsettled
+	r.unsettled = map[string]unsettledEntry{}
+	for _, id := range unlisted {
+		if u, isUnsettled := previous[id]; isUnsettled && u.isMissing {
+			r.unsettled[id] = u
+			continue
+		}
+		r.node.backends.Remove(id)
+	}
+	for _, e := range departed {
+		if u, isUnsettled := previous[e.ID]; isUnsettled && !u.isMissing {
+			r.unsettled[e.ID] = unsettledEntry{entry: e, settledAt: u.settledAt}
+			continue
+		}
+		r.node.backends.Put(e)
+	}
+}
+
 // settleEntries applies what the restored registry says of servers that have not written their entries again in time. The
 // caller holds the lock.
 func (r *registrySync) settleEntries(now boottime.Instant) {
--- a/rudder/relaynode/registry_restore_test.go
+++ b/rudder/relaynode/registry_restore_test.go
@@ -119,3 +119,34 @@
 		t.Errorf("the digest claims %d changes from revision %s to %s, want none", len(delta.Changes), delta.FromRevision, delta.Revision)
 	}
 }
+
+// The registry was listed a second time soon after the restore, since its history was gone, and the second listing undid what
+// the first one had not: servers that had left got requests again, and those that had not written their entries yet got none.
+func TestSecondListingAfterRestoreDoesNotUndoKnownChanges(t *testing.T) {
+	r := newLoneRegistrySync()
+	list := func(epoch int64, drainingByServer map[string]bool) {
+		listing := registryListing(epoch, drainingByServer)
+		r.applyListing(listing, boottime.Now())
+		r.recordAnswer(boottime.Now(), listing.Revision)
+	}
+	check := func(when string, want map[string]bool) {
+		t.Helper()
+		for server, wantServing := range want {
+			if _, refusal := r.node.backends.Place(backend.Request{Service: server}, 0); (refusal == nil) != wantServing {
+				t.Errorf("%s: server %s gets requests: %t, want %t", when, server, refusal == nil, wantServing)
+			}
+		}
+	}
+	list(1, map[string]bool{"draining": true, "started": false, "left": false})
+	r.applyEvent(objectapi.Event{Object: registryObject("removed", false)})
+	r.applyEvent(objectapi.Event{Object: registryObject("removed", false), Deleted: true})
+	r.recordAnswer(boottime.Now(), objectapi.Version{Epoch: 1, Number: 55})
+	list(2, map[string]bool{"draining": false, "removed": false, "left": false})
+	r.settleEntries(boottime.Now().Add(rewriteTimeout / 2))
+	list(2, map[string]bool{"draining": false, "removed": false})
+	check("at the second listing", map[string]bool{"draining": false, "removed": false, "started": true, "left": false})
+	r.settleEntries(boottime.Now().Add(rewriteTimeout))
+	check("after the servers had time to write", map[string]bool{"draining": false, "removed": false, "started": false})
+	r.settleEntries(boottime.Now().Add(lapseTimeout))
+	check("after silent entries lapse", map[string]bool{"draining": false, "removed": true})
+}
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -60,6 +60,7 @@
 	isPassive     bool                      // result of the last updatePassive
 	latestEpoch   int64                     // of the object API, as far as this node or a peer has heard
 	unsettled     map[string]unsettledEntry // by server ID; after the object API was restored
+	lapsedAt      boottime.Instant          // when all of unsettled are settled at the latest
 }
 
 // recentChange is a change with the time at which this node learnt it. Its revision is zero until all changes of the answer
@@ -102,12 +103,14 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unsettled = nil
-	if !r.revision.IsZero() && listing.Revision.Epoch > r.revision.Epoch {
+	isRestored := !r.revision.IsZero() && listing.Revision.Epoch > r.revision.Epoch
+	switch {
+	case isRestored:
 		r.log.Warn("The object API was restored from an older copy; the registry is read again.", "revision", r.revision, "restored_revision", listing.Revision)
-		unlisted, departed := r.node.backends.ReplaceAfterRestore(entries)
-		r.keepUnsettled(unlisted, departed)
-	} else {
+		r.applyRestoredListing(entries)
+	case boottime.Now() < r.lapsedAt:
+		r.applyListingAfterRestored(entries)
+	default:
 		r.node.backends.Replace(entries)
 	}
 	r.recentChanges, r.isListing = nil, true // recordAnswer sets the revision
