Compare quarantines with what the restored object API holds now

Cause: the records were read again with the cheap listing, which may return data that is seconds old, so from before the restore. Records in it were taken for present, and the read is not repeated in the epoch. Whether the platform's store names the new epoch with such old data is not known.

Change: the read after a restore is the one that returns what the store holds.

Evidence: TestQuarantinesAreComparedWithTheRestoredRecords fails before ("condition does not hold within 30s: the quarantine is recorded again") and passes now.

--- a/rudder/relaynode/quarantines.go
+++ b/rudder/relaynode/quarantines.go
@@ -50,7 +50,8 @@
 		}
 		if isOutdated {
 			// Records may be missing, and those of ended quarantines may be back: they are deleted, not applied.
-			records, err := n.readQuarantines(ctx)
+			// The cheap listing may return data from before the restore.
+			records, err := n.readQuarantines(ctx, n.platform.Store.List)
 			if err != nil {
 				n.log.Warn("Reading the recorded quarantines of the restored object API failed; trying again.", "error", err)
 				continue
@@ -75,7 +76,11 @@
 
 // loadQuarantines reads the recorded quarantines and applies them.
 func (n *node) loadQuarantines(ctx context.Context) (savedQuarantines, error) {
-	records, err := n.readQuarantines(ctx)
+	list := n.platform.Store.List
+	if n.platform.ListStale != nil {
+		list = n.platform.ListStale
+	}
+	records, err := n.readQuarantines(ctx, list)
 	if err != nil {
 		return savedQuarantines{}, err
 	}
@@ -83,12 +88,9 @@
 	return records.saved, nil
 }
 
-// readQuarantines reads the recorded quarantines. Those that are too old are included, so that saveQuarantines deletes them.
-func (n *node) readQuarantines(ctx context.Context) (quarantineRecords, error) {
-	list := n.platform.Store.List
-	if n.platform.ListStale != nil {
-		list = n.platform.ListStale
-	}
+// readQuarantines reads the recorded quarantines with one of the list calls of the object API. Those that are too old are
+// included, so that saveQuarantines deletes them.
+func (n *node) readQuarantines(ctx context.Context, list func(context.Context, string) (objectapi.Listing, error)) (quarantineRecords, error) {
 	listing, err := list(ctx, quarantinePrefix)
 	if err != nil {
 		return quarantineRecords{}, err
--- a/rudder/relaynode/quarantines_test.go
+++ b/rudder/relaynode/quarantines_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,3 +151,36 @@
 		t.Error("the ended quarantine is in force again")
 	}
 }
+
+// A cheap listing may return data from before the restore. The records in it were taken for present, and those that the
+// restored object API lacks were not written again.
+func TestQuarantinesAreComparedWithTheRestoredRecords(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	store := objectapitest.NewMemoryStore()
+	n := newQuarantineNode(store)
+	n.registry = newRegistrySync(n)
+	storeCopy := store.Copy()
+	trait := n.quarantineContent("lost", 10)
+	n.saveQuarantines(ctx, map[string]int{})
+	old, err := store.List(ctx, quarantinePrefix)
+	if err != nil || len(old.Objects) != 1 {
+		t.Fatalf("%d records, error %v, want 1", len(old.Objects), err)
+	}
+	store.Restore(storeCopy)
+	var staleReads atomic.Int64
+	n.platform.ListStale = func(context.Context, string) (objectapi.Listing, error) {
+		old.Revision.Epoch = n.registry.storeEpoch()
+		staleReads.Add(1)
+		return old, nil
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); n.keepQuarantines(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	waitFor(t, 30*time.Second, "the node has read the records", func() bool { return staleReads.Load() > 0 })
+	n.registry.recordAnswer(boottime.Now(), objectapi.Version{Epoch: 1, Number: 1})
+	waitFor(t, 30*time.Second, "the quarantine is recorded again", func() bool {
+		n.relay.Crashes.Quarantines() // evaluates the crashes, as requests do
+		listing, err := store.List(ctx, quarantinePrefix)
+		return err == nil && len(listing.Objects) == 1 && listing.Objects[0].Key == quarantinePrefix+fmt.Sprintf("%x", quarantineIDOf(trait))
+	})
+}
