Hear a peer before the first answer of an epoch confirms the configuration

Cause: the first answer confirmed the configuration in it as the newest before the node had heard from a peer. What a peer then told of a newer version kept it from confirming again, but the first confirmation counted on for the whole bound.

Change: the first answer of a process, unless the system starts for the first time, and the first one of a new epoch are held until a peer has told of a configuration that was confirmed at some time, or for 750 ms. TestRestoredConfigurationConfirmsNothing lets the node hear a peer with an older version after each answer; what it checks is the same.

Evidence: TestRestoredConfigurationIsNotConfirmedBeforePeersAreHeard fails with the hold taken out ("version 5 is confirmed before a peer was heard that knows the configuration from before"), also with only that of a new epoch taken out ("cut off: version 5 is confirmed: true while a peer has version 8, want false"), and passes now.

Left: a peer that was cut off as well may be heard first.

--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -32,6 +32,9 @@
 	staleReadTimeout = 300 * time.Millisecond
 	// maxStaleReadDelay bounds the random delay before that read, so that not all nodes read at the same time.
 	maxStaleReadDelay = 100 * time.Millisecond
+	// peerWait is how long a node waits for a peer that may know a newer configuration than the object API, after the first
+	// answer of an object API that may have been restored from an older copy. Peers send several digests in this time.
+	peerWait = 750 * time.Millisecond
 )
 
 // configSync decides when this node asks the object API for the configuration. Each call is paid for.
@@ -43,6 +46,17 @@
 	isStoreBehind  bool             // result of the last comparison of storedVersion with the versions known otherwise
 	staleReadUntil boottime.Instant // end of the time for the read of wantedVersion
 	newerVersion   chan struct{}    // has a value when wantedVersion has changed
+	hasAnswer      bool             // the object API has answered
+	epoch          int64            // of the object API in its last answer
+	hasHeardPeer   bool             // a peer has told, in this epoch, of a configuration that was confirmed at some time
+	holdUntil      boottime.Instant // until when answers are held if no peer was heard
+	heldAnswer     answer           // the last one that is held
+}
+
+// answer is the answer to a call of the object API.
+type answer struct {
+	sentAt   boottime.Instant // when the call was sent; 0 if there is none
+	revision objectapi.Version
 }
 
 // configWatchTimeout returns how long the next watch of the configuration waits for a change.
@@ -131,6 +145,23 @@
 	}
 }
 
+// notePeerConfig records which version of the configuration a peer has and when it was confirmed, and ends the wait of mustHold.
+func (n *node) notePeerConfig(m *mesh.Member) {
+	n.noteConfigVersion(m.ConfigVersion)
+	if m.ConfigVersion > 0 && m.ConfirmationAgeMillis >= 0 {
+		n.configSync.mu.Lock()
+		held := n.configSync.heldAnswer
+		n.configSync.hasHeardPeer, n.configSync.heldAnswer = true, answer{}
+		n.configSync.mu.Unlock()
+		if held.sentAt > 0 {
+			n.confirmConfig(held.sentAt, held.revision)
+		}
+	}
+	if confirmedAt, found := m.ConfigConfirmedAt(); found {
+		n.currentConfig.ConfirmNewest(m.ConfigVersion, confirmedAt)
+	}
+}
+
 // readNewerConfigs reads the configuration when a peer has told of a newer one, until ctx ends. The read may return an old
 // one; after staleReadTimeout the watch asks for the newest.
 func (n *node) readNewerConfigs(ctx context.Context) {
@@ -192,15 +223,36 @@
 	return config
 }
 
+// mustHold reports whether an answer of the object API is held until a peer was heard, because it may come from an older copy: it
+// is the first one of an epoch that this process has got, or follows it soon. At the first start of the system there is no copy.
+// The caller holds the lock.
+func (c *configSync) mustHold(epoch int64, isFirstStart bool) bool {
+	isRestored := c.hasAnswer && epoch > c.epoch
+	isFirstAnswer := isRestored || !c.hasAnswer && !isFirstStart
+	if isRestored {
+		c.hasHeardPeer = false
+	}
+	if isFirstAnswer {
+		c.holdUntil = boottime.Now().Add(peerWait)
+	}
+	c.hasAnswer, c.epoch = true, max(c.epoch, epoch)
+	return !c.hasHeardPeer && (isFirstAnswer || boottime.Now() < c.holdUntil)
+}
+
 // confirmConfig records that the configuration in force was the newest one when the answered call was sent. While the object
 // API holds an older one than this node or a peer, it was restored from an older copy, and the answer shows nothing until the
-// newest one is written again.
+// newest one is written again. Whether that is the case may not be known yet; see mustHold.
 func (n *node) confirmConfig(sentAt boottime.Instant, revision objectapi.Version) {
 	config := n.currentConfig.Config()
 	if config == nil {
 		return
 	}
 	n.configSync.mu.Lock()
+	if n.configSync.mustHold(revision.Epoch, n.settings.IsFirstStart) {
+		n.configSync.heldAnswer = answer{sentAt: sentAt, revision: revision}
+		n.configSync.mu.Unlock()
+		return
+	}
 	storedVersion, knownVersion := n.configSync.storedVersion, max(n.configSync.wantedVersion, config.Version)
 	isBehind := storedVersion < knownVersion
 	hasChanged := isBehind != n.configSync.isStoreBehind
--- a/rudder/relaynode/config_sync_test.go
+++ b/rudder/relaynode/config_sync_test.go
@@ -162,6 +162,7 @@
 		f.applyConfigListing(l, boottime.Now())
 		sentAt := boottime.Now()
 		f.confirmConfig(sentAt, l.Revision)
+		f.notePeerConfig(&mesh.Member{Digest: mesh.Digest{ConfigVersion: 1}}) // an answer is held until a peer was heard
 		return f.currentConfig.ConfirmedAt() == sentAt
 	}
 	if !isConfirmedBy(listing(1, 5)) {
@@ -189,3 +190,43 @@
 		t.Error("version 9 is not confirmed")
 	}
 }
+
+// A node that started after the object API had come back from an older copy, or had been cut off meanwhile, confirmed the old
+// configuration before it heard of the newer one, and a revoked key worked for seconds.
+func TestRestoredConfigurationIsNotConfirmedBeforePeersAreHeard(t *testing.T) {
+	for name, c := range map[string]struct{ isRunning, isFirstStart bool }{
+		"started after the restore": {},
+		"cut off":                   {isRunning: true},
+		"first start, cut off":      {isRunning: true, isFirstStart: true},
+	} {
+		for peerVersion, wantConfirmed := range map[int64]bool{8: false, 5: true} {
+			f := startFollowingNode(t)
+			f.settings.IsFirstStart = c.isFirstStart
+			answer := func(epoch int64) (sentAt boottime.Instant) {
+				sentAt = boottime.Now()
+				f.applyConfigListing(objectapi.Listing{Objects: []objectapi.Object{{Key: "config/main", Value: json.RawMessage("5")}}}, sentAt)
+				f.confirmConfig(sentAt, objectapi.Version{Epoch: epoch, Number: 10})
+				return sentAt
+			}
+			hear := func(version, confirmationAgeMillis int64) {
+				f.notePeerConfig(&mesh.Member{Digest: mesh.Digest{ConfigVersion: version, ConfirmationAgeMillis: confirmationAgeMillis}})
+			}
+			if c.isRunning {
+				if answer(1); !c.isFirstStart {
+					hear(5, 0)
+				}
+			}
+			confirmedBefore := f.currentConfig.ConfirmedAt()
+			sentAt := answer(2)
+			f.configSync.holdUntil = boottime.Now().Add(time.Hour) // however slow the test is
+			hear(5, -1)                                            // has just started too
+			if f.currentConfig.ConfirmedAt() != confirmedBefore {
+				t.Errorf("%s: version 5 is confirmed before a peer was heard that knows the configuration from before", name)
+			}
+			hear(peerVersion, 9000)
+			if isConfirmed := f.currentConfig.ConfirmedAt() == sentAt; isConfirmed != wantConfirmed {
+				t.Errorf("%s: version 5 is confirmed: %t while a peer has version %d, want %t", name, isConfirmed, peerVersion, wantConfirmed)
+			}
+		}
+	}
+}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -295,10 +295,7 @@
 	}
 	n.usageCounter.NoteFinalThrough(m.UsageFinalThrough)
 	n.registry.applyDelta(m)
-	n.noteConfigVersion(m.ConfigVersion)
-	if confirmedAt, found := m.ConfigConfirmedAt(); found {
-		n.currentConfig.ConfirmNewest(m.ConfigVersion, confirmedAt)
-	}
+	n.notePeerConfig(m)
 }
 
 // handleSummary updates this node's knowledge of the nodes of another failure domain.
