Let the test of stale configurations wait for the cancellation

The server now waits until the node has closed the connection whenever the attempt is cancelled, with or without a key. What is expected is the same.

--- a/rudder/relay/waiting_test.go
+++ b/rudder/relay/waiting_test.go
@@ -26,7 +26,10 @@
 		h.server.StalenessLimits = StalenessLimits{Send: time.Hour, Wait: time.Nanosecond}
 		h.backendServer("a", func(conn net.Conn, r *http.Request) bool {
 			h.server.cancelDisallowed()
-			if key != "" {
+			h.server.mu.Lock()
+			isCancelled := len(h.server.awaitingResponse) == 0
+			h.server.mu.Unlock()
+			if isCancelled {
 				_, _ = conn.Read(make([]byte, 1)) // until the node has closed the connection
 			}
 			return succeed(conn, r)
