Do not take a lease without a record for free long after the first start

Cause: a node that had been started with the whole system took a missing record for that of a lease that nobody had held yet, however long ago the start was. TestAtMostOneHolder has no contender of a first start.

Change: a missing record shows that only within the duration and the longest command after the start; afterwards the node waits for as long as after any other start. A restore within this time, for a lease that was acquired in it, is left.

Evidence: TestLostRecordIsNotAFreeLease fails before ("the other contender has lease &{Name:loop FencingToken: ...", "while the holder passes its check: true") and passes now.

--- a/rudder/lease/contender.go
+++ b/rudder/lease/contender.go
@@ -27,7 +27,9 @@
 	// mayLackRecord is true if the record of a present holder may have been lost with a restored object API: this process has
 	// seen that it was restored, or cannot tell.
 	mayLackRecord bool
-	isFirstStart  bool // see Manager.IsFirstStart
+	// firstStartUntil is when a missing record begins to show nothing, since one may have been written and lost since the first
+	// start of the system; zero at other starts. See Manager.IsFirstStart.
+	firstStartUntil time.Time
 	// pendingRecord is the last record that this process tried to write, and pendingSentAt is when it was first sent. A
 	// repeated write keeps the first time, because the first one may have taken effect long before the second was
 	// rejected.
@@ -106,7 +108,7 @@
 	if c.hasObserved {
 		c.mayLackRecord = c.mayLackRecord || epoch != c.epoch
 	} else {
-		c.mayLackRecord = version == objectapi.AbsentVersion && epoch > 0 && !c.isFirstStart
+		c.mayLackRecord = version == objectapi.AbsentVersion && epoch > 0 && !c.clock.Now().Before(c.firstStartUntil)
 	}
 	c.version, c.record, c.observedAt, c.hasObserved, c.epoch = version, r, c.clock.Now(), true, epoch
 }
--- a/rudder/lease/lease_test.go
+++ b/rudder/lease/lease_test.go
@@ -207,6 +207,30 @@
 	}
 }
 
+// A process of the first start that looked at the lease for the first time after the object API had lost its record took it,
+// while its holder still acted.
+func TestLostRecordIsNotAFreeLease(t *testing.T) {
+	ctx, store, clock := context.Background(), objectapitest.NewMemoryStore(), &fakeClock{time.Unix(1000, 0)}
+	storeCopy := store.Copy()
+	holder, other := newContender(store, clock, "holder"), newContender(store, clock, "other")
+	startPeriod := DefaultTiming.Duration + DefaultTiming.MaxCommandDuration
+	holder.firstStartUntil, other.firstStartUntil = clock.now.Add(startPeriod), clock.now.Add(startPeriod)
+	for range 10 { // the lease is renewed beyond the start
+		if err := holder.tryAcquireOrRenew(ctx); err != nil || holder.lease == nil {
+			t.Fatalf("the first contender has lease %+v, error %v, want one", holder.lease, err)
+		}
+		clock.now = clock.now.Add(2 * time.Second)
+	}
+	store.Restore(storeCopy)
+	if err := other.tryAcquireOrRenew(ctx); err != nil || other.lease != nil {
+		t.Errorf("the other contender has lease %+v, error %v, while the holder passes its check: %t", other.lease, err, holder.lease.Check() == nil)
+	}
+	clock.now = clock.now.Add(startPeriod)
+	if err := other.tryAcquireOrRenew(ctx); err != nil || other.lease == nil || holder.lease.Check() == nil {
+		t.Errorf("after the lease has run out, the other contender has lease %+v, error %v, want one", other.lease, err)
+	}
+}
+
 // TestRenewalWithLostResponse guards against a holder that gives up although its write took effect, and against a
 // deadline that counts from the response in place of the sending of the write.
 func TestRenewalWithLostResponse(t *testing.T) {
--- a/rudder/lease/manager.go
+++ b/rudder/lease/manager.go
@@ -29,8 +29,8 @@
 	// ShouldContend reports whether this node should try to acquire a lease that it does not hold; nil means always. It
 	// limits the reads of the object API; the safety of the lease does not depend on it.
 	ShouldContend func(name string) bool
-	// IsFirstStart tells that no process of the system has run before, so that a lease without a record is not held. Otherwise
-	// the record may have been lost with an object API that was restored from an older copy.
+	// IsFirstStart tells that no process of the system has run before, so that a lease without a record is not held if Hold was
+	// called a moment ago. Otherwise the record may have been lost with an object API that was restored from an older copy.
 	IsFirstStart bool
 	// PollInterval is how often a node checks a lease that it does not hold; 0 means 2 s.
 	PollInterval time.Duration
@@ -49,7 +49,9 @@
 func (m *Manager) Hold(ctx context.Context, name string, fn func(ctx context.Context, lease *Lease)) {
 	c := &contender{
 		store: m.Store, clock: SystemClock{}, timing: m.Timing, holder: m.Node + "/" + uuid.NewString(), name: name,
-		isFirstStart: m.IsFirstStart,
+	}
+	if m.IsFirstStart {
+		c.firstStartUntil = c.clock.Now().Add(m.Timing.Duration + m.Timing.MaxCommandDuration)
 	}
 	for ctx.Err() == nil {
 		if m.ShouldContend == nil || m.ShouldContend(name) {
