--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -169,7 +169,7 @@
 		s, found := t.servers[e.ID]
 		isKnown := found && s.StartUnixMillis == e.StartUnixMillis
 		r, isRemoved := t.removals[e.ID]
-		if isKnown && s.leaving.has(leaveUnlisted) || !found && isRemoved && r.startUnixMillis == e.StartUnixMillis {
+		if isKnown && s.leaving.has(leaveUnlisted) || !found && isRemoved && e.StartUnixMillis <= r.startUnixMillis {
 			departed = append(departed, e)
 			continue
 		}
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -58,9 +58,11 @@
 	lastCallAt    boottime.Instant          // when the last answered call was sent
 	attemptedAt   boottime.Instant          // when the last watch was sent, answered or not
 	currentAsOf   boottime.Instant          // all changes that the object API acknowledged before this time are known
+	isListing     bool                      // a listing has been applied whose revision is not recorded yet
 	isPassive     bool                      // result of the last updatePassive
 	latestEpoch   int64                     // of the object API, as far as this node or a peer has heard
 	unsettled     map[string]unsettledEntry // by server ID; after the object API was restored
+	lapsedAt      boottime.Instant          // when all of unsettled are settled at the latest
 }
 
 // recentChange is a change with the time at which this node learnt it. Its revision is zero until all changes of the answer
@@ -109,15 +111,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unsettled = nil
-	if !r.revision.IsZero() && listing.Revision.Epoch > r.revision.Epoch {
+	isRestored := !r.revision.IsZero() && listing.Revision.Epoch > r.revision.Epoch
+	switch {
+	case isRestored:
 		r.log.Warn("The object API was restored from an older copy; the registry is read again.", "revision", r.revision, "restored_revision", listing.Revision)
-		unlisted, departed := r.node.backends.ReplaceAfterRestore(entries)
-		r.keepUnsettled(unlisted, departed)
-	} else {
+		r.applyRestoredListing(entries)
+	case boottime.Now() < r.lapsedAt:
+		r.applyListingAfterRestored(entries)
+	default:
 		r.node.backends.Replace(entries)
 	}
-	r.recentChanges, r.fromRevision = nil, objectapi.Version{} // recordAnswer sets the revision
+	r.recentChanges, r.isListing = nil, true // recordAnswer sets the revision
 }
 
 // applyEvent applies one change of the registry and keeps it for digests. An entry that cannot be decoded counts as
@@ -161,6 +165,7 @@
 	if len(r.recentChanges) == 0 {
 		r.fromRevision = revision
 	}
+	r.isListing = false
 	for i := range r.recentChanges {
 		if r.recentChanges[i].Revision.IsZero() {
 			r.recentChanges[i].Revision = revision
@@ -195,7 +200,7 @@
 func (r *registrySync) delta() mesh.RegistryDelta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.currentAsOf == 0 {
+	if r.currentAsOf == 0 || r.isListing {
 		return mesh.RegistryDelta{}
 	}
 	r.pruneChanges()
