Refuse requests while the configuration is known to be older than that of other nodes

Cause: a node has no way to the newer configuration of its peers but the object API, and went on with what it had.

Change: a node that knows of a newer version, and got an older one by a call that was sent after it knew, is not ready and answers 503 until the newer one is written again. An answer to an earlier call shows nothing, so that ordinary changes of the configuration refuse no request.

Evidence: TestNodeWithLostConfigurationIsNotReady fails before ("node is ready although the object API has lost the configuration of its peer") and passes now.

--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -156,6 +156,8 @@
 	switch {
 	case config == nil:
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, notReadyRetryAfter, "node has no configuration yet")
+	case s.Current.IsOutdated():
+		return outcome.NotRunErrorf(http.StatusServiceUnavailable, staleConfigRetryAfter, "configuration is older than that of other nodes, and the newer one cannot be read")
 	case s.isRefusing.Load():
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, stoppingRetryAfter, "node is stopping")
 	case c.id == "":
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -43,6 +43,7 @@
 	mu             sync.Mutex
 	calledAt       boottime.Instant // when the last call was sent
 	wantedVersion  int64            // the newest version that a peer has told of
+	wantedSince    boottime.Instant // when a peer first told of it
 	storedVersion  int64            // the version that the object API last returned; 0 if it holds none
 	isStoreBehind  bool             // result of the last comparison of storedVersion with the versions known otherwise
 	staleReadUntil boottime.Instant // end of the time for the read of wantedVersion
@@ -135,7 +136,7 @@
 	if version <= n.configSync.wantedVersion || config != nil && version <= config.Version {
 		return
 	}
-	n.configSync.wantedVersion, n.configSync.staleReadUntil = version, boottime.Now()
+	n.configSync.wantedVersion, n.configSync.wantedSince, n.configSync.staleReadUntil = version, boottime.Now(), boottime.Now()
 	if n.platform.GetStale != nil {
 		n.configSync.staleReadUntil = boottime.Now().Add(maxStaleReadDelay + staleReadTimeout)
 	}
@@ -269,6 +270,8 @@
 	isBehind := storedVersion < knownVersion
 	hasChanged := isBehind != n.configSync.isStoreBehind
 	n.configSync.isStoreBehind = isBehind
+	// An answer to a call that was sent before the peer told of its version may just be older.
+	n.currentConfig.SetOutdated(config.Version < knownVersion && storedVersion < knownVersion && sentAt >= n.configSync.wantedSince)
 	n.configSync.mu.Unlock()
 	if hasChanged && isBehind {
 		n.log.Info("The object API returned an older configuration than the newest known one, which is not confirmed.",
--- a/rudder/relaynode/config_sync_test.go
+++ b/rudder/relaynode/config_sync_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/mesh"
 	"chestnutrudder.example/rudder/objectapi"
@@ -230,3 +231,39 @@
 		}
 	}
 }
+
+// A node that started after the object API was restored put the older configuration of the copy in force, and answered 404 for
+// routes that were in force at all other nodes.
+func TestNodeWithLostConfigurationIsNotReady(t *testing.T) {
+	f := startFollowingNode(t)
+	f.backends = backend.NewTable(time.Second, slog.New(slog.DiscardHandler))
+	f.backends.Replace(nil)
+	answer := func(epoch, version int64) {
+		sentAt := boottime.Now()
+		f.applyConfigListing(objectapi.Listing{
+			Revision: objectapi.Version{Epoch: epoch, Number: 10},
+			Objects:  []objectapi.Object{{Key: "config/main", Value: json.RawMessage(fmt.Sprint(version))}},
+		}, sentAt)
+		f.confirmConfig(sentAt, objectapi.Version{Epoch: epoch, Number: 10})
+	}
+	hearPeer := func(version int64) {
+		f.notePeerConfig(&mesh.Member{Digest: mesh.Digest{Node: "n0", ConfigVersion: version}})
+	}
+	answer(2, 5)
+	hearPeer(5)
+	if reason := f.notReadyReason(); reason != "" {
+		t.Fatalf("node with the newest configuration is not ready: %s", reason)
+	}
+	hearPeer(8)
+	if reason := f.notReadyReason(); reason != "" {
+		t.Errorf("node that has just heard of a newer configuration is not ready: %s", reason)
+	}
+	answer(2, 5)
+	if f.notReadyReason() == "" {
+		t.Error("node is ready although the object API has lost the configuration of its peer")
+	}
+	answer(2, 8)
+	if reason := f.notReadyReason(); reason != "" {
+		t.Errorf("node is not ready after the configuration was written again: %s", reason)
+	}
+}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -342,6 +342,8 @@
 		return "node is stopping"
 	case n.currentConfig.Config() == nil:
 		return "no configuration is known"
+	case n.currentConfig.IsOutdated():
+		return "configuration is older than that of other nodes"
 	case !n.backends.HasListing():
 		return "backend servers are not known"
 	case n.relay.StalenessLimits.Send > 0 && boottime.Since(n.currentConfig.ConfirmedAt()) > n.relay.StalenessLimits.Send:
--- a/rudder/traffic/current_config.go
+++ b/rudder/traffic/current_config.go
@@ -12,6 +12,7 @@
 type CurrentConfig struct {
 	config      atomic.Pointer[Config]
 	confirmedAt atomic.Int64 // boottime.Instant
+	isOutdated  atomic.Bool
 	mu          sync.Mutex
 	changed     chan struct{} // closed and replaced by Apply
 }
@@ -54,6 +55,13 @@
 // ConfirmedAt returns the last time at which the current configuration was confirmed to be the newest; 0 means never.
 func (c *CurrentConfig) ConfirmedAt() boottime.Instant { return boottime.Instant(c.confirmedAt.Load()) }
 
+// SetOutdated records whether the current configuration is known to be older than one that has been in force elsewhere and cannot
+// be had at present.
+func (c *CurrentConfig) SetOutdated(isOutdated bool) { c.isOutdated.Store(isOutdated) }
+
+// IsOutdated returns the value last set by SetOutdated.
+func (c *CurrentConfig) IsOutdated() bool { return c.isOutdated.Load() }
+
 // Changed returns a channel that is closed when Apply next replaces the configuration.
 func (c *CurrentConfig) Changed() <-chan struct{} {
 	c.mu.Lock()
