--- a/rudder/relay/pause_test.go
+++ b/rudder/relay/pause_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -196,14 +195,7 @@
 	for name, text := range headersThatAskForNoPause {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
-			var count atomic.Int64
-			h.backendServer("a", func(conn net.Conn, r *http.Request) bool {
-				if count.Add(1) == 1 {
-					fmt.Fprint(conn, text(r))
-					return true
-				}
-				return succeed(conn, r)
-			})
+			h.backendServer("a", sendFirst(text))
 			h.get("/safe/x")
 			if got := h.get("/safe/x"); got.status != http.StatusOK {
 				t.Errorf("response %+v after the header, want 200", got)
--- a/rudder/relay/server_state_test.go
+++ b/rudder/relay/server_state_test.go
@@ -138,20 +138,25 @@
 	return "HTTP/1.1 503 X\r\nX-Rudder-Request: another\r\nX-Rudder-Not-Run: 1\r\n" + extra + "Content-Length: 0\r\n\r\n"
 }
 
+// sendFirst returns a handler that sends a text in place of the first response and succeeds afterwards.
+func sendFirst(text func(*http.Request) string) func(net.Conn, *http.Request) bool {
+	var count atomic.Int64
+	return func(conn net.Conn, r *http.Request) bool {
+		if count.Add(1) == 1 {
+			fmt.Fprint(conn, text(r))
+			return true
+		}
+		return succeed(conn, r)
+	}
+}
+
 // Guards against a server that is taken out of use by a malformed header, by one that is not part of its answer, or by one
 // that a caller sent.
 func TestMalformedHeadersDoNotTakeServersOutOfUse(t *testing.T) {
 	for name, text := range headersThatSayNothing {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
-			var count atomic.Int64
-			h.backendServer("a", func(conn net.Conn, r *http.Request) bool {
-				if count.Add(1) == 1 {
-					fmt.Fprint(conn, text(r))
-					return true
-				}
-				return succeed(conn, r)
-			})
+			h.backendServer("a", sendFirst(text))
 			h.get("/safe/x")
 			h.relist("a", 0)
 			if got := h.get("/safe/x"); got.status != http.StatusOK {
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -323,36 +323,6 @@
 	return node + "/" + strconv.FormatInt(incarnation, 36)
 }
 
-// state returns the state that this node reports to its peers.
-func (n *node) state() mesh.State {
-	switch {
-	case n.isDraining.Load():
-		return mesh.Draining
-	case n.notReadyReason() != "":
-		return mesh.Starting
-	default:
-		return mesh.Ready
-	}
-}
-
-// notReadyReason returns why callers should use other nodes, empty if this node is ready.
-func (n *node) notReadyReason() string {
-	switch {
-	case n.isDraining.Load():
-		return "node is stopping"
-	case n.currentConfig.Config() == nil:
-		return "no configuration is known"
-	case n.currentConfig.IsOutdated():
-		return "configuration is older than that of other nodes"
-	case !n.backends.HasListing():
-		return "backend servers are not known"
-	case n.relay.StalenessLimits.Send > 0 && boottime.Since(n.currentConfig.ConfirmedAt()) > n.relay.StalenessLimits.Send:
-		return "configuration is not proved to be the newest"
-	default:
-		return ""
-	}
-}
-
 // closeIdleConnections closes connections to backend servers that have been idle for backendIdleTimeout, until ctx ends.
 func (n *node) closeIdleConnections(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/rudder/relaynode/registry_restore_test.go
+++ b/rudder/relaynode/registry_restore_test.go
@@ -74,38 +74,42 @@
 	return objectapi.Object{Key: "servers/" + server, Value: raw}
 }
 
+// list applies the answer to a listing.
+func (r *registrySync) list(epoch int64, drainingByServer map[string]bool) {
+	listing := registryListing(epoch, drainingByServer)
+	r.applyListing(listing, boottime.Now())
+	r.recordAnswer(boottime.Now(), listing.Revision)
+}
+
+// checkServing checks which servers get requests.
+func (r *registrySync) checkServing(t *testing.T, when string, want map[string]bool) {
+	t.Helper()
+	for server, wantServing := range want {
+		if _, refusal := r.node.backends.Place(backend.Request{Service: server}, 0); (refusal == nil) != wantServing {
+			t.Errorf("%s: server %s gets requests: %t, want %t", when, server, refusal == nil, wantServing)
+		}
+	}
+}
+
 // A restored registry lists servers that have left since the copy, and lacks those that started since. The former must not get
 // requests again, and the latter must get them on while they write their entries again.
 func TestRestoredRegistryDoesNotUndoKnownChanges(t *testing.T) {
 	r := newLoneRegistrySync()
-	list := func(epoch int64, drainingByServer map[string]bool) {
-		listing := registryListing(epoch, drainingByServer)
-		r.applyListing(listing, boottime.Now())
-		r.recordAnswer(boottime.Now(), listing.Revision)
-	}
-	check := func(when string, want map[string]bool) {
-		t.Helper()
-		for server, wantServing := range want {
-			if _, refusal := r.node.backends.Place(backend.Request{Service: server}, 0); (refusal == nil) != wantServing {
-				t.Errorf("%s: server %s gets requests: %t, want %t", when, server, refusal == nil, wantServing)
-			}
-		}
-	}
-	list(1, map[string]bool{"serving": false, "draining": false, "removed": false, "back": false})
+	r.list(1, map[string]bool{"serving": false, "draining": false, "removed": false, "back": false})
 	r.applyEvent(objectapi.Event{Object: registryObject("draining", true)})
 	r.applyEvent(objectapi.Event{Object: registryObject("started", false)})
 	r.applyEvent(objectapi.Event{Object: registryObject("ended", false)})
 	r.applyEvent(objectapi.Event{Object: registryObject("removed", false), Deleted: true})
 	r.applyEvent(objectapi.Event{Object: registryObject("back", false), Deleted: true})
 	r.recordAnswer(boottime.Now(), objectapi.Version{Epoch: 1, Number: 55})
-	list(2, map[string]bool{"serving": false, "draining": false, "removed": false, "back": false})
-	check("at the restore", map[string]bool{"serving": true, "draining": false, "removed": false, "back": false, "started": true, "ended": true})
+	r.list(2, map[string]bool{"serving": false, "draining": false, "removed": false, "back": false})
+	r.checkServing(t, "at the restore", map[string]bool{"serving": true, "draining": false, "removed": false, "back": false, "started": true, "ended": true})
 	r.applyEvent(objectapi.Event{Object: registryObject("started", false)})
 	r.applyEvent(objectapi.Event{Object: registryObject("back", false)})
 	r.settleEntries(boottime.Now().Add(rewriteTimeout))
-	check("after the servers had time to write", map[string]bool{"serving": true, "draining": false, "removed": false, "back": true, "started": true, "ended": false})
+	r.checkServing(t, "after the servers had time to write", map[string]bool{"serving": true, "draining": false, "removed": false, "back": true, "started": true, "ended": false})
 	r.settleEntries(boottime.Now().Add(lapseTimeout))
-	check("after silent entries lapse", map[string]bool{"removed": true, "draining": false})
+	r.checkServing(t, "after silent entries lapse", map[string]bool{"removed": true, "draining": false})
 }
 
 // A digest that was composed between the application of a listing and the note of its revision claimed to hold all changes
@@ -125,29 +129,16 @@
 // the first one had not: servers that had left got requests again, and those that had not written their entries yet got none.
 func TestSecondListingAfterRestoreDoesNotUndoKnownChanges(t *testing.T) {
 	r := newLoneRegistrySync()
-	list := func(epoch int64, drainingByServer map[string]bool) {
-		listing := registryListing(epoch, drainingByServer)
-		r.applyListing(listing, boottime.Now())
-		r.recordAnswer(boottime.Now(), listing.Revision)
-	}
-	check := func(when string, want map[string]bool) {
-		t.Helper()
-		for server, wantServing := range want {
-			if _, refusal := r.node.backends.Place(backend.Request{Service: server}, 0); (refusal == nil) != wantServing {
-				t.Errorf("%s: server %s gets requests: %t, want %t", when, server, refusal == nil, wantServing)
-			}
-		}
-	}
-	list(1, map[string]bool{"draining": true, "started": false, "left": false})
+	r.list(1, map[string]bool{"draining": true, "started": false, "left": false})
 	r.applyEvent(objectapi.Event{Object: registryObject("removed", false)})
 	r.applyEvent(objectapi.Event{Object: registryObject("removed", false), Deleted: true})
 	r.recordAnswer(boottime.Now(), objectapi.Version{Epoch: 1, Number: 55})
-	list(2, map[string]bool{"draining": false, "removed": false, "left": false})
+	r.list(2, map[string]bool{"draining": false, "removed": false, "left": false})
 	r.settleEntries(boottime.Now().Add(rewriteTimeout / 2))
-	list(2, map[string]bool{"draining": false, "removed": false})
-	check("at the second listing", map[string]bool{"draining": false, "removed": false, "started": true, "left": false})
+	r.list(2, map[string]bool{"draining": false, "removed": false})
+	r.checkServing(t, "at the second listing", map[string]bool{"draining": false, "removed": false, "started": true, "left": false})
 	r.settleEntries(boottime.Now().Add(rewriteTimeout))
-	check("after the servers had time to write", map[string]bool{"draining": false, "removed": false, "started": false})
+	r.checkServing(t, "after the servers had time to write", map[string]bool{"draining": false, "removed": false, "started": false})
 	r.settleEntries(boottime.Now().Add(lapseTimeout))
-	check("after silent entries lapse", map[string]bool{"draining": false, "removed": true})
+	r.checkServing(t, "after silent entries lapse", map[string]bool{"draining": false, "removed": true})
 }
--- a/rudder/relaynode/stop.go
+++ b/rudder/relaynode/stop.go
@@ -70,13 +70,6 @@
 	}
 }
 
-// serveReady answers the readiness check: with status 200 if the node is ready, else with 503 and the reason.
-func (n *node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if reason := n.notReadyReason(); reason != "" {
-		http.Error(w, reason, http.StatusServiceUnavailable)
-	}
-}
-
 const (
 	// addressLifetime is how long callers keep addresses. A stopping node serves new requests for at least as long.
 	addressLifetime = 2 * time.Second
