Lift the refusal of an old configuration as soon as the newer one is in force

A node that got the newer version by the read for a peer's version, and whose watch then stays suspended because peers confirm that version, would have gone on answering 503, and not been ready, for good.

Change: the required version is kept instead, and whether the configuration is older is derived from it.

Evidence: TestNodeIsReadyOnceItHasTheNewerConfiguration fails before ("node with the configuration of its peer is not ready: configuration is older than that of other nodes") and passes now.

--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -271,7 +271,11 @@
 	hasChanged := isBehind != n.configSync.isStoreBehind
 	n.configSync.isStoreBehind = isBehind
 	// An answer to a call that was sent before the peer told of its version may just be older.
-	n.currentConfig.SetOutdated(config.Version < knownVersion && storedVersion < knownVersion && sentAt >= n.configSync.wantedSince)
+	requiredVersion := int64(0)
+	if isBehind && sentAt >= n.configSync.wantedSince {
+		requiredVersion = knownVersion
+	}
+	n.currentConfig.RequireVersion(requiredVersion)
 	n.configSync.mu.Unlock()
 	if hasChanged && isBehind {
 		n.log.Info("The object API returned an older configuration than the newest known one, which is not confirmed.",
--- a/rudder/relaynode/config_sync_test.go
+++ b/rudder/relaynode/config_sync_test.go
@@ -267,3 +267,22 @@
 		t.Errorf("node is not ready after the configuration was written again: %s", reason)
 	}
 }
+
+// A node stayed unready for good when it got the newer configuration by a read for a peer's version and made no call of its own
+// afterwards.
+func TestNodeIsReadyOnceItHasTheNewerConfiguration(t *testing.T) {
+	f := startFollowingNode(t)
+	f.backends = backend.NewTable(time.Second, slog.New(slog.DiscardHandler))
+	f.backends.Replace(nil)
+	f.setStoredVersion(1)
+	f.notePeerConfig(&mesh.Member{Digest: mesh.Digest{Node: "n0", ConfigVersion: 8}})
+	f.confirmConfig(boottime.Now(), objectapi.Version{Epoch: 2, Number: 10})
+	if f.notReadyReason() == "" {
+		t.Fatal("node is ready although the object API has lost the configuration of its peer")
+	}
+	f.applyConfigObject(objectapi.Object{Key: "config/main", Value: json.RawMessage("8")})
+	f.currentConfig.ConfirmNewest(8, boottime.Now())
+	if reason := f.notReadyReason(); reason != "" {
+		t.Errorf("node with the configuration of its peer is not ready: %s", reason)
+	}
+}
--- a/rudder/traffic/current_config.go
+++ b/rudder/traffic/current_config.go
@@ -12,7 +12,7 @@
 type CurrentConfig struct {
 	config      atomic.Pointer[Config]
 	confirmedAt atomic.Int64 // boottime.Instant
-	isOutdated  atomic.Bool
+	required    atomic.Int64 // see RequireVersion
 	mu          sync.Mutex
 	changed     chan struct{} // closed and replaced by Apply
 }
@@ -55,12 +55,14 @@
 // ConfirmedAt returns the last time at which the current configuration was confirmed to be the newest; 0 means never.
 func (c *CurrentConfig) ConfirmedAt() boottime.Instant { return boottime.Instant(c.confirmedAt.Load()) }
 
-// SetOutdated records whether the current configuration is known to be older than one that has been in force elsewhere and cannot
-// be had at present.
-func (c *CurrentConfig) SetOutdated(isOutdated bool) { c.isOutdated.Store(isOutdated) }
+// RequireVersion sets the version that has been in force elsewhere and cannot be had at present; 0 if there is none.
+func (c *CurrentConfig) RequireVersion(version int64) { c.required.Store(version) }
 
-// IsOutdated returns the value last set by SetOutdated.
-func (c *CurrentConfig) IsOutdated() bool { return c.isOutdated.Load() }
+// IsOutdated reports whether the current configuration is older than the version set by RequireVersion.
+func (c *CurrentConfig) IsOutdated() bool {
+	current := c.config.Load()
+	return current != nil && current.Version < c.required.Load()
+}
 
 // Changed returns a channel that is closed when Apply next replaces the configuration.
 func (c *CurrentConfig) Changed() <-chan struct{} {
