Log removed peers in one line and shares that follow the list of nodes

Now one line tells how many peers were removed and how many remain, one line how many shares changed; nodes_reachable and nodes_known are metrics.

--- a/rudder/backend/limit.go
+++ b/rudder/backend/limit.go
@@ -184,10 +184,23 @@
 		return
 	}
 	t.selfName, t.nodes = self, nodes
+	limited, gained, lost := 0, 0, 0
 	for _, s := range t.servers {
-		if s.limit.isNamed {
-			t.updateLimitShare(s)
+		if !s.limit.isNamed {
+			continue
 		}
+		limited++
+		previous := s.limit.share
+		t.updateLimitShare(s)
+		switch {
+		case s.limit.share > previous:
+			gained++
+		case s.limit.share < previous:
+			lost++
+		}
+	}
+	if gained+lost > 0 {
+		t.Log.Info("Shares of the limits of backend servers follow the list of nodes.", "nodes", len(nodes), "limited_servers", limited, "larger_shares", gained, "smaller_shares", lost)
 	}
 }
 
--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -93,6 +93,25 @@
 	delete(m.peerClocks, member.Node)
 }
 
+// maxLoggedPeers bounds the names in one log line about several peers.
+const maxLoggedPeers = 8
+
+// removeSilentMembers removes the peers that have been silent for longer than removeAfter. The caller holds the lock.
+func (m *Mesh) removeSilentMembers(now boottime.Instant) {
+	var removed []string
+	for name, member := range m.members {
+		if now.Sub(member.ReceivedAt) > removeAfter {
+			m.removeMember(member)
+			removed = append(removed, name)
+		}
+	}
+	if len(removed) == 0 {
+		return
+	}
+	slices.Sort(removed)
+	m.Log.Info("Peers sent no digest for too long and were removed.", "removed", len(removed), "peers", removed[:min(len(removed), maxLoggedPeers)], "known_peers", len(m.members))
+}
+
 // CountNodes returns how many nodes are reachable and how many are known that may serve: all reachable nodes, and the
 // unreachable ones that were not draining. Both include this node.
 func (m *Mesh) CountNodes() (reachable, known int) {
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -222,12 +222,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	for name, member := range m.members {
-		if now.Sub(member.ReceivedAt) > removeAfter {
-			m.Log.Info("Peer sent no digest for too long and was removed.", "peer", name)
-			m.removeMember(member)
-		}
-	}
+	m.removeSilentMembers(now)
 	remote := map[string]bool{}
 	if m.usesSummaries() {
 		for _, member := range m.members {
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -101,6 +101,9 @@
 		return err
 	}
 	n := newNode(s, platform, metrics, telemetry.NewLogger(writer, slog.LevelInfo, s.Node))
+	if err := metrics.ObserveNodes(n.mesh.CountNodes); err != nil {
+		return err
+	}
 	tasksCtx, stopTasks := context.WithCancel(context.Background())
 	defer stopTasks()
 	group, groupCtx := errgroup.WithContext(tasksCtx)
--- a/rudder/telemetry/telemetry.go
+++ b/rudder/telemetry/telemetry.go
@@ -99,5 +99,24 @@
 	return errors.Wrap(err, "create instrument")
 }
 
+// ObserveNodes registers gauges of the nodes that this one knows, itself included. count is called at each collection.
+func (m *Metrics) ObserveNodes(count func() (reachable, known int)) error {
+	reachableNodes, err := m.meter.Int64ObservableGauge("nodes_reachable")
+	if err != nil {
+		return errors.Wrap(err, "create instrument")
+	}
+	knownNodes, err := m.meter.Int64ObservableGauge("nodes_known")
+	if err != nil {
+		return errors.Wrap(err, "create instrument")
+	}
+	_, err = m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		reachable, known := count()
+		o.ObserveInt64(reachableNodes, int64(reachable))
+		o.ObserveInt64(knownNodes, int64(known))
+		return nil
+	}, reachableNodes, knownNodes)
+	return errors.Wrap(err, "register callback")
+}
+
 // Handler returns a handler that serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler { return m.handler }
