--- a/rudder/mesh/link_test.go
+++ b/rudder/mesh/link_test.go
@@ -35,6 +35,7 @@
 	network *linkNetwork
 	address string
 	arrived chan datagram
+	closed  chan struct{}
 	idleAt  time.Time // when the link has sent all that is queued
 	lost    int
 }
@@ -42,7 +43,7 @@
 func (n *linkNetwork) listen(address string) *linkConn {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	c := &linkConn{network: n, address: address, arrived: make(chan datagram, 1<<12)}
+	c := &linkConn{network: n, address: address, arrived: make(chan datagram, 1<<12), closed: make(chan struct{})}
 	n.conns[address] = c
 	return c
 }
@@ -70,23 +71,28 @@
 }
 
 func (c *linkConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
-	d, isOpen := <-c.arrived
-	if !isOpen {
+	select {
+	case <-c.closed:
 		return 0, nil, net.ErrClosed
+	case d := <-c.arrived:
+		return copy(buffer, d.data), linkAddr(d.from), nil
 	}
-	address, err := net.ResolveUDPAddr("udp4", d.from)
-	return copy(buffer, d.data), address, err
 }
 
-func (c *linkConn) Close() error { return nil }
+func (c *linkConn) Close() error {
+	close(c.closed)
+	return nil
+}
+
+// linkAddr is the address of a host of a linkNetwork.
+type linkAddr string
+
+func (a linkAddr) Network() string { return "udp4" }
+func (a linkAddr) String() string  { return string(a) }
 
-// largeDelta returns registry changes of about 4 kB.
+// largeDelta returns a change of the registry of about 4 kB.
 func largeDelta() RegistryDelta {
-	var delta RegistryDelta
-	for i := range 20 {
-		delta.Changes = append(delta.Changes, RegistryChange{Server: backend.Entry{ID: fmt.Sprint(i, strings.Repeat("x", 180))}})
-	}
-	return delta
+	return RegistryDelta{Changes: []RegistryChange{{Server: backend.Entry{ID: strings.Repeat("x", 4000)}}}}
 }
 
 // TestHostsStayListedWhenDigestsExceedLinkQueue guards against hosts that drop living peers from their lists: the digests of a
@@ -114,7 +120,7 @@
 					go m.Run(ctx, network.conns[addresses[i]])
 				}
 				time.Sleep(3 * time.Second)
-				for range 10 {
+				for range 6 {
 					time.Sleep(500 * time.Millisecond)
 					for i, m := range meshes {
 						if reached := len(m.ReachableMembers()); reached != hosts-1 {
@@ -126,10 +132,7 @@
 					}
 				}
 				cancel()
-				time.Sleep(2 * time.Second) // what is on its way arrives
-				for _, c := range network.conns {
-					close(c.arrived)
-				}
+				time.Sleep(2 * time.Second) // the last rounds end
 			})
 		})
 	}
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -82,6 +83,8 @@
 	targetsAddedAt  map[string]boottime.Instant // by address: when it became known, for newAddressPeriod at least
 	addressRotation int
 	now             func() boottime.Instant
+	sleep           func(time.Duration)
+	unsent          atomic.Int64 // datagrams that the kernel did not take
 }
 
 // New returns a mesh that initially knows the peers at the seed addresses.
@@ -91,7 +94,7 @@
 		members: map[string]*Member{}, summaries: map[string]*receivedSummary{}, peerClocks: map[string]*peerClock{}, targetsSeenAt: map[string]boottime.Instant{},
 		targetsAddedAt: map[string]boottime.Instant{},
 		// Nodes that start at the same time must not all tell the same addresses.
-		addressRotation: rand.IntN(1 << 16), now: boottime.Now,
+		addressRotation: rand.IntN(1 << 16), now: boottime.Now, sleep: time.Sleep,
 	}
 	m.AddAddresses(seeds)
 	return m
@@ -133,12 +136,13 @@
 	go m.sendSummaries(ctx, conn)
 	for ctx.Err() == nil {
 		isShort := m.NeedsShortInterval != nil && m.NeedsShortInterval()
+		beganAt := time.Now()
 		m.sendDigest(conn, isShort)
+		interval := m.currentInterval()
 		if isShort {
-			sleep.For(ctx, BaseInterval)
-		} else {
-			sleep.For(ctx, m.currentInterval())
+			interval = BaseInterval
 		}
+		sleep.For(ctx, interval-time.Since(beganAt))
 	}
 }
 
@@ -151,13 +155,18 @@
 				m.mergeOwnUsages(u.QuotaUsages)
 				targets, _ = m.targets()
 			}
-			m.send(conn, u.Digest, targets)
+			m.send(conn, u.Digest, targets, m.urgentPause())
 		}
-		// The pause grows with the number of peers like that of full digests, to limit the load on the receivers.
-		sleep.For(ctx, urgentInterval*m.currentInterval()/BaseInterval)
+		sleep.For(ctx, m.urgentPause())
 	}
 }
 
+// urgentPause returns the pause between two rounds of urgent digests. It grows with the number of peers like that of full
+// digests, to limit the load on the receivers.
+func (m *Mesh) urgentPause() time.Duration {
+	return urgentInterval * m.currentInterval() / BaseInterval
+}
+
 // addressOf returns the address from which a peer sends its digests, empty if it is not known.
 func (m *Mesh) addressOf(name string) string {
 	m.mu.Lock()
@@ -193,27 +202,24 @@
 	m.setOwnDigest(digest)
 	direct, others := m.targets()
 	digest.PeerAddresses = m.nextPeerAddresses(slices.Concat(direct, others))
-	m.send(conn, digest, direct)
+	within := m.roundDuration(toAll)
+	if toAll && len(others) > 0 {
+		within /= 2
+	}
+	m.send(conn, digest, direct, within)
 	if toAll && len(others) > 0 {
-		m.send(conn, digest.brief(), others)
+		m.send(conn, digest.brief(), others, within)
 	}
 }
 
-// send encodes a digest and sends it to the given addresses.
-func (m *Mesh) send(conn net.PacketConn, digest Digest, targets []string) {
+// send encodes a digest and sends it to the given addresses within the given time.
+func (m *Mesh) send(conn net.PacketConn, digest Digest, targets []string, within time.Duration) {
 	data, err := digestEncoding.Marshal(digest)
 	if err != nil || len(data) > maxDatagramBytes {
 		m.Log.Error("Digest cannot be encoded or is too large to send.", "bytes", len(data), "error", err)
 		return
 	}
-	for _, target := range targets {
-		address, err := netip.ParseAddrPort(target)
-		if err != nil {
-			continue // AddAddresses has logged a malformed one
-		}
-		// The next digest makes up for one that could not be sent.
-		_, _ = conn.WriteTo(data, net.UDPAddrFromAddrPort(address))
-	}
+	m.sendPaced(conn, data, targets, within)
 }
 
 // targets returns the addresses to send to, sorted: those that get full digests, and those of peers that get summaries
--- a/rudder/mesh/summary.go
+++ b/rudder/mesh/summary.go
@@ -154,7 +154,7 @@
 	digest := m.composeSummary(round%fullSummaryDivisor == 0)
 	direct, summarized := m.targets()
 	digest.PeerAddresses = m.nextPeerAddresses(slices.Concat(direct, summarized))
-	m.send(conn, digest, recipients)
+	m.send(conn, digest, recipients, summaryInterval)
 }
 
 // chooseRecipients returns the addresses to which this node sends its summary in a round; none while digests go to all
--- a/rudder/mesh/summary_test.go
+++ b/rudder/mesh/summary_test.go
@@ -83,7 +83,7 @@
 				return digest
 			}
 			m := New(address, nil, compose, func(*Member) {}, slog.New(slog.DiscardHandler))
-			m.FailureDomain, m.addressRotation, m.now = digest.FailureDomain, i, f.network.now
+			m.FailureDomain, m.addressRotation, m.now, m.sleep = digest.FailureDomain, i, f.network.now, func(time.Duration) {}
 			f.network.meshes[address] = m
 			f.meshes = append(f.meshes, m)
 			f.conns = append(f.conns, &memoryConn{network: f.network, address: address})
@@ -254,7 +254,7 @@
 	newcomer := New(address, []string{f.meshes[40].SelfAddress}, func() Digest {
 		return Digest{Node: "n-0-99", Incarnation: 1, FailureDomain: "d0", State: Starting, BootClockMillis: millis(f.network.clock)}
 	}, func(*Member) {}, slog.New(slog.DiscardHandler))
-	newcomer.FailureDomain, newcomer.addressRotation, newcomer.now = "d0", 0, f.network.now
+	newcomer.FailureDomain, newcomer.addressRotation, newcomer.now, newcomer.sleep = "d0", 0, f.network.now, func(time.Duration) {}
 	f.network.meshes[address] = newcomer
 	f.meshes = append(f.meshes, newcomer)
 	f.conns = append(f.conns, &memoryConn{network: f.network, address: address})
