Divide limits among nodes that any peer hears from, not only this node

The class: a bound on the sum over all nodes was derived from each node's own list.

Digests now tell in turn when their sender last got a digest from each peer. Only first-hand times are passed on, so that nodes cannot keep a dead peer listed. ReachableMembers is unchanged, since its other users need the peer's own digests.

--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -52,7 +52,7 @@
 	// IsUrgent marks a digest that is sent between two full ones. It holds only Node, Incarnation and either some
 	// QuotaUsages with IsWarmingUp, some RunsByWindow, or Crashes, ServerLimits and Departures.
 	IsUrgent bool `cbor:"19,keyasint,omitempty"`
-	// IsBrief marks a digest without Loads, Demand, QuotaUsages and RunsByWindow, for a node of another failure
+	// IsBrief marks a digest without Loads, Demand, QuotaUsages, RunsByWindow and Sightings, for a node of another failure
 	// domain that gets these from summaries.
 	IsBrief bool `cbor:"20,keyasint,omitempty"`
 	// Summary is set in a brief digest that also tells about the other nodes of the sender's failure domain.
@@ -67,11 +67,21 @@
 	// UsageFinalThrough is the latest usage window whose counts are final, as far as the sender knows. It outlives the records in
 	// the object API, which may be restored from an older copy.
 	UsageFinalThrough int64 `cbor:"26,keyasint,omitempty"`
+	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
+	Sightings []PeerSighting `cbor:"27,keyasint,omitempty"`
+}
+
+// PeerSighting tells when a node last got a digest from a peer itself.
+type PeerSighting struct {
+	_           struct{} `cbor:",toarray"`
+	Node        string   // the peer
+	Incarnation int64
+	AgeMillis   int64 // of the digest
 }
 
 // brief returns the digest without what summaries hold.
 func (d Digest) brief() Digest {
-	d.Loads, d.Demand, d.QuotaUsages, d.RunsByWindow = nil, nil, nil, nil
+	d.Loads, d.Demand, d.QuotaUsages, d.RunsByWindow, d.Sightings = nil, nil, nil, nil, nil
 	d.IsBrief = true
 	return d
 }
--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +14,8 @@
 	ReceivedAt        boottime.Instant // when the peer was last heard from, directly or by the sender of a summary
 	SentAt            boottime.Instant // by this node's clock; equals ReceivedAt while HasReliableSentAt is false
 	HasReliableSentAt bool             // SentAt is exact enough to derive the age of the peer's information from it
+	heardAt           boottime.Instant // when this node last got a full or brief digest from the peer itself; 0 if never
+	sightedAt         boottime.Instant // when this node or a peer that told of it last heard from the peer
 	sourceAddress     string           // IP:port of the peer's socket
 	startKnownAt      boottime.Instant // when this incarnation of the peer was first heard of
 	// IsSummarized is true if the peer's part in Loads is also in the current summary of its failure domain.
@@ -43,11 +44,9 @@
 
 // reachableMembers is ReachableMembers at the given time. The caller holds the lock.
 func (m *Mesh) reachableMembers(now boottime.Instant) []*Member {
-	if m.sortedNames == nil {
-		m.sortedNames = slices.Sorted(maps.Keys(m.members))
-	}
-	list := make([]*Member, 0, len(m.sortedNames))
-	for _, name := range m.sortedNames {
+	names := m.names()
+	list := make([]*Member, 0, len(names))
+	for _, name := range names {
 		if member := m.members[name]; m.isReachable(member, now) {
 			list = append(list, member)
 		}
@@ -57,11 +56,16 @@
 
 // isReachable reports whether a peer was heard from recently. The caller holds the lock.
 func (m *Mesh) isReachable(member *Member, now boottime.Instant) bool {
+	return now.Sub(member.ReceivedAt) <= m.reachableTimeout(member)
+}
+
+// reachableTimeout returns how long a peer may be silent and still count as reachable. The caller holds the lock.
+func (m *Mesh) reachableTimeout(member *Member) time.Duration {
 	timeout := time.Duration(unreachableAfterIntervals * float64(m.digestInterval()))
 	if m.usesSummaries() && member.FailureDomain != m.FailureDomain {
 		timeout += summaryDelayAllowance
 	}
-	return now.Sub(member.ReceivedAt) <= timeout
+	return timeout
 }
 
 // setMember replaces what is known of a peer. The caller holds the lock.
@@ -72,7 +76,7 @@
 	}
 	member.startKnownAt = member.ReceivedAt
 	if known && previous.Incarnation == member.Incarnation {
-		member.startKnownAt = previous.startKnownAt
+		member.startKnownAt, member.sightedAt = previous.startKnownAt, previous.sightedAt
 	}
 	if known && previous.FailureDomain == m.FailureDomain {
 		m.localCount--
@@ -100,7 +104,7 @@
 func (m *Mesh) removeSilentMembers(now boottime.Instant) {
 	var removed []string
 	for name, member := range m.members {
-		if now.Sub(member.ReceivedAt) > removeAfter {
+		if now.Sub(member.lastSeenAt()) > removeAfter {
 			m.removeMember(member)
 			removed = append(removed, name)
 		}
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -202,6 +202,7 @@
 	m.setOwnDigest(digest)
 	direct, others := m.targets()
 	digest.PeerAddresses = m.nextPeerAddresses(slices.Concat(direct, others))
+	digest.Sightings = m.nextSightings()
 	within := m.roundDuration(toAll)
 	if toAll && len(others) > 0 {
 		within /= 2
@@ -306,7 +307,7 @@
 
 // handleDigest records a digest that was read from the socket at the given time and passes it to OnDigest.
 func (m *Mesh) handleDigest(d Digest, source string, receivedAt boottime.Instant) {
-	member := &Member{Digest: d, ReceivedAt: receivedAt, SentAt: receivedAt, sourceAddress: source}
+	member := &Member{Digest: d, ReceivedAt: receivedAt, SentAt: receivedAt, heardAt: receivedAt, sourceAddress: source}
 	m.mu.Lock()
 	previous, known := m.members[d.Node]
 	if known && previous.Incarnation > d.Incarnation {
@@ -337,11 +338,15 @@
 			"address", d.Address, "config_version", d.ConfigVersion)
 	}
 	m.AddAddresses(d.PeerAddresses)
+	m.applySightings(d.Sightings, receivedAt)
 	m.OnDigest(member)
 	if d.Summary != nil {
 		m.handleSummary(d.Summary, receivedAt)
 	}
 }
 
+// millisDuration returns a duration that is given in milliseconds.
+func millisDuration(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // millis returns an instant as milliseconds since the host booted.
 func millis(i boottime.Instant) int64 { return time.Duration(i).Milliseconds() }
--- a/rudder/mesh/summary_test.go
+++ b/rudder/mesh/summary_test.go
@@ -20,6 +20,7 @@
 	sent    map[string]int // datagrams by source address
 	arrived map[string]int // datagrams by destination address
 	clock   boottime.Instant
+	isLost  func(from, to string) bool // nil if all datagrams arrive
 }
 
 type datagram struct {
@@ -45,6 +46,9 @@
 	n.pending = nil
 	for _, d := range pending {
 		n.sent[d.from]++
+		if n.isLost != nil && n.isLost(d.from, d.to) {
+			continue
+		}
 		n.arrived[d.to]++
 		if m, found := n.meshes[d.to]; found {
 			m.handleDatagram(d.data, d.from, n.clock)
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -346,13 +346,14 @@
 	}
 }
 
-// servingNodes returns the reachable nodes that serve callers, this one included if it does.
+// servingNodes returns the living nodes that serve callers, this one included if it does. The limits of backend servers are
+// divided among them, so that a node that is silent only to this one keeps its shares.
 func (n *node) servingNodes() []backend.Node {
 	var nodes []backend.Node
 	if n.state() == mesh.Ready {
 		nodes = append(nodes, backend.Node{Name: n.settings.Node, FailureDomain: n.settings.FailureDomain})
 	}
-	for _, m := range n.mesh.ReachableMembers() {
+	for _, m := range n.mesh.LivingMembers() {
 		if m.State == mesh.Ready {
 			nodes = append(nodes, backend.Node{Name: m.Node, FailureDomain: m.FailureDomain})
 		}
