Report limits of servers in turn, so that digests stay small

A digest now holds at most 48, those that changed within 2 s first and the others in turn. TestLimitsAreReportedInTurn guards the bound and that none is left out; it does not compile on the code before, which had no bound. The turn-taking moved from package mesh to internal/turn, since both need it.

--- a/rudder/backend/limit.go
+++ b/rudder/backend/limit.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"chestnutrudder.example/rudder/internal/turn"
 )
 
 const (
@@ -28,6 +30,10 @@
 	limitProbeInterval = 5 * time.Second
 	// liftedLimitRetention is how long peers are told that a server names no limit any more.
 	liftedLimitRetention = 20 * time.Second
+	// limitReportsPerDigest bounds the reports for peers at one time; hundreds of servers may name a limit at once.
+	limitReportsPerDigest = 48
+	// limitNewsPeriod is how long a limit that has changed is reported before the others.
+	limitNewsPeriod = 2 * time.Second
 )
 
 // serverLimit is what a server in need says of the requests that it takes from all nodes together, and this node's part of it.
@@ -35,6 +41,7 @@
 	perSecond float64   // meaningful if isNamed
 	isNamed   bool      // the last response named a limit
 	at        time.Time // when that response arrived; zero if no response has named a limit yet
+	changedAt time.Time // when this node learnt of the last change
 
 	share    float64 // requests per second that this node may send
 	tokens   float64 // requests that this node may send at filledAt
@@ -90,8 +97,9 @@
 	if isNamed == l.isNamed && (!isNamed || perSecond == l.perSecond) {
 		return false
 	}
-	l.fill(time.Now())
-	l.isNamed, l.perSecond = isNamed, perSecond
+	now := time.Now()
+	l.fill(now)
+	l.isNamed, l.perSecond, l.changedAt = isNamed, perSecond, now
 	if !isNamed {
 		t.Log.Info("Backend server names no limit of requests any more.", "server", s.ID, "service", s.Service)
 		return true
@@ -223,19 +231,33 @@
 	return t.limitReports()
 }
 
-// limitReports returns the reports for peers. The caller holds the lock.
+// limitReports returns at most limitReportsPerDigest reports for peers, those of limits that changed lately before the others.
+// Successive calls go through all limits. The caller holds the lock.
 func (t *Table) limitReports() []LimitReport {
 	now := time.Now()
-	var list []LimitReport
+	var news, others []LimitReport
 	for _, s := range t.servers {
 		l := &s.limit
 		age := now.Sub(l.at)
-		if !l.at.IsZero() && s.isServing() && (l.isNamed || age < liftedLimitRetention) {
-			list = append(list, LimitReport{Server: s.incarnation(), IsNamed: l.isNamed, PerSecond: l.perSecond, AgeMillis: age.Milliseconds()})
+		if l.at.IsZero() || !s.isServing() || !l.isNamed && age >= liftedLimitRetention {
+			continue
+		}
+		report := LimitReport{Server: s.incarnation(), IsNamed: l.isNamed, PerSecond: l.perSecond, AgeMillis: age.Milliseconds()}
+		if now.Sub(l.changedAt) < limitNewsPeriod {
+			news = append(news, report)
+		} else {
+			others = append(others, report)
 		}
 	}
-	slices.SortFunc(list, func(a, b LimitReport) int { return cmp.Compare(a.Server, b.Server) })
-	return list
+	t.limitTurn++
+	list := t.limitsInTurn(news, limitReportsPerDigest)
+	return append(list, t.limitsInTurn(others, limitReportsPerDigest-len(list))...)
+}
+
+// limitsInTurn returns the up to n reports whose turn it is. The caller holds the lock.
+func (t *Table) limitsInTurn(reports []LimitReport, n int) []LimitReport {
+	slices.SortFunc(reports, func(a, b LimitReport) int { return cmp.Compare(a.Server, b.Server) })
+	return turn.Take(reports, t.limitTurn, n)
 }
 
 // ApplyLimits adds what a peer reported.
--- a/rudder/backend/limit_test.go
+++ b/rudder/backend/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -351,6 +352,37 @@
 	})
 }
 
+// Guards against reports that grow with the number of limited servers until digests exceed the links, and against limits that
+// a peer never hears of because others are always sent first.
+func TestLimitsAreReportedInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const servers = 300
+		from, to := newTestTable(servers, 8), newTestTable(servers, 8)
+		for i, id := range slices.Sorted(maps.Keys(from.servers)) {
+			from.setLimit(from.servers[id], float64(i+1), true, time.Now())
+		}
+		time.Sleep(time.Minute)
+		changed := from.servers[slices.Min(slices.Collect(maps.Keys(from.servers)))]
+		from.setLimit(changed, 0.5, true, time.Now())
+		const turns = (servers + limitReportsPerDigest - 2) / (limitReportsPerDigest - 1) // one place is taken by the change
+		for turn := range turns {
+			reports := from.Limits()
+			if len(reports) > limitReportsPerDigest {
+				t.Fatalf("%d reports at once, want at most %d", len(reports), limitReportsPerDigest)
+			}
+			to.ApplyLimits(reports)
+			if l := to.servers[changed.ID].limit; !l.isNamed || l.perSecond != 0.5 {
+				t.Fatalf("limit %+v after report %d, want the change in the first one", l, turn+1)
+			}
+		}
+		for id, s := range to.servers {
+			if !s.limit.isNamed || s.limit.perSecond != from.servers[id].limit.perSecond {
+				t.Errorf("limit of %s is %+v after %d reports, want %g", id, s.limit, turns, from.servers[id].limit.perSecond)
+			}
+		}
+	})
+}
+
 // The shares of all nodes must add up to the limit, and be large enough to send whole requests.
 func TestLimitSharesAddUp(t *testing.T) {
 	for _, count := range []int{1, 3, 9, 195} {
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -84,6 +84,7 @@
 	random    *rand.Rand               // of all random choices
 	// hasUrgentLimit is true if a response to this node has changed a limit since the last report.
 	hasUrgentLimit bool
+	limitTurn      int // counts the reports of limits
 	// hasUrgentDeparture is true if a response to this node has announced one since the last report.
 	hasUrgentDeparture bool
 	removals           map[string]removal // of forgotten servers by ID
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -22,6 +22,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/internal/turn"
 	"chestnutrudder.example/rudder/sleep"
 )
 
@@ -267,16 +268,7 @@
 		}
 	}
 	m.addressRotation++
-	return append(rotated(recent, m.addressRotation, newAddressesPerDigest), rotated(targets, m.addressRotation, addressesPerDigest)...)
-}
-
-// rotated returns up to n items of a list. Successive turns go through all of them.
-func rotated(list []string, turn, n int) []string {
-	var items []string
-	for i := range min(n, len(list)) {
-		items = append(items, list[(turn*n+i)%len(list)])
-	}
-	return items
+	return append(turn.Take(recent, m.addressRotation, newAddressesPerDigest), turn.Take(targets, m.addressRotation, addressesPerDigest)...)
 }
 
 // receive reads and handles datagrams until ctx ends.
--- a/rudder/mesh/sighting.go
+++ b/rudder/mesh/sighting.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/internal/turn"
 )
 
 const (
@@ -25,7 +26,7 @@
 	defer m.mu.Unlock()
 	now := m.now()
 	var list []PeerSighting
-	for _, name := range rotated(m.names(), m.addressRotation, sightingsPerDigest) {
+	for _, name := range turn.Take(m.names(), m.addressRotation, sightingsPerDigest) {
 		member := m.members[name]
 		if age := now.Sub(member.heardAt); member.heardAt > 0 && age <= removeAfter {
 			list = append(list, PeerSighting{Node: name, Incarnation: member.Incarnation, AgeMillis: age.Milliseconds()})
