Log software versions of servers and where a broken stream goes on

The logs could not tell which streams, since the code did not know versions: the registry's field was not decoded, and no line named the last event or the attempt that a caller takes up. No choice has changed.

--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -26,7 +26,8 @@
 	Slots           int
 	Draining        bool
 	Reclaimable     bool
-	StartUnixMillis int64 // start time of the server's process, 0 if unknown
+	StartUnixMillis int64  // start time of the server's process, 0 if unknown
+	SoftwareVersion string // of the server's process; empty if the registry does not tell
 }
 
 // Server is one incarnation of a backend server, with this node's observations. The table's lock guards its fields.
--- a/rudder/relay/dialect.go
+++ b/rudder/relay/dialect.go
@@ -14,6 +14,7 @@
 	ExpectInstance    string // set by this system: id of the only backend server that may run the request
 	Urgency           string // set by this system: 0 (served first) to 9
 	NotRun            string // set by a backend server that has not run the request
+	ResumedAttempt    string // request id of the attempt that brought the first event of the stream that the caller takes up
 	ServerLimit       string // set by a backend server in need: requests a second that it takes from all nodes together
 	ServerLeaving     string // set to 1 by a backend server that leaves
 	ResponseSignature string // set by a backend server; a success response without it is treated as a failure
@@ -26,7 +27,7 @@
 var NativeDialect = Dialect{
 	RequestID: "X-Rudder-Request", Timeout: "X-Rudder-Timeout-Ms", TokenCounts: "X-Rudder-Tokens", PromptPrefix: "X-Rudder-Prefix",
 	Organisation: "X-Rudder-Organisation", ExpectInstance: "X-Rudder-Instance", Urgency: "X-Rudder-Urgency",
-	NotRun: "X-Rudder-Not-Run", ServerLimit: "X-Rudder-Limit", ServerLeaving: "X-Rudder-Leaving", ResponseSignature: "X-Rudder-Signature", APIKeyScheme: "Bearer",
+	NotRun: "X-Rudder-Not-Run", ResumedAttempt: "X-Rudder-Resumes", ServerLimit: "X-Rudder-Limit", ServerLeaving: "X-Rudder-Leaving", ResponseSignature: "X-Rudder-Signature", APIKeyScheme: "Bearer",
 }
 
 const (
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -74,9 +74,10 @@
 			f.failPlacement(refusal)
 			return
 		}
-		s.Log.Info("Selected a backend server for the request.", "request", c.id, "server", placement.ID, "send", f.sends+1, "choices", placement.CandidateCount,
+		s.Log.Info("Selected a backend server for the request.", "request", c.id, "server", placement.ID, "server_version", placement.SoftwareVersion, "send", f.sends+1, "choices", placement.CandidateCount,
 			"predicted_ms", placement.PredictedFirstByte.Milliseconds(), "running", placement.Running, "uncached_tokens", placement.UncachedTokens,
 			"route", c.route.Name, "service", c.service, "config_version", c.configVersion, "proof_age_ms", boottime.Since(s.Current.ConfirmedAt()).Milliseconds())
+		f.logContinuation(placement)
 		a := &attempt{server: s, call: c, placement: placement, forwarder: f}
 		result := a.run(ctx)
 		placement.Release(result.backendResult)
@@ -98,6 +99,19 @@
 	}
 }
 
+// logContinuation logs a placement at which a stream goes on that broke off at another server.
+func (f *forwarder) logContinuation(placement *backend.Placement) {
+	lastEvent := f.lastEventID
+	if lastEvent == "" && f.call.resumesStream() {
+		lastEvent = f.call.header.Get(headerLastEventID)
+	}
+	if lastEvent == "" {
+		return
+	}
+	f.server.Log.Info("A stream goes on at a backend server.", "request", f.call.id, "server", placement.ID, "server_version", placement.SoftwareVersion,
+		"last_event", lastEvent[:min(len(lastEvent), maxAttemptIDBytes)], "resumed_attempt", f.call.resumedAttempt(f.server.Dialect))
+}
+
 // placementRequest returns the request as the selection of a backend server needs it.
 func (f *forwarder) placementRequest() backend.Request {
 	c := f.call
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -75,7 +75,7 @@
 // encodedBytes returns about how much the change adds to a digest.
 func (c *recentChange) encodedBytes() int {
 	const numbersAndLengths = 48
-	return numbersAndLengths + len(c.Server.ID) + len(c.Server.Service) + len(c.Server.Address) + len(c.Server.FailureDomain)
+	return numbersAndLengths + len(c.Server.ID) + len(c.Server.Service) + len(c.Server.Address) + len(c.Server.FailureDomain) + len(c.Server.SoftwareVersion)
 }
 
 func newRegistrySync(n *node) *registrySync {
