Let a stream go on only at the software version that began it

Cause: the choice of a server knew no version, neither when the relay itself goes on with a broken stream nor when a caller takes one up; nothing remembered where a stream began. The class: state that a continuation depends on lived only with the process that began it.

The choice of a server now takes the version as a condition. Package streamorigin remembers where streams began: in memory, told to peers and recorded in the store while a service has several versions, so that any node knows after a kill of all. What cannot be told, and what has no server of its version left, is refused at once as not run. A stream on a split route goes back to the service that began it. Digests carry versions in a field of their own, which nodes of earlier versions ignore.

The tests of package streamorigin cover what is unknown, behind, lost or odd.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -60,6 +60,7 @@
 	Urgency         int             // 0 is the most urgent; see UrgencyLevels
 	Exclude         map[string]bool // servers that have already received the request, by ID
 	FailureDomain   string          // of this node; among equal servers, those in it go first
+	SoftwareVersion *string         // of the only servers that may take the request; nil if all may
 	// Patience is how long the request may wait for the end of a pause and its first byte together; 0 if it may not wait.
 	Patience  time.Duration
 	HasWaited bool // for the end of a pause
@@ -145,6 +146,9 @@
 	server *Server // that is waited for
 }
 
+// ReasonVersionHasLeft is the reason of a refusal that stands until a server of the required software version starts.
+const ReasonVersionHasLeft = "no backend server of the software version that began the stream is available"
+
 // Place chooses a server for a request and counts the request in the server's load until Release. It returns a refusal
 // instead if there is no server or all are full. With a firstByteLimit above 0 it also refuses a request whose predicted
 // time to the first byte exceeds the limit where other prompts wait, and plain requests that the throttle does not admit.
@@ -165,6 +169,8 @@
 	}
 	t.countDemand(r, uncachedTokens, t.model(r.Service), now)
 	switch {
+	case r.SoftwareVersion != nil && !t.servesVersion(r.Service, *r.SoftwareVersion):
+		return nil, &Refusal{Reason: ReasonVersionHasLeft, NoServers: true, RetryAfter: versionRetryAfter}
 	case len(candidates) == 0:
 		return nil, &Refusal{Reason: "no backend server of the service is available", NoServers: true}
 	case !found:
@@ -234,7 +240,7 @@
 	var serving, unlimited []*Server
 	for _, s := range t.servers {
 		t.updatePause(s, bootNow)
-		if s.Service == r.Service && !r.Exclude[s.ID] && s.isServing() {
+		if s.Service == r.Service && !r.Exclude[s.ID] && s.isServing() && s.hasVersion(r.SoftwareVersion) {
 			serving = append(serving, s)
 			if !s.limit.isNamed {
 				unlimited = append(unlimited, s)
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -26,8 +26,10 @@
 	Slots           int
 	Draining        bool
 	Reclaimable     bool
-	StartUnixMillis int64  // start time of the server's process, 0 if unknown
-	SoftwareVersion string // of the server's process; empty if the registry does not tell
+	StartUnixMillis int64 // start time of the server's process, 0 if unknown
+	// SoftwareVersion is that of the server's process, empty if the registry does not tell. Digests hold it apart from the other
+	// fields, since nodes of earlier versions decode an entry as a list of them.
+	SoftwareVersion string `cbor:"-"`
 }
 
 // Server is one incarnation of a backend server, with this node's observations. The table's lock guards its fields.
--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -7,6 +7,7 @@
 	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/quota"
+	"chestnutrudder.example/rudder/streamorigin"
 	"chestnutrudder.example/rudder/usage"
 )
 
@@ -50,7 +51,7 @@
 	// IsWarmingUp is true while the sender may not know all that was admitted before its start; see quota.Ledger.IsWarmingUp.
 	IsWarmingUp bool `cbor:"18,keyasint,omitempty"`
 	// IsUrgent marks a digest that is sent between two full ones. It holds only Node, Incarnation and either some
-	// QuotaUsages with IsWarmingUp, some RunsByWindow, or Crashes, ServerLimits and Departures.
+	// QuotaUsages with IsWarmingUp, some RunsByWindow, or Crashes, ServerLimits, Departures and StreamOrigins.
 	IsUrgent bool `cbor:"19,keyasint,omitempty"`
 	// IsBrief marks a digest without Loads, Demand, QuotaUsages, RunsByWindow and Sightings, for a node of another failure
 	// domain that gets these from summaries.
@@ -67,6 +68,10 @@
 	// UsageFinalThrough is the latest usage window whose counts are final, as far as the sender knows. It outlives the records in
 	// the object API, which may be restored from an older copy.
 	UsageFinalThrough int64 `cbor:"26,keyasint,omitempty"`
+	// ServerVersions holds the software versions of the backend servers in Registry, by their ID.
+	ServerVersions map[string]string `cbor:"28,keyasint,omitempty"`
+	// StreamOrigins tells where streams began, in an urgent digest.
+	StreamOrigins []streamorigin.Report `cbor:"29,keyasint,omitempty"`
 	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
 	Sightings []PeerSighting `cbor:"27,keyasint,omitempty"`
 }
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -356,6 +356,7 @@
 		}
 		if len(events) > 0 {
 			skipUpTo = ""
+			f.recordOrigin(a.placement)
 			if writeErr := f.writeEvents(events, response, controller); writeErr != nil {
 				return attemptResult{isPartial: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + writeErr.Error()}
 			}
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -44,6 +44,7 @@
 	alternative     *alternative    // reserved for the next send; nil if nothing is
 	failedAt        time.Time       // when the last attempt failed
 	hasWaited       bool            // for a server that asked for a pause
+	version         *string         // of the software that began the stream; nil if none has
 	// crashObserved is closed when it is known whether the server of the last attempt crashed; nil if that is no question.
 	crashObserved <-chan struct{}
 }
@@ -53,6 +54,10 @@
 	s, c := f.server, f.call
 	s.recordFirstSend(c.service)
 	defer f.releaseAlternative()
+	if problem := f.findOrigin(ctx); problem != nil {
+		f.fail(problem)
+		return
+	}
 	for {
 		if problem := s.checkAllowed(c, s.StalenessLimits.Send); problem != nil {
 			if f.mayHaveRun {
@@ -99,26 +104,14 @@
 	}
 }
 
-// logContinuation logs a placement at which a stream goes on that broke off at another server.
-func (f *forwarder) logContinuation(placement *backend.Placement) {
-	lastEvent := f.lastEventID
-	if lastEvent == "" && f.call.resumesStream() {
-		lastEvent = f.call.header.Get(headerLastEventID)
-	}
-	if lastEvent == "" {
-		return
-	}
-	f.server.Log.Info("A stream goes on at a backend server.", "request", f.call.id, "server", placement.ID, "server_version", placement.SoftwareVersion,
-		"last_event", lastEvent[:min(len(lastEvent), maxAttemptIDBytes)], "resumed_attempt", f.call.resumedAttempt(f.server.Dialect))
-}
-
 // placementRequest returns the request as the selection of a backend server needs it.
 func (f *forwarder) placementRequest() backend.Request {
 	c := f.call
 	return backend.Request{
 		Service: c.service, Parts: c.sharedParts, PromptTokens: c.promptTokens, MaxOutputTokens: c.maxOutputTokens, IsGeneration: c.isGeneration, Urgency: c.urgency,
-		Objective: c.route.LatencyObjective,
-		Exclude:   f.excludedServers, FailureDomain: f.server.FailureDomain, Patience: f.patience(), HasWaited: f.hasWaited,
+		Objective:       c.route.LatencyObjective,
+		SoftwareVersion: f.version,
+		Exclude:         f.excludedServers, FailureDomain: f.server.FailureDomain, Patience: f.patience(), HasWaited: f.hasWaited,
 	}
 }
 
--- a/rudder/relay/harness_test.go
+++ b/rudder/relay/harness_test.go
@@ -20,6 +20,7 @@
 	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/quota"
+	"chestnutrudder.example/rudder/streamorigin"
 	"chestnutrudder.example/rudder/traffic"
 )
 
@@ -64,7 +65,7 @@
 	h.server = &Server{
 		Dialect: &NativeDialect, Current: current, Backends: backend.NewTable(time.Second, log),
 		Quotas: quota.NewLedger(true, quota.Tolerance{}, time.Now), Runs: h.runCounter, Log: log,
-		RetryRate: limit.RetryRate{Fraction: 0.2, Burst: 100}, Crashes: &culprit.List{Log: log},
+		RetryRate: limit.RetryRate{Fraction: 0.2, Burst: 100}, Crashes: &culprit.List{Log: log}, Origins: streamorigin.New(log),
 	}
 	front := httptest.NewUnstartedServer(h.server)
 	front.Config.ConnContext = ConnContext
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -113,24 +113,6 @@
 	return parts
 }
 
-// resumesStream reports whether the caller takes up a stream that broke off.
-func (c *call) resumesStream() bool {
-	return c.route.Kind == traffic.Streaming && c.route.Resumable && c.header.Get(headerLastEventID) != ""
-}
-
-// maxAttemptIDBytes bounds the ids of attempts that are remembered and logged.
-const maxAttemptIDBytes = 64
-
-// resumedAttempt returns the id of the attempt that brought the first event of the stream that the caller takes up, "" if the
-// request does not name exactly one.
-func (c *call) resumedAttempt(d *Dialect) string {
-	values := c.header.Values(d.ResumedAttempt)
-	if len(values) != 1 || len(values[0]) > maxAttemptIDBytes {
-		return ""
-	}
-	return values[0]
-}
-
 // sharedPartIDs returns the ids of the shared parts of the prompt for log lines, separated by commas.
 func (c *call) sharedPartIDs() string {
 	ids := make([]string, 0, len(c.sharedParts))
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -19,6 +19,7 @@
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/quota"
+	"chestnutrudder.example/rudder/streamorigin"
 	"chestnutrudder.example/rudder/traffic"
 )
 
@@ -55,6 +56,7 @@
 	RetryRate        limit.RetryRate // retry budget of each service; the burst is divided among the nodes
 	Log              *slog.Logger
 	Crashes          *culprit.List
+	Origins          *streamorigin.Book
 
 	mu               sync.Mutex
 	nodeCount        int                           // nodes that share the retry budgets
@@ -178,7 +180,7 @@
 			return outcome.NotRunErrorf(http.StatusUnauthorized, 0, "unknown API key")
 		}
 	}
-	c.service = c.route.ServiceFor(hashFraction(c.id))
+	c.service = s.chooseService(c)
 	c.parsePromptHeaders(r.Header, s.Dialect)
 	c.urgency = c.route.Priority
 	if c.organisation != nil {
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -146,8 +146,8 @@
 		if f.isSuspect() {
 			return deniedSuspect
 		}
-		if denial = f.reserve(f.placementRequest(), needsRetry); denial == "" {
-			return ""
+		if denial = f.reserve(f.placementRequest(), needsRetry); denial == "" || denial == backend.ReasonVersionHasLeft {
+			return denial
 		}
 		if !hasLogged {
 			hasLogged = true
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -75,6 +75,7 @@
 	configWatcher *objectapi.Watcher
 	configSync    configSync
 	registry      *registrySync
+	streamRecords *streamRecords
 
 	incarnation    int64 // start of the process in Unix milliseconds; identifies this start
 	isDraining     atomic.Bool
@@ -153,6 +154,8 @@
 		n.relay.StalenessLimits = relay.StalenessLimits{Send: s.RevocationBound - stopSendingMargin, Wait: s.RevocationBound - cancelWaitingMargin}
 	}
 	n.relay.Crashes.RelaysPeers = n.mesh.UsesSummaries
+	n.streamRecords = newStreamRecords(n)
+	n.relay.Origins = n.streamRecords.book
 	n.relay.SetMetrics(metrics)
 	n.leases = &lease.Manager{
 		Store: platform.Store, Node: s.Node, Log: logger.Part("lease"), ShouldContend: n.isLeaseContender,
@@ -181,7 +184,7 @@
 	tasks := []func(context.Context){
 		func(ctx context.Context) { n.mesh.Run(ctx, meshConn) },
 		n.configWatcher.Run, n.registry.objectWatcher.Run, n.relay.WatchWaitingRequests, n.closeIdleConnections, n.updateShares,
-		n.readNewerConfigs, n.registerAndDiscover, n.keepQuarantines,
+		n.readNewerConfigs, n.registerAndDiscover, n.keepQuarantines, n.streamRecords.run,
 	}
 	if n.settings.ReportsUsage || n.settings.OrdersCapacity {
 		tasks = append(tasks, func(ctx context.Context) { n.leases.Hold(ctx, dutyLeaseName, n.runDuties) })
@@ -202,6 +205,7 @@
 		Departures: n.backends.Departures(), Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
 		UsageFinalThrough: n.usageCounter.FinalThrough(),
 	}
+	d.ServerVersions = versionsByID(d.Registry.Changes)
 	if config := n.currentConfig.Config(); config != nil {
 		d.ConfigVersion = config.Version
 	}
@@ -212,7 +216,7 @@
 }
 
 // composeUrgentDigests returns what peers must know before the next full digest: for all peers, what this node admitted near a
-// limit, crashes of backend servers, limits that they name and those that leave; for the holder of the duty lease, the request counts that have
+// limit, crashes of backend servers, limits that they name, those that leave, and where streams began; for the holder of the duty lease, the request counts that have
 // changed, which would be lost if all nodes ended.
 func (n *node) composeUrgentDigests() []mesh.UrgentDigest {
 	var list []mesh.UrgentDigest
@@ -224,7 +228,8 @@
 	}
 	toAll := digest
 	toAll.Crashes, toAll.ServerLimits, toAll.Departures = n.relay.Crashes.UrgentReport(), n.backends.UrgentLimits(), n.backends.UrgentDepartures()
-	if toAll.Crashes != nil || toAll.ServerLimits != nil || toAll.Departures != nil {
+	toAll.StreamOrigins = n.relay.Origins.TakeReports()
+	if toAll.Crashes != nil || toAll.ServerLimits != nil || toAll.Departures != nil || toAll.StreamOrigins != nil {
 		list = append(list, mesh.UrgentDigest{Digest: toAll})
 	}
 	if holder := n.dutyHolder(); holder != "" {
@@ -291,6 +296,7 @@
 	n.relay.Crashes.Apply(m.Crashes)
 	n.backends.ApplyLimits(m.ServerLimits)
 	n.backends.ApplyDepartures(m.Node, m.Departures)
+	n.relay.Origins.ApplyReports(m.StreamOrigins)
 	if m.IsUrgent {
 		return
 	}
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -196,6 +197,13 @@
 	r.recentChanges = r.recentChanges[pruned:]
 }
 
+// age returns the time since this node's knowledge of the registry was current.
+func (r *registrySync) age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return boottime.Since(r.currentAsOf)
+}
+
 // delta returns what this node's digest says of the registry.
 func (r *registrySync) delta() mesh.RegistryDelta {
 	r.mu.Lock()
@@ -224,6 +232,7 @@
 	if delta.Revision.IsZero() {
 		return
 	}
+	delta.Changes = withVersions(delta.Changes, m.ServerVersions)
 	isUpToDate := r.objectWatcher.Advance(delta.FromRevision, delta.Revision, func(after objectapi.Version) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -239,6 +248,30 @@
 	r.currentAsOf = max(r.currentAsOf, m.SentAt.Add(-time.Duration(delta.AgeMillis)*time.Millisecond))
 }
 
+// versionsByID returns the software versions of the servers in changes of the registry, nil if there are none.
+func versionsByID(changes []mesh.RegistryChange) map[string]string {
+	var versions map[string]string
+	for _, c := range changes {
+		if c.Removed {
+			continue
+		}
+		if versions == nil {
+			versions = make(map[string]string, len(changes))
+		}
+		versions[c.Server.ID] = c.Server.SoftwareVersion
+	}
+	return versions
+}
+
+// withVersions returns changes of the registry with the software versions of their servers.
+func withVersions(changes []mesh.RegistryChange, versions map[string]string) []mesh.RegistryChange {
+	changes = slices.Clone(changes)
+	for i := range changes {
+		changes[i].Server.SoftwareVersion = versions[changes[i].Server.ID]
+	}
+	return changes
+}
+
 // applyLatestChanges applies the last change of each server after a revision. Earlier ones are skipped, since the sender
 // may have learnt some of them together with changes that are known here: a server that has left since must not come back
 // in between. The caller holds the lock.
--- /dev/null
+++ b/rudder/relaynode/stream_records.go
@@ -0,0 +1,174 @@
+package relaynode
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
+
+	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/sleep"
+	"chestnutrudder.example/rudder/streamorigin"
+)
+
+const (
+	// streamRecordPrefix is the key prefix of the records in the object API from which nodes learn where streams began.
+	streamRecordPrefix = "rudder-streams/"
+	// streamRecordInterval is the pause between two records of a node: what began since the last one is lost if all nodes end.
+	streamRecordInterval = 250 * time.Millisecond
+	// streamRecordMinReadInterval is the shortest time between two readings of the records, however many callers wait for them.
+	streamRecordMinReadInterval = 100 * time.Millisecond
+	// streamRecordLoadInterval is the pause between two attempts to read the records after the start.
+	streamRecordLoadInterval = 500 * time.Millisecond
+	// streamRecordTimeout bounds one call to the object API.
+	streamRecordTimeout = 2 * time.Second
+	// registryLag is how much later than its peers a node that is in touch learns of a change of the registry.
+	registryLag = 2 * time.Second
+)
+
+// streamRecords keeps the record of the streams that this node began, and reads those of all nodes.
+type streamRecords struct {
+	node     *node
+	log      *slog.Logger
+	book     *streamorigin.Book
+	readings singleflight.Group
+
+	// version is that of this node's record, AbsentVersion if it has none. Only run uses it.
+	version objectapi.Version
+
+	mu     sync.Mutex
+	readAt boottime.Instant // when the last successful reading began; 0 if there was none
+}
+
+func newStreamRecords(n *node) *streamRecords {
+	r := &streamRecords{node: n, log: n.logger.Part("streams"), version: objectapi.AbsentVersion}
+	r.book = streamorigin.New(r.log)
+	r.book.Refresh, r.book.IsCurrent = r.refresh, r.isCurrent
+	return r
+}
+
+// run reads the records once and then keeps that of this node, until ctx ends.
+func (r *streamRecords) run(ctx context.Context) {
+	for loadedAt := boottime.Instant(0); sleep.For(ctx, streamRecordInterval); {
+		r.book.ObserveVersions(r.node.backends.SoftwareVersions())
+		switch {
+		case r.isLoaded():
+			r.write(ctx)
+		case boottime.Since(loadedAt) >= streamRecordLoadInterval:
+			loadedAt = boottime.Now()
+			if err := r.refresh(ctx); err != nil {
+				r.log.Warn("Reading the recorded beginnings of streams failed; trying again.", "error", err)
+			}
+		}
+	}
+}
+
+func (r *streamRecords) isLoaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readAt > 0
+}
+
+// isCurrent reports whether this node learns of a new software version as soon as its peers do: from the registry or, while the
+// object API is away, from most of the peers.
+func (r *streamRecords) isCurrent() bool {
+	if r.node.registry.age() < registryLag {
+		return true
+	}
+	reachable, known := r.node.mesh.CountNodes()
+	return known > 1 && 2*reachable > known
+}
+
+// refresh reads the records of all nodes. Callers that wait at the same time share a reading.
+func (r *streamRecords) refresh(ctx context.Context) error {
+	done := r.readings.DoChan("", func() (any, error) { return nil, r.read() })
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case result := <-done:
+		return result.Err
+	}
+}
+
+// read reads the records of all nodes and passes them to the book.
+func (r *streamRecords) read() error {
+	r.mu.Lock()
+	isFirst, beganAt := r.readAt == 0, boottime.Now()
+	if !isFirst && beganAt.Sub(r.readAt) < streamRecordMinReadInterval {
+		r.mu.Unlock()
+		return nil
+	}
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), streamRecordTimeout)
+	defer cancel()
+	listing, err := r.node.platform.Store.List(ctx, streamRecordPrefix)
+	if err != nil {
+		return err
+	}
+	now := r.node.mesh.MedianTime()
+	for _, o := range listing.Objects {
+		var record streamorigin.Record
+		if err := o.Decode(&record); err != nil {
+			r.log.Warn("Decoding a record of streams failed; it is left out.", "key", abbreviate(o.Key), "error", err)
+			continue
+		}
+		// A record is not renewed while nothing changes, so that an old one may tell of the time before the start of this node.
+		// Later readings are for what has begun since.
+		if isFirst || now.Sub(time.UnixMilli(record.WrittenUnixMillis)) < streamorigin.Retention {
+			r.book.ApplyRecord(record, isFirst && strings.TrimPrefix(o.Key, streamRecordPrefix) == r.node.settings.Node)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readAt = beganAt
+	if isFirst {
+		r.book.SetLoaded()
+		r.log.Info("Read the recorded beginnings of streams.", "records", len(listing.Objects))
+	}
+	return nil
+}
+
+// write writes the record of this node if it says something new or the object API has lost it. Some nodes of each failure domain
+// record the versions; what streams began is recorded by all. Writes are conditional: one that got no answer may take effect late,
+// and must not replace a later one.
+func (r *streamRecords) write(ctx context.Context) {
+	n := r.node
+	hasRecord := r.version != objectapi.AbsentVersion
+	if hasRecord && r.version.Epoch < n.registry.storeEpoch() {
+		r.book.ForgetRecord()
+	}
+	record, needsWrite, hasStreams := r.book.TakeRecord()
+	if !needsWrite {
+		return
+	}
+	if !hasStreams && !hasRecord && !needsRecord(n.settings.Node, n.settings.FailureDomain, n.mesh.ReachableMembers()) {
+		r.book.ForgetRecord()
+		return
+	}
+	record.WrittenUnixMillis = n.mesh.MedianTime().UnixMilli()
+	ctx, cancel := context.WithTimeout(ctx, streamRecordTimeout)
+	defer cancel()
+	key := streamRecordPrefix + n.settings.Node
+	o, err := n.platform.Store.Put(ctx, key, record, r.version)
+	if errors.Is(err, objectapi.ErrConflict) {
+		// An earlier process has left a record, a write without an answer took effect, or the object API was restored.
+		if o, err = n.platform.Store.Get(ctx, key); err == nil || errors.Is(err, objectapi.ErrNotFound) {
+			r.version = objectapi.AbsentVersion
+			if err == nil {
+				r.version = o.Version
+			}
+			o, err = n.platform.Store.Put(ctx, key, record, r.version)
+		}
+	}
+	if err != nil {
+		r.log.Warn("Recording the beginnings of streams failed; trying again.", "key", key, "error", err)
+		r.book.ForgetRecord()
+		return
+	}
+	r.version = o.Version
+}
