--- a/rudder/relaynode/stream_records.go
+++ b/rudder/relaynode/stream_records.go
@@ -19,12 +19,11 @@
 const (
 	// streamRecordPrefix is the key prefix of the records in the object API from which nodes learn where streams began.
 	streamRecordPrefix = "rudder-streams/"
-	// streamRecordInterval is the pause between two records of a node: what began since the last one is lost if all nodes end.
-	streamRecordInterval = 250 * time.Millisecond
+	// streamRecordInterval is the pause between two records of a node, or two attempts to read them after the start. What began
+	// since the last record is lost if all nodes end.
+	streamRecordInterval = 500 * time.Millisecond
 	// streamRecordMinReadInterval is the shortest time between two readings of the records, however many callers wait for them.
 	streamRecordMinReadInterval = 100 * time.Millisecond
-	// streamRecordLoadInterval is the pause between two attempts to read the records after the start.
-	streamRecordLoadInterval = 500 * time.Millisecond
 	// streamRecordTimeout bounds one call to the object API.
 	streamRecordTimeout = 2 * time.Second
 	// registryLag is how much later than its peers a node that is in touch learns of a change of the registry.
@@ -54,17 +53,14 @@
 
 // run reads the records once and then keeps that of this node, until ctx ends.
 func (r *streamRecords) run(ctx context.Context) {
-	for loadedAt := boottime.Instant(0); sleep.For(ctx, streamRecordInterval); {
+	for ctx.Err() == nil {
 		r.book.ObserveVersions(r.node.backends.SoftwareVersions())
-		switch {
-		case r.isLoaded():
+		if r.isLoaded() {
 			r.write(ctx)
-		case boottime.Since(loadedAt) >= streamRecordLoadInterval:
-			loadedAt = boottime.Now()
-			if err := r.refresh(ctx); err != nil {
-				r.log.Warn("Reading the recorded beginnings of streams failed; trying again.", "error", err)
-			}
+		} else if err := r.refresh(ctx); err != nil {
+			r.log.Warn("Reading the recorded beginnings of streams failed; trying again.", "error", err)
 		}
+		sleep.For(ctx, streamRecordInterval)
 	}
 }
 
--- a/rudder/streamorigin/book.go
+++ b/rudder/streamorigin/book.go
@@ -20,7 +20,7 @@
 const (
 	// Retention is how long the beginning of a stream is remembered after its last use, and how long streams may go on that
 	// began at a version whose last server has left. Callers come back within seconds.
-	Retention = time.Minute
+	Retention = 30 * time.Second
 	// maxOwnStreams and maxPeerStreams bound the streams that a node remembers: its own ones and those of its peers.
 	maxOwnStreams  = 1 << 12
 	maxPeerStreams = 1 << 16
