Refuse requests that wait at a stopping node instead of passing them on late

Other operators report requests that came late in the grace period of a planned stop, were passed on and then cut, among them some that may not be repeated. New requests have been refused here from 3 s after the signal on. But a request that had come before and waited, for a server that asked for a pause or after refusals, was still sent later, and its response could be cut at the end.

--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -59,6 +59,10 @@
 		return
 	}
 	for {
+		if !f.mayHaveRun && s.isRefusing() {
+			f.fail(errStopping()) // the response might be cut at the end of the stop
+			return
+		}
 		if problem := s.checkAllowed(c, s.StalenessLimits.Send); problem != nil {
 			if f.mayHaveRun {
 				problem = outcome.UnknownErrorf(http.StatusBadGateway, errors.New(f.lastFailure), "%s", problem.Reason)
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -63,7 +63,8 @@
 	retryBudgets     map[string]*limit.RetryBudget // by service
 	awaitingResponse map[*attempt]struct{}         // attempts without a first response byte
 	isDraining       atomic.Bool
-	isRefusing       atomic.Bool // new requests are refused
+	refusalOnce      sync.Once    // sets refusal
+	refusal          refusalState // see RefuseRequests
 	inProgress       atomic.Int64
 	metrics          Metrics
 	crashProbes      atomic.Int64 // running observeCrash tasks
@@ -83,8 +84,28 @@
 	}
 }
 
-// RefuseRequests makes the node refuse new requests as not run. Requests in progress continue.
-func (s *Server) RefuseRequests() { s.isRefusing.Store(true) }
+// refusalState tells whether requests that have not run are refused: then its context has ended.
+type refusalState struct {
+	ctx   context.Context
+	begin context.CancelFunc
+}
+
+// refusalState returns the state that RefuseRequests changes.
+func (s *Server) refusalState() refusalState {
+	s.refusalOnce.Do(func() { s.refusal.ctx, s.refusal.begin = context.WithCancel(context.Background()) })
+	return s.refusal
+}
+
+// RefuseRequests makes the node refuse requests that have not run: new ones, and those that wait at the node. Requests that are
+// in progress at a backend server continue.
+func (s *Server) RefuseRequests() { s.refusalState().begin() }
+
+func (s *Server) isRefusing() bool { return s.refusalState().ctx.Err() != nil }
+
+// errStopping refuses a request at a node that stops. Other nodes can serve it immediately.
+func errStopping() *outcome.Error {
+	return outcome.NotRunErrorf(http.StatusServiceUnavailable, stoppingRetryAfter, "node is stopping")
+}
 
 // ServeHTTP relays a request to a backend server and writes the response or an error. It panics with http.ErrAbortHandler if
 // a response fails after its head was sent, or if the caller has left: net/http would write an empty success for a handler
@@ -160,8 +181,8 @@
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, notReadyRetryAfter, "node has no configuration yet")
 	case s.Current.IsOutdated():
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, staleConfigRetryAfter, "configuration is older than that of other nodes, and the newer one cannot be read")
-	case s.isRefusing.Load():
-		return outcome.NotRunErrorf(http.StatusServiceUnavailable, stoppingRetryAfter, "node is stopping")
+	case s.isRefusing():
+		return errStopping()
 	case c.id == "":
 		return outcome.NotRunErrorf(http.StatusBadRequest, 0, "request header %s is missing", s.Dialect.RequestID)
 	case !s.isConfigFresh(s.StalenessLimits.Send):
--- a/rudder/relay/server_state.go
+++ b/rudder/relay/server_state.go
@@ -49,5 +49,10 @@
 		f.server.Log.Info("Request waits for a backend server that asked for a pause.", "request", f.call.id, "wait_ms", refusal.Wait.Milliseconds())
 	}
 	f.hasWaited = true
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !f.mayHaveRun {
+		defer context.AfterFunc(f.server.refusalState().ctx, cancel)()
+	}
 	refusal.Await(ctx)
 }
