--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -16,7 +16,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -85,7 +84,6 @@
 	addressRotation int
 	now             func() boottime.Instant
 	sleep           func(time.Duration)
-	unsent          atomic.Int64 // datagrams that the kernel did not take
 }
 
 // New returns a mesh that initially knows the peers at the seed addresses.
--- a/rudder/mesh/pace.go
+++ b/rudder/mesh/pace.go
@@ -42,9 +42,8 @@
 		if err != nil {
 			continue // AddAddresses has logged a malformed one
 		}
-		if _, err := conn.WriteTo(data, net.UDPAddrFromAddrPort(address)); err != nil {
-			m.unsent.Add(1) // the next digest makes up for it
-		}
+		// The next digest makes up for one that could not be sent.
+		_, _ = conn.WriteTo(data, net.UDPAddrFromAddrPort(address))
 	}
 }
 
