--- /dev/null
+++ b/rudder/relaynode/stream_records_test.go
@@ -0,0 +1,139 @@
+package relaynode
+
+import (
+	"context"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/mesh"
+	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/objectapi/objectapitest"
+	"chestnutrudder.example/rudder/streamorigin"
+)
+
+// newStreamNode returns a node without peers that keeps its records of streams in the store. Its service "s" has two versions.
+func newStreamNode(name string, store objectapi.Store) *streamRecords {
+	n := newLoneRegistrySync().node
+	n.settings = Settings{Node: name, FailureDomain: "a"}
+	n.platform.Store = store
+	n.mesh = mesh.New("127.0.0.1:1", nil, nil, func(*mesh.Member) {}, n.logger.Part("mesh"))
+	n.registry = newRegistrySync(n)
+	n.registry.currentAsOf = boottime.Now()
+	r := newStreamRecords(n)
+	r.book.ObserveVersions(map[string][]string{"s": {"v1", "v2"}})
+	return r
+}
+
+// find returns the version that the node's book tells for a stream, or "refused".
+func (r *streamRecords) find(attempt string) string {
+	if o, found := r.book.Find(context.Background(), attempt, "s"); found {
+		return o.Version
+	}
+	return "refused"
+}
+
+func (r *streamRecords) begin(attempt, version string) {
+	r.book.Begin(attempt, streamorigin.Origin{Service: "s", Version: version})
+}
+
+// Guards against streams whose beginning nobody knows after all nodes have ended, and against a starting node that takes what it
+// sees for all that there was.
+func TestStartedNodeReadsWhereStreamsBegan(t *testing.T) {
+	ctx, store := context.Background(), objectapitest.NewMemoryStore()
+	a, b := newStreamNode("a", store), newStreamNode("b", store)
+	for _, r := range []*streamRecords{a, b} {
+		if err := r.refresh(ctx); err != nil {
+			t.Fatal(err)
+		}
+		r.begin("of-"+r.node.settings.Node, "v1")
+		r.write(ctx)
+		r.write(ctx)
+	}
+	if puts := store.CallCount("put"); puts != 2 {
+		t.Errorf("%d writes of two nodes with one stream each, want 2", puts)
+	}
+	if _, err := store.Put(ctx, streamRecordPrefix+"odd", "text", objectapi.AbsentVersion); err != nil {
+		t.Fatal(err)
+	}
+	started := newStreamNode("a", store)
+	for attempt, want := range map[string]string{"of-a": "v1", "of-b": "v1", "of-c": "refused"} {
+		if got := started.find(attempt); got != want {
+			t.Errorf("%s at a started node: %s, want %s", attempt, got, want)
+		}
+	}
+	started.begin("later", "v2")
+	started.write(ctx)
+	again := newStreamNode("c", store)
+	for attempt, want := range map[string]string{"of-a": "v1", "later": "v2"} {
+		if got := again.find(attempt); got != want {
+			t.Errorf("%s after a second start: %s, want %s", attempt, got, want)
+		}
+	}
+}
+
+// Guards against callers that wait while the object API is away, and against a node that takes it for empty.
+func TestStreamIsRefusedWhileRecordsCannotBeRead(t *testing.T) {
+	store := objectapitest.NewMemoryStore()
+	isAway := true
+	store.BeforeCall = func(_, key string) error {
+		if isAway && key == streamRecordPrefix {
+			return objectapi.ErrUnavailable
+		}
+		return nil
+	}
+	r := newStreamNode("a", store)
+	if got := r.find("x"); got != "refused" || r.isLoaded() {
+		t.Errorf("object API away: %s, loaded %t, want a refusal", got, r.isLoaded())
+	}
+	r.begin("own", "v2")
+	if got := r.find("own"); got != "v2" {
+		t.Errorf("own stream: %s, want v2", got)
+	}
+	isAway = false
+	if got := r.find("x"); got != "refused" || !r.isLoaded() {
+		t.Errorf("object API back, unknown stream of two versions: %s, loaded %t, want a refusal", got, r.isLoaded())
+	}
+}
+
+// Guards against a write without an answer that replaces a later record, and against records that are lost with the answer or
+// with a restored object API.
+func TestRecordOfStreamsOutlivesLostWrites(t *testing.T) {
+	ctx, store := context.Background(), objectapitest.NewMemoryStore()
+	r := newStreamNode("a", store)
+	if err := r.refresh(ctx); err != nil {
+		t.Fatal(err)
+	}
+	storeCopy := store.Copy()
+	store.AfterWrite = func(string, string) error { return errors.Wrap(objectapi.ErrOutcomeUnknown, "answer lost") }
+	r.begin("first", "v1")
+	r.write(ctx)
+	store.AfterWrite = nil
+	r.begin("second", "v2")
+	r.write(ctx)
+	old := r.version
+	r.begin("third", "v1")
+	r.write(ctx)
+	if _, err := store.Put(ctx, streamRecordPrefix+"a", streamorigin.Record{}, old); !errors.Is(err, objectapi.ErrConflict) {
+		t.Errorf("late write with the version of an earlier record: error %v, want a conflict", err)
+	}
+	check := func(when string) {
+		t.Helper()
+		started := newStreamNode("b", store)
+		for attempt, want := range map[string]string{"first": "v1", "second": "v2", "third": "v1"} {
+			if got := started.find(attempt); got != want {
+				t.Errorf("%s, %s: %s, want %s", when, attempt, got, want)
+			}
+		}
+	}
+	check("after a lost answer")
+	store.Restore(storeCopy)
+	r.node.registry.latestEpoch = 1
+	r.write(ctx)
+	check("after a restore")
+	puts := store.CallCount("put")
+	if r.write(ctx); store.CallCount("put") != puts {
+		t.Error("the record is written again although nothing has changed")
+	}
+}
