--- a/rudder/relay/origin.go
+++ b/rudder/relay/origin.go
@@ -14,7 +14,7 @@
 
 const (
 	// originLookupTimeout bounds the time for which a caller that takes up a stream waits until it is known where it began.
-	originLookupTimeout = 300 * time.Millisecond
+	originLookupTimeout = 500 * time.Millisecond
 	// unknownOriginRetryAfter is sent to a caller whose stream's beginning is not known: other nodes record it within that time.
 	unknownOriginRetryAfter = 500 * time.Millisecond
 )
--- a/rudder/relaynode/stream_records_test.go
+++ b/rudder/relaynode/stream_records_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -28,7 +29,9 @@
 
 // find returns the version that the node's book tells for a stream, or "refused".
 func (r *streamRecords) find(attempt string) string {
-	if o, found := r.book.Find(context.Background(), attempt, "s"); found {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if o, found := r.book.Find(ctx, attempt, "s"); found {
 		return o.Version
 	}
 	return "refused"
--- a/rudder/streamorigin/book.go
+++ b/rudder/streamorigin/book.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/sleep"
 )
 
 const (
@@ -26,6 +27,8 @@
 	maxPeerStreams = 1 << 16
 	// MaxAttemptBytes bounds the ids of attempts that are remembered.
 	MaxAttemptBytes = 64
+	// reportCheckInterval is the pause between two checks whether a report has arrived that a caller waits for.
+	reportCheckInterval = 20 * time.Millisecond
 	// maxVersions bounds the versions of a service that are remembered.
 	maxVersions = 64
 )
@@ -79,19 +82,22 @@
 	b.isUnrecorded = true
 }
 
-// Find returns where a stream began that its caller takes up at the given service. It returns false if that cannot be told.
+// Find returns where a stream began that its caller takes up at the given service. It returns false if that cannot be told before
+// ctx ends: a caller may come back sooner than the report of the node that began the stream arrives.
 func (b *Book) Find(ctx context.Context, attempt, service string) (Origin, bool) {
-	if o, found := b.lookUp(attempt, service, b.IsCurrent == nil || b.IsCurrent()); found {
-		return o, true
+	o, found := b.lookUp(attempt, service, b.IsCurrent == nil || b.IsCurrent())
+	if found || b.Refresh == nil {
+		return o, found
 	}
-	if b.Refresh == nil {
-		return Origin{}, false
-	}
-	if err := b.Refresh(ctx); err != nil {
+	err := b.Refresh(ctx)
+	if err != nil {
 		b.Log.Warn("Reading the recorded beginnings of streams failed.", "attempt", attempt, "service", service, "error", err)
-		return Origin{}, false
 	}
-	return b.lookUp(attempt, service, true)
+	for {
+		if o, found = b.lookUp(attempt, service, err == nil); found || attempt == "" || !sleep.For(ctx, reportCheckInterval) {
+			return o, found
+		}
+	}
 }
 
 // lookUp returns where a stream began as far as this node knows. knowsVersions tells whether a version that it does not know
--- a/rudder/streamorigin/book_test.go
+++ b/rudder/streamorigin/book_test.go
@@ -28,7 +28,9 @@
 
 // find returns the version that Find tells, or "refused".
 func (b *testBook) find(attempt string) string {
-	if o, found := b.Find(context.Background(), attempt, "s"); found {
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if o, found := b.Find(ctx, attempt, "s"); found {
 		return o.Version
 	}
 	return "refused"
@@ -101,6 +103,24 @@
 	}
 }
 
+// Guards against a caller that is refused because it comes back at another node sooner than the report of the first one.
+func TestCallerWaitsForTheReportOfItsStream(t *testing.T) {
+	b := newTestBook()
+	b.SetLoaded()
+	b.observe("v1", "v2")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	refreshed := make(chan struct{})
+	b.Refresh = func(context.Context) error { close(refreshed); return nil }
+	go func() {
+		<-refreshed
+		b.ApplyReports([]Report{{Service: "s", Version: "v2", Attempts: []string{"x"}}})
+	}()
+	if o, found := b.Find(ctx, "x", "s"); !found || o.Version != "v2" {
+		t.Errorf("origin %+v, found %t, want v2", o, found)
+	}
+}
+
 // Guards against streams of a time with one version that nobody knows any more when a second one has come.
 func TestPeersAndRecordsLearnOfEarlierStreamsWhenASecondVersionComes(t *testing.T) {
 	b, peer, restarted := newTestBook(), newTestBook(), newTestBook()
