Tell of two peers in a digest instead of four

Two without the incarnation are about 42 bytes and still tell of each peer about twice in an interval. The simulated fleet of the tests gave the nodes of different domains the same phase; now each has its own.

--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -78,10 +78,9 @@
 
 // PeerSighting tells when a node last got a digest from a peer itself.
 type PeerSighting struct {
-	_           struct{} `cbor:",toarray"`
-	Node        string   // the peer
-	Incarnation int64
-	AgeMillis   int64 // of the digest
+	_         struct{} `cbor:",toarray"`
+	Node      string   // the peer
+	AgeMillis int64    // of the digest
 }
 
 // brief returns the digest without what summaries hold.
--- a/rudder/mesh/sighting.go
+++ b/rudder/mesh/sighting.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// sightingsPerDigest is the number of peers of which one digest tells when the sender heard from them.
-	sightingsPerDigest = 4
+	// sightingsPerDigest is the number of peers of which one digest tells when the sender heard from them. As many digests as
+	// there are peers arrive in an interval, so that each peer is told of about twice.
+	sightingsPerDigest = 2
 	// sightingAllowance is how much longer than a reachable peer one may be silent that still counts as living: other nodes
 	// tell of it in turn.
 	sightingAllowance = BaseInterval * 4
@@ -29,7 +30,7 @@
 	for _, name := range turn.Take(m.names(), m.addressRotation, sightingsPerDigest) {
 		member := m.members[name]
 		if age := now.Sub(member.heardAt); member.heardAt > 0 && age <= removeAfter {
-			list = append(list, PeerSighting{Node: name, Incarnation: member.Incarnation, AgeMillis: age.Milliseconds()})
+			list = append(list, PeerSighting{Node: name, AgeMillis: age.Milliseconds()})
 		}
 	}
 	return list
@@ -42,7 +43,7 @@
 	defer m.mu.Unlock()
 	for _, s := range sightings {
 		member, known := m.members[s.Node]
-		if !known || member.Incarnation != s.Incarnation || s.AgeMillis < 0 || s.AgeMillis > removeAfter.Milliseconds() {
+		if !known || s.AgeMillis < 0 || s.AgeMillis > removeAfter.Milliseconds() {
 			continue
 		}
 		seenAt := receivedAt.Add(-millisDuration(s.AgeMillis))
--- a/rudder/mesh/summary_test.go
+++ b/rudder/mesh/summary_test.go
@@ -87,7 +87,7 @@
 				return digest
 			}
 			m := New(address, nil, compose, func(*Member) {}, slog.New(slog.DiscardHandler))
-			m.FailureDomain, m.addressRotation, m.now, m.sleep = digest.FailureDomain, i, f.network.now, func(time.Duration) {}
+			m.FailureDomain, m.addressRotation, m.now, m.sleep = digest.FailureDomain, d*nodesPerDomain+i, f.network.now, func(time.Duration) {}
 			f.network.meshes[address] = m
 			f.meshes = append(f.meshes, m)
 			f.conns = append(f.conns, &memoryConn{network: f.network, address: address})
