--- a/rudder/backend/version.go
+++ b/rudder/backend/version.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// versionRetryAfter is when to try again a request whose software version has left. Its servers do not come back in a moment.
+// versionRetryAfter is when to try again a request whose software version has left. Its servers do not come back in a
+// moment.
 const versionRetryAfter = 2 * time.Second
 
 // hasVersion reports whether the server has the given software version. Nil stands for any.
--- a/rudder/mesh/link_test.go
+++ b/rudder/mesh/link_test.go
@@ -95,8 +95,8 @@
 	return RegistryDelta{Changes: []RegistryChange{{Server: backend.Entry{ID: strings.Repeat("x", 4000)}}}}
 }
 
-// TestHostsStayListedWhenDigestsExceedLinkQueue guards against hosts that drop living peers from their lists: the digests of a
-// round, sent at once and always in the same order, overflowed the link, and the last recipients got none of them.
+// TestHostsStayListedWhenDigestsExceedLinkQueue guards against hosts that drop living peers from their lists: the digests of
+// a round, sent at once and always in the same order, overflowed the link, and the last recipients got none of them.
 func TestHostsStayListedWhenDigestsExceedLinkQueue(t *testing.T) {
 	for _, fleet := range []struct{ domains, hostsPerDomain int }{{3, 3}, {4, 15}, {5, 15}} {
 		hosts := fleet.domains * fleet.hostsPerDomain
--- a/rudder/mesh/pace.go
+++ b/rudder/mesh/pace.go
@@ -27,8 +27,8 @@
 	return time.Duration(roundShare * float64(interval))
 }
 
-// sendPaced sends a datagram to each target within the given time, in bursts of at most maxBurstBytes. The order changes with
-// each round: what a full link loses must not hit the same peers each time.
+// sendPaced sends a datagram to each target within the given time, in bursts of at most maxBurstBytes. The order changes
+// with each round: what a full link loses must not hit the same peers each time.
 func (m *Mesh) sendPaced(conn net.PacketConn, data []byte, targets []string, within time.Duration) {
 	targets = slices.Clone(targets)
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
--- a/rudder/mesh/sighting.go
+++ b/rudder/mesh/sighting.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// sightingsPerDigest is the number of peers of which one digest tells when the sender heard from them. As many digests as
-	// there are peers arrive in an interval, so that each peer is told of about twice.
+	// sightingsPerDigest is the number of peers of which one digest tells when the sender heard from them. As many digests
+	// as there are peers arrive in an interval, so that each peer is told of about twice.
 	sightingsPerDigest = 2
 	// sightingAllowance is how much longer than a reachable peer one may be silent that still counts as living: other nodes
 	// tell of it in turn.
@@ -20,8 +20,8 @@
 // lastSeenAt returns when this node or one of its peers last heard from the member.
 func (m *Member) lastSeenAt() boottime.Instant { return max(m.ReceivedAt, m.sightedAt) }
 
-// nextSightings returns the sightings for one digest. Only digests that came from the peer itself count: what others told may
-// not be passed on, since it would be taken for newer at each step.
+// nextSightings returns the sightings for one digest. Only digests that came from the peer itself count: what others told
+// may not be passed on, since it would be taken for newer at each step.
 func (m *Mesh) nextSightings() []PeerSighting {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -57,9 +57,9 @@
 	}
 }
 
-// LivingMembers returns the peers that this node or a peer of it heard from recently, sorted by node name. While they are the
-// smaller part of the known peers, it returns all of these: this node may be the one that is cut off. The members must not be
-// changed.
+// LivingMembers returns the peers that this node or a peer of it heard from recently, sorted by node name. While they are
+// the smaller part of the known peers, it returns all of these: this node may be the one that is cut off. The members must
+// not be changed.
 func (m *Mesh) LivingMembers() []*Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/rudder/mesh/sighting_test.go
+++ b/rudder/mesh/sighting_test.go
@@ -12,8 +12,8 @@
 	return slices.ContainsFunc(f.meshes[node].LivingMembers(), func(m *Member) bool { return m.Node == name })
 }
 
-// Guards against limits that are spent twice: a node that does not hear a living peer, which all others hear, took its shares
-// from 2.3 s on and forgot it after 20 s.
+// Guards against limits that are spent twice: a node that does not hear a living peer, which all others hear, took its
+// shares from 2.3 s on and forgot it after 20 s.
 func TestPeerHeardByOthersStaysListed(t *testing.T) {
 	f := newTestFleet(4, 15)
 	silent, deaf := f.meshes[31].SelfAddress, f.meshes[2].SelfAddress
--- a/rudder/relay/cut_head_test.go
+++ b/rudder/relay/cut_head_test.go
@@ -9,8 +9,8 @@
 	"testing"
 )
 
-// Guards against a response whose server stopped within its head and closed the connection, and which callers got as a whole 200
-// with an empty or short body.
+// Guards against a response whose server stopped within its head and closed the connection, and which callers got as a whole
+// 200 with an empty or short body.
 func TestResponseCutWithinItsHeadIsNotForwarded(t *testing.T) {
 	const start = "HTTP/1.1 200 OK\r\nX-Rudder-Request: r1\r\nX-Rudder-Signature: sig\r\n"
 	stream := eventText(1, 2)
--- a/rudder/relay/harness_test.go
+++ b/rudder/relay/harness_test.go
@@ -164,9 +164,14 @@
 
 // sendEvents writes a chunked event stream with the events first to last. The last chunk follows only if isComplete.
 func sendEvents(conn net.Conn, r *http.Request, first, last int, isComplete bool) bool {
+	return sendEventsWithText(conn, r, first, last, isComplete, func(i int) string { return fmt.Sprint("t", i) })
+}
+
+// sendEventsWithText is sendEvents with the given text of each event.
+func sendEventsWithText(conn net.Conn, r *http.Request, first, last int, isComplete bool, text func(i int) string) bool {
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Rudder-Request: %s\r\nX-Rudder-Signature: sig\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Rudder-Request"))
 	for i := first; i <= last; i++ {
-		event := fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, text(i))
 		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
 	}
 	if isComplete {
--- a/rudder/relay/origin.go
+++ b/rudder/relay/origin.go
@@ -15,7 +15,8 @@
 const (
 	// originLookupTimeout bounds the time for which a caller that takes up a stream waits until it is known where it began.
 	originLookupTimeout = 500 * time.Millisecond
-	// unknownOriginRetryAfter is sent to a caller whose stream's beginning is not known: other nodes record it within that time.
+	// unknownOriginRetryAfter is sent to a caller whose stream's beginning is not known: other nodes record it within that
+	// time.
 	unknownOriginRetryAfter = 500 * time.Millisecond
 )
 
@@ -24,8 +25,8 @@
 	return c.route.Kind == traffic.Streaming && c.route.Resumable && c.header.Get(headerLastEventID) != ""
 }
 
-// resumedAttempt returns the id of the attempt that brought the first event of the stream that the caller takes up, "" if the
-// request does not name exactly one.
+// resumedAttempt returns the id of the attempt that brought the first event of the stream that the caller takes up, "" if
+// the request does not name exactly one.
 func (c *call) resumedAttempt(d *Dialect) string {
 	values := c.header.Values(d.ResumedAttempt)
 	if len(values) != 1 || len(values[0]) > streamorigin.MaxAttemptBytes {
@@ -34,8 +35,8 @@
 	return values[0]
 }
 
-// chooseService returns the service for a request among those of its route. A stream that its caller takes up goes to the service
-// of the attempt that began it.
+// chooseService returns the service for a request among those of its route. A stream that its caller takes up goes to the
+// service of the attempt that began it.
 func (s *Server) chooseService(c *call) string {
 	if resumed := c.resumedAttempt(s.Dialect); resumed != "" && c.resumesStream() {
 		return c.route.ServiceFor(hashFraction(resumed))
@@ -43,8 +44,8 @@
 	return c.route.ServiceFor(hashFraction(c.id))
 }
 
-// findOrigin sets the software version and the service of a stream that the caller takes up. It returns an error if it is not
-// known where the stream began: it might go on at a version that did not begin it.
+// findOrigin sets the software version and the service of a stream that the caller takes up. It returns an error if it is
+// not known where the stream began: it might go on at a version that did not begin it.
 func (f *forwarder) findOrigin(ctx context.Context) *outcome.Error {
 	c := f.call
 	if !c.resumesStream() {
--- a/rudder/relay/stopping_test.go
+++ b/rudder/relay/stopping_test.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// Guards against a stopping node that passes requests on late in its grace period, whose responses it then cuts: those that have
-// waited at the node since before, for a server that asked for a pause or refused them, must be refused as not run.
+// Guards against a stopping node that passes requests on late in its grace period, whose responses it then cuts: those that
+// have waited at the node since before, for a server that asked for a pause or refused them, must be refused as not run.
 func TestStoppingNodeDoesNotPassOnWaitingRequests(t *testing.T) {
 	for _, path := range []string{"/once/x", "/safe/x", "/resumable/x"} {
 		t.Run(path, func(t *testing.T) {
--- a/rudder/relay/version_test.go
+++ b/rudder/relay/version_test.go
@@ -14,8 +14,8 @@
 	"chestnutrudder.example/rudder/backend"
 )
 
-// breaksAfter and streamEvents are the number of events after which servers of a versionHarness break off a stream that begins,
-// and that of a whole stream.
+// breaksAfter and streamEvents are the number of events after which servers of a versionHarness break off a stream that
+// begins, and that of a whole stream.
 const (
 	breaksAfter  = 2
 	streamEvents = 5
@@ -55,15 +55,7 @@
 
 // sendVersionEvents is sendEvents with texts that tell the version of the server.
 func sendVersionEvents(conn net.Conn, r *http.Request, version string, first, last int, isComplete bool) bool {
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Rudder-Request: %s\r\nX-Rudder-Signature: sig\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Rudder-Request"))
-	for i := first; i <= last; i++ {
-		event := fmt.Sprintf("id: %d\ndata: <%s>\n\n", i, version)
-		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
-	}
-	if isComplete {
-		fmt.Fprint(conn, "0\r\n\r\n")
-	}
-	return isComplete
+	return sendEventsWithText(conn, r, first, last, isComplete, func(int) string { return "<" + version + ">" })
 }
 
 // versionsIn returns the versions that wrote the events of a stream.
@@ -73,8 +65,8 @@
 	return slices.Compact(versions)
 }
 
-// takeUp sends a request that takes up a stream after the last event in body; resumes are the values of the header that names
-// the attempt which began it.
+// takeUp sends a request that takes up a stream after the last event in body; resumes are the values of the header that
+// names the attempt which began it.
 func (h *versionHarness) takeUp(id, body string, resumes ...string) callerResponse {
 	header := http.Header{"X-Rudder-Request": {id}, "Last-Event-Id": {strconv.Itoa(strings.Count(body, "id: "))}}
 	if len(resumes) > 0 {
@@ -99,8 +91,8 @@
 	}
 }
 
-// Guards against a stream that its caller takes up and that goes on at another software version, or waits until its deadline,
-// when no server of the version that began it is left.
+// Guards against a stream that its caller takes up and that goes on at another software version, or waits until its
+// deadline, when no server of the version that began it is left.
 func TestTakenUpStreamIsRefusedWhenItsVersionHasLeft(t *testing.T) {
 	h := newVersionHarness(t, map[string]int{"v1": 1})
 	h.breaksAll = true
@@ -144,8 +136,8 @@
 	}
 }
 
-// Guards against a stream that its caller takes up, once or several times, and that goes on at another software version. What
-// the caller says of the attempt that began it must have a clear outcome, whatever it is.
+// Guards against a stream that its caller takes up, once or several times, and that goes on at another software version.
+// What the caller says of the attempt that began it must have a clear outcome, whatever it is.
 func TestTakenUpStreamGoesOnAtItsVersion(t *testing.T) {
 	h := newVersionHarness(t, map[string]int{"v1": 2, "v1.1": 4})
 	h.breaksAll = true
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -216,8 +216,8 @@
 }
 
 // composeUrgentDigests returns what peers must know before the next full digest: for all peers, what this node admitted near a
-// limit, crashes of backend servers, limits that they name, those that leave, and where streams began; for the holder of the duty lease, the request counts that have
-// changed, which would be lost if all nodes ended.
+// limit, crashes of backend servers, limits that they name, those that leave, and where streams began; for the holder of the duty
+// lease, the request counts that have changed, which would be lost if all nodes ended.
 func (n *node) composeUrgentDigests() []mesh.UrgentDigest {
 	var list []mesh.UrgentDigest
 	digest := mesh.Digest{Node: n.settings.Node, Incarnation: n.incarnation, IsWarmingUp: n.quotas.IsWarmingUp(), IsUrgent: true}
--- a/rudder/relaynode/stream_records.go
+++ b/rudder/relaynode/stream_records.go
@@ -19,10 +19,11 @@
 const (
 	// streamRecordPrefix is the key prefix of the records in the object API from which nodes learn where streams began.
 	streamRecordPrefix = "rudder-streams/"
-	// streamRecordInterval is the pause between two records of a node, or two attempts to read them after the start. What began
-	// since the last record is lost if all nodes end.
+	// streamRecordInterval is the pause between two records of a node, or two attempts to read them after the start. What
+	// began since the last record is lost if all nodes end.
 	streamRecordInterval = 500 * time.Millisecond
-	// streamRecordMinReadInterval is the shortest time between two readings of the records, however many callers wait for them.
+	// streamRecordMinReadInterval is the shortest time between two readings of the records, however many callers wait for
+	// them.
 	streamRecordMinReadInterval = 100 * time.Millisecond
 	// streamRecordTimeout bounds one call to the object API.
 	streamRecordTimeout = 2 * time.Second
@@ -70,8 +71,8 @@
 	return r.readAt > 0
 }
 
-// isCurrent reports whether this node learns of a new software version as soon as its peers do: from the registry or, while the
-// object API is away, from most of the peers.
+// isCurrent reports whether this node learns of a new software version as soon as its peers do: from the registry or, while
+// the object API is away, from most of the peers.
 func (r *streamRecords) isCurrent() bool {
 	if r.node.registry.age() < registryLag {
 		return true
@@ -113,8 +114,8 @@
 			r.log.Warn("Decoding a record of streams failed; it is left out.", "key", abbreviate(o.Key), "error", err)
 			continue
 		}
-		// A record is not renewed while nothing changes, so that an old one may tell of the time before the start of this node.
-		// Later readings are for what has begun since.
+		// A record is not renewed while nothing changes, so that an old one may tell of the time before the start of this
+		// node. Later readings are for what has begun since.
 		if isFirst || now.Sub(time.UnixMilli(record.WrittenUnixMillis)) < streamorigin.Retention {
 			r.book.ApplyRecord(record, isFirst && strings.TrimPrefix(o.Key, streamRecordPrefix) == r.node.settings.Node)
 		}
@@ -129,9 +130,9 @@
 	return nil
 }
 
-// write writes the record of this node if it says something new or the object API has lost it. Some nodes of each failure domain
-// record the versions; what streams began is recorded by all. Writes are conditional: one that got no answer may take effect late,
-// and must not replace a later one.
+// write writes the record of this node if it says something new or the object API has lost it. Some nodes of each failure
+// domain record the versions; what streams began is recorded by all. Writes are conditional: one that got no answer may take
+// effect late, and must not replace a later one.
 func (r *streamRecords) write(ctx context.Context) {
 	n := r.node
 	hasRecord := r.version != objectapi.AbsentVersion
--- a/rudder/relaynode/stream_records_test.go
+++ b/rudder/relaynode/stream_records_test.go
@@ -14,7 +14,8 @@
 	"chestnutrudder.example/rudder/streamorigin"
 )
 
-// newStreamNode returns a node without peers that keeps its records of streams in the store. Its service "s" has two versions.
+// newStreamNode returns a node without peers that keeps its records of streams in the store. Its service "s" has two
+// versions.
 func newStreamNode(name string, store objectapi.Store) *streamRecords {
 	n := newLoneRegistrySync().node
 	n.settings = Settings{Node: name, FailureDomain: "a"}
@@ -41,8 +42,8 @@
 	r.book.Begin(attempt, streamorigin.Origin{Service: "s", Version: version})
 }
 
-// Guards against streams whose beginning nobody knows after all nodes have ended, and against a starting node that takes what it
-// sees for all that there was.
+// Guards against streams whose beginning nobody knows after all nodes have ended, and against a starting node that takes
+// what it sees for all that there was.
 func TestStartedNodeReadsWhereStreamsBegan(t *testing.T) {
 	ctx, store := context.Background(), objectapitest.NewMemoryStore()
 	a, b := newStreamNode("a", store), newStreamNode("b", store)
@@ -100,8 +101,8 @@
 	}
 }
 
-// Guards against a write without an answer that replaces a later record, and against records that are lost with the answer or
-// with a restored object API.
+// Guards against a write without an answer that replaces a later record, and against records that are lost with the answer
+// or with a restored object API.
 func TestRecordOfStreamsOutlivesLostWrites(t *testing.T) {
 	ctx, store := context.Background(), objectapitest.NewMemoryStore()
 	r := newStreamNode("a", store)
--- a/rudder/streamorigin/book.go
+++ b/rudder/streamorigin/book.go
@@ -1,9 +1,9 @@
-// Package streamorigin remembers at which software version of its backend servers each resumable stream began. What two versions
-// write does not fit together, and servers do not check it: a stream may go on only at the version that began it.
+// Package streamorigin remembers at which software version of its backend servers each resumable stream began. What two
+// versions write does not fit together, and servers do not check it: a stream may go on only at the version that began it.
 //
-// Each node remembers the streams that it began. While a service has one version, that is enough: any stream of the service began
-// there. While it has several, or had within Retention, nodes tell their peers of each stream, and record it where it outlives the
-// end of all nodes. A stream whose version cannot be told must not go on.
+// Each node remembers the streams that it began. While a service has one version, that is enough: any stream of the service
+// began there. While it has several, or had within Retention, nodes tell their peers of each stream, and record it where it
+// outlives the end of all nodes. A stream whose version cannot be told must not go on.
 package streamorigin
 
 import (
@@ -39,8 +39,8 @@
 	Version string // of the software of the server that began it
 }
 
-// Book holds the origins of streams by the id of the attempt that brought their first event. Its exported fields are set before
-// use. It is safe for concurrent use.
+// Book holds the origins of streams by the id of the attempt that brought their first event. Its exported fields are set
+// before use. It is safe for concurrent use.
 type Book struct {
 	Log *slog.Logger
 	// Refresh reads what nodes have recorded and passes it to ApplyRecord. Nil means that there are no records.
@@ -82,8 +82,8 @@
 	b.isUnrecorded = true
 }
 
-// Find returns where a stream began that its caller takes up at the given service. It returns false if that cannot be told before
-// ctx ends: a caller may come back sooner than the report of the node that began the stream arrives.
+// Find returns where a stream began that its caller takes up at the given service. It returns false if that cannot be told
+// before ctx ends: a caller may come back sooner than the report of the node that began the stream arrives.
 func (b *Book) Find(ctx context.Context, attempt, service string) (Origin, bool) {
 	o, found := b.lookUp(attempt, service, b.IsCurrent == nil || b.IsCurrent())
 	if found || b.Refresh == nil {
--- a/rudder/streamorigin/book_test.go
+++ b/rudder/streamorigin/book_test.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// Guards against a node that takes the versions that it knows for all, while it is cut off or does not know what was before its
-// start.
+// Guards against a node that takes the versions that it knows for all, while it is cut off or does not know what was before
+// its start.
 func TestNodeThatIsBehindReadsTheRecords(t *testing.T) {
 	b := newTestBook()
 	reads, away := 0, true
@@ -131,11 +131,10 @@
 	if reports := b.TakeReports(); reports != nil {
 		t.Errorf("%d reports while there is one version, want none", len(reports))
 	}
-	record, needsWrite, hasStreams := b.TakeRecord()
-	if !needsWrite || hasStreams {
+	if _, needsWrite, hasStreams := b.TakeRecord(); !needsWrite || hasStreams {
 		t.Errorf("first record: to be written %t, streams %t, want the versions only", needsWrite, hasStreams)
 	}
-	if _, needsWrite, _ = b.TakeRecord(); needsWrite {
+	if _, needsWrite, _ := b.TakeRecord(); needsWrite {
 		t.Error("the record is to be written again although nothing has changed")
 	}
 	b.observe("v1", "v2")
@@ -146,7 +145,8 @@
 		}
 		peer.ApplyReports(reports)
 	}
-	if record, needsWrite, hasStreams = b.TakeRecord(); !needsWrite || !hasStreams {
+	record, needsWrite, hasStreams := b.TakeRecord()
+	if !needsWrite || !hasStreams {
 		t.Errorf("record of two versions: to be written %t, streams %t, want both", needsWrite, hasStreams)
 	}
 	data, err := json.Marshal(record)
@@ -172,8 +172,8 @@
 	}
 }
 
-// Guards against memory without bound, and against callers who make a node forget the streams of others or take another origin
-// for theirs.
+// Guards against memory without bound, and against callers who make a node forget the streams of others or take another
+// origin for theirs.
 func TestBookIsBounded(t *testing.T) {
 	b := newTestBook()
 	b.observe("v1", "v2")
--- a/rudder/streamorigin/record.go
+++ b/rudder/streamorigin/record.go
@@ -10,8 +10,8 @@
 // maxRecordedStreams bounds the streams in a record, the latest ones count.
 const maxRecordedStreams = 1000
 
-// Record is what a node writes down where it outlives the end of all nodes: the versions at which streams may have begun, and for
-// services with several versions the streams that this node began.
+// Record is what a node writes down where it outlives the end of all nodes: the versions at which streams may have begun,
+// and for services with several versions the streams that this node began.
 type Record struct {
 	Versions          map[string][]string `json:"versions"` // by service
 	Streams           []StreamsRecord     `json:"streams,omitempty"`
@@ -25,8 +25,8 @@
 	Attempts []string `json:"attempts"`
 }
 
-// TakeRecord returns the present record of this node. needsWrite tells whether it says more than the last one that was taken, and
-// hasStreams whether it names streams.
+// TakeRecord returns the present record of this node. needsWrite tells whether it says more than the last one that was
+// taken, and hasStreams whether it names streams.
 func (b *Book) TakeRecord() (record Record, needsWrite, hasStreams bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -71,8 +71,8 @@
 	b.recordedSets, b.isUnrecorded = nil, true
 }
 
-// ApplyRecord adds what a node has recorded. isOwn tells whether it is the record of an earlier process of this node, whose streams
-// this one keeps on record.
+// ApplyRecord adds what a node has recorded. isOwn tells whether it is the record of an earlier process of this node, whose
+// streams this one keeps on record.
 func (b *Book) ApplyRecord(record Record, isOwn bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/rudder/streamorigin/report.go
+++ b/rudder/streamorigin/report.go
@@ -17,8 +17,8 @@
 	Attempts []string
 }
 
-// TakeReports returns what peers have not been told of: the streams that began at services with several versions. A message that
-// gets lost is made up for by the record.
+// TakeReports returns what peers have not been told of: the streams that began at services with several versions. A message
+// that gets lost is made up for by the record.
 func (b *Book) TakeReports() []Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
