Review case 2: usage of a window is reported twice with different counts

Cause: the final counts of a window are in the store and in the memory of the nodes; when all nodes end while the store comes back from an older copy, the new holder takes the window for unreported.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -12,6 +12,7 @@
 // cases holds the scripts by name. Each returns descriptions of how the rule was broken.
 var cases = map[string]func(d *deployment) ([]string, error){
 	"reclaimed-answer": reclaimedAnswer,
+	"reported-twice":   reportedTwice,
 }
 
 func main() {
