Review case 3: requests run with a key that was taken away

Cause: nodes that have all just started confirm the configuration of a store that came back from an older copy after 750 ms.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(d *deployment) ([]string, error){
 	"reclaimed-answer": reclaimedAnswer,
 	"reported-twice":   reportedTwice,
+	"revoked-key":      revokedKey,
 }
 
 func main() {
