Review case 4: streams go on at another software version

Cause: a node that has just started takes the only version in a restored registry and in the restored records for the origin of any stream.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -14,6 +14,7 @@
 	"reclaimed-answer": reclaimedAnswer,
 	"reported-twice":   reportedTwice,
 	"revoked-key":      revokedKey,
+	"mixed-versions":   mixedVersions,
 }
 
 func main() {
