Review case 5: a stream that stops within an event looks complete

Cause: forwardStream takes an end within an event for a break only if the answer has neither a length nor chunks.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -15,6 +15,7 @@
 	"reported-twice":   reportedTwice,
 	"revoked-key":      revokedKey,
 	"mixed-versions":   mixedVersions,
+	"cut-event":        cutEvent,
 }
 
 func main() {
