--- a/review/cases/reclaimed_answer.go
+++ b/review/cases/reclaimed_answer.go
@@ -30,7 +30,7 @@
 		{id: "i-2", zone: zones[1]}, {id: "i-3", zone: zones[2]},
 	}
 	for _, r := range runners {
-		r.service, r.version, r.slots = "model", "v1", 64
+		r.service, r.version, r.slots = "model", "v1", 16
 		if err := d.startRunner(r); err != nil {
 			return nil, err
 		}
--- a/review/cases/runner.go
+++ b/review/cases/runner.go
@@ -55,13 +55,13 @@
 // stopEvent is the event in which a stream stops.
 const stopEvent = 5
 
-// ordinals selects each Nth of what it is asked for, from the second on; none if every is 0.
+// ordinals selects each Nth of what it is asked for; none if every is 0.
 type ordinals struct {
 	every int64
 	count atomic.Int64
 }
 
-func (o *ordinals) selects() bool { return o.every > 0 && o.count.Add(1)%o.every == 2 }
+func (o *ordinals) selects() bool { return o.every > 0 && o.count.Add(1)%o.every == 0 }
 
 var unframed, stopped ordinals
 
