Review case 2: kill the holder alone in the first round

Cause: nodes learn from the next digest only that a window was reported, and nobody else has its counts when the store has lost them.

--- a/review/cases/harness.go
+++ b/review/cases/harness.go
@@ -458,7 +458,7 @@
 	mu           sync.Mutex
 	reports      map[int64][]usageReport // accepted ones by window
 	highestFence map[string]int64        // by path
-	onReport     func(window int64)
+	onReport     func(holder string)
 }
 
 func (u *usageAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -491,6 +491,6 @@
 	u.reports[body.WindowIndex] = append(u.reports[body.WindowIndex], usageReport{holder, fence, body.RequestCounts})
 	u.record.linef("the platform accepts the usage of window %d from %s with the fencing token %d: %v", body.WindowIndex, holder, fence, body.RequestCounts)
 	if u.onReport != nil {
-		u.onReport(body.WindowIndex)
+		u.onReport(holder)
 	}
 }
--- a/review/cases/reported_twice.go
+++ b/review/cases/reported_twice.go
@@ -8,11 +8,10 @@
 	"time"
 )
 
-// reportedTwice kills all nodes right after the platform has accepted the usage of a window, while the store comes back from a copy
-// that is some seconds old.
+// reportedTwice kills nodes right after the platform has accepted the usage of a window, while the store comes back from a copy that
+// is some seconds old: first the node that has reported, then all.
 func reportedTwice(d *deployment) ([]string, error) {
 	const (
-		rounds  = 2
 		copyAge = 4 * time.Second
 		away    = 300 * time.Millisecond
 	)
@@ -31,8 +30,8 @@
 		}
 	}
 	d.keepCopies()
-	reported := make(chan int64, 100)
-	d.usage.onReport = func(window int64) { reported <- window }
+	reported := make(chan string, 100)
+	d.usage.onReport = func(holder string) { reported <- holder }
 	if err := d.start(); err != nil {
 		return nil, err
 	}
@@ -50,17 +49,21 @@
 			}
 		})
 	}
-	for range rounds {
-		if err := awaitReports(reported, 3); err != nil {
+	for _, killsAll := range []bool{false, true} {
+		holder, err := awaitReports(reported, 3)
+		if err != nil {
 			return nil, err
 		}
 		if d.isTrouble {
-			time.Sleep(100 * time.Millisecond)
+			var killed []int
 			for n := range nodeCount {
-				d.killNode(n)
+				if killsAll || holder == fmt.Sprintf("front-%d", n) {
+					d.killNode(n)
+					killed = append(killed, n)
+				}
 			}
 			d.restoreStore(copyAge, away, 0, 0)
-			for n := range nodeCount {
+			for _, n := range killed {
 				if err := d.startNode(n, false); err != nil {
 					return nil, err
 				}
@@ -73,20 +76,20 @@
 	return d.usage.differing(), nil
 }
 
-// awaitReports waits for a number of reports that come from now on.
-func awaitReports(reported <-chan int64, count int) error {
+// awaitReports waits for a number of reports that come from now on, and returns the holder that sent the last one.
+func awaitReports(reported <-chan string, count int) (holder string, err error) {
 	for len(reported) > 0 {
 		<-reported
 	}
 	timeout := time.After(40 * time.Second)
 	for range count {
 		select {
-		case <-reported:
+		case holder = <-reported:
 		case <-timeout:
-			return cannotRun("the nodes do not report usage")
+			return "", cannotRun("the nodes do not report usage")
 		}
 	}
-	return nil
+	return holder, nil
 }
 
 // differing describes the windows for which reports with different counts were accepted.
