--- a/review/cases/cut_event.go
+++ b/review/cases/cut_event.go
@@ -10,7 +10,7 @@
 
 // cutEvent sends streams of which one in fifty stops in the middle of an event, at one of three runners.
 func cutEvent(d *deployment) ([]string, error) {
-	const pieces, clients, streamsEach = 10, 12, 60
+	const pieces, clients, streamsEach = 10, 12, 120
 	d.writeConfig(map[string]any{
 		"version": 3,
 		"routes": []map[string]any{
@@ -22,7 +22,7 @@
 		"tenants":  []map[string]any{{"name": "t1", "apiKeys": []string{"k1"}}},
 	})
 	for i, zone := range zones {
-		r := &runner{id: fmt.Sprintf("i-%d", i), service: "model", zone: zone, version: "v1", slots: 64}
+		r := &runner{id: fmt.Sprintf("i-%d", i), service: "model", zone: zone, version: "v1", slots: 2}
 		if d.isTrouble && i == 0 {
 			r.options = "stop=50"
 		}
