Cut or resume a stream that stops within an event, whatever its framing

Cause: forwardStream asked whether a stream ended within an event only for responses with neither a length nor chunks, and for continuations. For the others the end of the framing was the end of the answer.

A stream that ends within an event is a broken response, so that it is resumed or cut. Streams whose lines end with carriage returns are not taken for cut ones.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -244,8 +244,8 @@
 	if len(body) > maxBufferedBytes {
 		return a.forwardLarge(ctx, response, body, isSuccess)
 	}
-	if endsWithConnection(response) && a.hasServerCrashed() {
-		return a.brokenResponse(ctx, errEndedWithServer)
+	if err := a.endError(response); err != nil {
+		return a.brokenResponse(ctx, err)
 	}
 	b := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if isSuccess || response.StatusCode < 500 && !impliesNotRun(response.StatusCode) {
@@ -269,14 +269,8 @@
 	return false
 }
 
-var (
-	// errResponseTooLarge means that the body of a response exceeds the limit.
-	errResponseTooLarge = errors.New("response body is too large")
-	// errEndedWithServer means that a response without a length ended when its server crashed.
-	errEndedWithServer = errors.New("response without a length ended with its server")
-	// errEndedWithinEvent means that an event stream ended in the middle of an event, or before the first.
-	errEndedWithinEvent = errors.New("event stream ended within an event")
-)
+// errResponseTooLarge means that the body of a response exceeds the limit.
+var errResponseTooLarge = errors.New("response body is too large")
 
 // brokenResponse returns the result for a response that could not be read to its end.
 func (a *attempt) brokenResponse(ctx context.Context, err error) attemptResult {
@@ -302,8 +296,8 @@
 	if err == nil && rest.N <= 0 {
 		err = errors.Wrapf(errResponseTooLarge, "more than %d bytes", limit)
 	}
-	if err == nil && endsWithConnection(response) && a.hasServerCrashed() {
-		err = errEndedWithServer
+	if err == nil {
+		err = a.endError(response)
 	}
 	switch {
 	case caller.err != nil:
@@ -365,13 +359,10 @@
 			a.setReadTimeout(f.eventTimeout())
 		}
 		switch {
-		case err == io.EOF && skipUpTo != "" && reader.isWithinEvent():
-			return a.brokenResponse(ctx, errEndedWithinEvent) // part of an event that continues nothing may be anything
-		case err == io.EOF && endsWithConnection(response) && (a.firstEventAt == 0 || reader.isWithinEvent()):
-			return a.brokenResponse(ctx, errEndedWithinEvent)
-		case err == io.EOF && endsWithConnection(response) && a.hasServerCrashed():
-			return a.brokenResponse(ctx, errEndedWithServer)
 		case err == io.EOF:
+			if err := a.streamEndError(response, reader); err != nil {
+				return a.brokenResponse(ctx, err)
+			}
 			return a.finishStream(reader, response, controller)
 		case err != nil:
 			return a.brokenResponse(ctx, errors.Wrap(err, "read event stream"))
@@ -379,12 +370,6 @@
 	}
 }
 
-// endsWithConnection reports whether only the end of the connection marks the end of a response, so that it does not show
-// whether the response is complete.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
-}
-
 // finishStream forwards the rest of a stream that the backend server has ended.
 func (a *attempt) finishStream(reader *eventReader, response *http.Response, controller *http.ResponseController) attemptResult {
 	f := a.forwarder
--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -50,8 +50,19 @@
 // remainder returns the buffered bytes after the last complete event.
 func (r *eventReader) remainder() []byte { return r.buffer }
 
-// isWithinEvent reports whether the buffered bytes are more than line ends.
-func (r *eventReader) isWithinEvent() bool { return len(bytes.Trim(r.buffer, "\r\n")) > 0 }
+// isWithinEvent reports whether the buffered bytes at the end of the stream are part of an event. A stream whose lines end with
+// a carriage return, or in several ways, has complete events that next does not find.
+func (r *eventReader) isWithinEvent() bool {
+	if len(bytes.Trim(r.buffer, "\r\n")) == 0 {
+		return false
+	}
+	for _, emptyLine := range []string{"\n\n", "\n\r\n", "\r\r", "\r\r\n"} {
+		if bytes.HasSuffix(r.buffer, []byte(emptyLine)) {
+			return false
+		}
+	}
+	return true
+}
 
 // headOffset returns the offset of the first line that begins a response, or -1. No line of an event begins like that. b
 // begins with a line.
--- /dev/null
+++ b/rudder/relay/response_end.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// This file decides whether a response that ended without an error of its connection or of its framing is complete. The table
+// "Ends of responses" of docs/platform.md has all cases.
+
+var (
+	// errEndedWithServer means that a response without a length ended when its server crashed.
+	errEndedWithServer = errors.New("response without a length ended with its server")
+	// errEndedWithinEvent means that an event stream ended in the middle of an event.
+	errEndedWithinEvent = errors.New("event stream ended within an event")
+	// errEndedBeforeFirstEvent means that an event stream without a length ended with no event.
+	errEndedBeforeFirstEvent = errors.New("event stream without a length ended before its first event")
+)
+
+// endError returns an error if a response of which all bytes were read is not complete. Without a length, the end of the
+// connection is also that of a server that crashes.
+func (a *attempt) endError(response *http.Response) error {
+	if endsWithConnection(response) && a.hasServerCrashed() {
+		return errEndedWithServer
+	}
+	return nil
+}
+
+// streamEndError is endError for an event stream. A server may stop in the middle of an event and still end the framing of its
+// response in order.
+func (a *attempt) streamEndError(response *http.Response, reader *eventReader) error {
+	switch {
+	case reader.isWithinEvent():
+		return errEndedWithinEvent
+	case endsWithConnection(response) && a.firstEventAt == 0:
+		return errEndedBeforeFirstEvent
+	}
+	return a.endError(response)
+}
+
+// endsWithConnection reports whether only the end of the connection marks the end of a response, so that it does not show
+// whether the response is complete.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
