Report a usage window once although the store has lost the report

Cause: no report known was taken for no report sent. The holder told its peers only with its next digest, after the report; and a process that had just started could not tell that the store had lost records.

Change: a report waits up to 2 s until a majority of the nodes knows that its counts are final. Nodes record the epoch of the store and when they first heard of it, so that a starting process knows since when nothing was lost (storeHistory). A window that was due before is summed up only if a majority of the nodes has run and was heard since: any two majorities share a node. Otherwise it is dropped.

--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -35,6 +35,9 @@
 	return m.SentAt.Add(-time.Duration(m.ConfirmationAgeMillis)*time.Millisecond - transitAllowance), true
 }
 
+// KnownSince returns when this node first heard of the present process of the peer.
+func (m Member) KnownSince() boottime.Instant { return m.startKnownAt }
+
 // ReachableMembers returns the peers that were heard from recently, sorted by node name. The members must not be changed.
 func (m *Mesh) ReachableMembers() []*Member {
 	m.mu.Lock()
@@ -135,6 +138,27 @@
 	return reachable, known
 }
 
+// CountDirectPeers returns how many peers there are whose digests this node gets from themselves, and how many of them are
+// reachable and match. Where summaries are used, these are the peers of the failure domain.
+func (m *Mesh) CountDirectPeers(matches func(*Member) bool) (matching, known int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now, usesSummaries := m.now(), m.usesSummaries()
+	for _, member := range m.members {
+		if usesSummaries && member.FailureDomain != m.FailureDomain {
+			continue
+		}
+		isReachable := m.isReachable(member, now)
+		if isReachable && matches(member) {
+			matching++
+		}
+		if isReachable || member.State != Draining {
+			known++
+		}
+	}
+	return matching, known
+}
+
 // MedianTime returns the time of day that most nodes agree on: this node's boottime clock plus the median, over all nodes,
 // of the difference between the time of day and that clock. Wall clocks that jump on a minority of nodes do not move it.
 func (m *Mesh) MedianTime() time.Time {
--- a/rudder/mesh/mesh_test.go
+++ b/rudder/mesh/mesh_test.go
@@ -216,3 +216,27 @@
 		t.Errorf("%d addresses are sent digests and %d told, want only 127.0.0.1:3", len(direct), len(told))
 	}
 }
+
+// Guards against counting what a peer of another process knew: a peer that has restarted counts as known since its new start, and
+// one that is silent does not count as reachable.
+func TestDirectPeersAreCountedByTheirPresentProcess(t *testing.T) {
+	m := newTestMesh()
+	clock := boottime.Instant(time.Hour)
+	m.now = func() boottime.Instant { return clock }
+	for _, name := range []string{"a", "b", "c"} {
+		m.handleDigest(Digest{Node: name, Incarnation: 1, UsageFinalThrough: 7}, name, clock)
+	}
+	since := clock
+	count := func(d time.Duration) (matching, known int) {
+		return m.CountDirectPeers(func(member *Member) bool { return member.KnownSince() <= since.Add(d) && member.UsageFinalThrough == 7 })
+	}
+	if matching, known := count(0); matching != 3 || known != 3 {
+		t.Errorf("%d of %d peers, want 3 of 3", matching, known)
+	}
+	clock = clock.Add(10 * time.Second)
+	m.handleDigest(Digest{Node: "a", Incarnation: 1, UsageFinalThrough: 7}, "a", clock)
+	m.handleDigest(Digest{Node: "b", Incarnation: 2, UsageFinalThrough: 7}, "b", clock)
+	if matching, known := count(time.Second); matching != 1 || known != 3 {
+		t.Errorf("one peer restarted, one silent: %d of %d peers, want 1 of 3", matching, known)
+	}
+}
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -65,7 +65,7 @@
 	if n.settings.ReportsUsage {
 		reporter := &usage.Reporter{
 			Counter: n.usageCounter, Store: n.platform.Store, Send: n.platform.SendUsage, OverdueAfter: n.settings.UsageOverdueAfter, Now: n.mesh.MedianTime,
-			Log: n.logger.Part("usage"),
+			Peers: usagePeers{n}, KeptSince: func() (time.Time, bool) { return n.storeHistory.keptSince(n.mesh.MedianTime()) }, Log: n.logger.Part("usage"),
 		}
 		group.Go(func() error { reporter.Run(ctx, dutyLease); return lease.ErrLost })
 	}
@@ -119,7 +119,7 @@
 func (n *node) register(ctx context.Context) {
 	n.recordMu.Lock()
 	defer n.recordMu.Unlock()
-	hasRecord := n.isRegistered && n.recordEpoch >= n.registry.storeEpoch()
+	hasRecord := n.isRegistered && n.recordEpoch >= n.storeHistory.latestEpoch()
 	if hasRecord || n.isDraining.Load() {
 		return
 	}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -76,7 +76,9 @@
 	configSync    configSync
 	registry      *registrySync
 	streamRecords *streamRecords
+	storeHistory  storeHistory
 
+	startedAt      boottime.Instant
 	incarnation    int64 // start of the process in Unix milliseconds; identifies this start
 	isDraining     atomic.Bool
 	holdsDutyLease atomic.Bool
@@ -131,7 +133,7 @@
 func newNode(s Settings, platform Platform, metrics *telemetry.Metrics, logger *telemetry.Logger) *node {
 	n := &node{
 		settings: s, platform: platform, logger: logger, log: logger.Part("node"),
-		currentConfig: traffic.NewCurrentConfig(), incarnation: time.Now().UnixMilli(),
+		currentConfig: traffic.NewCurrentConfig(), startedAt: boottime.Now(), incarnation: time.Now().UnixMilli(),
 		configSync: configSync{newerVersion: make(chan struct{}, 1)},
 	}
 	n.backends = backend.NewTable(dialTimeout, logger.Part("backend"))
--- a/rudder/relaynode/quarantines.go
+++ b/rudder/relaynode/quarantines.go
@@ -43,7 +43,7 @@
 		saved, err = n.loadQuarantines(ctx)
 	}
 	for sleep.For(ctx, quarantineSaveInterval) {
-		isOutdated := saved.epoch < n.registry.storeEpoch()
+		isOutdated := saved.epoch < n.storeHistory.latestEpoch()
 		if !isOutdated && !n.relay.Crashes.HasQuarantines() && len(saved.trials) == 0 || !n.isFirstNode() {
 			continue
 		}
--- a/rudder/relaynode/quarantines_test.go
+++ b/rudder/relaynode/quarantines_test.go
@@ -169,7 +169,7 @@
 	store.Restore(storeCopy)
 	var staleReads atomic.Int64
 	n.platform.ListStale = func(context.Context, string) (objectapi.Listing, error) {
-		old.Revision.Epoch = n.registry.storeEpoch()
+		old.Revision.Epoch = n.storeHistory.latestEpoch()
 		staleReads.Add(1)
 		return old, nil
 	}
--- a/rudder/relaynode/registry_restore.go
+++ b/rudder/relaynode/registry_restore.go
@@ -77,10 +77,3 @@
 		}
 	}
 }
-
-// storeEpoch returns the latest epoch of the object API that this node or a peer has heard of.
-func (r *registrySync) storeEpoch() int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.latestEpoch
-}
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -61,7 +61,6 @@
 	currentAsOf   boottime.Instant          // all changes that the object API acknowledged before this time are known
 	isListing     bool                      // a listing has been applied whose revision is not recorded yet
 	isPassive     bool                      // result of the last updatePassive
-	latestEpoch   int64                     // of the object API, as far as this node or a peer has heard
 	unsettled     map[string]unsettledEntry // by server ID; after the object API was restored
 	lapsedAt      boottime.Instant          // when all of unsettled are settled at the latest
 }
@@ -173,7 +172,7 @@
 		}
 	}
 	r.revision, r.lastCallAt, r.currentAsOf = revision, sentAt, max(r.currentAsOf, sentAt)
-	r.latestEpoch = max(r.latestEpoch, revision.Epoch)
+	r.node.storeHistory.note(revision.Epoch)
 	r.pruneChanges()
 }
 
@@ -241,7 +240,7 @@
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.latestEpoch = max(r.latestEpoch, delta.Revision.Epoch)
+	r.node.storeHistory.note(delta.Revision.Epoch)
 	if !isUpToDate || !m.HasReliableSentAt {
 		return
 	}
--- a/rudder/relaynode/stream_records.go
+++ b/rudder/relaynode/stream_records.go
@@ -38,13 +38,21 @@
 	book     *streamorigin.Book
 	readings singleflight.Group
 
-	// version is that of this node's record, AbsentVersion if it has none. Only run uses it.
-	version objectapi.Version
+	// version is that of this node's record, AbsentVersion if it has none, and recordedEpoch is the epoch that it names. Only run
+	// uses them.
+	version       objectapi.Version
+	recordedEpoch int64
 
 	mu     sync.Mutex
 	readAt boottime.Instant // when the last successful reading began; 0 if there was none
 }
 
+// streamRecord is the value of a node's record in the object API.
+type streamRecord struct {
+	streamorigin.Record
+	Store epochRecord `json:"store"`
+}
+
 func newStreamRecords(n *node) *streamRecords {
 	r := &streamRecords{node: n, log: n.logger.Part("streams"), version: objectapi.AbsentVersion}
 	r.book = streamorigin.New(r.log)
@@ -108,24 +116,28 @@
 		return err
 	}
 	now := r.node.mesh.MedianTime()
+	var epochs []epochRecord
 	for _, o := range listing.Objects {
-		var record streamorigin.Record
+		var record streamRecord
 		if err := o.Decode(&record); err != nil {
 			r.log.Warn("Decoding a record of streams failed; it is left out.", "key", abbreviate(o.Key), "error", err)
 			continue
 		}
+		epochs = append(epochs, record.Store)
 		// A record is not renewed while nothing changes, so that an old one may tell of the time before the start of this
 		// node. Later readings are for what has begun since.
 		if isFirst || now.Sub(time.UnixMilli(record.WrittenUnixMillis)) < streamorigin.Retention {
-			r.book.ApplyRecord(record, isFirst && strings.TrimPrefix(o.Key, streamRecordPrefix) == r.node.settings.Node)
+			r.book.ApplyRecord(record.Record, isFirst && strings.TrimPrefix(o.Key, streamRecordPrefix) == r.node.settings.Node)
 		}
 	}
+	r.node.storeHistory.load(listing.Revision.Epoch, epochs)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readAt = beganAt
 	if isFirst {
 		r.book.SetLoaded()
-		r.log.Info("Read the recorded beginnings of streams.", "records", len(listing.Objects))
+		keptSince, _ := r.node.storeHistory.keptSince(now)
+		r.log.Info("Read the recorded beginnings of streams.", "records", len(listing.Objects), "epoch", listing.Revision.Epoch, "store_kept_since", keptSince)
 	}
 	return nil
 }
@@ -136,10 +148,11 @@
 func (r *streamRecords) write(ctx context.Context) {
 	n := r.node
 	hasRecord := r.version != objectapi.AbsentVersion
-	if hasRecord && r.version.Epoch < n.registry.storeEpoch() {
+	history := n.storeHistory.record(n.mesh.MedianTime())
+	if hasRecord && r.recordedEpoch < history.Epoch {
 		r.book.ForgetRecord()
 	}
-	record, needsWrite, hasStreams := r.book.TakeRecord()
+	taken, needsWrite, hasStreams := r.book.TakeRecord()
 	if !needsWrite {
 		return
 	}
@@ -147,6 +160,7 @@
 		r.book.ForgetRecord()
 		return
 	}
+	record := streamRecord{Record: taken, Store: history}
 	record.WrittenUnixMillis = n.mesh.MedianTime().UnixMilli()
 	ctx, cancel := context.WithTimeout(ctx, streamRecordTimeout)
 	defer cancel()
@@ -167,5 +181,5 @@
 		r.book.ForgetRecord()
 		return
 	}
-	r.version = o.Version
+	r.version, r.recordedEpoch = o.Version, history.Epoch
 }
--- a/rudder/relaynode/stream_records_test.go
+++ b/rudder/relaynode/stream_records_test.go
@@ -133,7 +133,7 @@
 	}
 	check("after a lost answer")
 	store.Restore(storeCopy)
-	r.node.registry.latestEpoch = 1
+	r.node.storeHistory.note(1)
 	r.write(ctx)
 	check("after a restore")
 	puts := store.CallCount("put")
--- a/rudder/usage/final.go
+++ b/rudder/usage/final.go
@@ -8,7 +8,7 @@
 
 // errFinalCountsLost means that the final counts of a window are known to no node that could be asked, though they may have
 // been reported.
-var errFinalCountsLost = errors.New("the final counts of the window were lost with a restored object API")
+var errFinalCountsLost = errors.New("a report of the window may have been sent and lost with a restored object API")
 
 // finalCounts holds what this node knows of the final counts of windows besides the object API, which may lose them when it is
 // restored from an older copy. Counts that were reported must not be reported again with other ones.
--- a/rudder/usage/reporter.go
+++ b/rudder/usage/reporter.go
@@ -32,6 +32,10 @@
 	// saveInterval is the time between saves of the counts. Counts since the last save are lost when all nodes stop at once;
 	// a report may be off by a few percent of a window of some seconds.
 	saveInterval = 250 * time.Millisecond
+	// maxAnnouncementWait is how long a report waits for a majority of the nodes to know that the counts of its window are final.
+	maxAnnouncementWait = 2 * time.Second
+	// clockTolerance is by how much the agreed times of two nodes may differ.
+	clockTolerance = 250 * time.Millisecond
 	// retainedReports is the number of reports kept in the object API beyond those that the next lease holder may send again.
 	retainedReports = 3
 )
@@ -39,6 +43,15 @@
 // Sender sends the report of one window with the fence token of the duty lease. It returns nil if the report was accepted.
 type Sender func(ctx context.Context, fence, window int64, counts Counts) error
 
+// Peers tells what the other nodes know.
+type Peers interface {
+	// HaveNoted reports whether a majority of the nodes knows that the counts of a window are final.
+	HaveNoted(window int64) bool
+	// WereHeardSince reports whether this node has been in touch with a majority of the nodes since t, so that it would know of a
+	// report of which a majority was told since.
+	WereHeardSince(t time.Time) bool
+}
+
 // Reporter reports the counts of each window while its node holds the duty lease.
 type Reporter struct {
 	Counter      *Counter
@@ -46,7 +59,21 @@
 	Send         Sender
 	OverdueAfter time.Duration // time from the end of a window until its report is overdue and no longer sent
 	Now          func() time.Time
-	Log          *slog.Logger
+	Peers        Peers
+	// KeptSince returns the time since which the object API has lost no report; the second result is false if that is not known
+	// yet. See mayBeLost.
+	KeptSince func() (time.Time, bool)
+	Log       *slog.Logger
+
+	announced *announcedReport // the report that is to be sent next; nil if its counts are not final yet
+}
+
+// announcedReport is a report whose counts are final and of which the nodes are being told.
+type announcedReport struct {
+	report
+	window   int64
+	version  objectapi.Version
+	storedAt time.Time
 }
 
 // report is the object API value with the final counts of a window.
@@ -129,26 +156,32 @@
 		return true
 	}
 	key := ReportPrefix + strconv.FormatInt(window, 10)
-	final, version, err := r.finalCounts(ctx, key, window)
-	if errors.Is(err, errFinalCountsLost) {
-		r.Log.Warn("Dropped the report of a usage window.", "window", window, "error", err)
-		return true
-	}
-	if err != nil {
-		r.Log.Warn("Failed to store or read the usage report.", "window", window, "error", err)
-		return false
+	if r.announced == nil || r.announced.window != window {
+		final, version, err := r.finalCounts(ctx, key, window)
+		if errors.Is(err, errFinalCountsLost) {
+			r.Log.Warn("Dropped the report of a usage window.", "window", window, "error", err)
+			return true
+		}
+		if err != nil {
+			r.Log.Warn("Failed to store or read the usage report.", "window", window, "error", err)
+			return false
+		}
+		r.announced = &announcedReport{report: final, window: window, version: version, storedAt: time.Now()}
 	}
+	final, version := r.announced.report, r.announced.version
 	if final.Sent || len(final.Counts) == 0 {
 		return true
 	}
-	if dutyLease.Check() != nil {
+	// The object API may lose the record of the report, and this node may end right after it.
+	isNoted := r.Peers.HaveNoted(window)
+	if !isNoted && time.Since(r.announced.storedAt) < maxAnnouncementWait || dutyLease.Check() != nil {
 		return false
 	}
 	if err := r.Send(ctx, dutyLease.FencingToken, window, final.Counts); err != nil {
 		r.Log.Warn("Failed to send the usage report.", "window", window, "fence", dutyLease.FencingToken, "error", err)
 		return false
 	}
-	r.Log.Info("Sent the usage report.", "window", window, "fence", dutyLease.FencingToken, "counts", final.Counts)
+	r.Log.Info("Sent the usage report.", "window", window, "fence", dutyLease.FencingToken, "counts", final.Counts, "noted_by_majority", isNoted)
 	if _, err := r.Store.Put(ctx, key, report{Counts: final.Counts, Sent: true}, version); err != nil {
 		r.Log.Warn("Failed to mark the usage report as sent; the next lease holder would send it again.", "window", window, "error", err)
 	}
@@ -161,6 +194,12 @@
 // same counts again, or returns errFinalCountsLost if this node does not know them.
 func (r *Reporter) finalCounts(ctx context.Context, key string, window int64) (report, objectapi.Version, error) {
 	counts, mayBeFinal := r.Counter.finalCounts(window)
+	if counts == nil && !mayBeFinal {
+		var err error
+		if mayBeFinal, err = r.mayBeLost(window); err != nil {
+			return report{}, objectapi.AbsentVersion, err
+		}
+	}
 	final := report{Counts: counts}
 	if counts == nil {
 		final.Counts = r.Counter.Sum(window)
@@ -187,6 +226,17 @@
 	return final, o.Version, nil
 }
 
+// mayBeLost reports whether another lease holder may have reported a window of which neither this node nor the object API knows:
+// the object API was restored since the window became due, and too few of the nodes that run were there.
+func (r *Reporter) mayBeLost(window int64) (bool, error) {
+	keptSince, isKnown := r.KeptSince()
+	if !isKnown {
+		return false, errors.New("it is not known yet whether the object API was restored")
+	}
+	dueAt := r.Counter.WindowEnd(window).Add(settleDelay - clockTolerance)
+	return dueAt.Before(keptSince) && !r.Peers.WereHeardSince(dueAt), nil
+}
+
 // deleteReport deletes the stored report of a window.
 func (r *Reporter) deleteReport(ctx context.Context, window int64) {
 	err := r.Store.Delete(ctx, ReportPrefix+strconv.FormatInt(window, 10), objectapi.AnyVersion)
--- a/rudder/usage/usage_test.go
+++ b/rudder/usage/usage_test.go
@@ -20,15 +20,34 @@
 	counts        Counts
 }
 
+// fakePeers are the peers of a node under test.
+type fakePeers struct {
+	haveNoted      func(window int64) bool
+	wereHeardSince func(time.Time) bool
+}
+
+func (p fakePeers) HaveNoted(window int64) bool     { return p.haveNoted(window) }
+func (p fakePeers) WereHeardSince(t time.Time) bool { return p.wereHeardSince(t) }
+
+// allPeers know at once what this node knows, and have always been heard.
+var allPeers = fakePeers{haveNoted: func(int64) bool { return true }, wereHeardSince: func(time.Time) bool { return true }}
+
 // runReporter runs a reporter under a lease for d and returns the reports that it sent. If fail is set, each send returns
-// an error.
+// an error. The object API has lost nothing.
 func runReporter(t *testing.T, store objectapi.Store, counter *Counter, d time.Duration, fail bool) []sentReport {
+	t.Helper()
+	return runReporterBeside(t, store, counter, d, fail, allPeers, time.Time{})
+}
+
+// runReporterBeside is runReporter with the given peers and the time since which the object API has lost nothing.
+func runReporterBeside(t *testing.T, store objectapi.Store, counter *Counter, d time.Duration, fail bool, peers Peers, keptSince time.Time) []sentReport {
 	t.Helper()
 	var reports []sentReport
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
 	r := &Reporter{
-		Counter: counter, Store: store, OverdueAfter: 10 * time.Second, Now: time.Now, Log: slog.New(slog.DiscardHandler),
+		Counter: counter, Store: store, OverdueAfter: 10 * time.Second, Now: time.Now, Log: slog.New(slog.DiscardHandler), Peers: peers,
+		KeptSince: func() (time.Time, bool) { return keptSince, true },
 		Send: func(_ context.Context, fence, window int64, counts Counts) error {
 			reports = append(reports, sentReport{fence, window, maps.Clone(counts)})
 			if fail {
