Find the head of a late copy within the text of an event

Cause: a server may write a late copy of an earlier answer into a later one, at any byte. The relay looked for its head at the beginning of a line only.

The stream then breaks off before that event, to be resumed or cut.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -329,7 +329,7 @@
 // before can be started again on another server.
 func (a *attempt) forwardStream(ctx context.Context, response *http.Response) attemptResult {
 	f := a.forwarder
-	reader := &eventReader{source: response.Body}
+	reader := &eventReader{source: response.Body, requestIDHeader: a.server.Dialect.RequestID}
 	skipUpTo := f.lastEventID
 	controller := http.NewResponseController(f.writer)
 	chunk := make([]byte, streamChunkBytes)
--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -11,9 +12,10 @@
 // eventReader splits a stream of server-sent events into complete events without changing their bytes. An event ends with
 // an empty line (WHATWG HTML, section 9.2).
 type eventReader struct {
-	source io.Reader
-	buffer []byte
-	lastID string // id of the last complete event that has one
+	source          io.Reader
+	requestIDHeader string // that every response has; see headOffset
+	buffer          []byte
+	lastID          string // id of the last complete event that has one
 }
 
 // maxEventBytes bounds the buffer of an incomplete event.
@@ -32,7 +34,7 @@
 	if len(r.buffer) > maxEventBytes {
 		return nil, io.ErrShortBuffer
 	}
-	if head := headOffset(r.buffer); head >= 0 {
+	if head := headOffset(r.buffer, r.requestIDHeader); head >= 0 {
 		r.buffer, err = r.buffer[:head], errHeadWithinStream
 	}
 	end := lastEventEnd(r.buffer)
@@ -64,16 +66,33 @@
 	return true
 }
 
-// headOffset returns the offset of the first line that begins a response, or -1. No line of an event begins like that. b
-// begins with a line.
-func headOffset(b []byte) int {
-	if bytes.HasPrefix(b, []byte("HTTP/1.")) {
-		return 0
+// headOffset returns the offset of the first head of a response, or -1. A line that begins like a status line is one, since no
+// line of an event does. Within a line, where a server may write a late copy of an earlier response, the header of the request
+// id must follow: the text of an event may speak of status lines. b begins with a line.
+func headOffset(b []byte, requestIDHeader string) int {
+	const version = "HTTP/1."
+	for from := 0; ; {
+		i := bytes.Index(b[from:], []byte(version))
+		if i < 0 {
+			return -1
+		}
+		offset := from + i
+		if offset == 0 || b[offset-1] == '\n' || hasHeader(b[offset:], requestIDHeader) {
+			return offset
+		}
+		from = offset + len(version)
 	}
-	if i := bytes.Index(b, []byte("\nHTTP/1.")); i >= 0 {
-		return i + 1
+}
+
+// hasHeader reports whether a head, which may be followed by a body, has a header.
+func hasHeader(head []byte, name string) bool {
+	head, _, _ = bytes.Cut(head, []byte("\r\n\r\n"))
+	for line := range bytes.Lines(head) {
+		if found, _, isHeader := bytes.Cut(line, []byte(":")); isHeader && strings.EqualFold(string(found), name) {
+			return true
+		}
 	}
-	return -1
+	return false
 }
 
 // lastEventEnd returns the offset after the last empty line, or 0 if there is none.
--- a/rudder/relay/resume_test.go
+++ b/rudder/relay/resume_test.go
@@ -120,19 +120,22 @@
 }
 
 // A server whose stream failed wrote the head and the body of an error after the events, in a chunk or in a body without a
-// length. The caller found them in its stream.
+// length, or wrote a late copy of an earlier response in the middle of an event. The caller found them in its stream.
 func TestHeadWithinStreamIsNotForwarded(t *testing.T) {
 	const problem = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: application/json\r\n\r\n{\"error\":\"boom\"}"
+	const copied = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Rudder-Request: earlier\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: old\n\n\r\n0\r\n\r\n"
 	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 	chunked, unframed := "Transfer-Encoding: chunked\r\n\r\n", "\r\n"
 	for name, text := range map[string]string{
-		"in a chunk of its own":           chunked + chunk(eventText(1, 2)) + chunk(problem) + chunk("\n\n") + "0\r\n\r\n",
-		"in the chunk of the events":      chunked + chunk(eventText(1, 2)+problem) + "0\r\n\r\n",
-		"in chunks that split it":         chunked + chunk(eventText(1, 2)+problem[:5]) + chunk(problem[5:]) + "0\r\n\r\n",
-		"in a line of an event":           chunked + chunk(eventText(1, 2)+"id: 3\n"+problem) + "0\r\n\r\n",
-		"in a body without a length":      unframed + eventText(1, 2) + problem,
-		"in a body without a length, 1.0": unframed + eventText(1, 2) + strings.Replace(problem, "1.1", "1.0", 1) + "\n\n",
-		"in place of a chunk":             chunked + chunk(eventText(1, 2)) + problem,
+		"in a chunk of its own":                     chunked + chunk(eventText(1, 2)) + chunk(problem) + chunk("\n\n") + "0\r\n\r\n",
+		"in the chunk of the events":                chunked + chunk(eventText(1, 2)+problem) + "0\r\n\r\n",
+		"in chunks that split it":                   chunked + chunk(eventText(1, 2)+problem[:5]) + chunk(problem[5:]) + "0\r\n\r\n",
+		"in a line of an event":                     chunked + chunk(eventText(1, 2)+"id: 3\n"+problem) + "0\r\n\r\n",
+		"in a body without a length":                unframed + eventText(1, 2) + problem,
+		"in a body without a length, 1.0":           unframed + eventText(1, 2) + strings.Replace(problem, "1.1", "1.0", 1) + "\n\n",
+		"in the text of an event, without a length": unframed + eventText(1, 2) + "id: 3\ndata: t" + copied + "3\n\n",
+		"in the text of an event, in its chunk":     chunked + chunk(eventText(1, 2)+"id: 3\ndata: t"+copied+"3\n\n") + "0\r\n\r\n",
+		"in place of a chunk":                       chunked + chunk(eventText(1, 2)) + problem,
 	} {
 		for _, path := range []string{"/stream/x", "/resumable/x"} {
 			t.Run(name+" "+path, func(t *testing.T) {
