Bound the bytes of an engine's chunk and of heads

A report of another operator: bytes without end of a faulty server exhausted the memory of the host that had called it. On the own engine's path a chunk of a run had no bound, and heads had net/http's default of 10 MiB.

Change: 1 MiB for a chunk and 64 KiB for a head, also of services.

--- a/rudder/engine/client.go
+++ b/rudder/engine/client.go
@@ -47,6 +47,9 @@
 	runHeaderTimeout    = StreamIdleTimeout // a run gets heartbeats even while it waits for a slot
 	callTimeout         = 2 * time.Second
 	maxResponseBytes    = 16 << 20
+	// maxChunkBytes bounds a chunk of a stream, and maxHeaderBytes the head of a response.
+	maxChunkBytes  = 1 << 20
+	maxHeaderBytes = 64 << 10
 )
 
 // Client is an HTTP client for the engine of one model runner. It is safe for concurrent use.
@@ -73,13 +76,13 @@
 	}
 	newClient := func(headerTimeout time.Duration) *http.Client {
 		return &http.Client{
-			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout},
+			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: headerTimeout, MaxResponseHeaderBytes: maxHeaderBytes},
 			CheckRedirect: returnRedirect,
 		}
 	}
 	return &Client{
 		baseURL:      baseURL,
-		readClient:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second}, CheckRedirect: returnRedirect},
+		readClient:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}, CheckRedirect: returnRedirect},
 		callClient:   newClient(0),
 		runClient:    newClient(runHeaderTimeout),
 		resumeClient: newClient(resumeHeaderTimeout),
@@ -92,6 +95,7 @@
 // Stream reads the chunks that an engine sends for one attempt of a run. It is not safe for concurrent use.
 type Stream struct {
 	body      io.ReadCloser
+	limiter   *chunkLimiter // of body
 	decoder   *json.Decoder
 	idleTimer *time.Timer
 	cancel    context.CancelCauseFunc
@@ -131,7 +135,8 @@
 		return nil, responseError(response)
 	}
 	idleTimer := time.AfterFunc(StreamIdleTimeout, func() { cancel(ErrStreamIdle) })
-	return &Stream{body: response.Body, decoder: json.NewDecoder(response.Body), idleTimer: idleTimer, cancel: cancel, ctx: ctx}, nil
+	limiter := &chunkLimiter{source: response.Body}
+	return &Stream{body: response.Body, limiter: limiter, decoder: json.NewDecoder(limiter), idleTimer: idleTimer, cancel: cancel, ctx: ctx}, nil
 }
 
 // responseError converts a response whose status is not 200 to an error that wraps ErrHostLeaving, ErrRefused or ErrBroken.
@@ -152,6 +157,7 @@
 // ErrBroken if the stream ends early. A chunk with End is the last one.
 func (s *Stream) Next() (Chunk, error) {
 	var chunk Chunk
+	s.limiter.remaining = maxChunkBytes
 	err := s.decoder.Decode(&chunk)
 	if err != nil {
 		if errors.Is(context.Cause(s.ctx), ErrStreamIdle) {
@@ -163,6 +169,24 @@
 	return chunk, nil
 }
 
+// errChunkTooLarge means that an engine sent too many bytes without the end of a chunk.
+var errChunkTooLarge = errors.New("chunk is too large")
+
+// chunkLimiter bounds what the decoder of a stream reads for one chunk: it keeps a chunk of any size until its end.
+type chunkLimiter struct {
+	source    io.Reader
+	remaining int // bytes that may still be read for the present chunk
+}
+
+func (l *chunkLimiter) Read(b []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, errors.Wrapf(errChunkTooLarge, "more than %d bytes", maxChunkBytes)
+	}
+	n, err := l.source.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // Close closes the stream. The engine holds the run for a while, so that it can be resumed, unless Client.Cancel is called.
 func (s *Stream) Close() {
 	s.idleTimer.Stop()
--- a/rudder/service/service.go
+++ b/rudder/service/service.go
@@ -20,6 +20,7 @@
 	dialTimeout      = time.Second
 	callTimeout      = 30 * time.Second
 	maxResponseBytes = 1 << 20
+	maxHeaderBytes   = 64 << 10
 	// callIDHeader carries the ID of the call. It is not named Idempotency-Key, because net/http can retry requests
 	// that have that header by itself.
 	callIDHeader = "X-Rudder-Call"
@@ -53,7 +54,7 @@
 		}
 		return connection, nil
 	}
-	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: callTimeout}
+	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: callTimeout, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{baseURL: baseURL, dial: dial, httpClient: &http.Client{Transport: transport, CheckRedirect: returnRedirect}}
 }
 
