Bound the memory of all incomplete responses, and the wait for a refusal's body

A report of another operator: bytes without end of a faulty server exhausted the memory of the host that had called it, and the requests of other callers ended with it (LOST).

Cause: each incomplete event may take 1 MiB, and nothing bounded many at once: 96 streams kept 113 MiB on hosts of 284 MB. Besides, the body of a refusal was awaited until the deadline of the request, which had not run and could have gone elsewhere.

Change: incomplete events of all streams together may take a 16th of the memory limit, 16 KiB of each not counted; the stream that exceeds it is broken off. The body of a refusal is read for 50 ms. The two stand together since the reading of bodies is one place.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -205,7 +205,7 @@
 	d := a.server.Dialect
 	isPaused := a.recordServerState(response)
 	if response.Header.Get(d.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
+		a.discardBody(response)
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			a.placement.MarkMisdirected()
 		}
@@ -234,6 +234,17 @@
 	return r
 }
 
+// refusalBodyTimeout bounds the reading of the body of a refusal, which only allows the connection to be used again. The request
+// goes elsewhere meanwhile.
+const refusalBodyTimeout = 50 * time.Millisecond
+
+// discardBody reads the body of a refusal.
+func (a *attempt) discardBody(response *http.Response) {
+	a.conn.OnReadTimeout(nil)
+	a.setReadTimeout(refusalBodyTimeout)
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
+}
+
 // forwardPlain forwards a response that is not an event stream.
 func (a *attempt) forwardPlain(ctx context.Context, response *http.Response, isSuccess bool) attemptResult {
 	a.setReadTimeout(a.forwarder.firstByteTimeout(a.placement.ExpectedFirstByte))
@@ -329,7 +340,8 @@
 // before can be started again on another server.
 func (a *attempt) forwardStream(ctx context.Context, response *http.Response) attemptResult {
 	f := a.forwarder
-	reader := &eventReader{source: response.Body, requestIDHeader: a.server.Dialect.RequestID}
+	reader := &eventReader{source: response.Body, requestIDHeader: a.server.Dialect.RequestID, memory: a.server.newBuffer()}
+	defer reader.memory.release()
 	skipUpTo := f.lastEventID
 	controller := http.NewResponseController(f.writer)
 	chunk := make([]byte, streamChunkBytes)
--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -15,7 +15,8 @@
 	source          io.Reader
 	requestIDHeader string // that every response has; see headOffset
 	buffer          []byte
-	lastID          string // id of the last complete event that has one
+	memory          *buffer // that buffer counts in; nil for none
+	lastID          string  // id of the last complete event that has one
 }
 
 // maxEventBytes bounds the buffer of an incomplete event.
@@ -25,8 +26,8 @@
 var errHeadWithinStream = errors.New("head of a response within the event stream")
 
 // next reads from the source once and returns the bytes of all complete events in the buffer. A nil slice without an error
-// means that no event is complete yet. It returns io.ErrShortBuffer if the buffer exceeds maxEventBytes, errHeadWithinStream
-// with the events before the head, and io.EOF at the end of the stream; remainder then returns the bytes of an incomplete
+// means that no event is complete yet. It returns io.ErrShortBuffer if the buffer exceeds maxEventBytes, errBuffersExhausted if
+// all buffers exceed their budget, errHeadWithinStream with the events before the head, and io.EOF at the end of the stream; remainder then returns the bytes of an incomplete
 // event.
 func (r *eventReader) next(chunk []byte) ([]byte, error) {
 	n, err := r.source.Read(chunk)
@@ -38,6 +39,11 @@
 		r.buffer, err = r.buffer[:head], errHeadWithinStream
 	}
 	end := lastEventEnd(r.buffer)
+	if r.memory != nil {
+		if err := r.memory.resize(len(r.buffer) - end); err != nil {
+			return nil, err
+		}
+	}
 	if end == 0 {
 		return nil, err
 	}
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -53,6 +53,8 @@
 	StalenessLimits StalenessLimits
 	// MaxResponseBytes bounds the body of a response that is not an event stream; 0 means defaultMaxResponseBytes.
 	MaxResponseBytes int64
+	// MaxBufferedBytes bounds the memory for incomplete responses of all requests together; 0 means defaultMaxBufferedBytes.
+	MaxBufferedBytes int64
 	RetryRate        limit.RetryRate // retry budget of each service; the burst is divided among the nodes
 	Log              *slog.Logger
 	Crashes          *culprit.List
@@ -66,6 +68,7 @@
 	refusalOnce      sync.Once    // sets refusal
 	refusal          refusalState // see RefuseRequests
 	inProgress       atomic.Int64
+	buffers          bufferBudget
 	metrics          Metrics
 	crashProbes      atomic.Int64 // running observeCrash tasks
 	probes           singleflight.Group
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -39,6 +39,9 @@
 	// gcMemoryLimitFraction is the fraction of the memory limit that is set as memory limit of the Go runtime: near it,
 	// garbage is collected however fast the heap grows.
 	gcMemoryLimitFraction = 0.6
+	// responseMemoryDivisor gives the part of the memory limit that incomplete responses may take. Their buffers have up to
+	// twice that capacity.
+	responseMemoryDivisor = 16
 	// gcPercent is the GOGC value. It trades processor time for a small peak of memory; both are paid for.
 	gcPercent = 100
 	// stopSendingMargin and cancelWaitingMargin are subtracted from the revocation bound. They give the age of the last
@@ -152,6 +155,7 @@
 		FailureDomain: s.FailureDomain, Log: logger.Part("relay"), Crashes: &culprit.List{Log: logger.Part("culprit"), IsTrialNode: n.isFirstNode},
 		RetryRate: limit.RetryRate{Fraction: retryBudgetFraction * s.RetryFraction, Burst: retryBudgetFraction * s.RetryBurst},
 	}
+	n.relay.MaxBufferedBytes = s.MemoryLimitBytes / responseMemoryDivisor
 	if s.RevocationBound > 0 {
 		n.relay.StalenessLimits = relay.StalenessLimits{Send: s.RevocationBound - stopSendingMargin, Wait: s.RevocationBound - cancelWaitingMargin}
 	}
