Take one software version for the only one only if that was learnt since the caller asked

Cause: a node that knew one version of a service took it for the origin of any stream, if its knowledge of the registry was younger than 2 s or most peers counted as reachable. After a standstill both hold before any news has come; a copy lacks what has joined since.

Change: the registry and the records are read after the caller asked, or a majority of the nodes has told since then that it knows no later registry. In the first 3 s of an epoch of the store neither counts.

Before: TestStreamOfAVersionThatJoinedMeanwhileIsRefused and TestStreamIsRefusedRightAfterRestore got v1 with the old condition. TestNodeThatIsBehindReadsTheRecords changes: it asked for no reading at a node in touch, which is the fault; it now asks for one reading that began with the caller's request, and for peers heard since then where the store is away.

--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -203,6 +203,13 @@
 	return boottime.Since(r.currentAsOf)
 }
 
+// currentRevision returns the revision up to which this node knows the registry.
+func (r *registrySync) currentRevision() objectapi.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
 // delta returns what this node's digest says of the registry.
 func (r *registrySync) delta() mesh.RegistryDelta {
 	r.mu.Lock()
--- a/rudder/relaynode/store_history.go
+++ b/rudder/relaynode/store_history.go
@@ -34,11 +34,15 @@
 	}
 }
 
-// load records what nodes have recorded of the epoch in which their records were read.
-func (h *storeHistory) load(epoch int64, records []epochRecord) {
+// load records what nodes have recorded of the epoch in which their records were read. At the first start of the system there
+// are no records, and there was nothing to lose.
+func (h *storeHistory) load(epoch int64, records []epochRecord, isFirstStart bool) {
 	h.note(epoch)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if isFirstStart && !h.isLoaded && len(records) == 0 {
+		h.recordedAt = time.Unix(0, 0)
+	}
 	for _, r := range records {
 		at := time.UnixMilli(r.SinceUnixMillis)
 		if r.Epoch == h.epoch && (h.recordedAt.IsZero() || at.Before(h.recordedAt)) {
@@ -73,6 +77,28 @@
 	return h.epochBeganBy(now), h.isLoaded
 }
 
+// isSettled reports whether what operators, servers and nodes write again after a restore has been written since the present epoch
+// began. now is the time on which all nodes agree.
+func (h *storeHistory) isSettled(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case !h.isLoaded:
+		return false
+	case h.epoch == 0, boottime.Since(h.heardAt) >= settleTime:
+		return true
+	}
+	return !h.recordedAt.IsZero() && now.Sub(h.recordedAt) >= settleTime+maxClockError
+}
+
+const (
+	// settleTime is how long after a restore the object API may lack what is written again: two seconds for the entries of
+	// servers, and the time in which nodes learn of the epoch.
+	settleTime = rewriteTimeout + time.Second
+	// maxClockError bounds the error of the agreed time at a node that has not heard of its peers yet.
+	maxClockError = 10 * time.Second
+)
+
 // epochBeganBy returns the earliest time at which a node is known to have heard of the present epoch. The caller holds the lock.
 func (h *storeHistory) epochBeganBy(now time.Time) time.Time {
 	heardAt := now.Add(-boottime.Since(h.heardAt))
--- a/rudder/relaynode/stream_records.go
+++ b/rudder/relaynode/stream_records.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/mesh"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/sleep"
 	"chestnutrudder.example/rudder/streamorigin"
@@ -27,8 +28,6 @@
 	streamRecordMinReadInterval = 100 * time.Millisecond
 	// streamRecordTimeout bounds one call to the object API.
 	streamRecordTimeout = 2 * time.Second
-	// registryLag is how much later than its peers a node that is in touch learns of a change of the registry.
-	registryLag = 2 * time.Second
 )
 
 // streamRecords keeps the record of the streams that this node began, and reads those of all nodes.
@@ -56,7 +55,7 @@
 func newStreamRecords(n *node) *streamRecords {
 	r := &streamRecords{node: n, log: n.logger.Part("streams"), version: objectapi.AbsentVersion}
 	r.book = streamorigin.New(r.log)
-	r.book.Refresh, r.book.IsCurrent = r.refresh, r.isCurrent
+	r.book.Refresh, r.book.HasHeardPeersSince = r.refresh, r.hasHeardPeersSince
 	return r
 }
 
@@ -79,35 +78,55 @@
 	return r.readAt > 0
 }
 
-// isCurrent reports whether this node learns of a new software version as soon as its peers do: from the registry or, while
-// the object API is away, from most of the peers.
-func (r *streamRecords) isCurrent() bool {
-	if r.node.registry.age() < registryLag {
-		return true
+// hasHeardPeersSince reports whether most of the nodes have told since a moment that they know no later state of the registry
+// than this node, and with it no other software version.
+func (r *streamRecords) hasHeardPeersSince(t boottime.Instant) bool {
+	n := r.node
+	if !n.storeHistory.isSettled(n.mesh.MedianTime()) {
+		return false
 	}
-	reachable, known := r.node.mesh.CountNodes()
-	return known > 1 && 2*reachable > known
+	own := n.registry.currentRevision()
+	heard, known := n.mesh.CountDirectPeers(func(m *mesh.Member) bool {
+		return m.HasReliableSentAt && m.SentAt >= t && m.Registry.Revision.Epoch == own.Epoch && m.Registry.Revision.Compare(own) <= 0
+	})
+	return known > 0 && isMajority(heard, known)
 }
 
-// refresh reads the records of all nodes. Callers that wait at the same time share a reading.
+// errStoreUnsettled means that the object API was restored a moment ago: servers and nodes have not written everything again.
+var errStoreUnsettled = errors.New("the object API was restored a moment ago")
+
+// refresh reads the records of all nodes and the versions of the servers in the registry. Callers that wait at the same time
+// share a reading, which begins after the call of each of them.
 func (r *streamRecords) refresh(ctx context.Context) error {
-	done := r.readings.DoChan("", func() (any, error) { return nil, r.read() })
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case result := <-done:
-		return result.Err
+	calledAt := boottime.Now()
+	for {
+		r.mu.Lock()
+		readAt := r.readAt
+		r.mu.Unlock()
+		if readAt >= calledAt {
+			break
+		}
+		sleep.For(ctx, streamRecordMinReadInterval-boottime.Since(readAt))
+		done := r.readings.DoChan("", func() (any, error) { return nil, r.read() })
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case result := <-done:
+			if result.Err != nil {
+				return result.Err
+			}
+		}
 	}
+	if !r.node.storeHistory.isSettled(r.node.mesh.MedianTime()) {
+		return errStoreUnsettled
+	}
+	return nil
 }
 
-// read reads the records of all nodes and passes them to the book.
+// read reads the records of all nodes and the versions of the servers in the registry, and passes them to the book.
 func (r *streamRecords) read() error {
 	r.mu.Lock()
 	isFirst, beganAt := r.readAt == 0, boottime.Now()
-	if !isFirst && beganAt.Sub(r.readAt) < streamRecordMinReadInterval {
-		r.mu.Unlock()
-		return nil
-	}
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), streamRecordTimeout)
 	defer cancel()
@@ -115,6 +134,11 @@
 	if err != nil {
 		return err
 	}
+	if !isFirst {
+		if err := r.readServingVersions(ctx); err != nil {
+			return err
+		}
+	}
 	now := r.node.mesh.MedianTime()
 	var epochs []epochRecord
 	for _, o := range listing.Objects {
@@ -130,7 +154,7 @@
 			r.book.ApplyRecord(record.Record, isFirst && strings.TrimPrefix(o.Key, streamRecordPrefix) == r.node.settings.Node)
 		}
 	}
-	r.node.storeHistory.load(listing.Revision.Epoch, epochs)
+	r.node.storeHistory.load(listing.Revision.Epoch, epochs, r.node.settings.IsFirstStart)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readAt = beganAt
@@ -142,6 +166,23 @@
 	return nil
 }
 
+// readServingVersions passes the versions of the servers in the registry to the book.
+func (r *streamRecords) readServingVersions(ctx context.Context) error {
+	listing, err := r.node.platform.Store.List(ctx, r.node.platform.ServerPrefix)
+	if err != nil {
+		return err
+	}
+	versions := map[string][]string{}
+	for _, o := range listing.Objects {
+		// The watch of the registry tells of entries that cannot be decoded.
+		if entry, err := r.node.platform.DecodeServer(o); err == nil {
+			versions[entry.Service] = append(versions[entry.Service], entry.SoftwareVersion)
+		}
+	}
+	r.book.ObserveVersions(versions)
+	return nil
+}
+
 // write writes the record of this node if it says something new or the object API has lost it. Some nodes of each failure
 // domain record the versions; what streams began is recorded by all. Writes are conditional: one that got no answer may take
 // effect late, and must not replace a later one.
--- a/rudder/relaynode/stream_records_test.go
+++ b/rudder/relaynode/stream_records_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/mesh"
 	"chestnutrudder.example/rudder/objectapi"
@@ -141,3 +142,69 @@
 		t.Error("the record is written again although nothing has changed")
 	}
 }
+
+// versionedServer is the value of a registry entry in these tests.
+type versionedServer struct {
+	Version string `json:"version"`
+}
+
+// Guards against a stream that goes on at another software version, because the node at which it is taken up stood still or was cut
+// off for a moment while servers of a new version joined and streams began there at other nodes.
+func TestStreamOfAVersionThatJoinedMeanwhileIsRefused(t *testing.T) {
+	ctx, store := context.Background(), objectapitest.NewMemoryStore()
+	r := newStreamNode("a", store)
+	r.node.platform.DecodeServer = func(o objectapi.Object) (backend.Entry, error) {
+		var s versionedServer
+		err := o.Decode(&s)
+		return backend.Entry{ID: o.Key, Service: "s", SoftwareVersion: s.Version}, err
+	}
+	r.book = streamorigin.New(r.log)
+	r.book.Refresh, r.book.HasHeardPeersSince = r.refresh, r.hasHeardPeersSince
+	for _, version := range []string{"v1", "v1"} {
+		if _, err := store.Put(ctx, "servers/"+version, versionedServer{version}, objectapi.AnyVersion); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.book.ObserveVersions(map[string][]string{"s": {"v1"}})
+	if err := r.refresh(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := r.find("before"); got != "v1" {
+		t.Errorf("stream while v1 is the only version: %s, want v1", got)
+	}
+	if _, err := store.Put(ctx, "servers/v2", versionedServer{"v2"}, objectapi.AnyVersion); err != nil {
+		t.Fatal(err)
+	}
+	r.node.registry.currentAsOf = boottime.Now().Add(-time.Second) // it has not heard of v2
+	if got := r.find("of v2"); got != "refused" {
+		t.Errorf("stream that may have begun at v2, which has joined: %s, want a refusal", got)
+	}
+}
+
+// Guards against streams that go on at another software version after a restore: the copy lacks the servers of the version that
+// began them until these have written their entries again.
+func TestStreamIsRefusedRightAfterRestore(t *testing.T) {
+	ctx, store := context.Background(), objectapitest.NewMemoryStore()
+	store.Restore(store.Copy())
+	r := newStreamNode("a", store)
+	r.book = streamorigin.New(r.log)
+	r.book.Refresh, r.book.HasHeardPeersSince = r.refresh, r.hasHeardPeersSince
+	r.book.ObserveVersions(map[string][]string{"s": {"v1"}})
+	if err := r.read(); err != nil {
+		t.Fatal(err)
+	}
+	if got := r.find("x"); got != "refused" {
+		t.Errorf("started node that cannot tell when the object API was restored: %s, want a refusal", got)
+	}
+	r.node.storeHistory.heardAt = boottime.Now().Add(-settleTime)
+	if got := r.find("x"); got != "v1" {
+		t.Errorf("%s after its start: %s, want v1", settleTime, got)
+	}
+	if err := r.refresh(ctx); err != nil {
+		t.Errorf("settled: %v", err)
+	}
+	r.node.storeHistory.note(2)
+	if got := r.find("x"); got != "refused" {
+		t.Errorf("right after a restore: %s, want a refusal", got)
+	}
+}
--- a/rudder/streamorigin/book.go
+++ b/rudder/streamorigin/book.go
@@ -43,10 +43,12 @@
 // before use. It is safe for concurrent use.
 type Book struct {
 	Log *slog.Logger
-	// Refresh reads what nodes have recorded and passes it to ApplyRecord. Nil means that there are no records.
+	// Refresh reads, not before it is called, what nodes have recorded and which versions serve, and passes that to ApplyRecord
+	// and ObserveVersions. Nil means that this node always knows both.
 	Refresh func(context.Context) error
-	// IsCurrent reports whether this node learns of new versions as soon as its peers do. Nil means that it does.
-	IsCurrent func() bool
+	// HasHeardPeersSince reports whether peers have told, since a moment, of the versions that they know. It makes up for a
+	// Refresh that fails. Nil means that they never do.
+	HasHeardPeersSince func(boottime.Instant) bool
 
 	mu         sync.Mutex
 	own, peers ledger
@@ -85,16 +87,20 @@
 // Find returns where a stream began that its caller takes up at the given service. It returns false if that cannot be told
 // before ctx ends: a caller may come back sooner than the report of the node that began the stream arrives.
 func (b *Book) Find(ctx context.Context, attempt, service string) (Origin, bool) {
-	o, found := b.lookUp(attempt, service, b.IsCurrent == nil || b.IsCurrent())
+	askedAt := b.now()
+	o, found := b.lookUp(attempt, service, b.Refresh == nil)
 	if found || b.Refresh == nil {
 		return o, found
 	}
+	// A version that has joined a moment ago may have begun the stream at another node, while this one stood still or was cut
+	// off: only what was read or heard since the caller asked tells that there is no other version.
 	err := b.Refresh(ctx)
 	if err != nil {
 		b.Log.Warn("Reading the recorded beginnings of streams failed.", "attempt", attempt, "service", service, "error", err)
 	}
 	for {
-		if o, found = b.lookUp(attempt, service, err == nil); found || attempt == "" || !sleep.For(ctx, reportCheckInterval) {
+		knowsVersions := err == nil || b.HasHeardPeersSince != nil && b.HasHeardPeersSince(askedAt)
+		if o, found = b.lookUp(attempt, service, knowsVersions); found || !sleep.For(ctx, reportCheckInterval) {
 			return o, found
 		}
 	}
--- a/rudder/streamorigin/book_test.go
+++ b/rudder/streamorigin/book_test.go
@@ -88,12 +88,17 @@
 		t.Errorf("records read: %s, want v1", got)
 	}
 	reads = 0
-	if got := b.find("x"); got != "v1" || reads != 0 {
-		t.Errorf("in touch: %s after %d readings, want v1 after none", got, reads)
+	if got := b.find("x"); got != "v1" || reads != 1 {
+		t.Errorf("in touch: %s after %d readings, want v1 after one that began when the caller came", got, reads)
 	}
-	isCurrent := false
-	b.IsCurrent = func() bool { return isCurrent }
 	away = true
+	var heardSince boottime.Instant
+	isHeard := true
+	b.HasHeardPeersSince = func(t boottime.Instant) bool { heardSince = t; return isHeard }
+	if got := b.find("x"); got != "v1" || heardSince != b.clock {
+		t.Errorf("object API away, peers heard since %d: %s, want v1 once they are heard since %d", heardSince, got, b.clock)
+	}
+	isHeard = false
 	if got := b.find("x"); got != "refused" {
 		t.Errorf("cut off: %s, want a refusal", got)
 	}
