Probe the server at the end of each answer without a length

Cause: such an answer is complete only if its server still runs when it ends. The relay did not ask that of servers that it knew to be leaving; it shared a probe of another request, which may have begun while the server lived; and a probe without a result counted as a server that lives.

Change: each end of an answer without a length is probed anew, and only a server that accepts the connection has finished it.

--- a/rudder/relay/response_end.go
+++ b/rudder/relay/response_end.go
@@ -10,7 +10,7 @@
 // "Ends of responses" of docs/platform.md has all cases.
 
 var (
-	// errEndedWithServer means that a response without a length ended when its server crashed.
+	// errEndedWithServer means that a response without a length ended and its server accepts no connections.
 	errEndedWithServer = errors.New("response without a length ended with its server")
 	// errEndedWithinEvent means that an event stream ended in the middle of an event.
 	errEndedWithinEvent = errors.New("event stream ended within an event")
@@ -19,9 +19,10 @@
 )
 
 // endError returns an error if a response of which all bytes were read is not complete. Without a length, the end of the
-// connection is also that of a server that crashes.
+// connection is also that of a server that crashes or is reclaimed: the response is complete only if the server still runs. A
+// probe of another request may have begun before the end, so that its result is not shared.
 func (a *attempt) endError(response *http.Response) error {
-	if endsWithConnection(response) && a.hasServerCrashed() {
+	if endsWithConnection(response) && probeAddress(a.placement.Address) != serverAlive {
 		return errEndedWithServer
 	}
 	return nil
--- a/rudder/relay/unframed_test.go
+++ b/rudder/relay/unframed_test.go
@@ -4,7 +4,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/backend"
 )
 
 // crashingBackendServer adds a backend server that closes the connection in an orderly way after each response. If handle
@@ -110,3 +114,77 @@
 		}
 	}
 }
+
+// Guards against an answer that looks complete although its server was reclaimed: a server that leaves, as its entry or its
+// responses say, ends the connections of the answers that it has not finished like one that crashes.
+func TestUnframedAnswerOfReclaimedServerIsNotComplete(t *testing.T) {
+	for _, path := range []string{"/once/x", "/stream/x"} {
+		for _, isListed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s listed %t", path, isListed), func(t *testing.T) {
+				h := newHarness(t)
+				h.crashingBackendServer("a", func(conn net.Conn, r *http.Request) bool {
+					if isListed {
+						h.server.Backends.Put(backend.Entry{ID: "a", Service: "s", Address: h.addresses["a"], Slots: 8, Draining: true})
+					} else {
+						h.server.Backends.Remove("a")
+					}
+					if path == "/once/x" {
+						sendUnframed(conn, r, "par")
+					} else {
+						sendUnframedEvents(conn, r, 2, "")
+					}
+					return true
+				})
+				if got := h.get(path); got.err == nil && got.status == http.StatusOK {
+					t.Errorf("response %+v, want an error", got)
+				}
+			})
+		}
+	}
+}
+
+// A server that leaves, but still runs when its answer ends, has finished it.
+func TestUnframedAnswerOfLeavingServerIsForwarded(t *testing.T) {
+	h := newHarness(t)
+	h.backendServer("a", func(conn net.Conn, r *http.Request) bool {
+		h.server.Backends.Put(backend.Entry{ID: "a", Service: "s", Address: h.addresses["a"], Slots: 8, Draining: true})
+		sendUnframed(conn, r, "whole")
+		return false
+	})
+	if got := h.get("/once/x"); got.err != nil || got.body != "whole" {
+		t.Errorf("response %+v, want the whole body", got)
+	}
+}
+
+// Guards against a probe from before the end of an answer, which another request has begun, that tells of a server which lived
+// then.
+func TestEndOfAnswerIsProbedAnew(t *testing.T) {
+	h := newHarness(t)
+	p, refusal := h.server.Backends.Place(backend.Request{Service: "s"}, 0)
+	if refusal == nil {
+		t.Fatalf("placement %+v without a server", p)
+	}
+	h.crashingBackendServer("a", func(conn net.Conn, r *http.Request) bool {
+		sendUnframed(conn, r, "par")
+		return true
+	})
+	p, refusal = h.server.Backends.Place(backend.Request{Service: "s"}, 0)
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	// A probe that began while the server lived is in progress.
+	begun, end := make(chan struct{}), make(chan struct{})
+	go func() {
+		_, _, _ = h.server.probes.Do(strconv.FormatUint(p.Incarnation, 36), func() (any, error) {
+			close(begun)
+			<-end
+			return serverAlive, nil
+		})
+	}()
+	<-begun
+	p.Release(backend.ResultCompleted)
+	time.AfterFunc(100*time.Millisecond, func() { close(end) })
+	if got := h.get("/once/x"); got.status != http.StatusBadGateway {
+		t.Errorf("response %+v, want 502", got)
+	}
+}
