Confirm no configuration at a started node until a restore is settled

Cause: no newer configuration known was taken for none written.

Before: TestStartedNodesWaitForWhatIsWrittenAgainAfterARestore failed in the two cases of a restore.

--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -50,6 +50,7 @@
 	newerVersion   chan struct{}    // has a value when wantedVersion has changed
 	hasAnswer      bool             // the object API has answered
 	epoch          int64            // of the object API in its last answer
+	startEpoch     int64            // of the object API in its first answer
 	hasHeardPeer   bool             // a peer has told, in this epoch, of a configuration that was confirmed at some time
 	holdUntil      boottime.Instant // until when answers are held if no peer was heard
 	heldAnswer     answer           // the last one that is held
@@ -237,19 +238,24 @@
 }
 
 // mustHold reports whether an answer of the object API is held until a peer was heard, because it may come from an older copy: it
-// is the first one of an epoch that this process has got, or follows it soon. At the first start of the system there is no copy.
-// The caller holds the lock.
-func (c *configSync) mustHold(epoch int64, isFirstStart bool) bool {
+// is the first one of an epoch that this process has got, or follows it soon. A process that has started in the epoch knows no
+// configuration from before, and holds answers until the operator has written the newest one again (isSettled). At the first
+// start of the system there is no copy. The caller holds the lock.
+func (c *configSync) mustHold(epoch int64, isFirstStart, isSettled bool) bool {
 	isRestored := c.hasAnswer && epoch > c.epoch
 	isFirstAnswer := isRestored || !c.hasAnswer && !isFirstStart
 	if isRestored {
 		c.hasHeardPeer = false
 	}
+	if !c.hasAnswer {
+		c.startEpoch = epoch
+	}
 	if isFirstAnswer {
 		c.holdUntil = boottime.Now().Add(peerWait)
 	}
 	c.hasAnswer, c.epoch = true, max(c.epoch, epoch)
-	return !c.hasHeardPeer && (isFirstAnswer || boottime.Now() < c.holdUntil)
+	mayLackNewest := epoch == c.startEpoch && !isFirstStart && !isSettled
+	return !c.hasHeardPeer && (isFirstAnswer || boottime.Now() < c.holdUntil || mayLackNewest)
 }
 
 // confirmConfig records that the configuration in force was the newest one when the answered call was sent. While the object
@@ -260,8 +266,9 @@
 	if config == nil {
 		return
 	}
+	isSettled := n.storeHistory.isSettled(n.mesh.MedianTime())
 	n.configSync.mu.Lock()
-	if n.configSync.mustHold(revision.Epoch, n.settings.IsFirstStart) {
+	if n.configSync.mustHold(revision.Epoch, n.settings.IsFirstStart, isSettled) {
 		n.configSync.heldAnswer = answer{sentAt: sentAt, revision: revision}
 		n.configSync.mu.Unlock()
 		return
--- a/rudder/relaynode/config_sync_test.go
+++ b/rudder/relaynode/config_sync_test.go
@@ -232,6 +232,51 @@
 	}
 }
 
+// Guards against a revoked key that works again: all nodes ended while the object API came back from a copy without the newest
+// configuration, so that no peer knew better, and the started nodes confirmed the older one before the operator had written the
+// newest again.
+func TestStartedNodesWaitForWhatIsWrittenAgainAfterARestore(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		epochAge     time.Duration // as recorded by the nodes that have ended
+		isFirstStart bool
+		want         bool // that the configuration is confirmed without a peer
+	}{
+		{name: "restored since the nodes wrote their records"},
+		{name: "restored a moment before", epochAge: time.Second},
+		{name: "not restored lately", epochAge: time.Hour, want: true},
+		{name: "first start", isFirstStart: true, want: true},
+	} {
+		f := startFollowingNode(t)
+		f.settings.IsFirstStart = c.isFirstStart
+		answer := func() bool {
+			sentAt := boottime.Now()
+			f.applyConfigListing(objectapi.Listing{Objects: []objectapi.Object{{Key: "config/main", Value: json.RawMessage("5")}}}, sentAt)
+			f.confirmConfig(sentAt, objectapi.Version{Epoch: 2, Number: 10})
+			return f.currentConfig.ConfirmedAt() == sentAt
+		}
+		if isConfirmed := answer(); isConfirmed && !c.isFirstStart {
+			t.Errorf("%s: the first answer is confirmed", c.name)
+		}
+		var records []epochRecord
+		if !c.isFirstStart {
+			records = []epochRecord{{Epoch: 1, SinceUnixMillis: 1}}
+		}
+		if c.epochAge > 0 {
+			records = append(records, epochRecord{Epoch: 2, SinceUnixMillis: time.Now().Add(-c.epochAge).UnixMilli()})
+		}
+		f.storeHistory.load(2, records, c.isFirstStart)
+		f.configSync.holdUntil = boottime.Now() // the time for peers is over
+		if got := answer(); got != c.want {
+			t.Errorf("%s: confirmed without a peer: %t, want %t", c.name, got, c.want)
+		}
+		f.storeHistory.heardAt = boottime.Now().Add(-settleTime)
+		if !answer() {
+			t.Errorf("%s: not confirmed %s after the start", c.name, settleTime)
+		}
+	}
+}
+
 // A node that started after the object API was restored put the older configuration of the copy in force, and answered 404 for
 // routes that were in force at all other nodes.
 func TestNodeWithLostConfigurationIsNotReady(t *testing.T) {
