--- a/rudder/relay/crash.go
+++ b/rudder/relay/crash.go
@@ -132,4 +132,3 @@
 	}
 	s.Crashes.RecordAnswer(c.service, traits)
 }
-
