--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -196,13 +196,6 @@
 	r.recentChanges = r.recentChanges[pruned:]
 }
 
-// age returns the time since this node's knowledge of the registry was current.
-func (r *registrySync) age() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return boottime.Since(r.currentAsOf)
-}
-
 // currentRevision returns the revision up to which this node knows the registry.
 func (r *registrySync) currentRevision() objectapi.Version {
 	r.mu.Lock()
