Note the epoch of a configuration's answer before it is confirmed

A started process asked whether a restore is settled before it noted the epoch that the answer names, so that records read just before a restore could settle the epoch after it.

--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -266,6 +266,7 @@
 	if config == nil {
 		return
 	}
+	n.storeHistory.note(revision.Epoch)
 	isSettled := n.storeHistory.isSettled(n.mesh.MedianTime())
 	n.configSync.mu.Lock()
 	if n.configSync.mustHold(revision.Epoch, n.settings.IsFirstStart, isSettled) {
--- a/rudder/relaynode/config_sync_test.go
+++ b/rudder/relaynode/config_sync_test.go
@@ -277,6 +277,21 @@
 	}
 }
 
+// Guards against records that were read before a restore and that settle the epoch after it.
+func TestAnswerOfALaterEpochThanTheRecordsIsHeld(t *testing.T) {
+	f := startFollowingNode(t)
+	f.storeHistory.load(1, []epochRecord{{Epoch: 1, SinceUnixMillis: 1}}, false)
+	confirmedBefore := f.currentConfig.ConfirmedAt()
+	f.applyConfigListing(objectapi.Listing{Objects: []objectapi.Object{{Key: "config/main", Value: json.RawMessage("5")}}}, boottime.Now())
+	for range 2 {
+		f.confirmConfig(boottime.Now(), objectapi.Version{Epoch: 2, Number: 10})
+		f.configSync.holdUntil = boottime.Now() // the time for peers is over
+	}
+	if f.currentConfig.ConfirmedAt() != confirmedBefore {
+		t.Error("the configuration of a copy is confirmed")
+	}
+}
+
 // A node that started after the object API was restored put the older configuration of the copy in force, and answered 404 for
 // routes that were in force at all other nodes.
 func TestNodeWithLostConfigurationIsNotReady(t *testing.T) {
--- a/rudder/relaynode/stream_records.go
+++ b/rudder/relaynode/stream_records.go
@@ -65,7 +65,7 @@
 		r.book.ObserveVersions(r.node.backends.SoftwareVersions())
 		if r.isLoaded() {
 			r.write(ctx)
-		} else if err := r.refresh(ctx); err != nil {
+		} else if err := r.refresh(ctx); err != nil && !errors.Is(err, errStoreUnsettled) {
 			r.log.Warn("Reading the recorded beginnings of streams failed; trying again.", "error", err)
 		}
 		sleep.For(ctx, streamRecordInterval)
