Find the head of a late copy in one pass over the buffer

Found on reading the change: each mention of a status line within a line made the relay search the rest of the buffer, so that an event with many of them took quadratic time.

Also: the account of a response's memory has a name of its own, since eventReader has a buffer as well.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -340,7 +340,7 @@
 // before can be started again on another server.
 func (a *attempt) forwardStream(ctx context.Context, response *http.Response) attemptResult {
 	f := a.forwarder
-	reader := &eventReader{source: response.Body, requestIDHeader: a.server.Dialect.RequestID, memory: a.server.newBuffer()}
+	reader := &eventReader{source: response.Body, requestIDHeader: a.server.Dialect.RequestID, memory: a.server.newMemoryAccount()}
 	defer reader.memory.release()
 	skipUpTo := f.lastEventID
 	controller := http.NewResponseController(f.writer)
--- a/rudder/relay/buffers.go
+++ b/rudder/relay/buffers.go
@@ -21,32 +21,32 @@
 // too, but many at once, as a faulty server sends them, would exhaust the memory of a small host.
 type bufferBudget struct{ used atomic.Int64 }
 
-// buffer is the part of a response that counts in a budget.
-type buffer struct {
+// memoryAccount is the part of a budget that one response takes.
+type memoryAccount struct {
 	budget  *bufferBudget
 	limit   int64 // of the budget
 	counted int64
 }
 
-// newBuffer returns a buffer that is empty. Its user calls release at the end.
-func (s *Server) newBuffer() *buffer {
+// newMemoryAccount returns an account of an empty buffer. Its user calls release at the end.
+func (s *Server) newMemoryAccount() *memoryAccount {
 	limit := s.MaxBufferedBytes
 	if limit == 0 {
 		limit = defaultMaxBufferedBytes
 	}
-	return &buffer{budget: &s.buffers, limit: limit}
+	return &memoryAccount{budget: &s.buffers, limit: limit}
 }
 
 // resize records the present size of the buffer. It returns errBuffersExhausted if the budget does not allow it to grow.
-func (b *buffer) resize(bytes int) error {
+func (a *memoryAccount) resize(bytes int) error {
 	wanted := int64(max(bytes-uncountedBufferBytes, 0))
-	growth := wanted - b.counted
-	if used := b.budget.used.Add(growth); growth > 0 && used > b.limit {
-		b.budget.used.Add(-growth)
-		return errors.Wrapf(errBuffersExhausted, "more than %d bytes", b.limit)
+	growth := wanted - a.counted
+	if used := a.budget.used.Add(growth); growth > 0 && used > a.limit {
+		a.budget.used.Add(-growth)
+		return errors.Wrapf(errBuffersExhausted, "more than %d bytes", a.limit)
 	}
-	b.counted = wanted
+	a.counted = wanted
 	return nil
 }
 
-func (b *buffer) release() { _ = b.resize(0) }
+func (a *memoryAccount) release() { _ = a.resize(0) }
--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -15,8 +15,8 @@
 	source          io.Reader
 	requestIDHeader string // that every response has; see headOffset
 	buffer          []byte
-	memory          *buffer // that buffer counts in; nil for none
-	lastID          string  // id of the last complete event that has one
+	memory          *memoryAccount // that buffer counts in; nil for none
+	lastID          string         // id of the last complete event that has one
 }
 
 // maxEventBytes bounds the buffer of an incomplete event.
@@ -27,8 +27,8 @@
 
 // next reads from the source once and returns the bytes of all complete events in the buffer. A nil slice without an error
 // means that no event is complete yet. It returns io.ErrShortBuffer if the buffer exceeds maxEventBytes, errBuffersExhausted if
-// all buffers exceed their budget, errHeadWithinStream with the events before the head, and io.EOF at the end of the stream; remainder then returns the bytes of an incomplete
-// event.
+// all buffers exceed their budget, errHeadWithinStream with the events before the head, and io.EOF at the end of the stream;
+// remainder then returns the bytes of an incomplete event.
 func (r *eventReader) next(chunk []byte) ([]byte, error) {
 	n, err := r.source.Read(chunk)
 	r.buffer = append(r.buffer, chunk[:n]...)
@@ -72,33 +72,30 @@
 	return true
 }
 
-// headOffset returns the offset of the first head of a response, or -1. A line that begins like a status line is one, since no
-// line of an event does. Within a line, where a server may write a late copy of an earlier response, the header of the request
-// id must follow: the text of an event may speak of status lines. b begins with a line.
+// headOffset returns an offset in the line in which the first head of a response begins, or -1. A line that begins like a status
+// line is one, since no line of an event does. Within a line, where a server may write a late copy of an earlier response, the
+// header of the request id must follow: the text of an event may speak of status lines. b begins with a line.
 func headOffset(b []byte, requestIDHeader string) int {
 	const version = "HTTP/1."
-	for from := 0; ; {
-		i := bytes.Index(b[from:], []byte(version))
-		if i < 0 {
-			return -1
-		}
-		offset := from + i
-		if offset == 0 || b[offset-1] == '\n' || hasHeader(b[offset:], requestIDHeader) {
-			return offset
-		}
-		from = offset + len(version)
+	if !bytes.Contains(b, []byte(version)) {
+		return -1
 	}
-}
-
-// hasHeader reports whether a head, which may be followed by a body, has a header.
-func hasHeader(head []byte, name string) bool {
-	head, _, _ = bytes.Cut(head, []byte("\r\n\r\n"))
-	for line := range bytes.Lines(head) {
-		if found, _, isHeader := bytes.Cut(line, []byte(":")); isHeader && strings.EqualFold(string(found), name) {
-			return true
+	offset, candidate := 0, -1 // of the line, and of a head that may have begun in an earlier one
+	for line := range bytes.Lines(b) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		switch i := bytes.Index(line, []byte(version)); {
+		case i == 0:
+			return offset
+		case i > 0:
+			candidate = offset + i
+		case candidate >= 0 && len(bytes.TrimRight(line, "\r\n")) == 0:
+			candidate = -1 // a head ends with an empty line
+		case candidate >= 0 && strings.EqualFold(string(name), requestIDHeader):
+			return candidate
 		}
+		offset += len(line)
 	}
-	return false
+	return -1
 }
 
 // lastEventEnd returns the offset after the last empty line, or 0 if there is none.
--- a/rudder/relay/resume_test.go
+++ b/rudder/relay/resume_test.go
@@ -159,6 +159,16 @@
 	}
 }
 
+// Guards against the time that a long text with many beginnings of status lines takes.
+func TestLongTextOfStatusLinesIsForwarded(t *testing.T) {
+	h := newHarness(t)
+	text := "id: 1\ndata: " + strings.Repeat("HTTP/1.1 200 ", 60_000) + "\n\n"
+	h.backendServer("a", responseText(200, withBody("text/event-stream", text)))
+	if got := h.get("/stream/x"); got.body != text || got.err != nil {
+		t.Errorf("stream of %d bytes, error %v, want %d bytes", len(got.body), got.err, len(text))
+	}
+}
+
 // Guards against a sound event that is taken for a head.
 func TestEventsThatSpeakOfHeadsAreForwarded(t *testing.T) {
 	h := newHarness(t)
