--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -13,12 +13,17 @@
 // an empty line (WHATWG HTML, section 9.2).
 type eventReader struct {
 	source          io.Reader
-	requestIDHeader string // that every response has; see headOffset
+	requestIDHeader string // that every response has; see findHead
 	buffer          []byte
+	lineStart       int            // offset in buffer of the first line that findHead has not searched to its end
+	possibleHead    int            // offset in buffer at which the head of a response may begin within a line; 0 for none
 	memory          *memoryAccount // that buffer counts in; nil for none
 	lastID          string         // id of the last complete event that has one
 }
 
+// maxEmptyLineBytes is the length of the longest empty line with the end of the line before it.
+const maxEmptyLineBytes = len("\r\n\r\n")
+
 // maxEventBytes bounds the buffer of an incomplete event.
 const maxEventBytes = 1 << 20
 
@@ -31,14 +36,20 @@
 // remainder then returns the bytes of an incomplete event.
 func (r *eventReader) next(chunk []byte) ([]byte, error) {
 	n, err := r.source.Read(chunk)
+	searchFrom := max(len(r.buffer)-maxEmptyLineBytes, 0) // no event ends before
 	r.buffer = append(r.buffer, chunk[:n]...)
 	if len(r.buffer) > maxEventBytes {
 		return nil, io.ErrShortBuffer
 	}
-	if head := headOffset(r.buffer, r.requestIDHeader); head >= 0 {
+	if head := r.findHead(); head >= 0 {
 		r.buffer, err = r.buffer[:head], errHeadWithinStream
 	}
-	end := lastEventEnd(r.buffer)
+	end := 0
+	if searchFrom < len(r.buffer) {
+		if end = lastEventEnd(r.buffer[searchFrom:]); end > 0 {
+			end += searchFrom
+		}
+	}
 	if r.memory != nil {
 		if err := r.memory.resize(len(r.buffer) - end); err != nil {
 			return nil, err
@@ -49,6 +60,7 @@
 	}
 	complete := r.buffer[:end:end]
 	r.buffer = append([]byte(nil), r.buffer[end:]...)
+	r.lineStart, r.possibleHead = max(r.lineStart-end, 0), max(r.possibleHead-end, 0)
 	if id, found := parseLastEventID(complete); found {
 		r.lastID = id
 	}
@@ -72,30 +84,32 @@
 	return true
 }
 
-// headOffset returns an offset in the line in which the first head of a response begins, or -1. A line that begins like a status
+// findHead returns the offset in the buffer at which the first head of a response begins, or -1. A line that begins like a status
 // line is one, since no line of an event does. Within a line, where a server may write a late copy of an earlier response, the
-// header of the request id must follow: the text of an event may speak of status lines. b begins with a line.
-func headOffset(b []byte, requestIDHeader string) int {
+// header of the request id must follow: the text of an event may speak of status lines. Each line is searched once.
+func (r *eventReader) findHead() int {
 	const version = "HTTP/1."
-	if !bytes.Contains(b, []byte(version)) {
-		return -1
-	}
-	offset, candidate := 0, -1 // of the line, and of a head that may have begun in an earlier one
-	for line := range bytes.Lines(b) {
+	for {
+		rest := r.buffer[r.lineStart:]
+		if bytes.HasPrefix(rest, []byte(version)) {
+			return r.lineStart
+		}
+		length := bytes.IndexByte(rest, '\n') + 1
+		if length == 0 {
+			return -1
+		}
+		line := rest[:length]
 		name, _, _ := bytes.Cut(line, []byte(":"))
 		switch i := bytes.Index(line, []byte(version)); {
-		case i == 0:
-			return offset
 		case i > 0:
-			candidate = offset + i
-		case candidate >= 0 && len(bytes.TrimRight(line, "\r\n")) == 0:
-			candidate = -1 // a head ends with an empty line
-		case candidate >= 0 && strings.EqualFold(string(name), requestIDHeader):
-			return candidate
+			r.possibleHead = r.lineStart + i
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			r.possibleHead = 0 // a head ends with an empty line
+		case r.possibleHead > 0 && strings.EqualFold(string(name), r.requestIDHeader):
+			return r.possibleHead
 		}
-		offset += len(line)
+		r.lineStart += length
 	}
-	return -1
 }
 
 // lastEventEnd returns the offset after the last empty line, or 0 if there is none.
--- a/rudder/relaynode/config_sync_test.go
+++ b/rudder/relaynode/config_sync_test.go
@@ -267,7 +267,7 @@
 		}
 		f.storeHistory.load(2, records, c.isFirstStart)
 		f.storeHistory.heardAt = boottime.Now().Add(time.Hour) // however slow the test is
-		f.configSync.holdUntil = boottime.Now() // the time for peers is over
+		f.configSync.holdUntil = boottime.Now()                // the time for peers is over
 		if got := answer(); got != c.want {
 			t.Errorf("%s: confirmed without a peer: %t, want %t", c.name, got, c.want)
 		}
