Wait for a reset of the probe at the end of an answer without a length

Cause: the kernel may end the connections of a killed process before its listening socket, so that a probe right after the end of the answer is still accepted. Shown without a process by TestUnframedAnswerOfProcessThatIsBeingKilledIsNotComplete, which failed before.

Change: the probe waits 50 ms for the reset that the end of the listening socket brings to connections that nobody has accepted. Sound answers without a length end 50 ms later. The shared probe of crashes is as it was.

--- a/rudder/relay/crash.go
+++ b/rudder/relay/crash.go
@@ -73,24 +73,21 @@
 
 // probe connects to a server to find out whether it still runs. Concurrent probes of one incarnation share the result.
 func (s *Server) probe(p *backend.Placement) serverState {
-	state, _, _ := s.probes.Do(strconv.FormatUint(p.Incarnation, 36), func() (any, error) { return probeAddress(p.Address), nil })
+	state, _, _ := s.probes.Do(strconv.FormatUint(p.Incarnation, 36), func() (any, error) {
+		conn, err := net.DialTimeout("tcp", p.Address, crashProbeTimeout)
+		switch {
+		case err == nil:
+			_ = conn.Close()
+			return serverAlive, nil
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return serverGone, nil
+		default:
+			return serverUnknown, nil
+		}
+	})
 	return state.(serverState)
 }
 
-// probeAddress connects to a server to find out whether it runs now.
-func probeAddress(address string) serverState {
-	conn, err := net.DialTimeout("tcp", address, crashProbeTimeout)
-	switch {
-	case err == nil:
-		_ = conn.Close()
-		return serverAlive
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return serverGone
-	default:
-		return serverUnknown
-	}
-}
-
 // mayHaveCrashedServer reports whether the request is a suspect if its server has crashed: it was sent, and the server had
 // not been answering it for long. A server that leaves ends without a crash.
 func (a *attempt) mayHaveCrashedServer(r attemptResult) bool {
--- a/rudder/relay/response_end.go
+++ b/rudder/relay/response_end.go
@@ -1,7 +1,11 @@
 package relay
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -22,12 +26,28 @@
 // connection is also that of a server that crashes or is reclaimed: the response is complete only if the server still runs. A
 // probe of another request may have begun before the end, so that its result is not shared.
 func (a *attempt) endError(response *http.Response) error {
-	if endsWithConnection(response) && probeAddress(a.placement.Address) != serverAlive {
+	if endsWithConnection(response) && !isServerRunning(a.placement.Address) {
 		return errEndedWithServer
 	}
 	return nil
 }
 
+// endProbeWait is how long the end of a response without a length waits for the reset of a probe.
+const endProbeWait = 50 * time.Millisecond
+
+// isServerRunning connects to a server to find out whether it still runs. The kernel may end the connections of a killed process
+// before its listening socket; the end of that resets connections that the process has not accepted.
+func isServerRunning(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, crashProbeTimeout)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(endProbeWait))
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil || err == io.EOF || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // streamEndError is endError for an event stream. A server may stop in the middle of an event and still end the framing of its
 // response in order.
 func (a *attempt) streamEndError(response *http.Response, reader *eventReader) error {
--- a/rudder/relay/unframed_test.go
+++ b/rudder/relay/unframed_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -188,3 +189,39 @@
 		t.Errorf("response %+v, want 502", got)
 	}
 }
+
+// Guards against a killed process whose listening socket outlives its connections for a moment, so that a probe right after the end
+// of an answer is still accepted by the kernel.
+func TestUnframedAnswerOfProcessThatIsBeingKilledIsNotComplete(t *testing.T) {
+	for _, path := range []string{"/once/x", "/stream/x"} {
+		h := newHarness(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { listener.Close() })
+		h.server.Backends.Put(backend.Entry{ID: "a", Service: "s", Address: listener.Addr().String(), Slots: 8})
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if path == "/once/x" {
+				sendUnframed(conn, r, "par")
+			} else {
+				sendUnframedEvents(conn, r, 2, "")
+			}
+			conn.Close()
+			time.Sleep(10 * time.Millisecond)
+			listener.Close()
+		}()
+		if got := h.get(path); got.err == nil && got.status == http.StatusOK {
+			t.Errorf("%s: response %+v, want an error", path, got)
+		}
+	}
+}
