--- a/rudder/relaynode/stop.go
+++ b/rudder/relaynode/stop.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
-
-	"chestnutrudder.example/rudder/mesh"
 )
 
 const (
@@ -69,48 +66,3 @@
 		n.log.Warn("Connections of callers were not idle at the end of the stop timeout and are closed.", "error", err)
 	}
 }
-
-const (
-	// addressLifetime is how long callers keep addresses. A stopping node serves new requests for at least as long.
-	addressLifetime = 2 * time.Second
-	// minLocalNodes is the number of ready nodes in a caller's failure domain from which on the caller gets only these.
-	minLocalNodes = 2
-	// maxAddresses bounds the number of addresses in an answer.
-	maxAddresses = 64
-)
-
-// serveAddresses answers a caller that looks up the addresses of ready nodes, with status 503 if there is none.
-func (n *node) serveAddresses(w http.ResponseWriter, r *http.Request) {
-	members := n.mesh.ReachableMembers()
-	if n.notReadyReason() == "" {
-		members = append(members, &mesh.Member{Digest: mesh.Digest{Node: n.settings.Node, FailureDomain: n.settings.FailureDomain, Address: n.settings.CallerAddress, State: mesh.Ready}})
-	}
-	addresses := chooseAddresses(members, n.platform.CallerFailureDomain(r))
-	if len(addresses) == 0 {
-		http.Error(w, "no node is ready", http.StatusServiceUnavailable)
-		return
-	}
-	lifetime := min(addressLifetime, n.settings.MaxAddressLifetime)
-	if err := n.platform.WriteAddresses(w, AddressList{Addresses: addresses, Lifetime: lifetime}); err != nil {
-		n.log.Debug("Writing addresses to a caller failed.", "error", err)
-	}
-}
-
-// chooseAddresses returns at most maxAddresses addresses of ready nodes, only those of the failure domain if there are at
-// least minLocalNodes in it.
-func chooseAddresses(members []*mesh.Member, failureDomain string) []string {
-	var local, all []string
-	for _, m := range members {
-		if m.State != mesh.Ready {
-			continue
-		}
-		all = append(all, m.Address)
-		if m.FailureDomain == failureDomain {
-			local = append(local, m.Address)
-		}
-	}
-	if len(local) >= minLocalNodes {
-		all = local
-	}
-	return all[:min(len(all), maxAddresses)]
-}
