Order on-demand runners for the sustained load only

Change: reclaimable runners follow the peak as before; on-demand ones are ordered for the lowest load of the last 2.5 s and given back when the highest of the last 4 s needs fewer. They fill up to 0.6 busy in place of 0.5. At the first start the growth of reclaimable runners no longer delays giving back on-demand ones.

--- a/rudder/capacity/domains.go
+++ b/rudder/capacity/domains.go
@@ -13,8 +13,9 @@
 	// afterLossBusyFraction may be reached while the reclaimable runners of one failure domain are missing.
 	afterLossBusyFraction = 0.4
 	// onDemandFillBusyFraction is the fraction up to which on-demand runners, which cost several times as much, replace
-	// missing reclaimable ones.
-	onDemandFillBusyFraction = 0.5
+	// missing reclaimable ones. With it, a runner that serves requests in turn takes 2.5 times as long for each as an idle one,
+	// a small part of the objectives for long prompts.
+	onDemandFillBusyFraction = 0.6
 )
 
 // DomainState is the number of serving runners of a service in one failure domain, with their price.
@@ -34,24 +35,25 @@
 
 // DomainTarget is the number of runners of each kind that a failure domain should have.
 type DomainTarget struct {
-	Name        string
-	OnDemand    int
-	Reclaimable int
+	Name          string
+	OnDemand      int
+	OnDemandLimit int // on-demand runners beyond it are given back, at least OnDemand
+	Reclaimable   int
 }
 
-// PlanRunners distributes the runners that a load needs over the failure domains. busyRunners is the load as a number of
-// runners that are busy all the time, minRunners a number of runners to keep whatever the load. Reclaimable runners are
-// spread so that the remaining ones carry the load when one failure domain loses all of its own. On-demand runners
-// replace reclaimable ones that do not serve, and are dropped when those serve. The targets are sorted by price, the
-// cheapest failure domain first.
-func PlanRunners(domains []DomainState, busyRunners float64, minRunners int, bounds DomainBounds) []DomainTarget {
+// PlanRunners distributes the runners that a load needs over the failure domains. minRunners is a number of runners to keep
+// whatever the load. Reclaimable runners are spread so that the remaining ones carry the peak load when one failure domain
+// loses all of its own. On-demand runners replace reclaimable ones that do not serve, and are dropped when those serve: they
+// are ordered for the sustained load and kept for the recent one. The targets are sorted by price, the cheapest failure
+// domain first.
+func PlanRunners(domains []DomainState, load Load, minRunners int, bounds DomainBounds) []DomainTarget {
 	if len(domains) == 0 {
 		return nil
 	}
 	domains = slices.Clone(domains)
 	slices.SortFunc(domains, func(x, y DomainState) int { return cmp.Or(cmp.Compare(x.Price, y.Price), cmp.Compare(x.Name, y.Name)) })
-	needed := max(int(math.Ceil(busyRunners/targetBusyFraction)), minRunners)
-	neededAfterLoss := int(math.Ceil(busyRunners / afterLossBusyFraction))
+	needed := max(int(math.Ceil(load.Peak/targetBusyFraction)), minRunners)
+	neededAfterLoss := int(math.Ceil(load.Peak / afterLossBusyFraction))
 	targets := make([]DomainTarget, len(domains))
 	servingReclaimable := 0
 	for i, d := range domains {
@@ -61,11 +63,20 @@
 		}
 		servingReclaimable += d.Reclaimable
 	}
+	fillFraction := targetBusyFraction
 	if bounds.SpotPriceRatio > 0 && bounds.SpotPriceRatio < 1 {
 		// Every failure domain gets its reclaimable runners; on-demand ones replace those that do not serve.
-		needed = max(int(math.Ceil(busyRunners/onDemandFillBusyFraction)), minRunners)
+		fillFraction = onDemandFillBusyFraction
+	}
+	missing := func(busyRunners float64) int {
+		return max(int(math.Ceil(busyRunners/fillFraction)), minRunners) - servingReclaimable
+	}
+	limits := slices.Clone(targets)
+	fillOnDemand(targets, domains, missing(load.Sustained), bounds)
+	fillOnDemand(limits, domains, missing(load.Recent), bounds)
+	for i := range targets {
+		targets[i].OnDemandLimit = max(limits[i].OnDemand, targets[i].OnDemand)
 	}
-	fillOnDemand(targets, domains, needed-servingReclaimable, bounds)
 	return targets
 }
 
--- /dev/null
+++ b/rudder/capacity/load.go
@@ -0,0 +1,51 @@
+package capacity
+
+import "time"
+
+const (
+	// loadPeakWindow is how long the highest load counts for reclaimable runners, which cost little.
+	loadPeakWindow = 8 * time.Second
+	// sustainedLoadWindow is how long a load must last to count as sustained. Prompts that no runner has cached any more, and
+	// callers that return after a refusal, raise the load for a few seconds: runners that are ordered for that start when it
+	// is over.
+	sustainedLoadWindow = 2500 * time.Millisecond
+	// recentLoadWindow is how long the highest load counts for on-demand runners that serve already: to give one back and order it
+	// again takes about as long as its start.
+	recentLoadWindow = 4 * time.Second
+)
+
+// Load is the load of a service, as numbers of runners that are busy all the time.
+type Load struct {
+	Peak      float64 // highest one within loadPeakWindow
+	Recent    float64 // highest one within recentLoadWindow
+	Sustained float64 // lowest one within sustainedLoadWindow
+}
+
+// LoadHistory derives the Load of a service from successive measurements.
+type LoadHistory struct{ samples []loadSample }
+
+type loadSample struct {
+	busyRunners float64
+	at          time.Time
+}
+
+// Add adds a measurement, at a later time than that of the previous one, and returns the load at that time.
+func (h *LoadHistory) Add(busyRunners float64, at time.Time) Load {
+	expired := 0
+	for expired < len(h.samples) && at.Sub(h.samples[expired].at) >= loadPeakWindow {
+		expired++
+	}
+	h.samples = append(h.samples[expired:], loadSample{busyRunners: busyRunners, at: at})
+	load := Load{Sustained: busyRunners}
+	for _, s := range h.samples {
+		age := at.Sub(s.at)
+		load.Peak = max(load.Peak, s.busyRunners)
+		if age < recentLoadWindow {
+			load.Recent = max(load.Recent, s.busyRunners)
+		}
+		if age < sustainedLoadWindow {
+			load.Sustained = min(load.Sustained, s.busyRunners)
+		}
+	}
+	return load
+}
--- a/rudder/relaynode/capacity.go
+++ b/rudder/relaynode/capacity.go
@@ -19,14 +19,12 @@
 	planInterval = 250 * time.Millisecond
 	// orderRetryDelay is the pause before an order that was refused or not answered is sent again.
 	orderRetryDelay = 2 * time.Second
-	// scaleDownDelay is how long a lower number of runners must be sufficient before runners are given back.
-	scaleDownDelay = 2 * time.Second
+	// onDemandScaleDownDelay is how long a lower number of on-demand runners must be sufficient before some are given back.
+	onDemandScaleDownDelay = 2 * time.Second
 	// reclaimableScaleDownDelay is the same for reclaimable runners, which cost little.
 	reclaimableScaleDownDelay = 20 * time.Second
 	// startupMargin is added to the time that runners take to start before an order for them counts as not carried out.
 	startupMargin = 3 * time.Second
-	// peakDemandWindow is how long the highest demand counts.
-	peakDemandWindow = 8 * time.Second
 )
 
 // orderKey identifies the number of runners that one order sets.
@@ -48,11 +46,11 @@
 
 // capacityPlanner orders the runners of all services while its node holds the duty lease.
 type capacityPlanner struct {
-	node        *node
-	log         *slog.Logger
-	orders      map[orderKey]*orderState
-	minRunners  map[string]int        // by service: runners to keep until the demand is known
-	demandPeaks map[string]demandPeak // by service
+	node       *node
+	log        *slog.Logger
+	orders     map[orderKey]*orderState
+	minRunners map[string]int                   // by service: runners to keep until the demand is known
+	loads      map[string]*capacity.LoadHistory // by service
 
 	listedRunners map[string]listedRunners // by service
 }
@@ -83,7 +81,10 @@
 	}
 	total := 0
 	for _, d := range domains {
-		total += d.OnDemand + d.Reclaimable
+		total += d.OnDemand
+		if !p.node.settings.IsFirstStart {
+			total += d.Reclaimable // at the first start, all of them were ordered by this system
+		}
 	}
 	now := time.Now()
 	c, known := p.listedRunners[service]
@@ -98,17 +99,11 @@
 	return now.Sub(c.stableSince) >= wait
 }
 
-// demandPeak is the highest demand within peakDemandWindow.
-type demandPeak struct {
-	busyRunners float64
-	at          time.Time
-}
-
 // runCapacityPlanner plans and orders runners until the lease is lost or ctx ends.
 func (n *node) runCapacityPlanner(ctx context.Context, dutyLease *lease.Lease) {
 	p := &capacityPlanner{
 		node: n, log: n.logger.Part("capacity"), listedRunners: map[string]listedRunners{},
-		orders: map[orderKey]*orderState{}, minRunners: map[string]int{}, demandPeaks: map[string]demandPeak{},
+		orders: map[orderKey]*orderState{}, minRunners: map[string]int{}, loads: map[string]*capacity.LoadHistory{},
 	}
 	for dutyLease.Check() == nil {
 		if config := n.currentConfig.Config(); config != nil && n.backends.HasListing() {
@@ -132,17 +127,17 @@
 	if !isComplete && !canOrderEarly(p.node.settings.IsFirstStart, domains) {
 		return
 	}
-	busyRunners := p.peakDemand(service.Name)
-	targets := capacity.PlanRunners(domains, busyRunners, p.minRunnersFor(service.Name, domains, busyRunners), capacity.DomainBounds{
+	load := p.load(service.Name)
+	targets := capacity.PlanRunners(domains, load, p.minRunnersFor(service.Name, domains, load.Peak), capacity.DomainBounds{
 		Min: service.Scaling.Min, Max: service.Scaling.Max, SpotPriceRatio: service.Scaling.SpotPriceRatio,
 	})
 	for _, t := range targets {
 		c := countsByDomain[t.Name]
-		p.orderRunners(ctx, dutyLease, service, orderKey{service.Name, t.Name, true}, t.Reclaimable, c.Reclaimable, busyRunners)
+		p.orderRunners(ctx, dutyLease, service, orderKey{service.Name, t.Name, true}, targetRange{t.Reclaimable, t.Reclaimable}, c.Reclaimable, load)
 		if !isComplete {
 			continue
 		}
-		p.orderRunners(ctx, dutyLease, service, orderKey{service.Name, t.Name, false}, t.OnDemand, c.OnDemand, busyRunners)
+		p.orderRunners(ctx, dutyLease, service, orderKey{service.Name, t.Name, false}, targetRange{t.OnDemand, t.OnDemandLimit}, c.OnDemand, load)
 	}
 }
 
@@ -174,17 +169,22 @@
 	return domains
 }
 
-// peakDemand returns the highest demand for a service within peakDemandWindow, in busy runners over all nodes.
-func (p *capacityPlanner) peakDemand(service string) float64 {
-	busyRunners := p.node.backends.Demand()[service] + p.node.mesh.PeerDemand(service)
-	now := time.Now()
-	if previous := p.demandPeaks[service]; busyRunners < previous.busyRunners && now.Sub(previous.at) < peakDemandWindow {
-		return previous.busyRunners
+// load returns the load of a service, over all nodes.
+func (p *capacityPlanner) load(service string) capacity.Load {
+	history, known := p.loads[service]
+	if !known {
+		history = &capacity.LoadHistory{}
+		p.loads[service] = history
 	}
-	p.demandPeaks[service] = demandPeak{busyRunners: busyRunners, at: now}
-	return busyRunners
+	return history.Add(p.node.backends.Demand()[service]+p.node.mesh.PeerDemand(service), time.Now())
 }
 
+// targetRange holds the least and the largest number of runners that need no order.
+type targetRange struct{ least, largest int }
+
+// nearest returns the number in the range that is nearest to n.
+func (r targetRange) nearest(n int) int { return min(max(n, r.least), r.largest) }
+
 // minRunnersFor returns the number of runners to keep while there is no load that shows how many are needed: the largest
 // number of on-demand runners that this planner has found.
 func (p *capacityPlanner) minRunnersFor(service string, domains []capacity.DomainState, busyRunners float64) int {
@@ -203,7 +203,7 @@
 
 // orderRunners orders a number of runners if an order is due.
 func (p *capacityPlanner) orderRunners(ctx context.Context, dutyLease *lease.Lease, service *traffic.Service, key orderKey,
-	target, serving int, busyRunners float64,
+	targets targetRange, serving int, load capacity.Load,
 ) {
 	now := time.Now()
 	o, known := p.orders[key]
@@ -211,7 +211,8 @@
 		o = &orderState{acceptedRunners: serving, acceptedAt: now}
 		p.orders[key] = o
 	}
-	if !p.isOrderDue(o, key, target, serving, service.Scaling.StartupTime, now) || dutyLease.Check() != nil {
+	target := targets.nearest(o.acceptedRunners)
+	if !p.isOrderDue(o, target, serving, service.Scaling.StartupTime, p.scaleDownDelay(key, load), now) || dutyLease.Check() != nil {
 		return
 	}
 	o.sentAt = now
@@ -223,13 +224,13 @@
 		o.acceptedRunners, o.acceptedAt, o.lowerTargetSince = target, now, time.Time{}
 	}
 	p.log.Info("Order for runners was sent.", "service", key.service, "failure_domain", key.failureDomain, "reclaimable", key.reclaimable,
-		"runners", target, "serving", serving, "busy_runners", busyRunners,
+		"runners", target, "serving", serving, "busy_runners", load.Peak, "sustained_busy_runners", load.Sustained,
 		"prefill_tokens_per_ms", p.node.backends.PrefillRate(key.service), "fence", dutyLease.FencingToken, "error", err)
 }
 
 // isOrderDue reports whether an order is to be sent now. It also keeps track of since when a lower number has been
 // sufficient.
-func (p *capacityPlanner) isOrderDue(o *orderState, key orderKey, target, serving int, startupTime time.Duration, now time.Time) bool {
+func (p *capacityPlanner) isOrderDue(o *orderState, target, serving int, startupTime, scaleDownDelay time.Duration, now time.Time) bool {
 	if target >= o.acceptedRunners {
 		o.lowerTargetSince = time.Time{}
 	}
@@ -246,9 +247,17 @@
 	if o.lowerTargetSince.IsZero() {
 		o.lowerTargetSince = now
 	}
-	delay := scaleDownDelay
-	if key.reclaimable {
-		delay = reclaimableScaleDownDelay
+	return now.Sub(o.lowerTargetSince) >= scaleDownDelay
+}
+
+// scaleDownDelay returns how long a lower number of runners must be sufficient before runners are given back. At the first
+// start, before any request, on-demand runners only wait for reclaimable ones to take their place.
+func (p *capacityPlanner) scaleDownDelay(key orderKey, load capacity.Load) time.Duration {
+	switch {
+	case key.reclaimable:
+		return reclaimableScaleDownDelay
+	case p.node.settings.IsFirstStart && load.Peak == 0:
+		return 0
 	}
-	return now.Sub(o.lowerTargetSince) >= delay
+	return onDemandScaleDownDelay
 }
--- a/rudder/relaynode/capacity_test.go
+++ b/rudder/relaynode/capacity_test.go
@@ -163,3 +163,34 @@
 		}
 	})
 }
+
+// At the first start, on-demand runners are paid for until reclaimable ones serve. Guards against keeping them longer: the
+// reclaimable runners register one after the other, which says nothing about on-demand ones that may still be missing.
+func TestOnDemandRunnersAreGivenBackAsReclaimableOnesServeAtFirstStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, orders := newPlanningNode(t, nil)
+		n.settings.IsFirstStart = true
+		n.backends.Replace(nil)
+		go func() {
+			for i := range 24 {
+				id := string(rune('A' + i))
+				e := backend.Entry{ID: id, Service: "model", Address: "127.0.0.1:9", FailureDomain: string(rune('a' + i%3)), Slots: 64}
+				if i >= 12 {
+					e.Reclaimable = true
+					time.Sleep(400 * time.Millisecond)
+				}
+				n.backends.Put(e)
+			}
+		}()
+		runCapacityDuty(t, n, 12*400*time.Millisecond+time.Second)
+		kept := map[string]int{"a": 4, "b": 4, "c": 4}
+		for _, o := range orders() {
+			if !o.Reclaimable {
+				kept[o.FailureDomain] = o.Runners
+			}
+		}
+		if kept["a"]+kept["b"]+kept["c"] != 0 {
+			t.Fatalf("on-demand runners %v are kept a second after as many reclaimable ones serve, orders %+v", kept, orders())
+		}
+	})
+}
