Share recent rejections and failures of servers between nodes

Cause: a server that rejects a part of its requests at once looks idle, and each of 87 nodes sends it too few to notice.

Change: digests tell the recent results (half-life 1.5 s) at servers with bad ones; all nodes add up what they know, and a server's score rises by half of the objective times the share of rejections, and by the failures of all nodes as it did by its own.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -292,7 +292,7 @@
 	c.IsFull = c.IsFull || c.SendWait > 0
 	isLate := r.Objective > 0 && c.FirstByteMillis*slowFactor > r.Objective.Seconds()*1000
 	c.IsLimitProbe = s.limit.isProbeDue(now) && len(r.Exclude) == 0 && !isLate && !c.HasPendingPrompts
-	c.Score += c.FirstByteMillis * slowFactor * failurePenaltyFactor * s.health.failureRate(now)
+	c.Score += s.resultPenaltyMillis(r, c.FirstByteMillis*slowFactor, now)
 	if s.health.isEjected(now) || s.ejectingPeers > 1 {
 		c.Score += ejectionPenaltyMillis
 		c.IsLimitProbe = false
@@ -419,6 +419,7 @@
 		}
 	}
 	s.ownLoad.running--
+	s.ownResults.observe(result, now)
 	switch result {
 	case ResultCompleted:
 		s.health.recordSuccess(now)
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -45,6 +45,8 @@
 	ownLoad       load // requests of this node
 	peerLoad      load // requests of the peers, as they last reported
 	ejectingPeers int  // number of peers that have ejected the server
+	ownResults    decayingResults
+	peerResults   resultCounts // of the peers, as they last reported
 	idHash        uint64
 	health        health
 	slowdown      slowdown
@@ -105,10 +107,11 @@
 // lists the server again.
 const removalRetention = time.Minute
 
-// peerReport is the last report of a peer: its load at each backend server.
+// peerReport is the last report of a peer: its load and its recent results at each backend server.
 type peerReport struct {
 	receivedAt time.Time
 	loads      map[string]PeerLoad
+	results    map[string]ResultReport
 }
 
 // PeerLoad is the load of one node, or of several together, at one backend server, as nodes report it to each other.
@@ -262,6 +265,9 @@
 		if l, isReported := r.loads[e.ID]; isReported {
 			s.addPeerLoad(l, 1)
 		}
+		if results, isReported := r.results[e.ID]; isReported {
+			s.peerResults = s.peerResults.add(results.counts(), 1)
+		}
 	}
 	t.Log.Info("Added a backend server from the registry.", "server", e.ID, "service", e.Service, "address", e.Address, "failure_domain", e.FailureDomain, "draining", e.Draining, "reclaimable", e.Reclaimable)
 	return s
@@ -290,21 +296,29 @@
 func (t *Table) SetPeerLoads(peer string, loads map[string]PeerLoad) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addPeerLoads(t.peerLoads[peer].loads, -1)
-	t.peerLoads[peer] = peerReport{receivedAt: time.Now(), loads: loads}
+	r := t.peerLoads[peer]
+	t.addPeerLoads(r.loads, -1)
+	r.loads, r.receivedAt = loads, time.Now()
+	t.peerLoads[peer] = r
 	t.addPeerLoads(loads, 1)
 }
 
-// DropPeerLoads removes the loads that a peer last reported.
+// DropPeerLoads removes the loads and results that a peer last reported.
 func (t *Table) DropPeerLoads(peer string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, found := t.peerLoads[peer]; found {
-		t.addPeerLoads(r.loads, -1)
-		delete(t.peerLoads, peer)
+		t.dropPeerReport(peer, r)
 	}
 }
 
+// dropPeerReport removes what a peer last reported. The caller holds the lock.
+func (t *Table) dropPeerReport(peer string, r peerReport) {
+	t.addPeerLoads(r.loads, -1)
+	t.addPeerResults(r.results, -1)
+	delete(t.peerLoads, peer)
+}
+
 // addPeerLoads adds the loads of a peer to the servers (sign 1) or subtracts them (sign -1). The caller holds the lock.
 func (t *Table) addPeerLoads(loads map[string]PeerLoad, sign int) {
 	for id, l := range loads {
@@ -328,8 +342,7 @@
 func (t *Table) dropExpiredPeerLoads(now time.Time) {
 	for peer, r := range t.peerLoads {
 		if now.Sub(r.receivedAt) > peerLoadTimeout {
-			t.addPeerLoads(r.loads, -1)
-			delete(t.peerLoads, peer)
+			t.dropPeerReport(peer, r)
 		}
 	}
 }
--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -53,7 +53,7 @@
 	// IsUrgent marks a digest that is sent between two full ones. It holds only Node, Incarnation and either some
 	// QuotaUsages with IsWarmingUp, some RunsByWindow, or Crashes, ServerLimits, Departures and StreamOrigins.
 	IsUrgent bool `cbor:"19,keyasint,omitempty"`
-	// IsBrief marks a digest without Loads, Demand, QuotaUsages, RunsByWindow and Sightings, for a node of another failure
+	// IsBrief marks a digest without Loads, Results, Demand, QuotaUsages, RunsByWindow and Sightings, for a node of another failure
 	// domain that gets these from summaries.
 	IsBrief bool `cbor:"20,keyasint,omitempty"`
 	// Summary is set in a brief digest that also tells about the other nodes of the sender's failure domain.
@@ -72,6 +72,8 @@
 	ServerVersions map[string]string `cbor:"28,keyasint,omitempty"`
 	// StreamOrigins tells where streams began, in an urgent digest.
 	StreamOrigins []streamorigin.Report `cbor:"29,keyasint,omitempty"`
+	// Results holds the sender's recent results at backend servers that rejected requests or failed, by server ID.
+	Results map[string]backend.ResultReport `cbor:"40,keyasint,omitempty"`
 	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
 	Sightings []PeerSighting `cbor:"27,keyasint,omitempty"`
 }
@@ -85,7 +87,7 @@
 
 // brief returns the digest without what summaries hold.
 func (d Digest) brief() Digest {
-	d.Loads, d.Demand, d.QuotaUsages, d.RunsByWindow, d.Sightings = nil, nil, nil, nil, nil
+	d.Loads, d.Results, d.Demand, d.QuotaUsages, d.RunsByWindow, d.Sightings = nil, nil, nil, nil, nil, nil
 	d.IsBrief = true
 	return d
 }
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -206,7 +206,7 @@
 		// look older, not newer.
 		State: n.state(), BootClockMillis: time.Duration(boottime.Now()).Milliseconds(), WallClockMillis: time.Now().UnixMilli(),
 		ConfirmationAgeMillis: -1, HoldsDutyLease: n.holdsDutyLease.Load(),
-		Loads: n.backends.OwnLoads(), Demand: n.backends.Demand(), QuotaUsages: n.quotas.FullReport(),
+		Loads: n.backends.OwnLoads(), Results: n.backends.OwnResults(), Demand: n.backends.Demand(), QuotaUsages: n.quotas.FullReport(),
 		Crashes: n.relay.Crashes.FullReport(), ServerLimits: n.backends.Limits(), RunsByWindow: n.usageCounter.WindowsForPeers(),
 		Departures: n.backends.Departures(), Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
 		UsageFinalThrough: n.usageCounter.FinalThrough(),
@@ -308,6 +308,7 @@
 	}
 	if !m.IsSummarized {
 		n.backends.SetPeerLoads(m.Node, m.Loads)
+		n.backends.SetPeerResults(m.Node, m.Results)
 	}
 	n.usageCounter.NoteFinalThrough(m.UsageFinalThrough)
 	n.registry.applyDelta(m)
