Keep slots free for more urgent requests, and let callers return in their order

Change: package admission. Each node measures how long requests of each urgency hold slots; a generation request finds a server full when only the slots are left that half of the more urgent requests' share needs, a quarter of them at most. Continuations of streams use all slots. Retry-After grows with the number of more urgent levels.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"chestnutrudder.example/rudder/admission"
 	"chestnutrudder.example/rudder/boottime"
 )
 
@@ -32,11 +33,12 @@
 
 // latencyModel holds the measurements of one service from which times to the first byte are predicted.
 type latencyModel struct {
-	prefillRate      float64   // prompt tokens per millisecond
-	firstEventMillis float64   // time to the first event without prefill
-	plainMillis      float64   // response time of a plain request
-	lateness         float64   // moving average of times to the first byte relative to the predicted ones, over all servers
-	throttle         *throttle // admission of plain requests
+	prefillRate      float64             // prompt tokens per millisecond
+	firstEventMillis float64             // time to the first event without prefill
+	plainMillis      float64             // response time of a plain request
+	lateness         float64             // moving average of times to the first byte relative to the predicted ones, over all servers
+	throttle         *throttle           // admission of plain requests
+	occupancy        admission.Occupancy // of the slots by generation requests of this node
 }
 
 // model returns the latency model of a service, a new one if there is none. The caller holds the lock.
@@ -138,6 +140,8 @@
 	RetryAfter time.Duration // estimated time until a server can take the request; 0 if unknown
 	NoServers  bool          // no server of the service serves or all are excluded
 	PausedFor  time.Duration // until the first pause is over; 0 unless all servers have asked for one
+	// MoreUrgentLevels is the number of urgency levels with requests that compete for the servers and go first.
+	MoreUrgentLevels int
 
 	// Wait is above 0 if the request is not refused but is to wait for the end of a pause: the caller of Place calls Await,
 	// and then Place again with HasWaited.
@@ -157,6 +161,7 @@
 	defer t.mu.Unlock()
 	now, bootNow := time.Now(), t.now()
 	candidates := t.candidates(r, now, bootNow)
+	moreUrgentLevels := t.model(r.Service).occupancy.MoreUrgentLevels(r.Urgency)
 	best, found := Pick(candidates)
 	if awaited, mayWait := pickAwaited(candidates, best, found, r.Patience); mayWait {
 		s := t.servers[awaited.ID]
@@ -174,13 +179,13 @@
 	case len(candidates) == 0:
 		return nil, &Refusal{Reason: "no backend server of the service is available", NoServers: true}
 	case !found:
-		return nil, &Refusal{Reason: "all backend servers of the service are full or at their limits", RetryAfter: shortestWait(candidates), PausedFor: t.pausedFor(candidates, bootNow)}
+		return nil, &Refusal{Reason: "all backend servers of the service are full or at their limits", RetryAfter: shortestWait(candidates), PausedFor: t.pausedFor(candidates, bootNow), MoreUrgentLevels: moreUrgentLevels}
 	}
 	predicted := time.Duration(best.FirstByteMillis * float64(time.Millisecond))
 	// Without waiting prompts, the prediction alone is no reason to refuse, since it may rest on old measurements. It does not
 	// bound plain requests, which are shorter than the age of the peers' loads; the throttle does.
 	if firstByteLimit > 0 && predicted > firstByteLimit && best.HasPendingPrompts {
-		return nil, &Refusal{Reason: "predicted time to first byte exceeds the limit", RetryAfter: predicted - firstByteLimit/2}
+		return nil, &Refusal{Reason: "predicted time to first byte exceeds the limit", RetryAfter: predicted - firstByteLimit/2, MoreUrgentLevels: moreUrgentLevels}
 	}
 	if firstByteLimit > 0 && !r.IsGeneration && !t.admitsPlain(r, now) {
 		return nil, &Refusal{Reason: "service is overloaded: recent responses were late", RetryAfter: r.Objective}
@@ -253,13 +258,27 @@
 	}
 	m := t.model(r.Service)
 	requestNumber := t.random.Uint64()
+	reservedFor := m.reservedShare(r)
 	candidates := make([]Candidate, 0, len(serving))
 	for _, s := range serving {
-		candidates = append(candidates, t.candidate(s, s == home, r, m, mix(s.idHash^requestNumber), now, bootNow))
+		c := t.candidate(s, s == home, r, m, mix(s.idHash^requestNumber), now, bootNow)
+		if r.IsGeneration && c.Running >= admission.UsableSlots(max(s.Slots, 1), reservedFor) {
+			c.IsFull = true
+		}
+		candidates = append(candidates, c)
 	}
 	return candidates
 }
 
+// reservedShare returns the share of the service that is due to requests more urgent than this one. Nothing is kept free from a
+// request that another server has had: it is late already, and a stream that has begun could only be cut.
+func (m *latencyModel) reservedShare(r Request) float64 {
+	if !r.IsGeneration || len(r.Exclude) > 0 {
+		return 0
+	}
+	return m.occupancy.MoreUrgentShare(r.Urgency)
+}
+
 // candidate returns a server as a candidate for a request. random is a random number that differs between servers and between
 // requests.
 func (t *Table) candidate(s *Server, isHome bool, r Request, m *latencyModel, random uint64, now time.Time, bootNow boottime.Instant) Candidate {
@@ -420,6 +439,9 @@
 	}
 	s.ownLoad.running--
 	s.ownResults.observe(result, now)
+	if p.request.IsGeneration {
+		t.model(p.request.Service).occupancy.Add(p.request.Urgency, now.Sub(p.placedAt), now)
+	}
 	switch result {
 	case ResultCompleted:
 		s.health.recordSuccess(now)
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chestnutrudder.example/rudder/admission"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/upstream"
 )
@@ -60,7 +61,7 @@
 }
 
 // UrgencyLevels is the number of urgency levels. Level 0 is the most urgent and is served first.
-const UrgencyLevels = 10
+const UrgencyLevels = admission.Levels
 
 // tokensAhead returns the prompt tokens that a runner prefills before those of a new request of the given urgency.
 func (l *load) tokensAhead(urgency int) float64 {
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/admission"
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/outcome"
@@ -21,9 +22,6 @@
 	admissionFactor = 1.5
 	// retryJitter is the fraction of Retry-After that is added at most, so that refused callers don't retry simultaneously.
 	retryJitter = 0.5
-	// minRetryAfter and maxRetryAfter bound Retry-After before the jitter is added.
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
 )
 
 // forwarder sends one request to one or several backend servers in turn until the caller has a final response.
@@ -218,7 +216,7 @@
 	if f.mayHaveRun {
 		return outcome.UnknownErrorf(http.StatusBadGateway, errors.New(r.reason), "%s", reason)
 	}
-	return outcome.NotRunErrorf(http.StatusServiceUnavailable, f.retryAfter(0), "%s: %s", reason, r.reason)
+	return outcome.NotRunErrorf(http.StatusServiceUnavailable, f.retryAfter(0, 0), "%s: %s", reason, r.reason)
 }
 
 // alreadyAnswered is returned in place of an error if the caller already has a final response.
@@ -230,17 +228,17 @@
 		f.fail(outcome.UnknownErrorf(http.StatusBadGateway, errors.New(f.lastFailure), "%s", refusal.Reason))
 		return
 	}
-	retryAfter := f.retryAfter(refusal.RetryAfter)
+	retryAfter := f.retryAfter(refusal.RetryAfter, refusal.MoreUrgentLevels)
 	if refusal.PausedFor > 0 { // known, not estimated
 		retryAfter = withJitter(refusal.PausedFor, f.call.id)
 	}
 	f.fail(outcome.NotRunErrorf(http.StatusServiceUnavailable, retryAfter, "%s", refusal.Reason))
 }
 
-// retryAfter returns the Retry-After for a refused request: the expected wait for a free server, within bounds and with a
-// jitter that depends on the request id.
-func (f *forwarder) retryAfter(wait time.Duration) time.Duration {
-	return withJitter(min(max(wait, minRetryAfter), maxRetryAfter), f.call.id)
+// retryAfter returns the Retry-After for a refused request: the expected wait for a free server, in the order of urgency and
+// spread by the request id.
+func (f *forwarder) retryAfter(wait time.Duration, moreUrgentLevels int) time.Duration {
+	return admission.RetryAfter(wait, moreUrgentLevels, hashFraction(f.call.id))
 }
 
 // withJitter lengthens a Retry-After by a part of it that depends on the request id.
--- a/rudder/relay/origin.go
+++ b/rudder/relay/origin.go
@@ -18,6 +18,8 @@
 	// unknownOriginRetryAfter is sent to a caller whose stream's beginning is not known: other nodes record it within that
 	// time.
 	unknownOriginRetryAfter = 500 * time.Millisecond
+	// unservedOriginRetryAfter is sent to a caller whose stream began at a service that the route does not name any more.
+	unservedOriginRetryAfter = 2 * time.Second
 )
 
 // resumesStream reports whether the caller takes up a stream that broke off.
@@ -60,7 +62,7 @@
 	case !found:
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, withJitter(unknownOriginRetryAfter, c.id), "software version that began the stream as %q is not known", attempt)
 	case !slices.ContainsFunc(c.route.Targets, func(t traffic.Target) bool { return t.Service == origin.Service }):
-		return outcome.NotRunErrorf(http.StatusServiceUnavailable, withJitter(maxRetryAfter, c.id), "stream began as %q at the service %q, which the route does not name", attempt, origin.Service)
+		return outcome.NotRunErrorf(http.StatusServiceUnavailable, withJitter(unservedOriginRetryAfter, c.id), "stream began as %q at the service %q, which the route does not name", attempt, origin.Service)
 	}
 	c.service, f.version = origin.Service, &origin.Version
 	return nil
