--- a/rudder/capacity/domains.go
+++ b/rudder/capacity/domains.go
@@ -13,9 +13,8 @@
 	// afterLossBusyFraction may be reached while the reclaimable runners of one failure domain are missing.
 	afterLossBusyFraction = 0.4
 	// onDemandFillBusyFraction is the fraction up to which on-demand runners, which cost several times as much, replace
-	// missing reclaimable ones. With it, a runner that serves requests in turn takes 2.5 times as long for each as an idle one,
-	// a small part of the objectives for long prompts.
-	onDemandFillBusyFraction = 0.6
+	// missing reclaimable ones.
+	onDemandFillBusyFraction = 0.5
 )
 
 // DomainState is the number of serving runners of a service in one failure domain, with their price.
--- a/rudder/capacity/load.go
+++ b/rudder/capacity/load.go
@@ -5,10 +5,10 @@
 const (
 	// loadPeakWindow is how long the highest load counts for reclaimable runners, which cost little.
 	loadPeakWindow = 8 * time.Second
-	// sustainedLoadWindow is how long a load must last to count as sustained. Prompts that no runner has cached any more, and
-	// callers that return after a refusal, raise the load for a few seconds: runners that are ordered for that start when it
-	// is over.
-	sustainedLoadWindow = 2500 * time.Millisecond
+	// sustainedLoadWindow is how long a load must last to count as sustained. The measurements of the nodes average over some
+	// seconds already; with 2.5 s, on-demand runners came too late where a failure domain was reclaimed while all caches
+	// were cold, and a twentieth more of the requests was late.
+	sustainedLoadWindow = 750 * time.Millisecond
 	// recentLoadWindow is how long the highest load counts for on-demand runners that serve already: to give one back and order it
 	// again takes about as long as its start.
 	recentLoadWindow = 4 * time.Second
