Take no cut or malformed response for an answer

Cause: the kernel reports a reset once. When a server answered a long upload at once without a length and reset the connection, the write of the request could receive the reset and the reader an ordinary end, so that a part looked like a complete response. Heads were accepted as net/http parses them: status 000 and 099 counted as interim responses, 101 and 600 to 999, HTTP/0.9 and HTTP/2.0, 204 and 304 with a body and responses that begin with a second head reached the caller, and a version 2.0 or doubled head could say that a request had not run.

Change: connend.Conn ends a write that is under way when the connection ends, and returns the error of a failed write in place of io.EOF. A server that ends its response in order and goes on reading is still believed. upstream.CheckHead and the start of the body are checked where responses are parsed; a malformed head counts as a broken connection. The clients of plain services and of engines use the same checks.

--- a/rudder/engine/client.go
+++ b/rudder/engine/client.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/jsonhttp"
+	"chestnutrudder.example/rudder/upstream"
 )
 
 // Errors of requests to an engine. They are wrapped with details; match them with errors.Is.
@@ -129,20 +130,31 @@
 		}
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
-	if response.StatusCode != http.StatusOK {
+	if err := responseError(response); err != nil {
 		defer cancel(nil)
 		defer response.Body.Close()
-		return nil, responseError(response)
+		return nil, err
 	}
 	idleTimer := time.AfterFunc(StreamIdleTimeout, func() { cancel(ErrStreamIdle) })
 	limiter := &chunkLimiter{source: response.Body}
 	return &Stream{body: response.Body, limiter: limiter, decoder: json.NewDecoder(limiter), idleTimer: idleTimer, cancel: cancel, ctx: ctx}, nil
 }
 
-// responseError converts a response whose status is not 200 to an error that wraps ErrHostLeaving, ErrRefused or ErrBroken.
+// responseError returns nil for a response with status 200, otherwise an error that wraps ErrHostLeaving, ErrRefused or
+// ErrBroken.
 func responseError(response *http.Response) error {
+	if err := upstream.CheckHead(response); err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	if response.StatusCode == http.StatusOK {
+		return nil
+	}
 	var refusal Refusal
-	_ = json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&refusal)
+	var body bytes.Buffer // what was read up to the end of the refusal, since the end of the body may not come
+	_ = json.NewDecoder(io.TeeReader(io.LimitReader(response.Body, maxResponseBytes), &body)).Decode(&refusal)
+	if err := upstream.CheckBodyStart(response.Header, body.Bytes()); err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
 	switch response.StatusCode {
 	case http.StatusGone:
 		return errors.Wrapf(ErrHostLeaving, "status %d: %s", response.StatusCode, refusal.Reason)
@@ -239,8 +251,8 @@
 		return errors.Wrap(ErrBroken, err.Error())
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return responseError(response)
+	if err := responseError(response); err != nil {
+		return err
 	}
 	if out == nil {
 		return nil
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -205,7 +205,10 @@
 	d := a.server.Dialect
 	isPaused := a.recordServerState(response)
 	if response.Header.Get(d.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
-		a.discardBody(response)
+		if err := a.discardBody(response); errors.Is(err, upstream.ErrMalformedResponse) {
+			a.forwarder.countRun()
+			return a.brokenResponse(ctx, errors.Wrap(err, "read refusal"))
+		}
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			a.placement.MarkMisdirected()
 		}
@@ -238,11 +241,12 @@
 // goes elsewhere meanwhile.
 const refusalBodyTimeout = 50 * time.Millisecond
 
-// discardBody reads the body of a refusal.
-func (a *attempt) discardBody(response *http.Response) {
+// discardBody reads the body of a refusal. An error matters only if it shows that the head is not that of a refusal.
+func (a *attempt) discardBody(response *http.Response) error {
 	a.conn.OnReadTimeout(nil)
 	a.setReadTimeout(refusalBodyTimeout)
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
+	return err
 }
 
 // forwardPlain forwards a response that is not an event stream.
--- a/rudder/relay/response_end_test.go
+++ b/rudder/relay/response_end_test.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -101,9 +104,14 @@
 // Goes through the table "Ends of responses" of docs/platform.md: kind, framing and where the bytes end.
 func TestEndsOfResponses(t *testing.T) {
 	const (
-		inOrder  = "in order"
-		early    = "before the framing says so"
-		reset    = "reset"
+		inOrder = "in order"
+		early   = "before the framing says so"
+		reset   = "reset"
+		// The server responds before it has read the request. The error of the connection reaches the write of the request, or
+		// the server goes on accepting it until the response has ended in order.
+		resetWrite  = "reset received by the write"
+		earlyFinish = "in order before the end of the request"
+
 		complete = true
 		broken   = false
 	)
@@ -128,6 +136,18 @@
 		{"/once/x", framedByConnection, "body", inOrder, true, broken},
 		{"/once/x", framedByConnection, "body", reset, false, broken},
 		{"/once/x", framedByConnection, "", inOrder, false, complete},
+		{"/once/x", framedByLength, "body", resetWrite, false, complete},
+		{"/once/x", framedByChunks, "body", resetWrite, false, complete},
+		{"/once/x", framedByConnection, "body", resetWrite, false, broken},
+		{"/once/x", framedByConnection, "", resetWrite, false, broken},
+		{"/once/x", framedByConnection, "body", earlyFinish, false, complete},
+		{"/once/x", framedByConnection, "", earlyFinish, false, complete},
+		{"/stream/x", framedByLength, eventText(1, 2), resetWrite, false, complete},
+		{"/stream/x", framedByChunks, eventText(1, 2), resetWrite, false, complete},
+		{"/stream/x", framedByConnection, eventText(1, 2), resetWrite, false, broken},
+		{"/stream/x", framedByConnection, eventText(1, 2), earlyFinish, false, complete},
+		{"/stream/x", framedByConnection, eventText(1, 2) + half, earlyFinish, false, broken},
+		{"/stream/x", framedByConnection, "", earlyFinish, false, broken},
 		{"/stream/x", framedByLength, eventText(1, 2), inOrder, false, complete},
 		{"/stream/x", framedByLength, eventText(1, 2), inOrder, true, complete},
 		{"/stream/x", framedByLength, eventText(1, 2), early, false, broken},
@@ -160,7 +180,14 @@
 			}
 			return c.end == inOrder && c.framing != framedByConnection
 		})
-		got := h.get(c.path)
+		request := ""
+		switch c.end {
+		case resetWrite:
+			request = h.respondEarly("a", c.path, c.framing, c.body, syscall.ECONNRESET)
+		case earlyFinish:
+			request = h.respondEarly("a", c.path, c.framing, c.body, os.ErrDeadlineExceeded)
+		}
+		got := h.call(context.Background(), http.MethodPost, c.path, request, nil)
 		isComplete := got.err == nil && got.status == http.StatusOK
 		if isComplete != c.expected || isComplete && got.body != c.body {
 			t.Errorf("%s by %s with body %q, end %s, crash %t: response %+v, want complete: %t", c.path, c.framing, c.body, c.end, c.crashes, got, c.expected)
--- a/rudder/service/service.go
+++ b/rudder/service/service.go
@@ -13,7 +13,9 @@
 
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/connend"
 	"chestnutrudder.example/rudder/peer/peerpb"
+	"chestnutrudder.example/rudder/upstream"
 )
 
 const (
@@ -52,7 +54,7 @@
 		if err != nil {
 			return nil, &notSentError{err}
 		}
-		return connection, nil
+		return connend.New(connection), nil
 	}
 	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, ResponseHeaderTimeout: callTimeout, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{baseURL: baseURL, dial: dial, httpClient: &http.Client{Transport: transport, CheckRedirect: returnRedirect}}
@@ -84,7 +86,13 @@
 		return &peerpb.CallResponse{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Reason: err.Error()}
 	}
 	defer response.Body.Close()
+	if err := upstream.CheckHead(response); err != nil {
+		return &peerpb.CallResponse{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Reason: err.Error()}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil {
+		err = upstream.CheckBodyStart(response.Header, body)
+	}
 	if err == nil && len(body) > maxResponseBytes {
 		err = errors.Errorf("answer has more than %d bytes", maxResponseBytes)
 	}
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -20,6 +20,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"chestnutrudder.example/rudder/connend"
 )
 
 const (
@@ -55,6 +57,8 @@
 type Pool struct {
 	Address     string
 	DialTimeout time.Duration
+	// Dial makes a connection; nil means a TCP connection with DialTimeout. Tests replace it.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu           sync.Mutex
 	idle         []*Conn
@@ -72,6 +76,7 @@
 // Conn is a connection from a Pool. It carries one request at a time.
 type Conn struct {
 	net.Conn
+	stream            *connend.Conn // reads and writes Conn
 	pool              *Pool
 	source            *headLimiter // of reader
 	reader            *bufio.Reader
@@ -97,13 +102,17 @@
 		}
 		c.Discard()
 	}
-	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", p.Address)
+	dial := p.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: p.DialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}).DialContext
+	}
+	raw, err := dial(ctx, "tcp", p.Address)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", p.Address, err)
 	}
-	source := &headLimiter{conn: raw}
-	return &Conn{Conn: raw, pool: p, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
+	stream := connend.New(raw)
+	source := &headLimiter{conn: stream}
+	return &Conn{Conn: raw, stream: stream, pool: p, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
 }
 
 // headLimiter reads from a connection. While a head is expected, it bounds the bytes, since http.ReadResponse would collect
@@ -285,7 +294,7 @@
 // other error the server may have received the request.
 func (c *Conn) Send(request *http.Request) error {
 	w := writerPool.Get().(*bufio.Writer)
-	counter := &countingWriter{conn: c.Conn}
+	counter := &countingWriter{conn: c.stream}
 	w.Reset(counter)
 	defer func() {
 		w.Reset(nil)
@@ -319,7 +328,8 @@
 
 // Receive reads the head of the response to a request whose id is in the header idHeader. Responses with another id belong
 // to earlier requests on this connection and are skipped; after too many of them, or one with too long a body, the error
-// wraps ErrMismatchedResponse. Bytes without end that contain no head give ErrHeadTooLarge.
+// wraps ErrMismatchedResponse. Bytes without end that contain no head give ErrHeadTooLarge. A head that no sound server sends
+// gives ErrMalformedResponse, as does reading a body that begins with another head.
 func (c *Conn) Receive(request *http.Request, idHeader string) (*http.Response, error) {
 	id := request.Header.Get(idHeader)
 	c.recordID(id)
@@ -330,13 +340,16 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "read response from %s", c.Conn.RemoteAddr())
 		}
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+		if response.StatusCode < http.StatusOK {
 			interim++
 			continue
 		}
 		got := response.Header.Get(idHeader)
 		// A server that refuses a request before reading it sends no id.
 		if got == id || got == "" && response.StatusCode >= 300 && !c.Reused {
+			if err := c.checkUnread(response); err != nil {
+				return nil, errors.Wrapf(err, "read response from %s", c.Conn.RemoteAddr())
+			}
 			return response, nil
 		}
 		if got == "" {
@@ -357,5 +370,15 @@
 func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
 	c.source.isLimited = true
 	defer func() { c.source.isLimited = false }()
-	return http.ReadResponse(c.reader, request)
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(response); err != nil {
+		return nil, err
+	}
+	if response.Body != http.NoBody && !hasMessages(response.Header) {
+		response.Body = &bodyStart{ReadCloser: response.Body, reader: c.reader}
+	}
+	return response, nil
 }
