Add rudderctl config check

Cause: a mistake in the configuration of relayed traffic was noticed only by callers. Nodes apply whatever has the right types.

Change: traffic.Check finds values that are not allowed, entries that can never match and limits that contradict each other; traffic.Diff compares two versions by entry. A node runs the same check when it applies a configuration, logs the number of findings and the first one, and applies it all the same. What can never match is what BuildIndex leaves out of the indexes of the lookups. The names of the document and the values that its translation drops come from the platform's adapter.

--- a/rudder/command/command.go
+++ b/rudder/command/command.go
@@ -1,4 +1,4 @@
-// Package command implements the subcommands of rudderctl, one file for each. Only cmd/rudderctl calls it.
+// Package command implements the subcommands of rudderctl, one file for each. cmd/rudderctl and tests of adapters call it.
 package command
 
 import (
@@ -21,8 +21,8 @@
 // Exit codes of rudderctl.
 const (
 	ExitOK             = 0
-	ExitError          = 1 // any other error, such as an unreadable file
-	ExitUsage          = 2 // unknown or missing subcommand, or an invalid flag or argument
+	ExitError          = 1 // any other error, such as an unreadable file; a checked configuration has findings
+	ExitUsage          = 2 // unknown or missing subcommand, or an invalid flag or argument; a configuration could not be checked
 	ExitInvalid        = 3 // an object is invalid, or one to be deleted is still referenced by others; nothing was written
 	ExitNotFound       = 4 // the object does not exist, or no node has a decision about the run or host
 	ExitConflict       = 5 // the stored version of an object is not the expected one; that object was not written
@@ -40,6 +40,7 @@
 	Watch    *watchArguments    `arg:"subcommand:watch" help:"show changes as they come"`
 	Status   *statusArguments   `arg:"subcommand:status" help:"show which objects are accepted and in force"`
 	Explain  *explainArguments  `arg:"subcommand:explain" help:"show why a request or host was chosen"`
+	Config   *configArguments   `arg:"subcommand:config" help:"configuration of relayed traffic"`
 
 	ObjectAPI string `arg:"--object-api,env:RUDDER_OBJECT_API" help:"base URL of the object API"`
 	Output    string `arg:"-o,--output" default:"table" help:"table or json"`
@@ -52,13 +53,14 @@
 
 // Epilogue is shown by --help.
 func (arguments) Epilogue() string {
-	return "Exit codes: 0 done, 1 other error, 2 usage, 3 invalid object, 4 not found, 5 conflict, 6 unavailable, 7 write of unknown effect."
+	return "Exit codes: 0 done, 1 other error, 2 usage, 3 invalid object, 4 not found, 5 conflict, 6 unavailable, 7 write of unknown effect. Of config check: 0 no findings, 1 findings, 2 could not check."
 }
 
 // environment holds the clients, the standard streams and the output format for a subcommand.
 type environment struct {
 	store      objectapi.Store // nil if no object API is given
-	http       *http.Client    // for the admin addresses of nodes
+	configForm ConfigForm
+	http       *http.Client // for the admin addresses of nodes
 	stdin      io.Reader
 	stdout     io.Writer
 	stderr     io.Writer
@@ -69,12 +71,12 @@
 const nodeRequestTimeout = 3 * time.Second
 
 // Run parses args (without the program name), runs the subcommand that they name and returns its exit code. SIGINT and
-// SIGTERM cancel the subcommand. Errors are printed to stderr.
-func Run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+// SIGTERM cancel the subcommand. Errors are printed to stderr. form is that of the configuration of relayed traffic.
+func Run(args []string, form ConfigForm, stdin io.Reader, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	newStore := func(baseURL string) objectapi.Store { return objectapi.NewClient(baseURL, nil) }
-	env := &environment{http: &http.Client{Timeout: nodeRequestTimeout}, stdin: stdin, stdout: stdout, stderr: stderr}
+	env := &environment{http: &http.Client{Timeout: nodeRequestTimeout}, configForm: form, stdin: stdin, stdout: stdout, stderr: stderr}
 	return run(ctx, args, env, newStore)
 }
 
@@ -96,8 +98,11 @@
 		return ExitOK
 	}
 	cmd := a.subcommand()
+	if err == nil && a.Config != nil && cmd == nil {
+		err = errors.New("config: no verb given, allowed: check")
+	}
 	if err == nil && cmd == nil {
-		err = errors.New("verb: none given, allowed: validate, apply, get, list, delete, watch, status, explain")
+		err = errors.New("verb: none given, allowed: validate, apply, get, list, delete, watch, status, explain, config")
 	}
 	if err == nil && a.Output != "table" && a.Output != "json" {
 		err = errors.Errorf("--output: value %q, allowed: table, json", a.Output)
@@ -138,6 +143,8 @@
 		return a.Status
 	case a.Explain != nil:
 		return a.Explain
+	case a.Config != nil && a.Config.Check != nil:
+		return a.Config.Check
 	}
 	return nil
 }
@@ -152,7 +159,10 @@
 	var problems object.Problems
 	var conflict *conflictError
 	var usage usageError
+	var notChecked *checkError
 	switch {
+	case errors.As(err, &notChecked): // also if its cause has an exit code of its own
+		return ExitUsage
 	case errors.As(err, &usage):
 		return ExitUsage
 	case errors.As(err, &problems):
--- a/rudder/command/command_test.go
+++ b/rudder/command/command_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -50,6 +51,7 @@
 type session struct {
 	t          *testing.T
 	store      *objectapitest.MemoryStore
+	form       ConfigForm
 	transcript bytes.Buffer
 }
 
@@ -59,7 +61,7 @@
 // runCommand runs a command and adds it to the transcript.
 func (s *session) runCommand(stdin string, args ...string) {
 	var stdout, stderr bytes.Buffer
-	env := &environment{http: http.DefaultClient, stdin: strings.NewReader(stdin), stdout: &stdout, stderr: &stderr}
+	env := &environment{http: http.DefaultClient, configForm: s.form, stdin: strings.NewReader(stdin), stdout: &stdout, stderr: &stderr}
 	code := run(context.Background(), args, env, func(string) objectapi.Store { return s.store })
 	for _, arg := range args {
 		fmt.Fprintf(&s.transcript, "%s ", addressOrTimePattern.ReplaceAllString(arg, "ADDRESS"))
@@ -84,10 +86,18 @@
 
 // checkGolden runs the steps on an empty store and compares the transcript with the golden file of that name.
 func checkGolden(t *testing.T, name string, steps func(s *session)) {
+	checkGoldenWithForm(t, name, ConfigForm{}, steps)
+}
+
+// goldenDirectory is an absolute path, since tests may change the working directory.
+var goldenDirectory, _ = filepath.Abs("testdata")
+
+// checkGoldenWithForm is checkGolden with a form of the configuration of relayed traffic.
+func checkGoldenWithForm(t *testing.T, name string, form ConfigForm, steps func(s *session)) {
 	t.Run(name, func(t *testing.T) {
-		s := &session{t: t, store: objectapitest.NewMemoryStore()}
+		s := &session{t: t, store: objectapitest.NewMemoryStore(), form: form}
 		steps(s)
-		goldie.New(t).Assert(t, name, s.transcript.Bytes())
+		goldie.New(t, goldie.WithFixtureDir(goldenDirectory)).Assert(t, name, s.transcript.Bytes())
 	})
 }
 
@@ -223,5 +233,6 @@
 
 func TestMain(m *testing.M) {
 	_ = os.Unsetenv("RUDDER_OBJECT_API")
+	_ = os.Unsetenv("RUDDER_STORE")
 	os.Exit(m.Run())
 }
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"net"
 	"net/http"
 	"net/textproto"
 	"net/url"
@@ -122,14 +121,6 @@
 	return strings.Join(ids, ",")
 }
 
-// stripPort returns the value of a Host header without the port.
-func stripPort(hostPort string) string {
-	if name, _, err := net.SplitHostPort(hostPort); err == nil {
-		return name
-	}
-	return hostPort
-}
-
 // hashFraction maps a request id to [0, 1). It makes retries of a request with the same id go to the same service.
 func hashFraction(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -192,7 +192,7 @@
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, staleConfigRetryAfter, "configuration was not proved to be the newest within the time limit")
 	}
 	c.configVersion = config.Version
-	c.route = config.RouteFor(stripPort(r.Host), r.URL.EscapedPath())
+	c.route = config.RouteFor(traffic.HostName(r.Host), r.URL.EscapedPath())
 	if c.route == nil {
 		return outcome.NotRunErrorf(http.StatusNotFound, 0, "no route for host %q and path %q", r.Host, r.URL.Path)
 	}
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -225,10 +225,20 @@
 	}
 	if n.currentConfig.Apply(config) {
 		n.log.Info("Configuration is in force.", "config_version", config.Version, "revision", o.Version, "routes", len(config.Routes), "organisations", len(config.Organisations))
+		n.logFindings(config)
 	}
 	return config
 }
 
+// logFindings logs that a configuration in force has values which an operator should correct. `rudderctl config check` lists
+// all of them.
+func (n *node) logFindings(config *traffic.Config) {
+	findings := config.Check(traffic.Hosts{MemoryBytes: n.settings.MemoryLimitBytes})
+	if len(findings) > 0 {
+		n.log.Warn("Configuration in force has findings.", "config_version", config.Version, "findings", len(findings), "first", findings[0].String())
+	}
+}
+
 // decodeConfig translates the object of the configuration.
 func (n *node) decodeConfig(o objectapi.Object) (*traffic.Config, error) {
 	if o.Err != nil {
--- a/rudder/traffic/current_config.go
+++ b/rudder/traffic/current_config.go
@@ -27,7 +27,7 @@
 func (c *CurrentConfig) Apply(next *Config) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if current := c.config.Load(); current != nil && next.Version <= current.Version {
+	if !next.Supersedes(c.config.Load()) {
 		return false
 	}
 	c.config.Store(next)
--- a/rudder/traffic/traffic.go
+++ b/rudder/traffic/traffic.go
@@ -3,6 +3,7 @@
 package traffic
 
 import (
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -103,19 +104,36 @@
 	Services      map[string]*Service
 	Organisations []*Organisation
 	Limits        Limits
+	// Replaced has the values that an adapter could not translate and has replaced or left out. They are findings of Check.
+	Replaced []Finding
 
 	byHost   map[string][]*Route // longest path prefix first
+	hiddenBy map[*Route]*Route   // routes that are not in byHost, with those that get their requests
 	byAPIKey map[string]*Organisation
+
+	indexComparisons int // that BuildIndex has made
 }
 
 // BuildIndex builds the indexes for RouteFor and OrganisationFor; it must be called before them.
 func (c *Config) BuildIndex() {
-	c.byHost = map[string][]*Route{}
+	c.byHost, c.hiddenBy = map[string][]*Route{}, map[*Route]*Route{}
+	type match struct{ host, pathPrefix string }
+	first := make(map[match]*Route, len(c.Routes))
 	for _, r := range c.Routes {
+		m := match{r.Host, r.PathPrefix}
+		if first[m] != nil {
+			c.hiddenBy[r] = first[m]
+			continue
+		}
+		first[m] = r
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 	}
+	c.indexComparisons = len(c.Routes)
 	for _, routes := range c.byHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			c.indexComparisons++
+			return len(b.PathPrefix) - len(a.PathPrefix)
+		})
 	}
 	c.byAPIKey = map[string]*Organisation{}
 	for _, o := range c.Organisations {
@@ -135,6 +153,19 @@
 	return nil
 }
 
+// HostName returns the host of a Host header without its port, as routes have it.
+func HostName(hostHeader string) string {
+	if host, _, err := net.SplitHostPort(hostHeader); err == nil {
+		return host
+	}
+	return hostHeader
+}
+
+// Supersedes reports whether a node that has the current configuration in force applies c. Current may be nil.
+func (c *Config) Supersedes(current *Config) bool {
+	return current == nil || c.Version > current.Version
+}
+
 // OrganisationFor returns the organisation with an API key, nil if the key is unknown.
 func (c *Config) OrganisationFor(key string) *Organisation { return c.byAPIKey[key] }
 
