Take no chunks of HTTP/1.0 for a body

Cause: http.ReadResponse drops the transfer encoding of an HTTP/1.0 response, so that the framing of its chunks reached the caller as a part of the body.

Change: such a head counts as malformed (RFC 9112, section 6.1).

--- a/rudder/upstream/head.go
+++ b/rudder/upstream/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -43,6 +44,40 @@
 	return length != "" && length != "0" || len(response.TransferEncoding) > 0
 }
 
+// checkOldFraming waits for the head of a response and returns an error if it has version 1.0 and a transfer encoding, which makes
+// its framing faulty (RFC 9112, section 6.1). http.ReadResponse drops that header, so that the caller would get the framing of the
+// chunks as a part of the body. In a head that exceeds the read buffer only the beginning is searched.
+func (c *Conn) checkOldFraming() error {
+	const oldVersion = "HTTP/1.0 "
+	head, err := c.reader.Peek(len(oldVersion))
+	for err == nil && string(head[:len(oldVersion)]) == oldVersion {
+		end := headEnd(head)
+		if end < 0 && len(head) == c.reader.Size() {
+			end = len(head)
+		}
+		if end >= 0 {
+			if bytes.Contains(bytes.ToLower(head[:end]), []byte("\ntransfer-encoding:")) {
+				return errors.Wrap(ErrMalformedResponse, "version 1.0 with a transfer encoding")
+			}
+			return nil
+		}
+		head, err = c.reader.Peek(max(len(head)+1, c.reader.Buffered()))
+	}
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// headEnd returns the offset of the empty line that ends a head, or -1. Lines may end without a carriage return.
+func headEnd(b []byte) int {
+	end := bytes.Index(b, []byte("\n\n"))
+	if i := bytes.Index(b, []byte("\n\r\n")); i >= 0 && (end < 0 || i < end) {
+		end = i
+	}
+	return end
+}
+
 // checkUnread returns an error if the bytes that follow a head are neither its body nor absent: the body of a response whose
 // status has none, or another head in place of an empty body. Bytes that arrive later end the connection; see isUsable.
 func (c *Conn) checkUnread(response *http.Response) error {
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -370,6 +370,9 @@
 func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
 	c.source.isLimited = true
 	defer func() { c.source.isLimited = false }()
+	if err := c.checkOldFraming(); err != nil {
+		return nil, err
+	}
 	response, err := http.ReadResponse(c.reader, request)
 	if err != nil {
 		return nil, err
