Estimate the pace of servers and use it in the choice

Servers of one service that differ in speed were predicted by one latency model; their only difference was a factor of each node that is forgotten within seconds, and each of 87 nodes sees a server once in ten seconds.

Package pace keeps decayed means of the log of observed to expected times by load level for each server, relative to the median of the service; nodes add each other's samples from digests (field 36, at most 48 servers, once a second). The table scales predictions by the pace and lets slower servers take part in the choice for fewer requests.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/pace"
 )
 
 const (
@@ -37,6 +38,7 @@
 	plainMillis      float64   // response time of a plain request
 	lateness         float64   // moving average of times to the first byte relative to the predicted ones, over all servers
 	throttle         *throttle // admission of plain requests
+	paces            paces     // of the servers; all the times above are those of the median server
 }
 
 // model returns the latency model of a service, a new one if there is none. The caller holds the lock.
@@ -84,6 +86,8 @@
 	IsLocal           bool          // in the failure domain of this node
 	IsHome            bool          // of the shared parts; see homeServer
 	TieBreak          uint64        // random for each request; the lowest wins among equals
+	Pace              float64       // time that the server takes at its load relative to the median server; in FirstByteMillis
+	ComfortableSlots  int           // requests that the server handles well, at most its slots
 }
 
 // Pick returns the candidate with the lowest score that is not full, false if all are full. Limit probes go before other
@@ -128,6 +132,7 @@
 	pendingTokens float64 // counted in the server's pending tokens until the first byte or Release
 	placedAt      time.Time
 	isUncontended bool // no other prompt waited for prefill at the server
+	pace          placementPace
 	hasFirstByte  bool // the first byte came or the placement was released
 	isProbe       bool // the request shows whether the server has recovered after an ejection
 }
@@ -189,7 +194,7 @@
 	p := &Placement{
 		Server: s, ID: s.ID, Address: s.Address, Incarnation: s.incarnation(), SoftwareVersion: s.SoftwareVersion, PredictedFirstByte: predicted,
 		ExpectedFirstByte: time.Duration(float64(predicted) * max(t.model(r.Service).lateness, 1)), Running: best.Running, CandidateCount: len(candidates),
-		UncachedTokens: best.UncachedTokens, table: t, request: r, placedAt: now,
+		UncachedTokens: best.UncachedTokens, table: t, request: r, placedAt: now, pace: newPlacementPace(best, s.Slots),
 	}
 	if r.IsGeneration {
 		p.pendingTokens = float64(best.UncachedTokens)
@@ -253,6 +258,7 @@
 	}
 	m := t.model(r.Service)
 	requestNumber := t.random.Uint64()
+	t.updatePaces(r.Service, m, now)
 	candidates := make([]Candidate, 0, len(serving))
 	for _, s := range serving {
 		candidates = append(candidates, t.candidate(s, s == home, r, m, mix(s.idHash^requestNumber), now, bootNow))
@@ -267,6 +273,7 @@
 	c := Candidate{ID: s.ID, Running: total.running, IsLocal: s.FailureDomain == r.FailureDomain, IsHome: isHome, TieBreak: random}
 	slots := max(s.Slots, 1)
 	slowFactor := s.slowdown.current(now)
+	c.Pace, c.ComfortableSlots = s.pace.Pace(pace.Level(total.running, slots)), s.pace.ComfortableSlots(slots)
 	if r.IsGeneration {
 		cached := t.prefixes.cachedTokens(s.ID, r.Parts, now)
 		if isHome {
@@ -274,17 +281,18 @@
 		}
 		c.UncachedTokens = max(r.PromptTokens-cached, 0)
 		prefillMillis := float64(c.UncachedTokens) / m.prefillRate
-		c.FirstByteMillis = m.firstEventMillis + total.tokensAhead(r.Urgency)/m.prefillRate + prefillMillis
+		c.FirstByteMillis = (m.firstEventMillis + total.tokensAhead(r.Urgency)/m.prefillRate + prefillMillis) * c.Pace
 		c.IsFull = total.running >= slots
 		c.HasPendingPrompts = total.tokensAhead(UrgencyLevels-1) > 0
 		// The prefill time counts twice: it also delays the other requests at the server.
-		c.Score = c.FirstByteMillis*slowFactor + prefillMillis
+		unpacedMillis := c.FirstByteMillis - (m.firstEventMillis+prefillMillis)*(c.Pace-1) // but for the wait for other prompts
+		c.Score = (unpacedMillis*slowFactor + prefillMillis) * m.paces.detourFactor(c.Pace, detourExponent, random)
 	} else {
-		c.FirstByteMillis = m.plainMillis * (1 + float64(total.running)/float64(slots))
+		c.FirstByteMillis = m.plainMillis * (1 + float64(total.running)/float64(slots)) * c.Pace
 		c.IsFull = s.ownLoad.running >= maxRunningFactor*slots
 		// Plain requests are shorter than the interval at which nodes exchange their loads, so all nodes would choose the same
 		// server by the same outdated loads. This node's own requests and jitter spread them better.
-		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*unitInterval(random))
+		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*unitInterval(random)) * m.paces.detourFactor(c.Pace, plainDetourExponent, random)
 	}
 	c.SendWait, c.PauseWait = t.sendWait(s, r, now, bootNow)
 	mayQueue := r.HasWaited || s.pause.waiting < slots
@@ -331,15 +339,16 @@
 	p.Server.slowdown.observe(ratio, now)
 	m := p.table.model(p.request.Service)
 	m.observeLateness(ratio)
+	p.observePace(elapsedMillis, now)
 	if p.request.IsGeneration {
 		if p.isUncontended {
-			m.observePrompt(elapsedMillis, p.pendingTokens)
+			m.observePrompt(elapsedMillis/p.pace.factor, p.pendingTokens)
 		}
 		return
 	}
 	m.throttle.observe(elapsedMillis)
 	if p.Running < p.Server.Slots {
-		m.plainMillis += modelWeight * (min(elapsedMillis, 10*initialPlainMillis) - m.plainMillis)
+		m.plainMillis += modelWeight * (min(elapsedMillis/p.pace.factor, 10*initialPlainMillis) - m.plainMillis)
 	}
 }
 
--- a/rudder/backend/leaving.go
+++ b/rudder/backend/leaving.go
@@ -188,6 +188,7 @@
 	s.announcedAt = previous.announcedAt
 	s.pause = previous.pause
 	s.pause.waiting = 0
+	s.pace = previous.pace
 }
 
 // dropIfForgettable removes a server that the registry does not list, unless it has requests or has to be remembered in case
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/pace"
 	"chestnutrudder.example/rudder/upstream"
 )
 
@@ -48,6 +49,7 @@
 	idHash        uint64
 	health        health
 	slowdown      slowdown
+	pace          pace.Estimator
 	backpressure
 }
 
@@ -93,6 +95,7 @@
 	removals           map[string]removal // of forgotten servers by ID
 	firstListedAt      time.Time          // when Replace first received a listing
 	now                func() boottime.Instant
+	paceExchange       paceExchange
 }
 
 // removal is the removal from the registry of a server that the table has forgotten since.
@@ -419,6 +422,7 @@
 	maps.DeleteFunc(t.removals, func(_ string, r removal) bool { return t.now().Sub(r.at) > removalRetention })
 	t.updatePauses()
 	t.forgetUnlisted()
+	t.paceExchange.dropOldSenders(time.Now())
 	t.mu.Unlock()
 	for _, p := range pools {
 		p.CloseIdle(idle)
--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -6,6 +6,7 @@
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/objectapi"
+	"chestnutrudder.example/rudder/pace"
 	"chestnutrudder.example/rudder/quota"
 	"chestnutrudder.example/rudder/streamorigin"
 	"chestnutrudder.example/rudder/usage"
@@ -74,6 +75,8 @@
 	StreamOrigins []streamorigin.Report `cbor:"29,keyasint,omitempty"`
 	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
 	Sightings []PeerSighting `cbor:"27,keyasint,omitempty"`
+	// ServerPaces tells how fast backend servers were for the sender, once a second at most.
+	ServerPaces *pace.Report `cbor:"36,keyasint,omitempty"`
 }
 
 // PeerSighting tells when a node last got a digest from a peer itself.
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -345,6 +345,7 @@
 	skipUpTo := f.lastEventID
 	controller := http.NewResponseController(f.writer)
 	chunk := make([]byte, streamChunkBytes)
+	var eventPace eventPace
 	a.setReadTimeout(f.eventTimeout())
 	for {
 		events, err := reader.next(chunk)
@@ -353,6 +354,7 @@
 			if a.firstEventAt == 0 {
 				a.firstEventAt = a.progressAt
 			}
+			eventPace.observe(events, a.progressAt)
 		}
 		if skipUpTo != "" {
 			var continuationErr error
@@ -367,6 +369,7 @@
 				return attemptResult{isPartial: true, backendResult: backend.ResultInconclusive, reason: "write events to caller: " + writeErr.Error()}
 			}
 			f.lastEventID = reader.lastID
+			eventPace.blocked += boottime.Since(a.progressAt)
 			// Bytes that complete no event do not extend the time for the next one.
 			a.setReadTimeout(f.eventTimeout())
 		}
@@ -375,6 +378,7 @@
 			if err := a.streamEndError(response, reader); err != nil {
 				return a.brokenResponse(ctx, err)
 			}
+			eventPace.report(a.placement)
 			return a.finishStream(reader, response, controller)
 		case err != nil:
 			return a.brokenResponse(ctx, errors.Wrap(err, "read event stream"))
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -107,6 +107,9 @@
 		return err
 	}
 	n := newNode(s, platform, metrics, telemetry.NewLogger(writer, slog.LevelInfo, s.Node))
+	if err := metrics.ObserveServerPaces(n.observeServerPaces); err != nil {
+		return err
+	}
 	if err := metrics.ObserveNodes(n.mesh.CountNodes); err != nil {
 		return err
 	}
@@ -209,7 +212,7 @@
 		Loads: n.backends.OwnLoads(), Demand: n.backends.Demand(), QuotaUsages: n.quotas.FullReport(),
 		Crashes: n.relay.Crashes.FullReport(), ServerLimits: n.backends.Limits(), RunsByWindow: n.usageCounter.WindowsForPeers(),
 		Departures: n.backends.Departures(), Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
-		UsageFinalThrough: n.usageCounter.FinalThrough(),
+		UsageFinalThrough: n.usageCounter.FinalThrough(), ServerPaces: n.backends.TakePaceReport(),
 	}
 	d.ServerVersions = versionsByID(d.Registry.Changes)
 	if config := n.currentConfig.Config(); config != nil {
@@ -302,6 +305,7 @@
 	n.relay.Crashes.Apply(m.Crashes)
 	n.backends.ApplyLimits(m.ServerLimits)
 	n.backends.ApplyDepartures(m.Node, m.Departures)
+	n.backends.ApplyPaceReport(incarnationID(m.Node, m.Incarnation), m.ServerPaces)
 	n.relay.Origins.ApplyReports(m.StreamOrigins)
 	if m.IsUrgent {
 		return
@@ -329,6 +333,13 @@
 	n.backends.SetPeerLoads(failureDomainPeer(s.FailureDomain), s.Loads)
 }
 
+// observeServerPaces passes the paces of the servers of each service to the metrics.
+func (n *node) observeServerPaces(observe telemetry.ServerPaceObserver) {
+	for service, p := range n.backends.PaceSummaries() {
+		observe(service, p.Fastest, p.Slowest, p.Faster, p.Slower)
+	}
+}
+
 // failureDomainPeer returns the name under which the sums of a failure domain are kept among those of single peers. It
 // differs from all names of nodes.
 func failureDomainPeer(failureDomain string) string { return "failure domain " + failureDomain }
--- a/rudder/telemetry/telemetry.go
+++ b/rudder/telemetry/telemetry.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
 	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
@@ -118,5 +119,32 @@
 	return errors.Wrap(err, "register callback")
 }
 
+// ServerPaceObserver takes the lowest and the highest time that servers of a service take relative to the median one, and how
+// many of them are faster and slower.
+type ServerPaceObserver func(service string, fastest, slowest float64, faster, slower int)
+
+// ObserveServerPaces registers gauges of the paces of backend servers by service. observeAll is called at each collection.
+func (m *Metrics) ObserveServerPaces(observeAll func(ServerPaceObserver)) error {
+	paces, err := m.meter.Float64ObservableGauge("server_pace")
+	if err != nil {
+		return errors.Wrap(err, "create instrument")
+	}
+	counts, err := m.meter.Int64ObservableGauge("servers_off_median_pace")
+	if err != nil {
+		return errors.Wrap(err, "create instrument")
+	}
+	_, err = m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		observeAll(func(service string, fastest, slowest float64, faster, slower int) {
+			byService := attribute.String("service", service)
+			o.ObserveFloat64(paces, fastest, metric.WithAttributes(byService, attribute.String("server", "fastest")))
+			o.ObserveFloat64(paces, slowest, metric.WithAttributes(byService, attribute.String("server", "slowest")))
+			o.ObserveInt64(counts, int64(faster), metric.WithAttributes(byService, attribute.String("pace", "faster")))
+			o.ObserveInt64(counts, int64(slower), metric.WithAttributes(byService, attribute.String("pace", "slower")))
+		})
+		return nil
+	}, paces, counts)
+	return errors.Wrap(err, "register callback")
+}
+
 // Handler returns a handler that serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler { return m.handler }
