Account for what callers take of a node

Cause: each body was bounded alone and read whole before route and key were checked; heads, connections and waiting responses were not bounded together.

Change: package resource has one account for each process, derived from memoryMb and maxFds. Connections, heads, bodies by what has arrived, forwarded requests and responses that are written are charged to it. When room runs out, the connections whose callers are furthest behind are closed. What is refused whatever the body is, is refused before the body is read, and the connection is closed. The ready, directory and metrics ports have their own numbers of connections. Each write to a caller must end in time.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -417,7 +417,7 @@
 	h := f.writer.Header()
 	copyHeader(h, response.Header)
 	h.Del("Content-Length")
-	f.server.closeConnectionIfDraining(h)
+	f.server.closeConnectionIfNeeded(f.call, h)
 	f.isHeadSent = true
 	f.writer.WriteHeader(response.StatusCode)
 }
--- a/rudder/relay/caller_conn.go
+++ b/rudder/relay/caller_conn.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"chestnutrudder.example/rudder/resource"
 )
 
 type callerConnKey struct{}
@@ -16,6 +18,20 @@
 	return context.WithValue(ctx, callerConnKey{}, conn)
 }
 
+// ChargedConn is a caller's connection whose use of resources is charged.
+type ChargedConn interface {
+	// ResourceCharge returns the charge of the connection; nil if nothing is charged.
+	ResourceCharge() *resource.Charge
+}
+
+// chargeOf returns the charge of the connection of a request, nil if there is none.
+func chargeOf(ctx context.Context) *resource.Charge {
+	if conn, ok := ctx.Value(callerConnKey{}).(ChargedConn); ok {
+		return conn.ResourceCharge()
+	}
+	return nil
+}
+
 // hasCallerLeft reports whether the caller has closed the connection of a request. net/http notices that too, but only in a
 // goroutine that starts with the handler; a request that waited in the socket until its caller left would be sent first.
 func hasCallerLeft(ctx context.Context) bool {
--- a/rudder/relay/events.go
+++ b/rudder/relay/events.go
@@ -15,6 +15,7 @@
 	source          io.Reader
 	requestIDHeader string // that every response has; see findHead
 	buffer          []byte
+	spare           []byte         // held the events that next returned last; the next rest is copied there
 	lineStart       int            // offset in buffer of the first line that findHead has not searched to its end
 	possibleHead    int            // offset in buffer at which the head of a response may begin within a line; 0 for none
 	memory          *memoryAccount // that buffer counts in; nil for none
@@ -30,7 +31,11 @@
 // errHeadWithinStream means that a server has written the head of another response into its event stream.
 var errHeadWithinStream = errors.New("head of a response within the event stream")
 
-// next reads from the source once and returns the bytes of all complete events in the buffer. A nil slice without an error
+// maxSpareBytes bounds the buffer that is kept for reuse. Allocating one for each read made many fast streams exceed the memory of
+// a small host: the garbage grew faster than it was collected.
+const maxSpareBytes = 32 << 10
+
+// next reads from the source once and returns the bytes of all complete events in the buffer, valid until the next call. A nil slice without an error
 // means that no event is complete yet. It returns io.ErrShortBuffer if the buffer exceeds maxEventBytes, errBuffersExhausted if
 // all buffers exceed their budget, errHeadWithinStream with the events before the head, and io.EOF at the end of the stream;
 // remainder then returns the bytes of an incomplete event.
@@ -59,7 +64,11 @@
 		return nil, err
 	}
 	complete := r.buffer[:end:end]
-	r.buffer = append([]byte(nil), r.buffer[end:]...)
+	rest := append(r.spare[:0], r.buffer[end:]...)
+	if r.spare = nil; cap(r.buffer) <= maxSpareBytes {
+		r.spare = r.buffer[:0]
+	}
+	r.buffer = rest
 	r.lineStart, r.possibleHead = max(r.lineStart-end, 0), max(r.possibleHead-end, 0)
 	if id, found := parseLastEventID(complete); found {
 		r.lastID = id
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -11,6 +11,7 @@
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/outcome"
+	"chestnutrudder.example/rudder/resource"
 )
 
 const (
@@ -309,8 +310,11 @@
 	h := f.writer.Header()
 	copyHeader(h, b.header)
 	h.Set("Content-Length", strconv.Itoa(len(b.body)))
-	f.server.closeConnectionIfDraining(h)
+	f.server.closeConnectionIfNeeded(f.call, h)
 	f.isHeadSent = true
+	if len(b.body) > uncountedBufferBytes {
+		f.call.charge.ForceResize(resource.Response, int64(len(b.body)))
+	}
 	f.writer.WriteHeader(b.status)
 	if f.call.method != http.MethodHead {
 		_, _ = f.writer.Write(b.body)
--- a/rudder/relay/relay_test.go
+++ b/rudder/relay/relay_test.go
@@ -424,6 +424,21 @@
 	}
 }
 
+// Guards against a buffer for each read of a stream: with hundreds of fast streams the garbage exceeded the memory of a host.
+func TestEventReaderReusesItsBuffers(t *testing.T) {
+	event := "id: 1\ndata: " + strings.Repeat("x", 3000) + "\n\n"
+	r := &eventReader{source: strings.NewReader(strings.Repeat(event, 2000))}
+	chunk := make([]byte, streamChunkBytes)
+	allocations := testing.AllocsPerRun(500, func() {
+		if _, err := r.next(chunk); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if allocations > 1 { // the id of the last event
+		t.Errorf("%v allocations for each read, want at most 1", allocations)
+	}
+}
+
 // If the API key of a request is revoked after the request may have run, the status must not imply that it has not run.
 func TestRevokedKeyAfterLostResponseIsAnsweredWith502(t *testing.T) {
 	h := newHarness(t)
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -13,6 +13,7 @@
 
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/culprit"
+	"chestnutrudder.example/rudder/resource"
 	"chestnutrudder.example/rudder/traffic"
 )
 
@@ -26,6 +27,7 @@
 	service         string
 	organisation    *traffic.Organisation // nil on public routes
 	apiKey          string
+	admittedBy      *traffic.Config      // that gave the route and the organisation; nil before
 	configVersion   int64                // version of the configuration that admitted the request
 	quotaAmount     float64              // taken from the quota of the organisation: tokens, or 1 if it counts requests
 	sharedParts     []backend.PromptPart // parts of the prompt that other requests have too
@@ -38,9 +40,31 @@
 	method          string
 	requestTarget   string // as the caller sent it
 	hostHeader      string
-	parts           []culprit.Trait // see partTraits; nil before its first call
-	content         culprit.Trait   // see contentTrait; 0 before its first call
-	isTrial         bool            // sent although similar requests are quarantined
+	parts           []culprit.Trait  // see partTraits; nil before its first call
+	content         culprit.Trait    // see contentTrait; 0 before its first call
+	isTrial         bool             // sent although similar requests are quarantined
+	charge          *resource.Charge // of the caller's connection; nil if nothing is charged
+}
+
+const (
+	// chargedFields is the number of header fields from which on they are charged to the connection, and fieldBytes is the
+	// memory of one in the head of the caller and in its copy.
+	chargedFields = 32
+	fieldBytes    = 384
+)
+
+// chargeRequest charges the memory that the request takes besides its body.
+func (c *call) chargeRequest(r *http.Request) error {
+	bytes := int64(resource.RequestBytes)
+	if n := len(r.Header); n > chargedFields {
+		bytes += int64(n) * fieldBytes
+	}
+	return c.charge.Resize(resource.Request, bytes)
+}
+
+// releaseCharge ends the charge of the request. That of the connection goes on.
+func (c *call) releaseCharge() {
+	c.charge.Release(resource.Body, resource.Request, resource.Response)
 }
 
 // hopByHopHeaders are valid for one connection only and are not forwarded (RFC 9110, section 7.6.1).
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -80,9 +80,10 @@
 // Drain makes every response close its connection, so that callers move to other nodes. Requests are still served.
 func (s *Server) Drain() { s.isDraining.Store(true) }
 
-// closeConnectionIfDraining adds "Connection: close" to the header of a response while the node is draining.
-func (s *Server) closeConnectionIfDraining(h http.Header) {
-	if s.isDraining.Load() {
+// closeConnectionIfNeeded adds "Connection: close" to the header of a response while the node is draining, and while there is
+// hardly room for further connections: a caller that sends one request after the other would keep others out.
+func (s *Server) closeConnectionIfNeeded(c *call, h http.Header) {
+	if s.isDraining.Load() || c.charge.IsCrowded() {
 		h.Set("Connection", "close")
 	}
 }
@@ -117,17 +118,15 @@
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
 	c := &call{
-		id: r.Header.Get(s.Dialect.RequestID), arrivedAt: time.Now(), header: backendRequestHeader(r.Header, s.Dialect),
-		method: r.Method, requestTarget: r.RequestURI, hostHeader: r.Host,
+		id: r.Header.Get(s.Dialect.RequestID), arrivedAt: time.Now(),
+		method: r.Method, requestTarget: r.RequestURI, hostHeader: r.Host, charge: chargeOf(r.Context()),
 	}
 	defer s.logPanic(c)
-	body, status := readBody(w, r, s.maxBodyBytes())
-	if status != 0 {
-		w.Header().Set("Connection", "close")
-		s.writeError(w, c, outcome.NotRunErrorf(status, 0, "request body could not be read"))
+	defer c.releaseCharge()
+	if problem := s.receive(w, r, c); problem != nil {
+		s.refuse(w, r, c, problem)
 		return
 	}
-	c.body = body
 	if hasCallerLeft(r.Context()) {
 		s.Log.Info("Caller disconnected before the request was handled.", "request", c.id, "run", outcome.NotRun.String())
 		panic(http.ErrAbortHandler)
@@ -136,6 +135,7 @@
 		s.writeError(w, c, problem)
 		return
 	}
+	c.header = backendRequestHeader(r.Header, s.Dialect)
 	if shortage := s.takeQuota(c); shortage != nil {
 		s.writeError(w, c, outcome.NotRunErrorf(http.StatusTooManyRequests, shortage.RetryAfter,
 			"organisation exceeded its rate limit: request needs %.0f, %.0f available, %.0f added per second", shortage.Needed, shortage.Level, shortage.Rate))
@@ -152,6 +152,22 @@
 	f.run(ctx)
 }
 
+// receive reads the body of a request. It returns an error for a request that is refused whatever its body is, before the body
+// is read, or whose body cannot be read.
+func (s *Server) receive(w http.ResponseWriter, r *http.Request, c *call) *outcome.Error {
+	if hasBody(r) {
+		if problem := s.admitHead(c, r); problem != nil {
+			return problem
+		}
+	}
+	if c.chargeRequest(r) != nil {
+		return outcome.NotRunErrorf(http.StatusServiceUnavailable, exhaustedRetryAfter, "node has no memory for the request")
+	}
+	body, problem := readBody(w, r, s.maxBodyBytes(), c.charge)
+	c.body = body
+	return problem
+}
+
 // logPanic logs a panic other than http.ErrAbortHandler. The panic goes on: net/http then closes the caller's connection.
 func (s *Server) logPanic(c *call) {
 	problem := recover()
@@ -175,10 +191,21 @@
 	return maxBodyBytesWithoutConfig
 }
 
-// admit sets the route, organisation, service, quota amount, urgency and deadline of a request. It returns an error if the
-// request must be refused.
+// admit checks a request whose body was read. The configuration or the state of the node may have changed while it was read.
 func (s *Server) admit(c *call, r *http.Request) *outcome.Error {
 	config := s.Current.Config()
+	if c.admittedBy == nil || c.admittedBy != config {
+		if problem := s.admitHead(c, r); problem != nil {
+			return problem
+		}
+	} else if problem := s.checkState(c, config); problem != nil {
+		return problem
+	}
+	return s.checkQuarantine(c, true)
+}
+
+// checkState returns an error if the node cannot serve requests with a configuration.
+func (s *Server) checkState(c *call, config *traffic.Config) *outcome.Error {
 	switch {
 	case config == nil:
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, notReadyRetryAfter, "node has no configuration yet")
@@ -191,6 +218,17 @@
 	case !s.isConfigFresh(s.StalenessLimits.Send):
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, staleConfigRetryAfter, "configuration was not proved to be the newest within the time limit")
 	}
+	return nil
+}
+
+// admitHead sets the route, organisation, service, quota amount, urgency and deadline of a request. It returns an error if the
+// request must be refused whatever its body is.
+func (s *Server) admitHead(c *call, r *http.Request) *outcome.Error {
+	config := s.Current.Config()
+	if problem := s.checkState(c, config); problem != nil {
+		return problem
+	}
+	c.admittedBy = config
 	c.configVersion = config.Version
 	c.route = config.RouteFor(stripPort(r.Host), r.URL.EscapedPath())
 	if c.route == nil {
@@ -219,7 +257,7 @@
 	}
 	c.urgency = min(max(c.urgency, 0), backend.UrgencyLevels-1)
 	c.setDeadline(r.Header.Get(s.Dialect.Timeout))
-	return s.checkQuarantine(c, true)
+	return nil
 }
 
 // setDeadline sets the deadline to the earlier one of the caller's timeout, in milliseconds, and the route's timeout.
@@ -373,7 +411,7 @@
 	if problem.RetryAfter > 0 {
 		h.Set(headerRetryAfter, strconv.FormatFloat(problem.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	s.closeConnectionIfDraining(h)
+	s.closeConnectionIfNeeded(c, h)
 	h.Set("Content-Length", "0")
 	w.WriteHeader(problem.Status)
 	s.Log.Info("Sent an error response to the caller.", "request", c.id, "status", problem.Status, "run", problem.Outcome.String(), "reason", problem.Reason,
--- a/rudder/relaynode/callers.go
+++ b/rudder/relaynode/callers.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"chestnutrudder.example/rudder/relay"
+	"chestnutrudder.example/rudder/resource"
 	"chestnutrudder.example/rudder/traffic"
 )
 
@@ -32,6 +33,7 @@
 	handler  http.Handler
 	limits   func() traffic.Limits // limits in force
 	log      *slog.Logger
+	port     *resource.Port // counts the connections; nil if there is no limit. Set it before Serve.
 
 	mu      sync.Mutex
 	servers map[connectionLimits]*limitedServer
@@ -70,7 +72,10 @@
 			continue
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			conn = &callerConn{TCPConn: tcp, idleTimeout: s.idleTimeout}
+			if conn, err = newCallerConn(tcp, s.port, s.idleTimeout); err != nil {
+				_ = tcp.Close() // the account logs and counts it
+				continue
+			}
 		}
 		s.serverFor(connectionLimitsOf(s.limits())).listener.deliver(conn)
 	}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -27,6 +27,7 @@
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/quota"
 	"chestnutrudder.example/rudder/relay"
+	"chestnutrudder.example/rudder/resource"
 	"chestnutrudder.example/rudder/sleep"
 	"chestnutrudder.example/rudder/telemetry"
 	"chestnutrudder.example/rudder/traffic"
@@ -57,6 +58,8 @@
 	// holderUpdateInterval is the pause between two reports of request counts to the holder of the duty lease while
 	// summaries are used. Counts of an ended window are sent twice at least.
 	holderUpdateInterval = time.Second
+	// resourceReportInterval is the time between two log lines about callers that exceed the resources of the node.
+	resourceReportInterval = time.Second
 	// backendIdleTimeout is how long a connection to a backend server is kept without a request.
 	backendIdleTimeout = 10 * time.Second
 )
@@ -81,6 +84,9 @@
 	streamRecords *streamRecords
 	storeHistory  storeHistory
 
+	resourceLimits resource.Limits
+	resources      *resource.Account // what callers take
+
 	startedAt      boottime.Instant
 	incarnation    int64 // start of the process in Unix milliseconds; identifies this start
 	isDraining     atomic.Bool
@@ -110,6 +116,9 @@
 	if err := metrics.ObserveNodes(n.mesh.CountNodes); err != nil {
 		return err
 	}
+	if err := n.resources.Observe(metrics); err != nil {
+		return err
+	}
 	tasksCtx, stopTasks := context.WithCancel(context.Background())
 	defer stopTasks()
 	group, groupCtx := errgroup.WithContext(tasksCtx)
@@ -139,6 +148,8 @@
 		currentConfig: traffic.NewCurrentConfig(), startedAt: boottime.Now(), incarnation: time.Now().UnixMilli(),
 		configSync: configSync{newerVersion: make(chan struct{}, 1)},
 	}
+	n.resourceLimits = resource.LimitsOf(s.MemoryLimitBytes, s.MaxDescriptors)
+	n.resources = resource.NewAccount(n.resourceLimits.Bytes, logger.Part("resource"))
 	n.backends = backend.NewTable(dialTimeout, logger.Part("backend"))
 	n.backends.MaxIdleConns = n.maxIdleConnections
 	n.quotas = quota.NewLedger(s.IsFirstStart, s.QuotaTolerance, time.Now)
@@ -189,7 +200,7 @@
 	}
 	tasks := []func(context.Context){
 		func(ctx context.Context) { n.mesh.Run(ctx, meshConn) },
-		n.configWatcher.Run, n.registry.objectWatcher.Run, n.relay.WatchWaitingRequests, n.closeIdleConnections, n.updateShares,
+		n.configWatcher.Run, n.registry.objectWatcher.Run, n.relay.WatchWaitingRequests, n.closeIdleConnections, n.reportResources, n.updateShares,
 		n.readNewerConfigs, n.registerAndDiscover, n.keepQuarantines, n.streamRecords.run,
 	}
 	if n.settings.ReportsUsage || n.settings.OrdersCapacity {
@@ -346,6 +357,14 @@
 	}
 }
 
+// reportResources logs callers that exceed the resources of the node, until ctx ends.
+func (n *node) reportResources(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep.For(ctx, resourceReportInterval)
+		n.resources.Report()
+	}
+}
+
 // updateShares adapts the use of quotas to the part of the known nodes that is reachable, the share of the retry budget to
 // the number of known nodes, and the shares of the limits of backend servers to the nodes that serve, until ctx ends.
 func (n *node) updateShares(ctx context.Context) {
@@ -411,13 +430,15 @@
 		return nil, nil, errors.Wrapf(err, "listen on %s", n.settings.CallerAddress)
 	}
 	callers := newCallerServer(listener, n.relay, n.callerLimits, n.logger.Part("http"))
+	callers.port = n.resources.NewPort(n.settings.CallerAddress, n.resourceLimits.CallerConnections)
 	serversByListener := map[net.Listener]*http.Server{}
 	for address, router := range routers {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
 			return nil, nil, errors.Wrapf(err, "listen on %s", address)
 		}
-		serversByListener[listener] = &http.Server{Handler: router, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+		port := n.resources.NewPort(address, n.resourceLimits.OtherPortConnections)
+		serversByListener[&chargedListener{Listener: listener, port: port}] = newOtherPortServer(router)
 	}
 	group.Go(callers.Serve)
 	for listener, server := range serversByListener {
--- a/rudder/relaynode/settings.go
+++ b/rudder/relaynode/settings.go
@@ -33,6 +33,7 @@
 
 	IsFirstStart       bool // no node of the system has run before
 	MemoryLimitBytes   int64
+	MaxDescriptors     int           // that the process may open; 0 means the limit of the operating system
 	StopTimeout        time.Duration // from the request to stop to the end of the process
 	MaxAddressLifetime time.Duration // longest time that callers keep addresses
 
--- a/rudder/telemetry/telemetry.go
+++ b/rudder/telemetry/telemetry.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
 	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
@@ -118,5 +119,38 @@
 	return errors.Wrap(err, "register callback")
 }
 
+// CallerResources is what callers take of a node's resources.
+type CallerResources struct {
+	Bytes, Connections int64
+	Events             map[string]int64 // refused and closed connections and requests since the start, by reason
+}
+
+// ObserveCallerResources registers gauges of what callers take, and a counter of what was refused or closed. read is called at
+// each collection.
+func (m *Metrics) ObserveCallerResources(read func() CallerResources) error {
+	bytes, err := m.meter.Int64ObservableGauge("caller_memory_bytes")
+	if err != nil {
+		return errors.Wrap(err, "create instrument")
+	}
+	connections, err := m.meter.Int64ObservableGauge("caller_connections")
+	if err != nil {
+		return errors.Wrap(err, "create instrument")
+	}
+	events, err := m.meter.Int64ObservableCounter("caller_limit_events")
+	if err != nil {
+		return errors.Wrap(err, "create instrument")
+	}
+	_, err = m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		r := read()
+		o.ObserveInt64(bytes, r.Bytes)
+		o.ObserveInt64(connections, r.Connections)
+		for reason, n := range r.Events {
+			o.ObserveInt64(events, n, metric.WithAttributes(attribute.String("reason", reason)))
+		}
+		return nil
+	}, bytes, connections, events)
+	return errors.Wrap(err, "register callback")
+}
+
 // Handler returns a handler that serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler { return m.handler }
