--- a/rudder/capacity/domains.go
+++ b/rudder/capacity/domains.go
@@ -43,7 +43,7 @@
 // PlanRunners distributes the runners that a load needs over the failure domains. minRunners is a number of runners to keep
 // whatever the load. Reclaimable runners are spread so that the remaining ones carry the peak load when one failure domain
 // loses all of its own. On-demand runners replace reclaimable ones that do not serve, and are dropped when those serve: they
-// are ordered for the sustained load and kept for the recent one. The targets are sorted by price, the cheapest failure
+// are ordered for the sustained load and kept for the peak load. The targets are sorted by price, the cheapest failure
 // domain first.
 func PlanRunners(domains []DomainState, load Load, minRunners int, bounds DomainBounds) []DomainTarget {
 	if len(domains) == 0 {
@@ -72,7 +72,7 @@
 	}
 	limits := slices.Clone(targets)
 	fillOnDemand(targets, domains, missing(load.Sustained), bounds)
-	fillOnDemand(limits, domains, missing(load.Recent), bounds)
+	fillOnDemand(limits, domains, missing(load.Peak), bounds)
 	for i := range targets {
 		targets[i].OnDemandLimit = max(limits[i].OnDemand, targets[i].OnDemand)
 	}
--- a/rudder/capacity/domains_test.go
+++ b/rudder/capacity/domains_test.go
@@ -14,7 +14,7 @@
 
 // steadyLoad returns a load that has not changed for a while.
 func steadyLoad(busyRunners float64) Load {
-	return Load{Peak: busyRunners, Recent: busyRunners, Sustained: busyRunners}
+	return Load{Peak: busyRunners, Sustained: busyRunners}
 }
 
 func totalRunners(targets []DomainTarget) (onDemand, reclaimable int) {
--- a/rudder/capacity/load.go
+++ b/rudder/capacity/load.go
@@ -3,21 +3,18 @@
 import "time"
 
 const (
-	// loadPeakWindow is how long the highest load counts for reclaimable runners, which cost little.
+	// loadPeakWindow is how long the highest load counts for runners that serve already: a load that falls for some seconds, as
+	// after a wave of refusals, comes back.
 	loadPeakWindow = 8 * time.Second
 	// sustainedLoadWindow is how long a load must last to count as sustained. The measurements of the nodes average over some
 	// seconds already; with 2.5 s, on-demand runners came too late where a failure domain was reclaimed while all caches
 	// were cold, and a twentieth more of the requests was late.
 	sustainedLoadWindow = 750 * time.Millisecond
-	// recentLoadWindow is how long the highest load counts for on-demand runners that serve already: to give one back and order it
-	// again takes about as long as its start.
-	recentLoadWindow = 4 * time.Second
 )
 
 // Load is the load of a service, as numbers of runners that are busy all the time.
 type Load struct {
 	Peak      float64 // highest one within loadPeakWindow
-	Recent    float64 // highest one within recentLoadWindow
 	Sustained float64 // lowest one within sustainedLoadWindow
 }
 
@@ -40,9 +37,6 @@
 	for _, s := range h.samples {
 		age := at.Sub(s.at)
 		load.Peak = max(load.Peak, s.busyRunners)
-		if age < recentLoadWindow {
-			load.Recent = max(load.Recent, s.busyRunners)
-		}
 		if age < sustainedLoadWindow {
 			load.Sustained = min(load.Sustained, s.busyRunners)
 		}
--- a/rudder/capacity/load_test.go
+++ b/rudder/capacity/load_test.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// Guards against on-demand runners being given back and ordered again: a load that varies within the time that a runner takes
-// to start keeps those that serve.
+// Guards against on-demand runners being given back and ordered again: a load that varies within seconds keeps those that
+// serve.
 func TestVaryingLoadKeepsOnDemandRunners(t *testing.T) {
 	var h LoadHistory
 	domains := []DomainState{{Name: "a", OnDemand: 60}, {Name: "b", Reclaimable: 40}, {Name: "c"}}
@@ -79,8 +79,8 @@
 	var h LoadHistory
 	measure(&h, repeat(75, 2*time.Second)...)
 	loads := measure(&h, repeat(20, 9*time.Second)...)
-	if after := loads[16]; after.Recent != 20 || after.Peak != 75 {
-		t.Errorf("load %+v 4.25 s after a peak, want a recent load of 20 and a peak of 75", after)
+	if after := loads[16]; after.Sustained != 20 || after.Peak != 75 {
+		t.Errorf("load %+v 4.25 s after a peak, want a sustained load of 20 and a peak of 75", after)
 	}
 	if after := loads[len(loads)-1]; after.Peak != 20 {
 		t.Errorf("load %+v 9 s after a peak, want a peak of 20", after)
