Close connections that give way without holding the account

Cause: closing a socket waits until the goroutine that reads from it has noticed. Under the lock of the account, all requests of a busy host would wait for that.

--- a/rudder/resource/account.go
+++ b/rudder/resource/account.go
@@ -44,7 +44,8 @@
 	used    int64 // by open connections
 	leaving int64 // of connections that were closed to make room and whose goroutines have not ended
 	charges map[*Charge]struct{}
-	search  search // for memory
+	search  search   // for memory
+	toClose []func() // close connections that give way; see unlock
 }
 
 // search remembers a search for connections to close.
@@ -113,7 +114,7 @@
 func (p *Port) tryOpen(c *Charge) Reason {
 	a := p.account
 	a.mu.Lock()
-	defer a.mu.Unlock()
+	defer a.unlock()
 	if p.updateCrowded() {
 		a.evictConnections(p)
 	}
@@ -137,6 +138,17 @@
 	return isCrowded
 }
 
+// unlock unlocks mu and closes the connections that give way. Closing one waits until the goroutine that reads from it has
+// noticed, which may take long on a busy host, so that others must not wait for it.
+func (a *Account) unlock() {
+	closers := a.toClose
+	a.toClose = nil
+	a.mu.Unlock()
+	for _, closeConn := range closers {
+		closeConn()
+	}
+}
+
 // Usage is the state of an account.
 type Usage struct {
 	Bytes       int64 // charged, also for connections that are about to end
--- a/rudder/resource/charge.go
+++ b/rudder/resource/charge.go
@@ -70,7 +70,7 @@
 	switch {
 	case hasRoom:
 	case c.isLeaving:
-		a.mu.Unlock()
+		a.unlock()
 		return ErrExhausted
 	default:
 		hasRoom = a.makeRoom(c, growth)
@@ -78,7 +78,7 @@
 	if hasRoom || isForced {
 		c.add(part, growth)
 	}
-	a.mu.Unlock()
+	a.unlock()
 	if !hasRoom && !isForced {
 		a.reports.count(RefusedMemory, c.port.name)
 		return ErrExhausted
--- a/rudder/resource/evict.go
+++ b/rudder/resource/evict.go
@@ -71,14 +71,13 @@
 	return list
 }
 
-// evict closes a connection. Its memory is free from now on, except that of all closed ones together is bounded. The caller
-// holds a.mu.
+// evict lets a connection be closed. Its memory is free from now on, except that of all closed ones together is bounded. The
+// caller holds a.mu and releases it by unlock.
 func (a *Account) evict(c *Charge, reason Reason) {
 	c.isLeaving = true
 	a.used -= c.bytes
 	a.leaving += c.bytes
 	c.port.leaving++
-	// Closing a socket does not wait, but calls back into Close once the goroutine of the connection ends.
-	c.closeConn()
+	a.toClose = append(a.toClose, c.closeConn)
 	a.reports.count(reason, c.port.name)
 }
