Compare servers at equal load on all nodes

Nodes compared each sample with what they had seen themselves.

Nodes now share the times themselves by kind and load level, and each finds what is usual as the median over the servers with their deviations taken out, so that all nodes agree.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -339,7 +339,7 @@
 	p.Server.slowdown.observe(ratio, now)
 	m := p.table.model(p.request.Service)
 	m.observeLateness(ratio)
-	p.observePace(elapsedMillis, now)
+	p.observePace(elapsedMillis)
 	if p.request.IsGeneration {
 		if p.isUncontended {
 			m.observePrompt(elapsedMillis/p.pace.factor, p.pendingTokens)
--- a/rudder/backend/pace.go
+++ b/rudder/backend/pace.go
@@ -55,6 +55,15 @@
 	})
 }
 
+// maintainPaces updates the paces of all services, which may have no requests here but reports from peers. The caller holds the
+// lock.
+func (t *Table) maintainPaces(now time.Time) {
+	t.paceExchange.dropOldSenders(now)
+	for service, m := range t.models {
+		t.updatePaces(service, m, now)
+	}
+}
+
 // rescale takes the change of a server's pace out of the slowdown, which was measured relative to the previous pace. It brings
 // the factor nearer to 1 only: a pace that peers have found has not been measured here.
 func (s *slowdown) rescale(factor float64) {
@@ -83,9 +92,9 @@
 }
 
 // observePace adds the time to the first byte to what is known of the server's pace. The caller holds the lock.
-func (p *Placement) observePace(elapsedMillis float64, now time.Time) {
+func (p *Placement) observePace(elapsedMillis float64) {
 	sample := pace.Sample{
-		Kind: pace.PlainResponse, Weight: pace.WeightPlainResponse, Level: p.pace.level, Pace: p.pace.factor,
+		Kind: pace.PlainResponse, Weight: pace.WeightPlainResponse, Level: p.pace.level,
 		Ratio: elapsedMillis / max(millis(p.MedianFirstByte()), 1),
 	}
 	if p.request.IsGeneration {
@@ -97,7 +106,7 @@
 			sample.Weight = pace.WeightPrompt
 		}
 	}
-	p.table.model(p.request.Service).paces.Observe(&p.Server.pace, sample, now)
+	p.table.model(p.request.Service).paces.Observe(&p.Server.pace, sample)
 }
 
 // RecordEvents records that the events of a stream after the first one took the given time. It must not be called for streams
@@ -109,9 +118,9 @@
 	p.table.mu.Lock()
 	defer p.table.mu.Unlock()
 	p.table.model(p.request.Service).paces.Observe(&p.Server.pace, pace.Sample{
-		Kind: pace.EventInterval, Weight: pace.WeightEventInterval, Level: p.pace.level, Pace: p.pace.factor,
+		Kind: pace.EventInterval, Weight: pace.WeightEventInterval, Level: p.pace.level,
 		Ratio: millis(took) / float64(events),
-	}, time.Now())
+	})
 }
 
 const (
--- a/rudder/backend/pace_report.go
+++ b/rudder/backend/pace_report.go
@@ -88,7 +88,7 @@
 	x.sequence++
 	report := &pace.Report{Sequence: x.sequence}
 	for _, s := range reported {
-		report.Servers = append(report.Servers, s.pace.TakeReport(s.incarnation(), withKnown[s], now))
+		report.Servers = append(report.Servers, s.pace.TakeReport(s.incarnation(), withKnown[s]))
 	}
 	return report
 }
@@ -113,7 +113,7 @@
 	}
 	for _, r := range report.Servers[:min(len(report.Servers), paceReportsPerDigest)] {
 		if s, found := x.index[r.Server]; found {
-			s.pace.Merge(r, now)
+			t.model(s.Service).paces.Merge(&s.pace, r, now)
 		}
 	}
 }
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -422,7 +422,7 @@
 	maps.DeleteFunc(t.removals, func(_ string, r removal) bool { return t.now().Sub(r.at) > removalRetention })
 	t.updatePauses()
 	t.forgetUnlisted()
-	t.paceExchange.dropOldSenders(time.Now())
+	t.maintainPaces(time.Now())
 	t.mu.Unlock()
 	for _, p := range pools {
 		p.CloseIdle(idle)
--- a/rudder/pace/pace.go
+++ b/rudder/pace/pace.go
@@ -36,8 +36,10 @@
 	levelPriorWeight = 32.0
 	// maxWeight bounds the weight of all samples of a server.
 	maxWeight = 500.0
-	// maxResidual bounds one sample (log of a ratio): single requests wait for others that this node does not know of.
-	maxResidual = 1.6
+	// maxDeviation bounds the deviation of one sample from the usual (log of a ratio): single requests wait for others that this
+	// node does not know of. maxLog bounds the log of a ratio of which nothing is known.
+	maxDeviation = 1.6
+	maxLog       = 14.0
 )
 
 var (
@@ -50,12 +52,45 @@
 	medianHysteresis = 0.8 * stepSize
 )
 
+// Kind is a kind of measured time. Times of different kinds are not compared.
+type Kind int
+
+// The kinds of measured times.
+const (
+	ShortPrompt   Kind = iota // to the first byte of a generation request of which little has to be prefilled
+	LongPrompt                // to the first byte of another generation request
+	EventInterval             // between two events of a stream
+	PlainResponse             // to the first byte of a plain request
+	kindCount
+)
+
+// LongPromptTokens is the number of tokens to prefill from which on a prompt is a LongPrompt.
+const LongPromptTokens = 2500
+
+// Weights of samples. The time between events depends on the server and on the slots in use, which are known; the time to the
+// first byte depends on prompts of other nodes as well, of which this node hears too late, and a faster server has more of them.
+// The work of plain requests differs from request to request.
+const (
+	WeightEventInterval   = 1.0
+	WeightPrompt          = 0.1
+	WeightContendedPrompt = 0.02
+	WeightPlainResponse   = 0.1
+)
+
+// Sample is a measured time of a request.
+type Sample struct {
+	Kind   Kind
+	Level  int     // load of the server, see Level
+	Ratio  float64 // of the time to that expected from the median server; to any constant where nothing can be expected
+	Weight float64
+}
+
 // mean is a weighted mean of logs of ratios.
 type mean struct{ weight, total float64 }
 
-func (m *mean) add(weight, total float64) {
+func (m *mean) add(weight, value float64) {
 	m.weight += weight
-	m.total += total
+	m.total += weight * value
 }
 
 func (m *mean) scale(factor float64) {
@@ -71,18 +106,22 @@
 	return m.total / m.weight
 }
 
+// cells holds one value for each kind and load level.
+type cells[T any] [kindCount][LoadLevels]T
+
 // Estimator holds what is known of the pace of one server. The zero value is a server of which nothing is known. It is not safe
 // for concurrent use.
 type Estimator struct {
-	all       mean
-	news      mean // the same samples with newsHalfLife
-	levels    [LoadLevels]mean
-	decayedAt time.Time
-	// replacedAt is when older samples were last forgotten because the pace had changed.
-	replacedAt time.Time
-	unsent     [LoadLevels]mean // samples of this node that peers have not been told, without decay
-	steps      [LoadLevels]int8 // paces in use, as powers of the step
-	paces      [LoadLevels]float64
+	samples    cells[mean]
+	told       mean // deviation that a peer told, see Group.Merge
+	news       mean // deviations of recent samples, with newsHalfLife
+	unsent     cells[mean]
+	weight     float64 // of samples and told at the last update
+	deviation  float64 // log of the time relative to the median server at the last update
+	decayedAt  time.Time
+	replacedAt time.Time           // when older samples were last forgotten because the pace had changed
+	steps      [LoadLevels]int8    // paces in use, as powers of the step
+	paces      [LoadLevels]float64 // 0 before the first update
 }
 
 // Level returns the load level of a server with the given numbers of requests and slots.
@@ -99,8 +138,8 @@
 	return 1
 }
 
-// Weight returns the weight of the samples at the time of the latest one.
-func (e *Estimator) Weight() float64 { return e.all.weight }
+// Weight returns the weight of all that is known at the last update.
+func (e *Estimator) Weight() float64 { return e.weight }
 
 // comfortStep is the number of steps by which the pace at a load level exceeds that at the lowest level when the server no
 // longer handles so many requests well: 1.7 times.
@@ -116,56 +155,43 @@
 	return slots
 }
 
-// observe adds a sample of this node: the log of a ratio to the median server.
-func (e *Estimator) observe(level int, weight, residual float64, now time.Time) {
-	e.unsent[level].add(weight, weight*residual)
-	e.add(level, weight, residual, now)
-}
-
-// add adds samples of this node or of a peer.
-func (e *Estimator) add(level int, weight, residual float64, now time.Time) {
-	e.decay(now)
-	residual = min(max(residual, -maxResidual), maxResidual)
-	e.all.add(weight, weight*residual)
-	e.news.add(weight, weight*residual)
-	e.levels[level].add(weight, weight*residual)
-	if e.all.weight > maxWeight {
-		e.scale(maxWeight / e.all.weight)
-	}
-}
-
 // change returns the deviation of the recent samples from all samples.
-func (e *Estimator) change() float64 { return e.news.value() - e.all.value() }
+func (e *Estimator) change() float64 { return e.news.value() - e.deviation }
 
 // replaceByNews forgets all samples but the recent ones. The differences between load levels are kept.
 func (e *Estimator) replaceByNews(now time.Time) {
 	e.replacedAt = now
-	change := e.change()
-	factor := acceptedNewsWeight / e.all.weight
-	e.all = e.news
-	e.all.scale(acceptedNewsWeight / e.news.weight)
-	for i := range e.levels {
-		e.levels[i].total += e.levels[i].weight * change
-		e.levels[i].scale(factor)
-	}
+	change, factor := e.change(), acceptedNewsWeight/max(e.weight, acceptedNewsWeight)
+	e.eachMean(func(m *mean) {
+		m.total += m.weight * change
+		m.scale(factor)
+	})
 }
 
 // decay reduces the weight of the samples by their age.
 func (e *Estimator) decay(now time.Time) {
-	elapsed := now.Sub(e.decayedAt)
+	elapsed, isFirst := now.Sub(e.decayedAt), e.decayedAt.IsZero()
 	if elapsed <= 0 {
 		return
 	}
-	if e.all.weight > 0 {
-		e.scale(math.Exp2(-elapsed.Seconds() / halfLife.Seconds()))
-		e.news.scale(math.Exp2(-elapsed.Seconds() / newsHalfLife.Seconds()))
-	}
 	e.decayedAt = now
+	if isFirst {
+		return // the samples have no age yet
+	}
+	factor := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
+	if e.weight > maxWeight {
+		factor *= maxWeight / e.weight
+	}
+	e.eachMean(func(m *mean) { m.scale(factor) })
+	e.news.scale(math.Exp2(-elapsed.Seconds() / newsHalfLife.Seconds()))
 }
 
-func (e *Estimator) scale(factor float64) {
-	e.all.scale(factor)
-	for i := range e.levels {
-		e.levels[i].scale(factor)
+// eachMean applies a function to all means that have halfLife.
+func (e *Estimator) eachMean(apply func(*mean)) {
+	for kind := range e.samples {
+		for level := range e.samples[kind] {
+			apply(&e.samples[kind][level])
+		}
 	}
+	apply(&e.told)
 }
--- a/rudder/relay/event_pace.go
+++ b/rudder/relay/event_pace.go
@@ -29,10 +29,15 @@
 	p.laterEvents += bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\r\n\r\n"))
 }
 
+// took returns the time from the first event to the latest.
+func (p *eventPace) took() time.Duration { return p.latestAt.Sub(p.firstAt) }
+
+// isOfServer reports whether the caller did not keep the stream waiting.
+func (p *eventPace) isOfServer() bool { return float64(p.blocked) <= maxBlockedShare*float64(p.took()) }
+
 // report records the measurement of a complete stream.
 func (p *eventPace) report(placement *backend.Placement) {
-	took := p.latestAt.Sub(p.firstAt)
-	if float64(p.blocked) <= maxBlockedShare*float64(took) {
-		placement.RecordEvents(p.laterEvents, took)
+	if p.isOfServer() {
+		placement.RecordEvents(p.laterEvents, p.took())
 	}
 }
