Weight the homes of prompt prefixes by the pace of servers

Change: a slow server is home of fewer prefixes, by a weighted rendezvous hash that all nodes compute alike, and no request detours from a server that has most of its shared parts cached.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -257,14 +257,14 @@
 			}
 		}
 	}
-	home := homeServer(unlimited, r.Parts)
+	m := t.model(r.Service)
+	t.updatePaces(r.Service, m, now)
+	home := homeServer(unlimited, r.Parts, m.paces.homeWeight)
 	if home == nil {
-		home = homeServer(serving, r.Parts)
+		home = homeServer(serving, r.Parts, m.paces.homeWeight)
 	}
-	m := t.model(r.Service)
 	requestNumber := t.random.Uint64()
 	reservedFor := m.reservedShare(r)
-	t.updatePaces(r.Service, m, now)
 	candidates := make([]Candidate, 0, len(serving))
 	for _, s := range serving {
 		c := t.candidate(s, s == home, r, m, mix(s.idHash^requestNumber), now, bootNow)
@@ -305,7 +305,10 @@
 		c.HasPendingPrompts = total.tokensAhead(UrgencyLevels-1) > 0
 		// The prefill time counts twice: it also delays the other requests at the server.
 		unpacedMillis := c.FirstByteMillis - (m.firstEventMillis+prefillMillis)*(c.Pace-1) // but for the wait for other prompts
-		c.Score = (unpacedMillis*slowFactor + prefillMillis) * m.paces.detourFactor(c.Pace, detourExponent, random)
+		c.Score = unpacedMillis*slowFactor + prefillMillis
+		if !isHome && 2*cached <= sumTokens(r.Parts) { // else another server would have to read what is cached here
+			c.Score *= m.paces.detourFactor(c.Pace, detourExponent, random)
+		}
 	} else {
 		c.FirstByteMillis = m.plainMillis * (1 + float64(total.running)/float64(slots)) * c.Pace
 		c.IsFull = s.ownLoad.running >= maxRunningFactor*slots
--- a/rudder/backend/pace.go
+++ b/rudder/backend/pace.go
@@ -36,6 +36,12 @@
 	return detourPenalty
 }
 
+// homeWeight returns the share of prompt prefixes for which a server is home, relative to fast servers. It depends on nothing but the
+// server, so that all requests with a prefix have the same home.
+func (p *paces) homeWeight(s *Server) float64 {
+	return math.Pow(min(p.Reference()/s.pace.Pace(0), 1), detourExponent)
+}
+
 // updatePaces updates the paces in use of a service's servers if that is due. The caller holds the lock.
 func (t *Table) updatePaces(service string, m *latencyModel, now time.Time) {
 	p := &m.paces
--- a/rudder/backend/prefix.go
+++ b/rudder/backend/prefix.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,9 +81,10 @@
 	return sum
 }
 
-// homeServer returns the server with the highest rendezvous hash for the shared parts. All nodes with the same servers choose
-// the same one, so prompts with a common prefix go to the same prefix cache.
-func homeServer(servers []*Server, parts []PromptPart) *Server {
+// homeServer returns the server with the highest weighted rendezvous hash for the shared parts. All nodes with the same servers and
+// paces choose the same one, so prompts with a common prefix go to the same prefix cache. weight returns the share of prefixes
+// that a server takes relative to others.
+func homeServer(servers []*Server, parts []PromptPart, weight func(*Server) float64) *Server {
 	key := xxhash.New()
 	for _, p := range parts {
 		_, _ = key.WriteString(p.ID)
@@ -90,10 +92,12 @@
 	}
 	seed := key.Sum64()
 	var home *Server
-	highest := uint64(0)
+	highest := 0.0
 	for _, s := range servers {
-		if weight := mix(seed ^ s.idHash); home == nil || weight > highest {
-			home, highest = s, weight
+		// An exponentially distributed number for each server, divided by its weight: the least one wins. With equal weights it
+		// is the server with the highest hash.
+		if score := -weight(s) / math.Log(unitInterval(mix(seed^s.idHash))); home == nil || score > highest {
+			home, highest = s, score
 		}
 	}
 	return home
