Decide rollouts of software versions by the shared judgement of package rollout

Decide judged model weights by two constants in its own code; the judgement is now Strategy.Judge, with the strategy as data, and the phases of both kinds follow Phase.next.

--- a/rudder/rollout/decide.go
+++ b/rudder/rollout/decide.go
@@ -133,7 +133,7 @@
 func checkFailures(state State, in Input) State {
 	failures := state.PastFailures
 	healthy := 0
-	reason := ""
+	reason := fmt.Sprintf("runners failed with version %s before they were ordered again", state.Target)
 	for _, r := range in.Runners {
 		if cause := failureReason(r, state.Target, in.Now); cause != "" {
 			failures++
@@ -145,13 +145,9 @@
 			healthy++
 		}
 	}
-	allowedFailures := maxFailuresAfterCanary
-	if healthy == 0 {
-		allowedFailures = 0
-	}
-	if failures > allowedFailures && state.Previous != "" {
-		state.Phase = PhaseReversing
-		state.Reason = reason
+	problem := WeightStrategy.Judge(Evidence{Failures: failures, Failure: reason, IsProven: healthy > 0})
+	if problem != "" && state.Previous != "" {
+		state.Phase, state.Reason = state.Phase.next(true, false), problem
 	}
 	return state
 }
@@ -228,12 +224,9 @@
 
 // finishPhase completes a rollout or a rollback after every runner has reached the wanted version.
 func finishPhase(state State) State {
-	switch state.Phase {
-	case PhaseRolling:
-		state.Phase = PhaseDone
+	if state.Phase == PhaseRolling {
 		state.Reason = ""
-	case PhaseReversing:
-		state.Phase = PhaseReversed
 	}
+	state.Phase = state.Phase.next(false, true)
 	return state
 }
