Divide the requests of a service among software versions

An order to move a service to a new version needs a share of the requests that all sends of a request agree on, and counts of what the versions answer. The table takes VersionShares as an input of the choice; a small share goes to few of the new servers, so that a version that fails only under load shows it early. The relay counts sends and ends by service, version and route.

--- a/rudder/backend/backpressure.go
+++ b/rudder/backend/backpressure.go
@@ -42,6 +42,8 @@
 	switch {
 	case !s.isServing():
 		return "backend server leaves"
+	case !t.versionShares[p.request.Service].mayGetRequests(p.SoftwareVersion):
+		return "software version of the backend server gets no requests"
 	case s.pause.isInForce(t.now()):
 		return "backend server asked for a pause"
 	}
--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -61,6 +61,8 @@
 	Exclude         map[string]bool // servers that have already received the request, by ID
 	FailureDomain   string          // of this node; among equal servers, those in it go first
 	SoftwareVersion *string         // of the only servers that may take the request; nil if all may
+	// VersionFraction is a hash of the request's id, at least 0 and below 1, that assigns it to a version; see SetVersionShares.
+	VersionFraction float64
 	// Patience is how long the request may wait for the end of a pause and its first byte together; 0 if it may not wait.
 	Patience  time.Duration
 	HasWaited bool // for the end of a pause
@@ -199,6 +201,7 @@
 	}
 	s.recordSend(now)
 	s.ownLoad.running++
+	t.ownByVersion.add(r.Service, p.SoftwareVersion, 1)
 	s.ownLoad.pendingTokens[r.urgencyLevel()] += p.pendingTokens
 	p.isProbe = s.health.recordPlacement(now)
 	return p, nil
@@ -242,9 +245,12 @@
 		t.updatePause(s, bootNow)
 		if s.Service == r.Service && !r.Exclude[s.ID] && s.isServing() && s.hasVersion(r.SoftwareVersion) {
 			serving = append(serving, s)
-			if !s.limit.isNamed {
-				unlimited = append(unlimited, s)
-			}
+		}
+	}
+	serving = t.divide(&r, serving)
+	for _, s := range serving {
+		if !s.limit.isNamed {
+			unlimited = append(unlimited, s)
 		}
 	}
 	home := homeServer(unlimited, r.Parts)
@@ -419,6 +425,7 @@
 		}
 	}
 	s.ownLoad.running--
+	t.ownByVersion.add(p.request.Service, p.SoftwareVersion, -1)
 	switch result {
 	case ResultCompleted:
 		s.health.recordSuccess(now)
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -90,8 +90,10 @@
 	limitTurn      int // counts the reports of limits
 	// hasUrgentDeparture is true if a response to this node has announced one since the last report.
 	hasUrgentDeparture bool
-	removals           map[string]removal // of forgotten servers by ID
-	firstListedAt      time.Time          // when Replace first received a listing
+	removals           map[string]removal        // of forgotten servers by ID
+	versionShares      map[string]*VersionShares // by service; see SetVersionShares
+	ownByVersion       requestsByVersion
+	firstListedAt      time.Time // when Replace first received a listing
 	now                func() boottime.Instant
 }
 
@@ -137,6 +139,7 @@
 	return &Table{
 		DialTimeout: dialTimeout, Log: log,
 		servers: map[string]*Server{}, peerLoads: map[string]peerReport{}, removals: map[string]removal{},
+		versionShares: map[string]*VersionShares{}, ownByVersion: requestsByVersion{},
 		prefixes: newPrefixIndex(), models: map[string]*latencyModel{}, demands: map[string]*demand{}, now: boottime.Now,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/rudder/backend/version.go
+++ b/rudder/backend/version.go
@@ -17,7 +17,7 @@
 // servesVersion reports whether a server of a service serves that has the given software version. The caller holds the lock.
 func (t *Table) servesVersion(service, version string) bool {
 	for _, s := range t.servers {
-		if s.Service == service && s.SoftwareVersion == version && s.isServing() {
+		if s.Service == service && s.SoftwareVersion == version && s.isServing() && t.versionShares[service].mayGetRequests(version) {
 			return true
 		}
 	}
--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -7,6 +7,7 @@
 	"chestnutrudder.example/rudder/culprit"
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/quota"
+	"chestnutrudder.example/rudder/rollout"
 	"chestnutrudder.example/rudder/streamorigin"
 	"chestnutrudder.example/rudder/usage"
 )
@@ -51,7 +52,7 @@
 	// IsWarmingUp is true while the sender may not know all that was admitted before its start; see quota.Ledger.IsWarmingUp.
 	IsWarmingUp bool `cbor:"18,keyasint,omitempty"`
 	// IsUrgent marks a digest that is sent between two full ones. It holds only Node, Incarnation and either some
-	// QuotaUsages with IsWarmingUp, some RunsByWindow, or Crashes, ServerLimits, Departures and StreamOrigins.
+	// QuotaUsages with IsWarmingUp, some RunsByWindow, or Crashes, ServerLimits, Departures, StreamOrigins and Rollouts.
 	IsUrgent bool `cbor:"19,keyasint,omitempty"`
 	// IsBrief marks a digest without Loads, Demand, QuotaUsages, RunsByWindow and Sightings, for a node of another failure
 	// domain that gets these from summaries.
@@ -72,6 +73,8 @@
 	ServerVersions map[string]string `cbor:"28,keyasint,omitempty"`
 	// StreamOrigins tells where streams began, in an urgent digest.
 	StreamOrigins []streamorigin.Report `cbor:"29,keyasint,omitempty"`
+	// Rollouts tells of the orders to move services to other software versions, in full, brief and urgent digests.
+	Rollouts []rollout.Report `cbor:"40,keyasint,omitempty"`
 	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
 	Sightings []PeerSighting `cbor:"27,keyasint,omitempty"`
 }
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -48,6 +48,7 @@
 	cancel    context.CancelFunc
 
 	sentAt       boottime.Instant // when the sending began
+	headAt       boottime.Instant // when the head of a response that is not a refusal came; 0 if none came
 	firstEventAt boottime.Instant // of the stream; 0 if none came
 	progressAt   boottime.Instant // when the server last sent a head or a whole event; at first sentAt
 	isSilent     bool             // the server was silent for too long, but the request could not go elsewhere
@@ -88,6 +89,7 @@
 	request := a.call.newBackendRequest(a.server.Dialect, a.placement.ID, time.Until(a.call.deadline), a.forwarder.lastEventID)
 	a.sentAt = boottime.Now()
 	a.progressAt = a.sentAt
+	a.countSend()
 	writeResult, err := a.send(request)
 	if err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -212,7 +214,8 @@
 		return attemptResult{isKnownNotRun: true, isPaused: isPaused, backendResult: backend.ResultRejected, reason: "backend server refused the request with status " + strconv.Itoa(response.StatusCode)}
 	}
 	a.removeAwaitingResponse()
-	a.progressAt = boottime.Now()
+	a.headAt = boottime.Now()
+	a.progressAt = a.headAt
 	a.placement.RecordFirstByte()
 	a.forwarder.countRun()
 	a.server.metrics.recordFirstByte(a.call, time.Since(a.call.arrivedAt))
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -89,6 +89,7 @@
 		f.logContinuation(placement)
 		a := &attempt{server: s, call: c, placement: placement, forwarder: f}
 		result := a.run(ctx)
+		a.countEnd(result)
 		placement.Release(result.backendResult)
 		f.recordResult(a, result)
 		if result.isFinal {
@@ -114,8 +115,8 @@
 	return backend.Request{
 		Service: c.service, Parts: c.sharedParts, PromptTokens: c.promptTokens, MaxOutputTokens: c.maxOutputTokens, IsGeneration: c.isGeneration, Urgency: c.urgency,
 		Objective:       c.route.LatencyObjective,
-		SoftwareVersion: f.version,
-		Exclude:         f.excludedServers, FailureDomain: f.server.FailureDomain, Patience: f.patience(), HasWaited: f.hasWaited,
+		SoftwareVersion: f.version, VersionFraction: hashFraction(c.id),
+		Exclude: f.excludedServers, FailureDomain: f.server.FailureDomain, Patience: f.patience(), HasWaited: f.hasWaited,
 	}
 }
 
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -59,6 +59,7 @@
 	Log              *slog.Logger
 	Crashes          *culprit.List
 	Origins          *streamorigin.Book
+	Versions         VersionObserver // nil means that the requests at software versions are not counted
 
 	mu               sync.Mutex
 	nodeCount        int                           // nodes that share the retry budgets
@@ -141,6 +142,9 @@
 			"organisation exceeded its rate limit: request needs %.0f, %.0f available, %.0f added per second", shortage.Needed, shortage.Level, shortage.Rate))
 		return
 	}
+	if s.Versions != nil {
+		s.Versions.CountArrival(c.service)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	f := &forwarder{server: s, call: c, writer: w, callerDone: r.Context().Done()}
