Carry out rollouts of software versions in the relay nodes

Two nodes watch the operator's orders and tell the others in digests; the holder of the duty lease decides the share and the phase from the counts of all nodes, records them and writes the status; every node enforces the share and stops a version that its counts show to be bad. Settings without the contract rollout start none of this, and no call is made.

--- a/rudder/backend/shares.go
+++ b/rudder/backend/shares.go
@@ -41,6 +41,18 @@
 	delete(t.versionShares, service)
 }
 
+// SetAwaitsVersionShares tells whether it is not known yet which services have shares. Requests for services with several
+// versions are refused meanwhile.
+func (t *Table) SetAwaitsVersionShares(awaits bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.awaitsShares = awaits
+}
+
+func hasSeveralVersions(servers []*Server) bool {
+	return slices.ContainsFunc(servers, func(s *Server) bool { return s.SoftwareVersion != servers[0].SoftwareVersion })
+}
+
 // mayGetRequests reports whether the shares allow any request to a version.
 func (v *VersionShares) mayGetRequests(version string) bool {
 	if v == nil || version == v.Target && !slices.Contains(v.Excluded, version) {
@@ -53,6 +65,9 @@
 // holds the lock.
 func (t *Table) divide(r *Request, serving []*Server) []*Server {
 	v := t.versionShares[r.Service]
+	if v == nil && t.awaitsShares && hasSeveralVersions(serving) {
+		return nil
+	}
 	if v == nil {
 		return serving
 	}
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -93,6 +93,7 @@
 	removals           map[string]removal        // of forgotten servers by ID
 	versionShares      map[string]*VersionShares // by service; see SetVersionShares
 	ownByVersion       requestsByVersion
+	awaitsShares       bool      // see SetAwaitsVersionShares
 	firstListedAt      time.Time // when Replace first received a listing
 	now                func() boottime.Instant
 }
--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -75,6 +75,8 @@
 	StreamOrigins []streamorigin.Report `cbor:"29,keyasint,omitempty"`
 	// Rollouts tells of the orders to move services to other software versions, in full, brief and urgent digests.
 	Rollouts []rollout.Report `cbor:"40,keyasint,omitempty"`
+	// RolloutCallAgeMillis is the time since the sender's last answered call for these orders, plus 1; 0 if there was none.
+	RolloutCallAgeMillis int64 `cbor:"41,keyasint,omitempty"`
 	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
 	Sightings []PeerSighting `cbor:"27,keyasint,omitempty"`
 }
--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -138,6 +138,21 @@
 	return reachable, known
 }
 
+// KnownMembers returns the peers that serve callers as far as is known: all reachable ones, and the unreachable ones that were not
+// draining. The members must not be changed.
+func (m *Mesh) KnownMembers() []*Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	var list []*Member
+	for _, name := range m.names() {
+		if member := m.members[name]; m.isReachable(member, now) || member.State != Draining {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
 // CountDirectPeers returns how many peers there are whose digests this node gets from themselves, and how many of them are
 // reachable and match. Where summaries are used, these are the peers of the failure domain.
 func (m *Mesh) CountDirectPeers(matches func(*Member) bool) (matching, known int) {
--- a/rudder/objectapi/objectapi.go
+++ b/rudder/objectapi/objectapi.go
@@ -44,6 +44,8 @@
 	Version Version         `json:"version"`
 	Token   string          `json:"token"` // unique token of the last write
 	Value   json.RawMessage `json:"value"`
+	// Status is what is told beside the value of the progress of an object that another writer owns; nil if there is none.
+	Status json.RawMessage `json:"-"`
 	// Err is set if a listing or a watch holds the object but it could not be decoded. It then has no Version, Token and
 	// Value, and the name in its Key is empty if that was not readable either.
 	Err error `json:"-"`
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// dutyLeaseName is the name of the lease whose holder performs the duties: to report usage and to order runners.
+	// dutyLeaseName is the name of the lease whose holder performs the duties: to report usage, to order runners and to
+	// decide about rollouts of software versions.
 	dutyLeaseName = "duties"
 	// maxContenders is the number of nodes that read the lease while no node seems to hold it; the others make no calls.
 	maxContenders = 3
@@ -72,6 +73,9 @@
 	if n.settings.OrdersCapacity {
 		group.Go(func() error { n.runCapacityPlanner(ctx, dutyLease); return lease.ErrLost })
 	}
+	if n.rollouts != nil {
+		group.Go(func() error { n.rollouts.hold(ctx, dutyLease); return lease.ErrLost })
+	}
 	_ = group.Wait()
 }
 
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -80,6 +80,7 @@
 	registry      *registrySync
 	streamRecords *streamRecords
 	storeHistory  storeHistory
+	rollouts      *rolloutSync // nil unless the operator orders rollouts of software versions
 
 	startedAt      boottime.Instant
 	incarnation    int64 // start of the process in Unix milliseconds; identifies this start
@@ -162,6 +163,10 @@
 	n.relay.Crashes.RelaysPeers = n.mesh.UsesSummaries
 	n.streamRecords = newStreamRecords(n)
 	n.relay.Origins = n.streamRecords.book
+	if s.RollsOutVersions {
+		n.rollouts = newRolloutSync(n)
+		n.relay.Versions = n.rollouts.tracker
+	}
 	n.relay.SetMetrics(metrics)
 	n.leases = &lease.Manager{
 		Store: platform.Store, Node: s.Node, Log: logger.Part("lease"), ShouldContend: n.isLeaseContender,
@@ -192,7 +197,10 @@
 		n.configWatcher.Run, n.registry.objectWatcher.Run, n.relay.WatchWaitingRequests, n.closeIdleConnections, n.updateShares,
 		n.readNewerConfigs, n.registerAndDiscover, n.keepQuarantines, n.streamRecords.run,
 	}
-	if n.settings.ReportsUsage || n.settings.OrdersCapacity {
+	if n.rollouts != nil {
+		tasks = append(tasks, n.rollouts.run, n.rollouts.update)
+	}
+	if n.settings.ReportsUsage || n.settings.OrdersCapacity || n.rollouts != nil {
 		tasks = append(tasks, func(ctx context.Context) { n.leases.Hold(ctx, dutyLeaseName, n.runDuties) })
 	}
 	return tasks
@@ -212,6 +220,9 @@
 		UsageFinalThrough: n.usageCounter.FinalThrough(),
 	}
 	d.ServerVersions = versionsByID(d.Registry.Changes)
+	if n.rollouts != nil {
+		d.Rollouts, d.RolloutCallAgeMillis = n.rollouts.reports(), n.rollouts.callAgeMillis()
+	}
 	if config := n.currentConfig.Config(); config != nil {
 		d.ConfigVersion = config.Version
 	}
@@ -235,10 +246,18 @@
 	toAll := digest
 	toAll.Crashes, toAll.ServerLimits, toAll.Departures = n.relay.Crashes.UrgentReport(), n.backends.UrgentLimits(), n.backends.UrgentDepartures()
 	toAll.StreamOrigins = n.relay.Origins.TakeReports()
-	if toAll.Crashes != nil || toAll.ServerLimits != nil || toAll.Departures != nil || toAll.StreamOrigins != nil {
+	if n.rollouts != nil {
+		toAll.Rollouts = n.rollouts.takeNews()
+	}
+	if toAll.Crashes != nil || toAll.ServerLimits != nil || toAll.Departures != nil || toAll.StreamOrigins != nil || toAll.Rollouts != nil {
 		list = append(list, mesh.UrgentDigest{Digest: toAll})
 	}
 	if holder := n.dutyHolder(); holder != "" {
+		if n.rollouts != nil && n.rollouts.tracker.HasActive() {
+			toHolder := digest
+			toHolder.Rollouts = n.rollouts.reports()
+			list = append(list, mesh.UrgentDigest{Digest: toHolder, Recipient: holder})
+		}
 		if windows := n.windowsForDutyHolder(holder); len(windows) > 0 {
 			toHolder := digest
 			toHolder.RunsByWindow = windows
@@ -303,6 +322,9 @@
 	n.backends.ApplyLimits(m.ServerLimits)
 	n.backends.ApplyDepartures(m.Node, m.Departures)
 	n.relay.Origins.ApplyReports(m.StreamOrigins)
+	if n.rollouts != nil {
+		n.rollouts.applyDigest(m)
+	}
 	if m.IsUrgent {
 		return
 	}
--- a/rudder/relaynode/readiness.go
+++ b/rudder/relaynode/readiness.go
@@ -32,6 +32,8 @@
 		return "backend servers are not known"
 	case n.relay.StalenessLimits.Send > 0 && boottime.Since(n.currentConfig.ConfirmedAt()) > n.relay.StalenessLimits.Send:
 		return "configuration is not proved to be the newest"
+	case n.rollouts != nil && !n.rollouts.isInformed():
+		return "rollouts of software versions are not known"
 	default:
 		return ""
 	}
--- a/rudder/relaynode/settings.go
+++ b/rudder/relaynode/settings.go
@@ -14,6 +14,7 @@
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/quota"
 	"chestnutrudder.example/rudder/relay"
+	"chestnutrudder.example/rudder/rollout"
 	"chestnutrudder.example/rudder/traffic"
 	"chestnutrudder.example/rudder/usage"
 )
@@ -46,6 +47,35 @@
 	UsageWindow       time.Duration // length of a usage window
 	UsageOverdueAfter time.Duration // time after the end of a window from which on its report is overdue
 	OrdersCapacity    bool          // the node takes part in the duty of ordering runners
+
+	// RollsOutVersions is true if the operator orders rollouts of software versions; RolloutBounds limit what a bad one gets.
+	RollsOutVersions bool
+	RolloutBounds    rollout.Bounds
+}
+
+// RolloutState is the state of an order as the operator sees it.
+type RolloutState string
+
+// The states of an order to move a service to another software version.
+const (
+	RolloutRunning    RolloutState = "running"
+	RolloutCompleted  RolloutState = "completed"
+	RolloutRolledBack RolloutState = "rolled_back"
+)
+
+// RolloutStatus is what the operator is told of an order.
+type RolloutStatus struct {
+	State RolloutState
+	To    string // software version
+}
+
+// RolloutOrder is an operator's order to move a service to a software version, with the status that was last written; that is
+// zero if there is none.
+type RolloutOrder struct {
+	Service  string
+	To       string
+	Duration time.Duration
+	Status   RolloutStatus
 }
 
 // ErrRefused means that the platform refused a duty call: another holder has a higher fencing token, or there is no
@@ -84,6 +114,12 @@
 	// OrderCapacity returns an error that wraps ErrRefused if the platform refuses the order.
 	OrderCapacity func(ctx context.Context, fence int64, o CapacityOrder) error
 
+	// RolloutPrefix is the key prefix of the orders to move services to other software versions; the service follows.
+	RolloutPrefix string
+	DecodeRollout func(objectapi.Object) (RolloutOrder, error)
+	// PutRolloutStatus writes the state of an order if its object has the given version. It returns the errors of Store.Put.
+	PutRolloutStatus func(ctx context.Context, service string, s RolloutStatus, version objectapi.Version) error
+
 	ReadyPath           string // path of the readiness check
 	AddressPath         string // path of the address lookup
 	WriteAddresses      func(w http.ResponseWriter, a AddressList) error
--- a/rudder/rollout/order.go
+++ b/rudder/rollout/order.go
@@ -71,6 +71,8 @@
 	Fence  int64  `json:"fence"`
 	Step   int64  `json:"step"`
 	Reason string `json:"reason,omitempty"` // of a rollback
+	// EndedUnixMillis is when a completed order ended, in the time on which the nodes agree; 0 if that is not known.
+	EndedUnixMillis int64 `json:"ended_unix_ms,omitempty"`
 	// Held are the versions of earlier orders that were not completed. They get no requests.
 	Held []string `json:"held,omitempty"`
 }
--- a/rudder/rollout/traffic.go
+++ b/rudder/rollout/traffic.go
@@ -74,13 +74,27 @@
 	case PhaseDone:
 		return TrafficDecision{Phase: phase, Share: 1}
 	}
-	share := nextShare(in, s)
+	share := steady(nextShare(in, s), in.Share)
 	if in.IsUncertain {
 		share = min(share, in.Share)
 	}
 	return TrafficDecision{Phase: phase, Share: share}
 }
 
+const (
+	// A share between minShareChange and maxShareChange times the present one is not told: all nodes hear of each change.
+	minShareChange = 0.95
+	maxShareChange = 1.1
+)
+
+// steady returns the present share if the next one is about the same.
+func steady(next, present float64) float64 {
+	if next < 1 && present < 1 && next >= minShareChange*present && next <= maxShareChange*present {
+		return present
+	}
+	return next
+}
+
 // nextShare returns the share of the requests that nodes may send to the new version.
 func nextShare(in TrafficInput, s *Strategy) float64 {
 	switch {
--- a/rudder/rollout/traffic_holder.go
+++ b/rudder/rollout/traffic_holder.go
@@ -20,8 +20,10 @@
 
 // HolderStep is what the holder of the duty lease has decided about one order.
 type HolderStep struct {
-	Progress    Progress
-	HasChanged  bool // the phase or the share
+	Progress   Progress
+	HasChanged bool // the phase or the share
+	// IsFinished is true if the order can be reported as completed. Its phase changes with Complete.
+	IsFinished  bool
 	Total, Sent int64
 	Rate        float64 // requests a second
 }
@@ -47,11 +49,15 @@
 		return HolderStep{}
 	}
 	in := t.input(s, unixNow, bounds, acks)
-	in.IsUncertain = isUncertain
+	in.IsUncertain = isUncertain || !s.hasRate()
 	d := DecideTraffic(in, &TrafficStrategy)
 	before := s.progress
+	isFinished := before.Phase == PhaseRolling && d.Phase == PhaseDone
+	if isFinished {
+		d.Phase = PhaseRolling
+	}
 	if s.progress.Order.IsWithdrawn && s.progress.Phase == PhaseRolling {
-		d = TrafficDecision{Phase: PhaseRolling}
+		d, isFinished = TrafficDecision{Phase: PhaseRolling}, false
 	}
 	hasChanged := d.Phase != before.Phase || before.Phase == PhaseRolling && d.Share != before.Share
 	if hasChanged || before.Fence != fence {
@@ -64,19 +70,27 @@
 	s.directiveAt = t.now()
 	t.noteChange(s, &before)
 	t.updateShares(s)
-	return HolderStep{Progress: s.progress, HasChanged: hasChanged, Total: in.Total, Sent: in.Sent, Rate: in.Rate}
+	return HolderStep{Progress: s.progress, HasChanged: hasChanged, IsFinished: isFinished, Total: in.Total, Sent: in.Sent, Rate: in.Rate}
 }
 
-// Finish records that a rollback is written where the operator sees it.
-func (t *TrafficTracker) Finish(service string, fence int64) {
+// Finish records that the end of an order is written where the operator sees it: its completion, after which its old servers are
+// stopped whatever is found out later, or its rollback.
+func (t *TrafficTracker) Finish(service string, order TrafficOrder, isCompleted bool, fence int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[service]
-	if s == nil || s.progress.Phase != PhaseReversing {
+	if s == nil || !s.progress.Order.isSame(&order) {
 		return
 	}
 	before := s.progress
-	s.progress.Phase, s.progress.Fence = s.progress.Phase.next(false, true), fence
+	next := PhaseReversed
+	if isCompleted {
+		next = PhaseDone
+	}
+	if next == before.Phase {
+		return
+	}
+	s.progress.Phase, s.progress.Fence = next, fence
 	s.progress.Step++
 	t.noteChange(s, &before)
 	t.updateShares(s)
@@ -92,8 +106,9 @@
 		Phase: p.Phase, Share: p.Share, Duration: p.Order.Duration(), Bounds: bounds,
 		Elapsed: max(unixNow.Sub(time.UnixMilli(p.Order.StartedUnixMillis)), 0),
 		Total:   max(total, s.knownTotal), Sent: max(sent.Sent, s.knownSent), Answers: sent.ended(),
-		Rate: s.rate(), Evidence: s.evidence(with), OldServers: others,
+		Evidence: s.evidence(with), OldServers: others,
 	}
+	in.Rate = max(s.rate(), float64(total)/max(in.Elapsed.Seconds(), 1))
 	if s.fullSince > 0 {
 		in.FullFor = now.Sub(s.fullSince)
 	}
@@ -131,3 +146,9 @@
 	}
 	return float64(last.total-first.total) / elapsed
 }
+
+// hasRate reports whether the requests have been counted for long enough to know their rate.
+func (s *tracked) hasRate() bool {
+	n := len(s.readings)
+	return n > 1 && s.readings[n-1].at.Sub(s.readings[0].at) >= rateTime
+}
--- a/rudder/rollout/traffic_tracker.go
+++ b/rudder/rollout/traffic_tracker.go
@@ -57,6 +57,8 @@
 	CountRunning func(service, version string) int
 	// OnShares is called when the shares of a service change; the second argument is false if there are none any more.
 	OnShares func(service string, s VersionShares, isDivided bool)
+	// UnixNow returns the time on which the nodes agree.
+	UnixNow func() time.Time
 
 	mu       sync.Mutex
 	services map[string]*tracked
@@ -67,7 +69,6 @@
 type tracked struct {
 	progress    Progress
 	directiveAt boottime.Instant // when the holder last told the share
-	doneAt      boottime.Instant // when this node learnt that the order is completed
 	fullSince   boottime.Instant // when all requests went to the new version; 0 if they do not
 	arrived     int64
 	own         map[routeVersion]*Counts
@@ -100,7 +101,7 @@
 // NewTrafficTracker returns a tracker without orders.
 func NewTrafficTracker(log *slog.Logger) *TrafficTracker {
 	return &TrafficTracker{
-		Log: log, services: map[string]*tracked{}, now: boottime.Now,
+		Log: log, services: map[string]*tracked{}, now: boottime.Now, UnixNow: time.Now,
 		CountServers: func(string, string) (int, int) { return 0, 0 }, CountRunning: func(string, string) int { return 0 },
 		OnShares: func(string, VersionShares, bool) {},
 	}
@@ -144,8 +145,8 @@
 // noteChange logs a change and notes when it happened. The caller holds the lock.
 func (t *TrafficTracker) noteChange(s *tracked, before *Progress) {
 	after := &s.progress
-	if after.Phase == PhaseDone && s.doneAt == 0 {
-		s.doneAt = t.now()
+	if after.Phase == PhaseDone && after.EndedUnixMillis == 0 && before.Order.To == after.Order.To && before.Phase != PhaseDone {
+		after.EndedUnixMillis = t.UnixNow().UnixMilli()
 	}
 	isFull := after.Phase == PhaseRolling && after.Share >= 1
 	if !isFull {
@@ -164,7 +165,7 @@
 func (t *TrafficTracker) updateShares(s *tracked) {
 	now := t.now()
 	shares, isDivided := s.progress.Shares(s.directiveAt == 0 || now.Sub(s.directiveAt) > directiveLifetime)
-	if s.doneAt > 0 && now.Sub(s.doneAt) > doneTime {
+	if s.progress.Phase == PhaseDone && t.UnixNow().Sub(time.UnixMilli(s.progress.EndedUnixMillis)) > doneTime {
 		isDivided = false
 	}
 	if isDivided == s.isDivided && shares.isEqual(&s.shares) {
