--- a/rudder/rollout/evidence.go
+++ b/rudder/rollout/evidence.go
@@ -54,10 +54,11 @@
 	return e
 }
 
-// newPair returns the responses of both versions since a reading. If the old version has had too few since, all of it count.
+// newPair returns the responses of both versions since a reading. If the old version has had few since, they were most likely
+// before those of the new one, which has got the requests since: then all responses of the old version count.
 func newPair(name string, newNow, oldNow, newFrom, oldFrom Counts) Pair {
 	p := Pair{Name: name, New: newNow.since(newFrom), Old: oldNow.since(oldFrom)}
-	if p.Old.ended() < TrafficStrategy.Comparison.MinBaseline {
+	if p.Old.ended() < max(TrafficStrategy.Comparison.MinBaseline, p.New.ended()/2) {
 		p.Old, p.IsOldEarlier = oldNow, true
 	}
 	return p
--- a/rudder/rollout/order.go
+++ b/rudder/rollout/order.go
@@ -48,7 +48,6 @@
 		if read.EndedAt.Compare(known.EndedAt) > 0 {
 			known.EndedAt = read.EndedAt
 		}
-		known.StartedUnixMillis = min(known.StartedUnixMillis, read.StartedUnixMillis)
 		return known, false
 	}
 	if read.Revision.Compare(known.Revision) <= 0 {
@@ -123,6 +122,7 @@
 	case order.ID == other.Order.ID || p.Order.isSame(&other.Order) || order.IsWithdrawn && order.To == other.Order.To:
 		if other.Phase != "" && other.isAfter(p) {
 			merged = other
+			order.StartedUnixMillis = other.Order.StartedUnixMillis // a node that has just started reads old orders as new ones
 		}
 	}
 	merged.Order = order
@@ -148,9 +148,9 @@
 	switch {
 	case p.Phase == PhaseDone:
 		s.Share, s.IsOnlyTarget = 1, true
+	case p.Order.IsWithdrawn: // the version gets requests again if no other serves
 	case p.Phase == PhaseReversing || p.Phase == PhaseReversed:
 		s.Excluded = []string{p.Order.To}
-	case p.Order.IsWithdrawn:
 	case p.Phase == PhaseRolling:
 		s.Share, s.IsOnlyTarget = p.Share, p.Share >= 1
 		if isStale && p.Share < 1 {
--- a/rudder/rollout/strategy.go
+++ b/rudder/rollout/strategy.go
@@ -60,7 +60,7 @@
 
 // TrafficStrategy is the strategy for software versions.
 var TrafficStrategy = Strategy{
-	ProofTime: 1500 * time.Millisecond, MinRouteAnswers: 20, MaxProofTime: 5 * time.Second,
+	ProofTime: 1500 * time.Millisecond, MinRouteAnswers: 20, MaxProofTime: 4 * time.Second,
 	Comparison: Comparison{
 		MinBad: 3, BaselineFactor: 2, Floor: 0.01, Deviations: 4, MinBaseline: 20, UnknownFloorFactor: 5,
 		SlowFactor: 2.2, MinTimed: 30, MinBadOfOneServer: 40,
--- a/rudder/rollout/traffic.go
+++ b/rudder/rollout/traffic.go
@@ -15,10 +15,12 @@
 	// forecastShare is the part of the present rate of requests that is expected until the deadline.
 	forecastShare = 0.75
 	// surgeFactor is the growth of the rate of requests that the last step to all requests allows for.
-	surgeFactor = 1.5
-	// spreadShare is the part of what is left of the bound that is spent evenly until the deadline. The rest allows for the
-	// last step to all requests shortly before it.
-	spreadShare = 0.4
+	surgeFactor = 1.2
+	// rampRequests is the number of requests by which a bad version shows before the last step to all requests. They are spread
+	// evenly over the time, and take at least minRampShare and at most maxRampShare of the bound. The rest of it allows the last
+	// step to come before the deadline, so that the streams at old servers can end.
+	rampRequests               = 150.0
+	minRampShare, maxRampShare = 0.15, 0.4
 	// reactionTime bounds the time from the moment when a version turns bad until no node sends to it: its responses have to
 	// come, be reported and be compared.
 	reactionTime = 2 * time.Second
@@ -98,20 +100,19 @@
 // nextShare returns the share of the requests that nodes may send to the new version.
 func nextShare(in TrafficInput, s *Strategy) float64 {
 	switch {
-	case in.Share >= 1 && in.Elapsed >= in.Duration:
-		return 1
 	case in.Evidence.Servers == 0:
 		return 0
+	case in.Share >= 1 && in.Elapsed >= in.Duration:
+		return 1
 	}
 	limit := stepLimit(in, s)
 	if in.Elapsed >= in.Duration {
 		return limit
 	}
 	remaining := (in.Duration - in.Elapsed).Seconds()
-	free := in.freeBudget(remaining)
-	if free <= 0 {
-		return 0
-	}
+	budget := in.budget(remaining)
+	used := float64(in.Sent) + in.Share*in.Rate*in.CountLag.Seconds() // with what is not counted yet
+	free := budget - used
 	surge := surgeFactor
 	if in.Share >= 1 {
 		surge = 1
@@ -120,16 +121,16 @@
 		return 1
 	}
 	rate := max(in.Rate, 1/remaining) // at least one request is expected
-	even := spreadShare * free / (rate * remaining)
+	ramp := min(max(rampRequests, minRampShare*budget), maxRampShare*budget)
+	even := (ramp - used) / (rate * remaining)
 	stoppable := free / (rate * min(reactionTime.Seconds(), remaining))
-	return min(limit, even, stoppable)
+	return max(min(limit, even, stoppable), 0)
 }
 
-// freeBudget returns how many requests the new version may still get, under the rates that are expected until the deadline.
-func (in *TrafficInput) freeBudget(remainingSeconds float64) float64 {
+// budget returns how many requests the new version may get before the deadline, under the rates that are expected.
+func (in *TrafficInput) budget(remainingSeconds float64) float64 {
 	expected := float64(in.Total) + forecastShare*in.Rate*remainingSeconds
-	uncounted := in.Share * in.Rate * in.CountLag.Seconds()
-	return budgetMargin*(in.Bounds.Share*expected+in.Bounds.Slack) - float64(in.Sent) - uncounted
+	return budgetMargin * (in.Bounds.Share*expected + in.Bounds.Slack)
 }
 
 // stepLimit returns the bound of the share by the steps of the strategy and by the number of new servers.
