--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -111,6 +111,11 @@
 	if err := metrics.ObserveNodes(n.mesh.CountNodes); err != nil {
 		return err
 	}
+	if n.rollouts != nil {
+		if err := metrics.ObserveRollouts(n.rollouts.readings); err != nil {
+			return err
+		}
+	}
 	tasksCtx, stopTasks := context.WithCancel(context.Background())
 	defer stopTasks()
 	group, groupCtx := errgroup.WithContext(tasksCtx)
--- a/rudder/relaynode/rollout_duty.go
+++ b/rudder/relaynode/rollout_duty.go
@@ -90,7 +90,7 @@
 func (r *rolloutSync) hold(ctx context.Context, dutyLease *lease.Lease) {
 	r.setFence(dutyLease.FencingToken)
 	defer r.setFence(0)
-	since := boottime.Now()
+	since := r.now()
 	held := map[string]*heldOrder{}
 	for sleep.For(ctx, rolloutDecisionInterval) {
 		for _, p := range r.tracker.Progresses() {
@@ -101,7 +101,7 @@
 			if held[service] == nil || held[service].record.Order.ID != p.Order.ID {
 				held[service] = &heldOrder{}
 			}
-			r.step(ctx, dutyLease, held[service], p.Order, boottime.Since(since) < rolloutTakeoverWait)
+			r.step(ctx, dutyLease, held[service], p.Order, r.now().Sub(since) < rolloutTakeoverWait)
 		}
 	}
 }
@@ -150,14 +150,14 @@
 	p := s.Progress
 	isCounting := p.Phase == rollout.PhaseRolling && p.Share > 0
 	isOther := p.Phase != h.record.Phase || p.Order.ID != h.record.Order.ID || p.Order.IsWithdrawn != h.record.Order.IsWithdrawn
-	sinceLast := boottime.Since(h.recordedAt)
+	sinceLast := r.now().Sub(h.recordedAt)
 	if h.recordedAt > 0 && !isOther && (!isCounting || sinceLast < rolloutRecordInterval) {
 		return
 	}
 	if h.recordedAt > 0 && sinceLast < rolloutDecisionInterval {
 		return
 	}
-	h.recordedAt = boottime.Now()
+	h.recordedAt = r.now()
 	record := rolloutRecord{Progress: p, Total: s.Total, Sent: s.Sent, Rate: s.Rate, WrittenUnixMillis: r.node.mesh.MedianTime().UnixMilli()}
 	if err := r.putRecord(ctx, h, record); err != nil {
 		r.log.Warn("Recording a rollout failed; trying again.", "service", p.Order.Service, "phase", p.Phase, "error", err)
@@ -200,10 +200,10 @@
 	if h.status == want {
 		return true
 	}
-	if h.triedAt > 0 && boottime.Since(h.triedAt) < rolloutWriteInterval {
+	if h.triedAt > 0 && r.now().Sub(h.triedAt) < rolloutWriteInterval {
 		return false
 	}
-	h.triedAt = boottime.Now()
+	h.triedAt = r.now()
 	o, err := r.node.platform.Store.Get(ctx, r.node.platform.RolloutPrefix+order.Service)
 	if err != nil {
 		if !errors.Is(err, objectapi.ErrNotFound) {
--- a/rudder/relaynode/rollouts.go
+++ b/rudder/relaynode/rollouts.go
@@ -14,6 +14,7 @@
 	"chestnutrudder.example/rudder/objectapi"
 	"chestnutrudder.example/rudder/rollout"
 	"chestnutrudder.example/rudder/sleep"
+	"chestnutrudder.example/rudder/telemetry"
 )
 
 const (
@@ -37,6 +38,7 @@
 	log          *slog.Logger
 	tracker      *rollout.TrafficTracker
 	orderWatcher *objectapi.Watcher
+	now          func() boottime.Instant
 
 	mu          sync.Mutex
 	lastCallAt  boottime.Instant            // when the last answered call was sent
@@ -51,7 +53,7 @@
 }
 
 func newRolloutSync(n *node) *rolloutSync {
-	r := &rolloutSync{node: n, log: n.logger.Part("rollouts"), missing: map[string]boottime.Instant{}, lastShares: map[string]rollout.VersionShares{}}
+	r := &rolloutSync{node: n, log: n.logger.Part("rollouts"), now: boottime.Now, missing: map[string]boottime.Instant{}, lastShares: map[string]rollout.VersionShares{}}
 	r.tracker = rollout.NewTrafficTracker(r.log)
 	r.tracker.CountServers, r.tracker.CountRunning, r.tracker.OnShares = n.backends.CountVersion, n.backends.CountOwnRequests, r.applyShares
 	r.tracker.UnixNow = n.mesh.MedianTime
@@ -109,11 +111,23 @@
 	})
 }
 
+// readings returns what the metrics tell of the orders.
+func (r *rolloutSync) readings() []telemetry.RolloutReading {
+	var list []telemetry.RolloutReading
+	for _, reading := range r.tracker.Readings() {
+		p := reading.Progress
+		list = append(list, telemetry.RolloutReading{
+			Service: p.Order.Service, Version: p.Order.To, Phase: string(p.Phase), Share: p.Share, Sent: reading.Sent, Bad: reading.Bad,
+		})
+	}
+	return list
+}
+
 // beginWatch records that a watch is sent now and returns how long it waits for a change.
 func (r *rolloutSync) beginWatch() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.attemptedAt = boottime.Now()
+	r.attemptedAt = r.now()
 	return rolloutWatchTimeout
 }
 
@@ -134,10 +148,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if boottime.Since(r.peerCallAt) <= rolloutMaxCallAge+time.Duration(preceding)*rolloutCallAgeStep {
+	if r.now().Sub(r.peerCallAt) <= rolloutMaxCallAge+time.Duration(preceding)*rolloutCallAgeStep {
 		return true
 	}
-	return boottime.Since(r.attemptedAt) < outageCallInterval(preceding)
+	return r.now().Sub(r.attemptedAt) < outageCallInterval(preceding)
 }
 
 // callAgeMillis returns what Digest.RolloutCallAgeMillis tells.
@@ -147,7 +161,7 @@
 	if r.lastCallAt == 0 || !r.hasLoaded {
 		return 0
 	}
-	return boottime.Since(r.lastCallAt).Milliseconds() + 1
+	return r.now().Sub(r.lastCallAt).Milliseconds() + 1
 }
 
 // reports returns what this node tells its peers.
@@ -199,7 +213,7 @@
 		case listing.Revision.Epoch > p.Order.Revision.Epoch:
 			r.mu.Lock()
 			if _, found := r.missing[p.Order.Service]; !found {
-				r.missing[p.Order.Service] = boottime.Now()
+				r.missing[p.Order.Service] = r.now()
 			}
 			r.mu.Unlock()
 		default:
@@ -214,7 +228,7 @@
 	for _, p := range r.tracker.Progresses() {
 		r.mu.Lock()
 		since, isMissing := r.missing[p.Order.Service]
-		isOver := isMissing && boottime.Since(since) > rolloutRestoreWait
+		isOver := isMissing && r.now().Sub(since) > rolloutRestoreWait
 		if isOver || isMissing && p.Order.Revision.Epoch >= epoch {
 			delete(r.missing, p.Order.Service)
 		}
--- a/rudder/rollout/traffic_holder.go
+++ b/rudder/rollout/traffic_holder.go
@@ -67,7 +67,7 @@
 			s.progress.Reason = d.Reason
 		}
 	}
-	s.directiveAt = t.now()
+	s.directiveAt = t.Now()
 	t.noteChange(s, &before)
 	t.updateShares(s)
 	return HolderStep{Progress: s.progress, HasChanged: hasChanged, IsFinished: isFinished, Total: in.Total, Sent: in.Sent, Rate: in.Rate}
@@ -98,7 +98,7 @@
 
 // input returns what DecideTraffic depends on. The caller holds the lock.
 func (t *TrafficTracker) input(s *tracked, unixNow time.Time, bounds Bounds, acks Acknowledgement) TrafficInput {
-	now, p := t.now(), &s.progress
+	now, p := t.Now(), &s.progress
 	with, others := t.CountServers(p.Order.Service, p.Order.To)
 	sum, total := s.totals()
 	sent := sumCounts(sum.New)
--- a/rudder/rollout/traffic_tracker.go
+++ b/rudder/rollout/traffic_tracker.go
@@ -59,10 +59,10 @@
 	OnShares func(service string, s VersionShares, isDivided bool)
 	// UnixNow returns the time on which the nodes agree.
 	UnixNow func() time.Time
+	Now     func() boottime.Instant
 
 	mu       sync.Mutex
 	services map[string]*tracked
-	now      func() boottime.Instant
 }
 
 // tracked is what a node knows of the order of one service.
@@ -101,7 +101,7 @@
 // NewTrafficTracker returns a tracker without orders.
 func NewTrafficTracker(log *slog.Logger) *TrafficTracker {
 	return &TrafficTracker{
-		Log: log, services: map[string]*tracked{}, now: boottime.Now, UnixNow: time.Now,
+		Log: log, services: map[string]*tracked{}, Now: boottime.Now, UnixNow: time.Now,
 		CountServers: func(string, string) (int, int) { return 0, 0 }, CountRunning: func(string, string) int { return 0 },
 		OnShares: func(string, VersionShares, bool) {},
 	}
@@ -152,7 +152,7 @@
 	if !isFull {
 		s.fullSince = 0
 	} else if s.fullSince == 0 {
-		s.fullSince = t.now()
+		s.fullSince = t.Now()
 	}
 	isNews := before.Order.To != after.Order.To || before.Phase != after.Phase || before.Order.IsWithdrawn != after.Order.IsWithdrawn || before.Share != after.Share
 	if isNews {
@@ -163,7 +163,7 @@
 
 // updateShares tells OnShares what has changed. The caller holds the lock.
 func (t *TrafficTracker) updateShares(s *tracked) {
-	now := t.now()
+	now := t.Now()
 	shares, isDivided := s.progress.Shares(s.directiveAt == 0 || now.Sub(s.directiveAt) > directiveLifetime)
 	if s.progress.Phase == PhaseDone && t.UnixNow().Sub(time.UnixMilli(s.progress.EndedUnixMillis)) > doneTime {
 		isDivided = false
@@ -191,7 +191,7 @@
 		if s == nil || s.progress.Order.To != r.Progress.Order.To || r.Progress.Order.ID.Compare(s.progress.Order.EndedAt) <= 0 {
 			continue
 		}
-		now := t.now()
+		now := t.Now()
 		isHolder := r.IsHolder && r.Progress.Fence >= s.progress.Fence
 		if isHolder {
 			s.directiveAt = now
@@ -314,6 +314,26 @@
 	return reports
 }
 
+// Reading is the progress of an order with the requests at its version that this node knows of.
+type Reading struct {
+	Progress  Progress
+	Sent, Bad int64
+}
+
+// Readings returns how far the orders of all services have come.
+func (t *TrafficTracker) Readings() []Reading {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Reading
+	for _, service := range slices.Sorted(maps.Keys(t.services)) {
+		s := t.services[service]
+		sum, _ := s.totals()
+		c := sumCounts(sum.New)
+		list = append(list, Reading{Progress: s.progress, Sent: max(c.Sent, s.knownSent), Bad: c.bad()})
+	}
+	return list
+}
+
 // HasActive reports whether an order is being carried out.
 func (t *TrafficTracker) HasActive() bool {
 	t.mu.Lock()
@@ -332,7 +352,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.services {
-		s.read(t.now())
+		s.read(t.Now())
 		if s.progress.Phase == PhaseRolling {
 			with, _ := t.CountServers(s.progress.Order.Service, s.progress.Order.To)
 			if reason := TrafficStrategy.Judge(s.evidence(with)); reason != "" {
--- a/rudder/rollout/traffic_tracker_test.go
+++ b/rudder/rollout/traffic_tracker_test.go
@@ -34,7 +34,7 @@
 
 func (f *testFleet) newTracker(i int) *TrafficTracker {
 	t := NewTrafficTracker(slog.New(slog.DiscardHandler))
-	t.now, t.UnixNow = func() boottime.Instant { return f.clock }, func() time.Time { return f.unix }
+	t.Now, t.UnixNow = func() boottime.Instant { return f.clock }, func() time.Time { return f.unix }
 	t.CountServers = func(string, string) (int, int) { return f.servers, 3 }
 	t.CountRunning = func(string, string) int { return f.running[i] }
 	t.OnShares = func(_ string, s VersionShares, isDivided bool) { f.shares[i], f.divided[i] = s, isDivided }
--- a/rudder/telemetry/telemetry.go
+++ b/rudder/telemetry/telemetry.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
 	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
@@ -118,5 +119,35 @@
 	return errors.Wrap(err, "register callback")
 }
 
+// RolloutReading is how far the rollout of a service to a software version has come, as a node knows it.
+type RolloutReading struct {
+	Service, Version string
+	Phase            string
+	Share            float64 // of the requests for the version
+	Sent, Bad        int64   // requests at the version, and those of its responses that were bad
+}
+
+// ObserveRollouts registers gauges of the rollouts of software versions. list is called at each collection.
+func (m *Metrics) ObserveRollouts(list func() []RolloutReading) error {
+	share, err := m.meter.Float64ObservableGauge("rollout_share")
+	if err != nil {
+		return errors.Wrap(err, "create instrument")
+	}
+	requests, err := m.meter.Int64ObservableGauge("rollout_requests")
+	if err != nil {
+		return errors.Wrap(err, "create instrument")
+	}
+	_, err = m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for _, r := range list() {
+			service, version := attribute.String("service", r.Service), attribute.String("version", r.Version)
+			o.ObserveFloat64(share, r.Share, metric.WithAttributes(service, version, attribute.String("phase", r.Phase)))
+			o.ObserveInt64(requests, r.Sent, metric.WithAttributes(service, version, attribute.String("result", "sent")))
+			o.ObserveInt64(requests, r.Bad, metric.WithAttributes(service, version, attribute.String("result", "bad")))
+		}
+		return nil
+	}, share, requests)
+	return errors.Wrap(err, "create instrument")
+}
+
 // Handler returns a handler that serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler { return m.handler }
