--- a/rudder/relaynode/rollout_duty.go
+++ b/rudder/relaynode/rollout_duty.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"path"
 	"time"
 
@@ -32,11 +34,10 @@
 
 // rolloutRecord is the value of the record of an order.
 type rolloutRecord struct {
-	Progress          rollout.Progress `json:"progress"`
-	Total             int64            `json:"total"`
-	Sent              int64            `json:"sent"`
-	Rate              float64          `json:"rate"` // requests a second
-	WrittenUnixMillis int64            `json:"written_unix_ms"`
+	Progress          rollout.Progress     `json:"progress"`
+	Totals            []rollout.NodeTotals `json:"totals"`
+	Rate              float64              `json:"rate"` // requests a second
+	WrittenUnixMillis int64                `json:"written_unix_ms"`
 }
 
 // loadRecords reads how far orders had come before this node started.
@@ -69,7 +70,8 @@
 	r.tracker.Apply(p)
 	age := max(r.node.mesh.MedianTime().UnixMilli()-record.WrittenUnixMillis, 0)
 	since := resumedShareFactor * record.Rate * (time.Duration(age) * time.Millisecond).Seconds() * p.Share
-	r.tracker.SetKnownTotals(p.Order.Service, record.Total, record.Sent+int64(since))
+	estimate := rollout.NodeTotals{Incarnation: fmt.Sprint("since the record of ", record.WrittenUnixMillis), Sent: int64(math.Ceil(since))}
+	r.tracker.AddRecordedTotals(p.Order.Service, append(record.Totals, estimate))
 	return nil
 }
 
@@ -158,7 +160,7 @@
 		return
 	}
 	h.recordedAt = r.now()
-	record := rolloutRecord{Progress: p, Total: s.Total, Sent: s.Sent, Rate: s.Rate, WrittenUnixMillis: r.node.mesh.MedianTime().UnixMilli()}
+	record := rolloutRecord{Progress: p, Totals: s.Totals, Rate: s.Rate, WrittenUnixMillis: r.node.mesh.MedianTime().UnixMilli()}
 	if err := r.putRecord(ctx, h, record); err != nil {
 		r.log.Warn("Recording a rollout failed; trying again.", "service", p.Order.Service, "phase", p.Phase, "error", err)
 		return
--- a/rudder/relaynode/rollouts.go
+++ b/rudder/relaynode/rollouts.go
@@ -56,7 +56,7 @@
 	r := &rolloutSync{node: n, log: n.logger.Part("rollouts"), now: boottime.Now, missing: map[string]boottime.Instant{}, lastShares: map[string]rollout.VersionShares{}}
 	r.tracker = rollout.NewTrafficTracker(r.log)
 	r.tracker.CountServers, r.tracker.CountRunning, r.tracker.OnShares = n.backends.CountVersion, n.backends.CountOwnRequests, r.applyShares
-	r.tracker.UnixNow = n.mesh.MedianTime
+	r.tracker.UnixNow, r.tracker.Incarnation = n.mesh.MedianTime, incarnationID(n.settings.Node, n.incarnation)
 	r.orderWatcher = &objectapi.Watcher{
 		Store: n.platform.Store, Prefix: n.platform.RolloutPrefix, Log: r.log,
 		OnList: r.applyListing, OnChange: r.applyEvent, OnSync: r.recordAnswer,
--- a/rudder/relaynode/rollouts_test.go
+++ b/rudder/relaynode/rollouts_test.go
@@ -83,7 +83,7 @@
 	log := slog.New(slog.DiscardHandler)
 	n := &node{
 		settings: Settings{Node: name, RolloutBounds: rollout.Bounds{Share: 0.1, Slack: 50}}, log: log, logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, name),
-		backends: backend.NewTable(time.Second, log),
+		backends: backend.NewTable(time.Second, log), incarnation: time.Now().UnixMilli(),
 		platform: Platform{Store: store, RolloutPrefix: "orders/", DecodeRollout: decodeTestRollout, PutRolloutStatus: store.putStatus},
 	}
 	for i := range 6 {
--- a/rudder/rollout/traffic_holder.go
+++ b/rudder/rollout/traffic_holder.go
@@ -23,9 +23,9 @@
 	Progress   Progress
 	HasChanged bool // the phase or the share
 	// IsFinished is true if the order can be reported as completed. Its phase changes with Complete.
-	IsFinished  bool
-	Total, Sent int64
-	Rate        float64 // requests a second
+	IsFinished bool
+	Totals     []NodeTotals
+	Rate       float64 // requests a second
 }
 
 // Progresses returns how far the orders of all services have come.
@@ -70,7 +70,7 @@
 	s.directiveAt = t.Now()
 	t.noteChange(s, &before)
 	t.updateShares(s)
-	return HolderStep{Progress: s.progress, HasChanged: hasChanged, IsFinished: isFinished, Total: in.Total, Sent: in.Sent, Rate: in.Rate}
+	return HolderStep{Progress: s.progress, HasChanged: hasChanged, IsFinished: isFinished, Totals: t.nodeTotals(s), Rate: in.Rate}
 }
 
 // Finish records that the end of an order is written where the operator sees it: its completion, after which its old servers are
--- a/rudder/rollout/traffic_tracker.go
+++ b/rudder/rollout/traffic_tracker.go
@@ -57,6 +57,8 @@
 	CountRunning func(service, version string) int
 	// OnShares is called when the shares of a service change; the second argument is false if there are none any more.
 	OnShares func(service string, s VersionShares, isDivided bool)
+	// Incarnation identifies this start of the node among all.
+	Incarnation string
 	// UnixNow returns the time on which the nodes agree.
 	UnixNow func() time.Time
 	Now     func() boottime.Instant
@@ -208,13 +210,49 @@
 	}
 }
 
-// SetKnownTotals sets what a record tells of the requests of all nodes before this one started.
-func (t *TrafficTracker) SetKnownTotals(service string, total, sent int64) {
+// NodeTotals are the requests of one node since the order, for the record that outlives the nodes.
+type NodeTotals struct {
+	Incarnation string `json:"incarnation"`
+	Arrived     int64  `json:"arrived"`
+	Sent        int64  `json:"sent"` // to the version of the order
+}
+
+// AddRecordedTotals adds what a record tells of the requests at nodes that this one has not heard of.
+func (t *TrafficTracker) AddRecordedTotals(service string, list []NodeTotals) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, found := t.services[service]; found {
-		s.knownTotal, s.knownSent = max(s.knownTotal, total), max(s.knownSent, sent)
+	s, found := t.services[service]
+	if !found {
+		return
+	}
+	for _, n := range list {
+		if _, isKnown := s.peers[n.Incarnation]; isKnown || n.Incarnation == t.Incarnation {
+			continue
+		}
+		s.peers[n.Incarnation] = &peerReport{report: Report{Arrived: n.Arrived, Counts: []RouteCounts{{IsNew: true, Counts: Counts{Sent: n.Sent}}}}}
+	}
+}
+
+// nodeTotals returns the requests of all nodes, this one included. The caller holds the lock.
+func (t *TrafficTracker) nodeTotals(s *tracked) []NodeTotals {
+	own := NodeTotals{Incarnation: t.Incarnation, Arrived: s.arrived}
+	for key, c := range s.own {
+		if key.isNew {
+			own.Sent += c.Sent
+		}
 	}
+	list := []NodeTotals{own}
+	for _, incarnation := range slices.Sorted(maps.Keys(s.peers)) {
+		r := &s.peers[incarnation].report
+		n := NodeTotals{Incarnation: incarnation, Arrived: r.Arrived}
+		for _, c := range r.Counts {
+			if c.IsNew {
+				n.Sent += c.Counts.Sent
+			}
+		}
+		list = append(list, n)
+	}
+	return list
 }
 
 // CountArrival counts a request for a service.
--- a/rudder/rollout/traffic_tracker_test.go
+++ b/rudder/rollout/traffic_tracker_test.go
@@ -222,8 +222,8 @@
 	f.trackers[0], f.fence = f.newTracker(0), 2 // the node starts again and takes the lease
 	f.exchange()
 	step := f.step(40, 0)
-	if step.Sent < sent {
-		t.Errorf("the new holder knows of %d requests at the new version, want at least %d", step.Sent, sent)
+	if known := f.trackers[0].Readings()[0].Sent; known < sent {
+		t.Errorf("the new holder knows of %d requests at the new version, want at least %d", known, sent)
 	}
 	if step.Progress.Share > share {
 		t.Errorf("share %v right after the takeover, it was %v", step.Progress.Share, share)
