--- a/rudder/rollout/strategy.go
+++ b/rudder/rollout/strategy.go
@@ -113,13 +113,13 @@
 	}
 	tolerated := c.tolerated(p)
 	if bad := p.New.bad(); float64(bad) > tolerated+c.Deviations*math.Sqrt(tolerated)+float64(c.MinBad) {
-		return fmt.Sprintf("%s: %d of %d responses were bad, %d of %d with the old version", p.Name, bad, p.New.ended(), p.Old.bad(), p.Old.ended())
+		return fmt.Sprintf("%.100s: %d of %d responses were bad, %d of %d with the old version", p.Name, bad, p.New.ended(), p.Old.bad(), p.Old.ended())
 	}
 	if p.New.Answered < c.MinTimed || p.Old.Answered < c.MinTimed || p.IsOldEarlier {
 		return ""
 	}
 	if newRatio, oldRatio := p.New.meanRatio(), p.Old.meanRatio(); newRatio > c.SlowFactor*max(oldRatio, 1) {
-		return fmt.Sprintf("%s: responses took %.1f times the predicted time, %.1f with the old version", p.Name, newRatio, oldRatio)
+		return fmt.Sprintf("%.100s: responses took %.1f times the predicted time, %.1f with the old version", p.Name, newRatio, oldRatio)
 	}
 	return ""
 }
--- a/rudder/rollout/traffic_tracker.go
+++ b/rudder/rollout/traffic_tracker.go
@@ -22,6 +22,8 @@
 	// maxRoutes and maxOrders bound what is counted and reported.
 	maxRoutes = 32
 	maxOrders = 64
+	// maxReportBytes bounds the reports in one digest, which must fit in a datagram.
+	maxReportBytes = 16 << 10
 	// doneTime is how long after the completion the other versions get no requests: their servers are stopped meanwhile. Servers
 	// of other versions that appear later are used without an order.
 	doneTime = 30 * time.Second
@@ -63,8 +65,9 @@
 	UnixNow func() time.Time
 	Now     func() boottime.Instant
 
-	mu       sync.Mutex
-	services map[string]*tracked
+	mu         sync.Mutex
+	services   map[string]*tracked
+	reportTurn int // counts the calls of Reports
 }
 
 // tracked is what a node knows of the order of one service.
@@ -330,28 +333,65 @@
 	return sum, total
 }
 
-// Reports returns what this node tells its peers. fence is the fencing token of the duty lease if it holds that, else 0.
+// Reports returns what this node tells its peers. fence is the fencing token of the duty lease if it holds that, else 0. Orders that
+// are being carried out go first; if not all fit, the others follow in turn.
 func (t *TrafficTracker) Reports(fence int64) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var reports []Report
+	var active, others []string
 	for _, service := range slices.Sorted(maps.Keys(t.services)) {
-		s := t.services[service]
-		r := Report{Progress: s.progress, IsHolder: fence > 0 && s.progress.Fence == fence}
-		if s.isCounted() {
-			sum, total := s.totals()
-			r.Arrived, r.OldRunning = s.arrived, t.CountRunning(service, s.progress.Order.To)
-			r.KnownArrived, r.KnownSent = max(total, s.knownTotal), max(sumCounts(sum.New).Sent, s.knownSent)
-			for key, c := range s.own {
-				r.Counts = append(r.Counts, RouteCounts{Route: key.route, IsNew: key.isNew, Counts: *c})
-			}
-			slices.SortFunc(r.Counts, func(a, b RouteCounts) int { return strings.Compare(a.Route, b.Route) })
+		if t.services[service].isCounted() {
+			active = append(active, service)
+		} else {
+			others = append(others, service)
+		}
+	}
+	if len(others) > 0 {
+		t.reportTurn++
+		first := t.reportTurn % len(others)
+		others = slices.Concat(others[first:], others[:first])
+	}
+	var reports []Report
+	size := 0
+	for _, service := range slices.Concat(active, others) {
+		r := t.report(t.services[service], fence)
+		if size += r.encodedBytes(); size > maxReportBytes {
+			break
 		}
 		reports = append(reports, r)
 	}
 	return reports
 }
 
+// report returns what this node tells of one order. The caller holds the lock.
+func (t *TrafficTracker) report(s *tracked, fence int64) Report {
+	r := Report{Progress: s.progress, IsHolder: fence > 0 && s.progress.Fence == fence}
+	if !s.isCounted() {
+		return r
+	}
+	sum, total := s.totals()
+	r.Arrived, r.OldRunning = s.arrived, t.CountRunning(s.progress.Order.Service, s.progress.Order.To)
+	r.KnownArrived, r.KnownSent = max(total, s.knownTotal), max(sumCounts(sum.New).Sent, s.knownSent)
+	for key, c := range s.own {
+		r.Counts = append(r.Counts, RouteCounts{Route: key.route, IsNew: key.isNew, Counts: *c})
+	}
+	slices.SortFunc(r.Counts, func(a, b RouteCounts) int { return strings.Compare(a.Route, b.Route) })
+	return r
+}
+
+// encodedBytes returns about how much the report adds to a digest.
+func (r *Report) encodedBytes() int {
+	const numbersOfReport, numbersOfCounts = 160, 40
+	size := numbersOfReport + len(r.Progress.Order.Service) + len(r.Progress.Order.To) + len(r.Progress.Reason)
+	for _, v := range r.Progress.Held {
+		size += len(v)
+	}
+	for _, c := range r.Counts {
+		size += numbersOfCounts + len(c.Route)
+	}
+	return size
+}
+
 // Reading is the progress of an order with the requests at its version that this node knows of.
 type Reading struct {
 	Progress  Progress
@@ -372,12 +412,15 @@
 	return list
 }
 
-// HasActive reports whether an order is being carried out.
+// HasActive reports whether an order is being carried out for whose version there are servers.
 func (t *TrafficTracker) HasActive() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.services {
-		if s.isCounted() {
+	for service, s := range t.services {
+		if !s.isCounted() {
+			continue
+		}
+		if with, _ := t.CountServers(service, s.progress.Order.To); with > 0 {
 			return true
 		}
 	}
@@ -391,7 +434,7 @@
 	defer t.mu.Unlock()
 	for _, s := range t.services {
 		s.read(t.Now())
-		if s.progress.Phase == PhaseRolling {
+		if s.progress.Phase == PhaseRolling && s.isCounted() {
 			with, _ := t.CountServers(s.progress.Order.Service, s.progress.Order.To)
 			if reason := TrafficStrategy.Judge(s.evidence(with)); reason != "" {
 				before := s.progress
--- a/rudder/rollout/traffic_tracker_test.go
+++ b/rudder/rollout/traffic_tracker_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"chestnutrudder.example/rudder/boottime"
 )
 
@@ -249,4 +251,13 @@
 	if n := len(tracker.Reports(0)[0].Counts); n > 2*maxRoutes+2 {
 		t.Errorf("%d routes are counted, want at most %d", n, 2*maxRoutes+2)
 	}
+	for i := range maxOrders {
+		for j := range 2 * maxRoutes {
+			tracker.CountSend(fmt.Sprint("s", i), "v2", fmt.Sprint("route with a long name ", j))
+		}
+	}
+	encoding, err := cbor.Marshal(tracker.Reports(0))
+	if err != nil || len(encoding) > maxReportBytes {
+		t.Errorf("reports have %d bytes, error %v, want at most %d", len(encoding), err, maxReportBytes)
+	}
 }
