--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -76,6 +76,7 @@
 	FirstByteMillis   float64 // predicted time to the first byte without the server's slowdown
 	Score             float64 // FirstByteMillis with slowdown, delay of other requests and penalties; the lowest wins
 	UncachedTokens    int     // prompt tokens that the server has to prefill
+	AssumedTokens     int     // those that are taken to be cached at a home server without this node's knowledge
 	Running           int     // requests of all nodes at the server
 	IsFull            bool
 	SendWait          time.Duration // until this node may send the request to the server, which is in need; 0 if it may
@@ -124,6 +125,7 @@
 	Running            int           // requests of all nodes at the server before this one
 	CandidateCount     int           // servers that could be chosen, full ones included
 	UncachedTokens     int           // prompt tokens that the server has to prefill
+	AssumedTokens      int           // see Candidate
 
 	table         *Table
 	request       Request
@@ -191,7 +193,7 @@
 	p := &Placement{
 		Server: s, ID: s.ID, Address: s.Address, Incarnation: s.incarnation(), SoftwareVersion: s.SoftwareVersion, PredictedFirstByte: predicted,
 		ExpectedFirstByte: time.Duration(float64(predicted) * max(t.model(r.Service).lateness, 1)), Running: best.Running, CandidateCount: len(candidates),
-		UncachedTokens: best.UncachedTokens, table: t, request: r, placedAt: now,
+		UncachedTokens: best.UncachedTokens, AssumedTokens: best.AssumedTokens, table: t, request: r, placedAt: now,
 	}
 	if r.IsGeneration {
 		p.pendingTokens = float64(best.UncachedTokens)
@@ -276,7 +278,9 @@
 	if r.IsGeneration {
 		cached := t.prefixes.cachedTokens(s.ID, r.Parts, now)
 		if isHome {
+			known := cached
 			cached = sumTokens(r.Parts)
+			c.AssumedTokens = max(cached-known, 0)
 		}
 		c.UncachedTokens = max(r.PromptTokens-cached, 0)
 		prefillMillis := float64(c.UncachedTokens) / m.prefillRate
--- a/rudder/relay/versions.go
+++ b/rudder/relay/versions.go
@@ -40,21 +40,20 @@
 	}
 }
 
-// cachedPrefillTime returns the time for the prompt tokens that were taken to be cached at the server. New servers do not have
-// them cached yet, which is no fault of their version.
-func (a *attempt) cachedPrefillTime() time.Duration {
-	cached := a.call.promptTokens - a.placement.UncachedTokens
-	if !a.call.isGeneration || cached <= 0 {
+// assumedPrefillTime returns the time for the prompt tokens that are only assumed to be cached at the server. New servers do not
+// have them cached yet, which is no fault of their version.
+func (a *attempt) assumedPrefillTime() time.Duration {
+	if a.placement.AssumedTokens <= 0 {
 		return 0
 	}
-	return time.Duration(float64(cached) / a.server.Backends.PrefillRate(a.call.service) * float64(time.Millisecond))
+	return time.Duration(float64(a.placement.AssumedTokens) / a.server.Backends.PrefillRate(a.call.service) * float64(time.Millisecond))
 }
 
 // versionResult returns what the end of the attempt shows. It is not conclusive if the server refused the request, it leaves, or
 // the caller left before the response was late.
 func (a *attempt) versionResult(r attemptResult, now boottime.Instant) (rollout.Result, bool) {
 	result := rollout.Result{Server: xxhash.Sum64String(a.placement.ID)}
-	predicted := max(a.placement.PredictedFirstByte+a.cachedPrefillTime(), minPredictedTime)
+	predicted := max(a.placement.PredictedFirstByte+a.assumedPrefillTime(), minPredictedTime)
 	switch r.backendResult {
 	case backend.ResultServerFailure:
 		result.IsFailed = true
@@ -66,6 +65,7 @@
 		respondedAt := now
 		if a.firstEventAt > 0 {
 			respondedAt = a.firstEventAt
+			result.StreamTime = now.Sub(a.firstEventAt)
 		}
 		result.Ratio = respondedAt.Sub(a.sentAt).Seconds() / predicted.Seconds()
 		return result, true
--- a/rudder/rollout/counts.go
+++ b/rudder/rollout/counts.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "time"
+
 // Counts are running totals of the requests at one version of a service.
 type Counts struct {
 	_        struct{} `cbor:",toarray"`
@@ -12,6 +14,9 @@
 	RatioPercent int64
 	// Servers has a bit for each server with a failed or slow response; servers may share bits.
 	Servers uint64
+	// Streams is the number of event streams among the answered requests, and StreamMillis the sum of their times from the first
+	// event to the end.
+	Streams, StreamMillis int64
 }
 
 // maxRatioPercent bounds what one response adds to Counts.RatioPercent.
@@ -28,11 +33,17 @@
 	return float64(c.RatioPercent) / 100 / float64(max(c.Answered, 1))
 }
 
+// meanStreamMillis returns the mean time of a stream after its first event.
+func (c Counts) meanStreamMillis() float64 {
+	return float64(c.StreamMillis) / float64(max(c.Streams, 1))
+}
+
 // Add returns the sum of two counts.
 func (c Counts) Add(o Counts) Counts {
 	return Counts{
 		Sent: c.Sent + o.Sent, Answered: c.Answered + o.Answered, Failed: c.Failed + o.Failed, Slow: c.Slow + o.Slow,
 		RatioPercent: c.RatioPercent + o.RatioPercent, Servers: c.Servers | o.Servers,
+		Streams: c.Streams + o.Streams, StreamMillis: c.StreamMillis + o.StreamMillis,
 	}
 }
 
@@ -41,6 +52,7 @@
 	return Counts{
 		Sent: c.Sent - earlier.Sent, Answered: c.Answered - earlier.Answered, Failed: c.Failed - earlier.Failed, Slow: c.Slow - earlier.Slow,
 		RatioPercent: c.RatioPercent - earlier.RatioPercent, Servers: c.Servers,
+		Streams: c.Streams - earlier.Streams, StreamMillis: c.StreamMillis - earlier.StreamMillis,
 	}
 }
 
@@ -48,7 +60,9 @@
 type Result struct {
 	IsFailed bool    // a failure of the server
 	Ratio    float64 // time to the first byte relative to the predicted one
-	Server   uint64  // hash of the server's ID
+	// StreamTime is the time from the first event to the end of an event stream, 0 for other responses.
+	StreamTime time.Duration
+	Server     uint64 // hash of the server's ID
 }
 
 // end adds the end of a request.
@@ -58,6 +72,10 @@
 	} else {
 		c.Answered++
 		c.RatioPercent += int64(min(max(r.Ratio*100, 0), maxRatioPercent))
+		if r.StreamTime > 0 {
+			c.Streams++
+			c.StreamMillis += r.StreamTime.Milliseconds()
+		}
 		if r.Ratio > SlowRatio {
 			c.Slow++
 		}
--- a/rudder/rollout/strategy.go
+++ b/rudder/rollout/strategy.go
@@ -107,6 +107,9 @@
 
 // problem returns why the new version of a pair counts as bad, "" if it does not.
 func (c *Comparison) problem(p Pair, servers int) string {
+	if reason := c.streamProblem(p); reason != "" {
+		return reason
+	}
 	// A fault of one server is not one of the version.
 	if servers > 1 && bits.OnesCount64(p.New.Servers) < 2 && p.New.bad() < c.MinBadOfOneServer {
 		return ""
@@ -124,6 +127,21 @@
 	return ""
 }
 
+// minStreamMillis is the mean time of streams below which delays of this process count for more than those of the servers.
+const minStreamMillis = 20
+
+// streamProblem compares the times of streams after their first events. The mean over several servers hardly depends on one.
+func (c *Comparison) streamProblem(p Pair) string {
+	if p.New.Streams < c.MinTimed || p.Old.Streams < c.MinTimed || p.IsOldEarlier {
+		return ""
+	}
+	newMillis, oldMillis := p.New.meanStreamMillis(), p.Old.meanStreamMillis()
+	if newMillis <= c.SlowFactor*max(oldMillis, minStreamMillis) {
+		return ""
+	}
+	return fmt.Sprintf("%.100s: streams took %.0f ms after their first events, %.0f ms with the old version", p.Name, newMillis, oldMillis)
+}
+
 // tolerated returns the number of bad responses that the new version of a pair may have.
 func (c *Comparison) tolerated(p Pair) float64 {
 	share := 0.0
--- a/rudder/rollout/traffic_test.go
+++ b/rudder/rollout/traffic_test.go
@@ -26,6 +26,7 @@
 	// newBad and oldBad return the share of bad responses of a route; newRatio the mean time relative to the predicted one.
 	newBad, oldBad func(elapsed time.Duration, share float64, route string) float64
 	newRatio       float64
+	newStreams     int64         // milliseconds of a stream after its first event; those of the old version are 500
 	drainTime      time.Duration // of the requests at the old servers
 
 	total, sent, sentBefore       float64 // requests; sentBefore those until the deadline
@@ -122,6 +123,11 @@
 	ended := s.whole(name, a.count)
 	bad := s.whole(name+"bad", float64(ended)*a.bad)
 	c.Answered, c.Failed = c.Answered+ended-bad, c.Failed+bad
+	if c.Streams += ended - bad; a.isNew && s.newStreams > 0 {
+		c.StreamMillis += s.newStreams * (ended - bad)
+	} else {
+		c.StreamMillis += 500 * (ended - bad)
+	}
 	c.RatioPercent += int64(a.meanPercent) * (ended - bad)
 	if bad > 0 || a.meanPercent > 100*TrafficStrategy.Comparison.SlowFactor {
 		c.Servers |= 7
@@ -212,11 +218,13 @@
 				return 0
 			}
 		}, PhaseReversing},
-		"several times slower":     {func(s *simulation) { s.newRatio = 2.9 }, PhaseReversing},
-		"noise that hits both":     {func(s *simulation) { s.newBad, s.oldBad = noise, noise }, PhaseDone},
-		"both somewhat slow":       {func(s *simulation) { s.newRatio = 1.6 }, PhaseDone},
-		"no server":                {func(s *simulation) { s.servers = 0 }, PhaseRolling},
-		"streams of 15 s end late": {func(s *simulation) { s.drainTime = 15 * time.Second }, PhaseDone},
+		"several times slower":         {func(s *simulation) { s.newRatio = 2.9 }, PhaseReversing},
+		"streams several times slower": {func(s *simulation) { s.newStreams = 1500 }, PhaseReversing},
+		"streams somewhat slower":      {func(s *simulation) { s.newStreams = 900 }, PhaseDone},
+		"noise that hits both":         {func(s *simulation) { s.newBad, s.oldBad = noise, noise }, PhaseDone},
+		"both somewhat slow":           {func(s *simulation) { s.newRatio = 1.6 }, PhaseDone},
+		"no server":                    {func(s *simulation) { s.servers = 0 }, PhaseRolling},
+		"streams of 15 s end late":     {func(s *simulation) { s.drainTime = 15 * time.Second }, PhaseDone},
 	} {
 		for _, rate := range []float64{20, 100, 800} {
 			t.Run(fmt.Sprint(name, " ", rate), func(t *testing.T) {
