--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -65,6 +65,8 @@
 	Exclude         map[string]bool // servers that have already received the request, by ID
 	FailureDomain   string          // of this node; among equal servers, those in it go first
 	SoftwareVersion *string         // of the only servers that may take the request; nil if all may
+	// VersionFraction is a hash of the request's id, at least 0 and below 1, that assigns it to a version; see SetVersionShares.
+	VersionFraction float64
 	// Patience is how long the request may wait for the end of a pause and its first byte together; 0 if it may not wait.
 	Patience  time.Duration
 	HasWaited bool // for the end of a pause
@@ -78,6 +80,7 @@
 	FirstByteMillis   float64 // predicted time to the first byte without the server's slowdown
 	Score             float64 // FirstByteMillis with slowdown, delay of other requests and penalties; the lowest wins
 	UncachedTokens    int     // prompt tokens that the server has to prefill
+	AssumedTokens     int     // those that are taken to be cached at a home server without this node's knowledge
 	Running           int     // requests of all nodes at the server
 	IsFull            bool
 	SendWait          time.Duration // until this node may send the request to the server, which is in need; 0 if it may
@@ -128,6 +131,7 @@
 	Running            int           // requests of all nodes at the server before this one
 	CandidateCount     int           // servers that could be chosen, full ones included
 	UncachedTokens     int           // prompt tokens that the server has to prefill
+	AssumedTokens      int           // see Candidate
 
 	table         *Table
 	request       Request
@@ -199,7 +203,7 @@
 	p := &Placement{
 		Server: s, ID: s.ID, Address: s.Address, Incarnation: s.incarnation(), SoftwareVersion: s.SoftwareVersion, PredictedFirstByte: predicted,
 		ExpectedFirstByte: time.Duration(float64(predicted) * max(t.model(r.Service).lateness, 1)), Running: best.Running, CandidateCount: len(candidates),
-		UncachedTokens: best.UncachedTokens, table: t, request: r, placedAt: now, pace: newPlacementPace(best, s.Slots),
+		UncachedTokens: best.UncachedTokens, AssumedTokens: best.AssumedTokens, table: t, request: r, placedAt: now, pace: newPlacementPace(best, s.Slots),
 	}
 	if r.IsGeneration {
 		p.pendingTokens = float64(best.UncachedTokens)
@@ -209,6 +213,7 @@
 	}
 	s.recordSend(now)
 	s.ownLoad.running++
+	t.ownByVersion.add(r.Service, p.SoftwareVersion, 1)
 	s.ownLoad.pendingTokens[r.urgencyLevel()] += p.pendingTokens
 	p.isProbe = s.health.recordPlacement(now)
 	return p, nil
@@ -252,9 +257,12 @@
 		t.updatePause(s, bootNow)
 		if s.Service == r.Service && !r.Exclude[s.ID] && s.isServing() && s.hasVersion(r.SoftwareVersion) {
 			serving = append(serving, s)
-			if !s.limit.isNamed {
-				unlimited = append(unlimited, s)
-			}
+		}
+	}
+	serving = t.divide(&r, serving)
+	for _, s := range serving {
+		if !s.limit.isNamed {
+			unlimited = append(unlimited, s)
 		}
 	}
 	m := t.model(r.Service)
@@ -296,7 +304,9 @@
 	if r.IsGeneration {
 		cached := t.prefixes.cachedTokens(s.ID, r.Parts, now)
 		if isHome {
+			known := cached
 			cached = sumTokens(r.Parts)
+			c.AssumedTokens = max(cached-known, 0)
 		}
 		c.UncachedTokens = max(r.PromptTokens-cached, 0)
 		prefillMillis := float64(c.UncachedTokens) / m.prefillRate
@@ -454,6 +464,7 @@
 	if p.request.IsGeneration {
 		t.model(p.request.Service).occupancy.Add(p.request.Urgency, now.Sub(p.placedAt), now)
 	}
+	t.ownByVersion.add(p.request.Service, p.SoftwareVersion, -1)
 	switch result {
 	case ResultCompleted:
 		s.health.recordSuccess(now)
