--- a/rudder/backend/pace_test.go
+++ b/rudder/backend/pace_test.go
@@ -278,7 +278,14 @@
 			return table.servers["s00"].pace.Weight()
 		}
 		maintain(from)
-		report := from.TakePaceReport()
+		encoded, err := cbor.Marshal(from.TakePaceReport())
+		if err != nil {
+			t.Fatal(err)
+		}
+		report := &pace.Report{}
+		if err := cbor.Unmarshal(encoded, report); err != nil {
+			t.Fatal(err)
+		}
 		to.ApplyPaceReport("n1", report)
 		once := weight(to)
 		to.ApplyPaceReport("n1", report)
@@ -407,3 +414,42 @@
 		}
 	})
 }
+
+// Load pattern: a third of the servers turn three times slower for 12 s. Guards against servers that get too few requests to
+// show that they have recovered, and against a flood when they are found to have.
+func TestRecoveredServersAreFoundWithoutFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slowFrom, slowUntil, allowed = 8 * time.Second, 20 * time.Second, 15 * time.Second
+		f := newPacedFleet(pacedFleetOptions{seed: 7, nodes: quarterNodes, servers: quarterServers, requestsPerS: quarterRequestsS, subjects: quarterSubjects, hasNoise: true,
+			paceOf: func(server int, at time.Duration) float64 {
+				if server < quarterServers/3 && at >= slowFrom && at < slowUntil {
+					return 3
+				}
+				return 1
+			}})
+		f.run(slowFrom)
+		f.reset()
+		f.run(slowUntil - slowFrom)
+		for server := range quarterServers / 3 {
+			if p := f.paceOfServer(0, server); p <= 1 && f.sentTo[server] >= 20 {
+				t.Errorf("server %d has a pace of %.2f although it has been 3 times slower for %s and %d requests", server, p, slowUntil-slowFrom, f.sentTo[server])
+			}
+		}
+		for since := time.Duration(0); since < allowed; since += time.Second {
+			f.reset()
+			f.run(time.Second)
+			total := 0
+			for _, sent := range f.sentTo[:quarterServers/3] {
+				total += sent
+			}
+			if most := quarterRequestsS * 2 / 3; total > most {
+				t.Errorf("%s after their recovery a third of the servers got %d requests in a second, want at most %d", since, total, most)
+			}
+		}
+		for server := range quarterServers / 3 {
+			if p := f.paceOfServer(0, server); p > 1.35 {
+				t.Errorf("server %d still has a pace of %.2f, %s after its recovery", server, p, allowed)
+			}
+		}
+	})
+}
