Compare software versions by the times of the median server

Cause: the predicted time to the first byte now includes the pace that was learnt of the server, so that a version that makes servers slow would look normal a few seconds later.

Change: the ratio is taken to the time predicted for the median server.

--- a/rudder/backend/pace.go
+++ b/rudder/backend/pace.go
@@ -94,6 +94,9 @@
 
 // MedianFirstByte returns the time to the first byte that is predicted for the median server of the service under the same load.
 func (p *Placement) MedianFirstByte() time.Duration {
+	if p.pace.factor <= 0 {
+		return p.PredictedFirstByte // not placed by a table
+	}
 	return time.Duration(float64(p.PredictedFirstByte) / p.pace.factor)
 }
 
--- a/rudder/relay/versions.go
+++ b/rudder/relay/versions.go
@@ -53,7 +53,8 @@
 // the caller left before the response was late.
 func (a *attempt) versionResult(r attemptResult, now boottime.Instant) (rollout.Result, bool) {
 	result := rollout.Result{Server: xxhash.Sum64String(a.placement.ID)}
-	predicted := max(a.placement.PredictedFirstByte+a.assumedPrefillTime(), minPredictedTime)
+	// The prediction for the median server: that for this one has learnt how slow it is, which may be the fault of its version.
+	predicted := max(a.placement.MedianFirstByte()+a.assumedPrefillTime(), minPredictedTime)
 	switch r.backendResult {
 	case backend.ResultServerFailure:
 		result.IsFailed = true
