Tell changes of the registry to all nodes at once where summaries are used

Servers write their registry entries again and again. With 1,500 of them, these filled the 200 changes that a digest may hold, so that digests told none: each node read the registry itself, and learnt of a leaving server in its turn, 1.4 s and 4 ms for each preceding node later. Entries that are as before are no longer told. A delta reaches back to the last change that was dropped.

Above 96 nodes, changes of the registry and announcements of leaving servers travel as news: brief digests that each node passes on to at most 8 others, by two trees in which no node is on both ways to another one. The brief digests of watchers, pollers and the holder of the duties go the same way, in place of a round to all nodes four times a second. A drain has a short form: 500 of them take 15,253 bytes.

Before the change TestRewrittenEntriesDoNotDisplaceARemoval failed (0 changes told, want 1), and TestLeavingServerIsKnownWhereSummariesAreUsed did (more than two nodes watched the registry for 30 s).

A starting node greets each address that it learns of at once.

The pause between calls to an object API that does not answer is bounded by 4 s. It was 50 ms for each preceding node, 15 s for the last of 300.

--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -72,6 +72,8 @@
 	ServerVersions map[string]string `cbor:"28,keyasint,omitempty"`
 	// StreamOrigins tells where streams began, in an urgent digest.
 	StreamOrigins []streamorigin.Report `cbor:"29,keyasint,omitempty"`
+	// News is set in an urgent digest that carries news of a node; see News.
+	News *News `cbor:"40,keyasint,omitempty"`
 	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
 	Sightings []PeerSighting `cbor:"27,keyasint,omitempty"`
 }
@@ -108,6 +110,16 @@
 	Removed  bool // Server holds only the ID
 }
 
+// NewDrain returns the short form of the change by which a listed server drains and is otherwise as before. Only news hold it.
+func NewDrain(revision objectapi.Version, id string) RegistryChange {
+	return RegistryChange{Revision: revision, Server: backend.Entry{ID: id, Draining: true}}
+}
+
+// IsDrain reports whether the change has the form of NewDrain.
+func (c *RegistryChange) IsDrain() bool {
+	return !c.Removed && c.Server == backend.Entry{ID: c.Server.ID, Draining: true}
+}
+
 // UrgentDigest is a digest that is sent between two full ones, to all peers or to one.
 type UrgentDigest struct {
 	Digest
--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -98,6 +98,7 @@
 	m.sortedNames = nil
 	delete(m.members, member.Node)
 	delete(m.peerClocks, member.Node)
+	delete(m.newsSeen, member.Node)
 }
 
 // maxLoggedPeers bounds the names in one log line about several peers.
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -63,7 +63,11 @@
 	// ComposeUrgentDigests returns what must not wait for the next full digest. It is called each urgentInterval, less often
 	// with many peers. Nil means that the node sends no urgent digests.
 	ComposeUrgentDigests func() []UrgentDigest
-	// OnDigest is called with each accepted digest, full, brief or urgent.
+	// ComposeNews returns what nodes of all failure domains must know at once, as a brief digest with the clocks of this node,
+	// and whether it holds anything new since the last call; it may return nothing unless isDue is set. It is called each
+	// newsInterval and after NotifyNews, while summaries are used. Nil means that the node sends no news.
+	ComposeNews func(isDue bool) (d Digest, isNew bool)
+	// OnDigest is called with each accepted digest, full, brief or urgent, and with each brief digest from news.
 	OnDigest func(*Member)
 	// OnSummary is called after OnDigest with each summary. Nil means that summaries only update the members.
 	OnSummary func(*Summary)
@@ -82,6 +86,13 @@
 	targetsSeenAt   map[string]boottime.Instant // by address: when it was last heard from or added
 	targetsAddedAt  map[string]boottime.Instant // by address: when it became known, for newAddressPeriod at least
 	addressRotation int
+	conn            net.PacketConn
+	ungreeted       []string                  // addresses that have become known and got no digest yet
+	greetingDue     chan struct{}             // has a value when ungreeted has grown
+	newsNotified    chan struct{}             // has a value when NotifyNews was called
+	newsSeen        map[string][]newsIdentity // by node name: the latest, oldest first
+	newsRound       int
+	newsSentAt      boottime.Instant // when this node last sent news because they were due; only the task that sends news uses it
 	now             func() boottime.Instant
 	sleep           func(time.Duration)
 }
@@ -91,7 +102,7 @@
 	m := &Mesh{
 		SelfAddress: selfAddress, ComposeDigest: composeDigest, OnDigest: onDigest, Log: log,
 		members: map[string]*Member{}, summaries: map[string]*receivedSummary{}, peerClocks: map[string]*peerClock{}, targetsSeenAt: map[string]boottime.Instant{},
-		targetsAddedAt: map[string]boottime.Instant{},
+		targetsAddedAt: map[string]boottime.Instant{}, greetingDue: make(chan struct{}, 1), newsNotified: make(chan struct{}, 1), newsSeen: map[string][]newsIdentity{},
 		// Nodes that start at the same time must not all tell the same addresses.
 		addressRotation: rand.IntN(1 << 16), now: boottime.Now, sleep: time.Sleep,
 	}
@@ -114,6 +125,7 @@
 			continue
 		}
 		m.targetsSeenAt[a], m.targetsAddedAt[a] = now, now
+		m.noteNewAddress(a)
 	}
 }
 
@@ -128,13 +140,22 @@
 // Run sends and receives digests until ctx ends; then it closes conn.
 func (m *Mesh) Run(ctx context.Context, conn net.PacketConn) {
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	m.mu.Lock()
+	m.conn = conn
+	m.mu.Unlock()
 	go m.receive(ctx, conn)
+	go m.greetNewPeers(ctx, conn)
 	if m.ComposeUrgentDigests != nil {
 		go m.sendUrgentDigests(ctx, conn)
 	}
+	if m.ComposeNews != nil {
+		go m.sendNews(ctx, conn)
+	}
 	go m.sendSummaries(ctx, conn)
 	for ctx.Err() == nil {
-		isShort := m.NeedsShortInterval != nil && m.NeedsShortInterval()
+		// Where summaries are used, news tell what peers rely on: a round of digests to all nodes at this pace would fill the
+		// link of a small host.
+		isShort := m.NeedsShortInterval != nil && m.NeedsShortInterval() && (m.ComposeNews == nil || !m.UsesSummaries())
 		beganAt := time.Now()
 		m.sendDigest(conn, isShort)
 		interval := m.currentInterval()
@@ -200,6 +221,7 @@
 	digest := m.ComposeDigest()
 	m.setOwnDigest(digest)
 	direct, others := m.targets()
+	m.dropUngreeted(direct)
 	digest.PeerAddresses = m.nextPeerAddresses(slices.Concat(direct, others))
 	digest.Sightings = m.nextSightings()
 	within := m.roundDuration(toAll)
@@ -292,6 +314,10 @@
 		m.Log.Warn("Malformed digest dropped.", "from", source, "error", err)
 		return
 	}
+	if d.News != nil {
+		m.handleNews(d.News, source, receivedAt)
+		return
+	}
 	m.handleDigest(d, source, receivedAt)
 }
 
@@ -320,7 +346,14 @@
 		member.SentAt, member.HasReliableSentAt = m.peerClocks[d.Node].observe(d.Incarnation, sentAt, receivedAt)
 	}
 	member.IsSummarized = d.IsBrief || m.isSummarized(d.FailureDomain, receivedAt)
-	m.setMember(member)
+	stored := member
+	if known && previous.Incarnation == d.Incarnation && previous.BootClockMillis > d.BootClockMillis {
+		stored = member.withNews(previous, m.FailureDomain) // a round of full digests takes most of an interval; news overtake it
+	}
+	m.setMember(stored)
+	if _, isKnown := m.targetsSeenAt[source]; !isKnown {
+		m.noteNewAddress(source)
+	}
 	m.markSeen(source, receivedAt)
 	m.mu.Unlock()
 	if !known || previous.Incarnation != d.Incarnation || previous.State != d.State {
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -123,12 +123,16 @@
 	if preceding < outageProbers {
 		return 0
 	}
-	return time.Duration(preceding) * outageIntervalPerNode
+	return min(time.Duration(preceding)*outageIntervalPerNode, maxOutageCallInterval)
 }
 
 // outageIntervalPerNode lengthens the pause between two calls during an outage for each node that comes before.
 const outageIntervalPerNode = 50 * time.Millisecond
 
+// maxOutageCallInterval bounds that pause. With it, 300 nodes make at most 110 calls a second for one kind of object; without it,
+// the last of them would call every 15 s.
+const maxOutageCallInterval = 4 * time.Second
+
 // noteConfigVersion records that a peer has a version of the configuration.
 func (n *node) noteConfigVersion(version int64) {
 	config := n.currentConfig.Config()
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -146,6 +146,7 @@
 	n.mesh = mesh.New(s.MeshAddress, s.MeshSeeds, n.composeDigest, n.handleDigest, logger.Part("mesh"))
 	n.mesh.FailureDomain = s.FailureDomain
 	n.mesh.ComposeUrgentDigests = n.composeUrgentDigests
+	n.mesh.ComposeNews = n.composeNews
 	n.mesh.OnSummary = n.handleSummary
 	n.mesh.NearLimitOrganisations = n.quotas.NearLimitOrganisations
 	n.mesh.NeedsShortInterval = n.needsShortInterval
@@ -200,18 +201,24 @@
 
 // composeDigest returns the present state of this node for its peers.
 func (n *node) composeDigest() mesh.Digest {
+	d := n.composeIdentity()
+	d.Loads, d.Demand, d.QuotaUsages, d.RunsByWindow = n.backends.OwnLoads(), n.backends.Demand(), n.quotas.FullReport(), n.usageCounter.WindowsForPeers()
+	d.Crashes, d.ServerLimits, d.Departures = n.relay.Crashes.FullReport(), n.backends.Limits(), n.backends.Departures()
+	d.Registry, d.IsWarmingUp, d.UsageFinalThrough = n.registry.delta(), n.quotas.IsWarmingUp(), n.usageCounter.FinalThrough()
+	d.ServerVersions = versionsByID(d.Registry.Changes)
+	return d
+}
+
+// composeIdentity returns what all digests of this node to all nodes hold: who it is, its clocks, and what is confirmed of the
+// configuration.
+func (n *node) composeIdentity() mesh.Digest {
 	d := mesh.Digest{
 		Node: n.settings.Node, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain, Address: n.settings.CallerAddress,
 		// The clock is read before the age of the confirmation, so that a pause between the two makes the confirmation
 		// look older, not newer.
 		State: n.state(), BootClockMillis: time.Duration(boottime.Now()).Milliseconds(), WallClockMillis: time.Now().UnixMilli(),
 		ConfirmationAgeMillis: -1, HoldsDutyLease: n.holdsDutyLease.Load(),
-		Loads: n.backends.OwnLoads(), Demand: n.backends.Demand(), QuotaUsages: n.quotas.FullReport(),
-		Crashes: n.relay.Crashes.FullReport(), ServerLimits: n.backends.Limits(), RunsByWindow: n.usageCounter.WindowsForPeers(),
-		Departures: n.backends.Departures(), Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
-		UsageFinalThrough: n.usageCounter.FinalThrough(),
 	}
-	d.ServerVersions = versionsByID(d.Registry.Changes)
 	if config := n.currentConfig.Config(); config != nil {
 		d.ConfigVersion = config.Version
 	}
@@ -221,6 +228,20 @@
 	return d
 }
 
+// composeNews returns what nodes of all failure domains must know at once: changes of the registry and announcements of servers
+// that leave; and, when that is due, that this node and what it watches are as before.
+func (n *node) composeNews(isDue bool) (d mesh.Digest, isNew bool) {
+	hasChanges, departures := n.registry.takeNews(), n.backends.DepartureNews()
+	isNew = hasChanges || len(departures) > 0
+	if !isNew && !isDue {
+		return mesh.Digest{}, false
+	}
+	d = n.composeIdentity()
+	d.Departures, d.Registry = departures, n.registry.newsDelta()
+	d.ServerVersions = versionsByID(d.Registry.Changes)
+	return d, isNew
+}
+
 // composeUrgentDigests returns what peers must know before the next full digest: for all peers, what this node admitted near a
 // limit, crashes of backend servers, limits that they name, those that leave, and where streams began; for the holder of the duty
 // lease, the request counts that have changed, which would be lost if all nodes ended.
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -19,7 +19,7 @@
 	// get new work (two seconds).
 	registryWatchTimeout = 400 * time.Millisecond
 	// registryBatchDelay is the pause after changes of the registry before the next watch, so that changes in short
-	// succession cost one call. Entries change with each heartbeat of a server, so that a watch hardly ever waits.
+	// succession cost one call. Servers write their entries again and again, so that a watch hardly ever waits.
 	registryBatchDelay = 400 * time.Millisecond
 	// passiveMaxAge is the age of a passive node's knowledge of the registry up to which it makes no calls. Each node
 	// that precedes it adds passiveMaxAgeStep: nodes begin to call one after the other, so that the first ones can send
@@ -42,6 +42,9 @@
 	// that misses some asks the object API.
 	maxChangesPerDigest     = 200
 	maxChangeBytesPerDigest = 24 << 10
+	// maxChangesPerNews bounds the changes in news, which also keep to maxChangeBytesPerDigest. All servers of a failure domain
+	// may drain at once: with 1,500 servers in three failure domains these are 500.
+	maxChangesPerNews = 800
 )
 
 // registrySync keeps the table of backend servers in line with the platform's registry. Two nodes, the watchers, watch
@@ -51,6 +54,9 @@
 	node          *node
 	log           *slog.Logger
 	objectWatcher *objectapi.Watcher
+	// usesSummaries reports whether news, not digests, tell the changes: digests then do not reach all nodes.
+	usesSummaries func() bool
+	notifyNews    func() // makes the mesh send news
 
 	mu            sync.Mutex
 	recentChanges []recentChange            // changes for digests, oldest first
@@ -59,6 +65,7 @@
 	lastCallAt    boottime.Instant          // when the last answered call was sent
 	attemptedAt   boottime.Instant          // when the last watch was sent, answered or not
 	currentAsOf   boottime.Instant          // all changes that the object API acknowledged before this time are known
+	hasNews       bool                      // changes have been learnt since the last news
 	isListing     bool                      // a listing has been applied whose revision is not recorded yet
 	isPassive     bool                      // result of the last updatePassive
 	unsettled     map[string]unsettledEntry // by server ID; after the object API was restored
@@ -70,16 +77,24 @@
 type recentChange struct {
 	mesh.RegistryChange
 	learntAt boottime.Instant
+	isDrain  bool // the server drains and is otherwise as before
 }
 
-// encodedBytes returns about how much the change adds to a digest.
-func (c *recentChange) encodedBytes() int {
+// encodedBytes returns about how much the change adds to a digest, or to news.
+func (c *recentChange) encodedBytes(isNews bool) int {
 	const numbersAndLengths = 48
+	if isNews && (c.isDrain || c.Removed) {
+		const shortForm = 24
+		return shortForm + len(c.Server.ID)
+	}
 	return numbersAndLengths + len(c.Server.ID) + len(c.Server.Service) + len(c.Server.Address) + len(c.Server.FailureDomain) + len(c.Server.SoftwareVersion)
 }
 
 func newRegistrySync(n *node) *registrySync {
-	r := &registrySync{node: n, log: n.logger.Part("registry")}
+	r := &registrySync{
+		node: n, log: n.logger.Part("registry"),
+		usesSummaries: func() bool { return n.mesh != nil && n.mesh.UsesSummaries() }, notifyNews: func() { n.mesh.NotifyNews() },
+	}
 	r.objectWatcher = &objectapi.Watcher{
 		Store: n.platform.Store, Prefix: n.platform.ServerPrefix, Log: r.log,
 		OnList: r.applyListing, OnChange: r.applyEvent, OnSync: r.recordAnswer,
@@ -139,8 +154,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	previous, isListed := r.node.backends.Entry(c.Server.ID)
+	isUnchanged := c.Removed && !isListed || !c.Removed && isListed && previous == c.Server
 	r.applyChange(c)
-	r.recentChanges = append(r.recentChanges, recentChange{RegistryChange: c, learntAt: boottime.Now()})
+	// Servers write their entries again and again. With these, the changes of a large registry would not fit in a digest. For
+	// a while after the object API was restored they matter, since they show that an entry is not one of the older copy.
+	if isUnchanged && boottime.Now() >= r.lapsedAt {
+		return
+	}
+	previous.Draining = true
+	isDrain := isListed && !c.Removed && previous == c.Server
+	r.recentChanges = append(r.recentChanges, recentChange{RegistryChange: c, learntAt: boottime.Now(), isDrain: isDrain})
 }
 
 // maxLoggedKeyBytes bounds a key in a log line; another writer may choose a huge one.
@@ -155,38 +179,51 @@
 		r.node.backends.Remove(c.Server.ID)
 		return
 	}
+	if c.IsDrain() {
+		r.node.backends.Drain(c.Server.ID)
+		return
+	}
 	r.node.backends.Put(c.Server)
 }
 
 // recordAnswer records that the answer to a call that was sent at the given time has been applied as a whole.
 func (r *registrySync) recordAnswer(sentAt boottime.Instant, revision objectapi.Version) {
+	usesSummaries := r.usesSummaries()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.recentChanges) == 0 {
+	if r.isListing {
 		r.fromRevision = revision
 	}
 	r.isListing = false
+	hasChanged := false
 	for i := range r.recentChanges {
 		if r.recentChanges[i].Revision.IsZero() {
-			r.recentChanges[i].Revision = revision
+			r.recentChanges[i].Revision, hasChanged = revision, true
 		}
 	}
 	r.revision, r.lastCallAt, r.currentAsOf = revision, sentAt, max(r.currentAsOf, sentAt)
 	r.node.storeHistory.note(revision.Epoch)
-	r.pruneChanges()
+	r.pruneChanges(usesSummaries)
+	if hasChanged && usesSummaries {
+		r.hasNews = true
+		r.notifyNews()
+	}
 }
 
-// pruneChanges drops changes that are older than changeRetention or exceed maxChangesPerDigest or maxChangeBytesPerDigest.
-// The caller holds the lock.
-func (r *registrySync) pruneChanges() {
-	pruned, size := 0, 0
+// pruneChanges drops changes that are older than changeRetention or exceed what a digest, or news, may hold. The caller holds
+// the lock.
+func (r *registrySync) pruneChanges(isNews bool) {
+	pruned, size, maxChanges := 0, 0, maxChangesPerDigest
+	if isNews {
+		maxChanges = maxChangesPerNews
+	}
 	for _, c := range r.recentChanges {
-		size += c.encodedBytes()
+		size += c.encodedBytes(isNews)
 	}
 	for pruned < len(r.recentChanges) && !r.recentChanges[pruned].Revision.IsZero() &&
-		(boottime.Since(r.recentChanges[pruned].learntAt) > changeRetention || len(r.recentChanges)-pruned > maxChangesPerDigest || size > maxChangeBytesPerDigest) {
+		(boottime.Since(r.recentChanges[pruned].learntAt) > changeRetention || len(r.recentChanges)-pruned > maxChanges || size > maxChangeBytesPerDigest) {
 		r.fromRevision = r.recentChanges[pruned].Revision
-		size -= r.recentChanges[pruned].encodedBytes()
+		size -= r.recentChanges[pruned].encodedBytes(isNews)
 		pruned++
 	}
 	// The remaining changes of an answer are of no use once its first ones are dropped.
@@ -203,22 +240,65 @@
 	return r.revision
 }
 
-// delta returns what this node's digest says of the registry.
+// delta returns what this node's digest says of the registry. Where summaries are used, it holds no changes: news do.
 func (r *registrySync) delta() mesh.RegistryDelta {
+	usesSummaries := r.usesSummaries()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delta := r.deltaHeader(usesSummaries)
+	if usesSummaries {
+		delta.FromRevision = delta.Revision
+		return delta
+	}
+	for _, c := range r.recentChanges {
+		if !c.Revision.IsZero() {
+			delta.Changes = append(delta.Changes, c.RegistryChange)
+		}
+	}
+	return delta
+}
+
+// deltaHeader returns the delta without its changes. The caller holds the lock.
+func (r *registrySync) deltaHeader(isNews bool) mesh.RegistryDelta {
 	if r.currentAsOf == 0 || r.isListing {
 		return mesh.RegistryDelta{}
 	}
-	r.pruneChanges()
-	delta := mesh.RegistryDelta{
+	r.pruneChanges(isNews)
+	return mesh.RegistryDelta{
 		FromRevision: r.fromRevision, Revision: r.revision,
 		CallAgeMillis: boottime.Since(r.lastCallAt).Milliseconds(), AgeMillis: boottime.Since(r.currentAsOf).Milliseconds(),
 	}
+}
+
+// takeNews reports whether changes have been learnt from the object API since the last call.
+func (r *registrySync) takeNews() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hasNews := r.hasNews
+	r.hasNews = false
+	return hasNews
+}
+
+// newsDelta returns what this node's news say of the registry. A change by which a server drains has the short form if it is
+// the first one of its server in the delta: whoever can apply the delta knows the entry.
+func (r *registrySync) newsDelta() mesh.RegistryDelta {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delta := r.deltaHeader(true)
+	if delta.Revision.IsZero() {
+		return delta
+	}
+	hasEarlier := map[string]bool{}
 	for _, c := range r.recentChanges {
-		if !c.Revision.IsZero() {
-			delta.Changes = append(delta.Changes, c.RegistryChange)
+		if c.Revision.IsZero() {
+			continue
+		}
+		change := c.RegistryChange
+		if c.isDrain && !hasEarlier[c.Server.ID] {
+			change = mesh.NewDrain(c.Revision, c.Server.ID)
 		}
+		hasEarlier[c.Server.ID] = true
+		delta.Changes = append(delta.Changes, change)
 	}
 	return delta
 }
@@ -251,7 +331,7 @@
 func versionsByID(changes []mesh.RegistryChange) map[string]string {
 	var versions map[string]string
 	for _, c := range changes {
-		if c.Removed {
+		if c.Removed || c.IsDrain() {
 			continue
 		}
 		if versions == nil {
