Bound the nodes that send news, and the calls of starting nodes

In a trial with 99 nodes in one process all nodes sent news right after their start, since each counts as a watcher until it knows others, and used up the processor (60 of 99 were not ready after 71 s). Now at most four nodes tell what they watch, among the first 16; the sending begins when summaries come into use, not up to 5 s later.

A node relies on watchers from their first digests on; until their clocks are known, the age of what it read itself bounds that.

--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -73,10 +73,20 @@
 
 // setMember replaces what is known of a peer. The caller holds the lock.
 func (m *Mesh) setMember(member *Member) {
+	if !m.usesSummaries() {
+		defer func() {
+			if m.usesSummaries() {
+				m.NotifyNews() // ends the long pause of sendNews
+			}
+		}()
+	}
 	previous, known := m.members[member.Node]
 	if !known {
 		m.sortedNames = nil
 	}
+	if !known || previous.FailureDomain != member.FailureDomain {
+		m.newsKeys = nil
+	}
 	member.startKnownAt = member.ReceivedAt
 	if known && previous.Incarnation == member.Incarnation {
 		member.startKnownAt, member.sightedAt = previous.startKnownAt, previous.sightedAt
@@ -95,7 +105,7 @@
 	if member.FailureDomain == m.FailureDomain {
 		m.localCount--
 	}
-	m.sortedNames = nil
+	m.sortedNames, m.newsKeys = nil, nil
 	delete(m.members, member.Node)
 	delete(m.peerClocks, member.Node)
 	delete(m.newsSeen, member.Node)
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -64,9 +64,10 @@
 	// with many peers. Nil means that the node sends no urgent digests.
 	ComposeUrgentDigests func() []UrgentDigest
 	// ComposeNews returns what nodes of all failure domains must know at once, as a brief digest with the clocks of this node,
-	// and whether it holds anything new since the last call; it may return nothing unless isDue is set. It is called each
-	// newsInterval and after NotifyNews, while summaries are used. Nil means that the node sends no news.
-	ComposeNews func(isDue bool) (d Digest, isNew bool)
+	// and whether it holds anything new since the last call; nil if there is nothing to tell. isDue means that none were sent
+	// for BaseInterval. It is called each newsInterval and after NotifyNews, while summaries are used. Nil means that the node
+	// sends no news.
+	ComposeNews func(isDue bool) (d *Digest, isNew bool)
 	// OnDigest is called with each accepted digest, full, brief or urgent, and with each brief digest from news.
 	OnDigest func(*Member)
 	// OnSummary is called after OnDigest with each summary. Nil means that summaries only update the members.
@@ -92,7 +93,8 @@
 	newsNotified    chan struct{}             // has a value when NotifyNews was called
 	newsSeen        map[string][]newsIdentity // by node name: the latest, oldest first
 	newsRound       int
-	newsSentAt      boottime.Instant // when this node last sent news because they were due; only the task that sends news uses it
+	newsKeys        []string         // of members, sorted; nil if it has to be rebuilt
+	newsSentAt      boottime.Instant // when this node last sent news; only the task that sends news uses it
 	now             func() boottime.Instant
 	sleep           func(time.Duration)
 }
--- a/rudder/mesh/news.go
+++ b/rudder/mesh/news.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -78,14 +79,11 @@
 	if !m.UsesSummaries() {
 		return
 	}
-	isDue := now.Sub(m.newsSentAt) >= BaseInterval && m.NeedsShortInterval != nil && m.NeedsShortInterval()
-	digest, isNew := m.ComposeNews(isDue)
-	if !isDue && !isNew {
+	digest, isNew := m.ComposeNews(now.Sub(m.newsSentAt) >= BaseInterval)
+	if digest == nil {
 		return
 	}
-	if isDue {
-		m.newsSentAt = now
-	}
+	m.newsSentAt = now
 	content, err := digestEncoding.Marshal(digest)
 	if err != nil {
 		m.Log.Error("News cannot be encoded.", "error", err)
@@ -93,10 +91,10 @@
 	}
 	whole := m.nextNewsSpan()
 	news := News{Content: content, Address: m.SelfAddress, Hops: maxNewsHops}
-	m.passOn(conn, digest, news, whole)
+	m.passOn(conn, *digest, news, whole)
 	if isNew {
 		whole.isDescending = !whole.isDescending
-		m.passOn(conn, digest, news, whole)
+		m.passOn(conn, *digest, news, whole)
 	}
 }
 
@@ -116,11 +114,11 @@
 
 // passOn sends news of a node to the nodes that pass them on within a span.
 func (m *Mesh) passOn(conn net.PacketConn, origin Digest, news News, s span) {
-	addresses, keys := m.newsRecipients(origin.Node)
+	ordered, addresses := m.newsRecipients(s, origin.Node)
 	var datagrams [][]byte
 	var targets []string
 	size := 0
-	for _, b := range s.split(keys, newsFanOut) {
+	for _, b := range s.split(ordered, newsFanOut) {
 		news.After, news.Until, news.IsDescending = b.after, b.until, b.isDescending
 		outer := Digest{Node: origin.Node, Incarnation: origin.Incarnation, IsUrgent: true, News: &news}
 		data, err := digestEncoding.Marshal(outer)
@@ -145,23 +143,28 @@
 	send()
 }
 
-// newsRecipients returns the mesh addresses of the reachable peers by key, and their keys, sorted, without the node that sent
-// the news first.
-func (m *Mesh) newsRecipients(origin string) (addresses map[string]string, keys []string) {
+// newsRecipients returns the keys of the reachable peers in a span, in its order, and their mesh addresses by key, without the
+// node that sent the news first.
+func (m *Mesh) newsRecipients(s span, origin string) (ordered []string, addresses map[string]string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.newsKeys == nil {
+		m.newsKeys = make([]string, 0, len(m.members))
+		for name, member := range m.members {
+			m.newsKeys = append(m.newsKeys, newsKey(member.FailureDomain, name))
+		}
+		slices.Sort(m.newsKeys)
+	}
 	now := m.now()
-	addresses = make(map[string]string, len(m.members))
-	keys = make([]string, 0, len(m.members))
-	for name, member := range m.members {
-		if name == origin || member.sourceAddress == m.SelfAddress || !m.isReachable(member, now) {
-			continue
+	addresses = map[string]string{}
+	for _, key := range s.order(m.newsKeys) {
+		_, name, _ := strings.Cut(key, "\x00")
+		member, known := m.members[name]
+		if known && name != origin && member.sourceAddress != m.SelfAddress && m.isReachable(member, now) {
+			ordered, addresses[key] = append(ordered, key), member.sourceAddress
 		}
-		key := newsKey(member.FailureDomain, name)
-		addresses[key], keys = member.sourceAddress, append(keys, key)
 	}
-	slices.Sort(keys)
-	return addresses, keys
+	return ordered, addresses
 }
 
 // handleNews passes news on and applies them unless they came before.
--- a/rudder/mesh/news_test.go
+++ b/rudder/mesh/news_test.go
@@ -26,7 +26,6 @@
 				f.learnt[m.SelfAddress]++
 			}
 		}
-		m.NeedsShortInterval = func() bool { return true }
 	}
 	return f
 }
@@ -38,14 +37,14 @@
 func (f *newsFleet) sendNews(node, servers int) (steps int) {
 	f.network.clock = f.network.clock.Add(time.Millisecond) // no node counts as silent in the course of a test
 	m := f.meshes[node]
-	m.ComposeNews = func(bool) (Digest, bool) {
+	m.ComposeNews = func(bool) (*Digest, bool) {
 		d := m.ComposeDigest().brief()
 		d.IsBrief = false
 		for i := range servers {
 			d.Registry.Changes = append(d.Registry.Changes, NewDrain(objectapi.Version{Epoch: 1, Number: 1e6}, fmt.Sprintf("model-a-%05d", i)))
 		}
 		d.Registry.Revision = objectapi.Version{Epoch: 1, Number: 1e6}
-		return d, servers > 0
+		return &d, servers > 0
 	}
 	m.sendDueNews(f.conns[node], f.network.clock)
 	for ; len(f.network.pending) > 0; steps++ {
--- a/rudder/mesh/span.go
+++ b/rudder/mesh/span.go
@@ -25,12 +25,17 @@
 
 // order returns the keys of the span, of a sorted list, in the order in which it is split.
 func (s span) order(sorted []string) []string {
-	start, _ := slices.BinarySearch(sorted, s.after)
-	ordered := make([]string, 0, len(sorted))
+	start, isFound := slices.BinarySearch(sorted, s.after)
+	if isFound {
+		start++
+	}
+	var ordered []string
 	for i := range sorted {
-		if key := sorted[(start+i)%len(sorted)]; s.contains(key) {
-			ordered = append(ordered, key)
+		key := sorted[(start+i)%len(sorted)]
+		if !s.contains(key) {
+			break
 		}
+		ordered = append(ordered, key)
 	}
 	if s.isDescending {
 		slices.Reverse(ordered)
@@ -38,12 +43,10 @@
 	return ordered
 }
 
-// split divides the keys of the span, of a sorted list, into up to fanOut groups of neighbours. The first one in the order of
-// the span passes news on to the rest of its group. Counted from the start of a tree, the nodes below one are thus all after
-// it in an ascending tree and all before it in a descending one: no other node depends on it in both, whatever the nodes on
-// the way know of the fleet.
-func (s span) split(sorted []string, fanOut int) []branch {
-	ordered := s.order(sorted)
+// split divides the keys of the span, in its order, into up to fanOut groups of neighbours. The first one passes news on to the
+// rest of its group. Counted from the start of a tree, the nodes below one are thus all after it in an ascending tree and all
+// before it in a descending one: no other node depends on it in both, whatever the nodes on the way know of the fleet.
+func (s span) split(ordered []string, fanOut int) []branch {
 	groups := min(fanOut, len(ordered))
 	branches := make([]branch, groups)
 	for g := range branches {
--- a/rudder/mesh/span_test.go
+++ b/rudder/mesh/span_test.go
@@ -17,7 +17,7 @@
 	reached := passedOn{}
 	var pass func(s span, from string, way []string)
 	pass = func(s span, from string, way []string) {
-		for _, b := range s.split(keysOf(from), newsFanOut) {
+		for _, b := range s.split(s.order(keysOf(from)), newsFanOut) {
 			if _, isKnown := reached[b.key]; isKnown {
 				panic("node " + b.key + " gets news twice by one tree")
 			}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -230,16 +230,27 @@
 
 // composeNews returns what nodes of all failure domains must know at once: changes of the registry and announcements of servers
 // that leave; and, when that is due, that this node and what it watches are as before.
-func (n *node) composeNews(isDue bool) (d mesh.Digest, isNew bool) {
+func (n *node) composeNews(isDue bool) (d *mesh.Digest, isNew bool) {
 	hasChanges, departures := n.registry.takeNews(), n.backends.DepartureNews()
 	isNew = hasChanges || len(departures) > 0
-	if !isNew && !isDue {
-		return mesh.Digest{}, false
+	if !isNew && !(isDue && n.isReliedOn()) {
+		return nil, false
 	}
-	d = n.composeIdentity()
-	d.Departures, d.Registry = departures, n.registry.newsDelta()
-	d.ServerVersions = versionsByID(d.Registry.Changes)
-	return d, isNew
+	digest := n.composeIdentity()
+	digest.Departures, digest.Registry = departures, n.registry.newsDelta()
+	digest.ServerVersions = versionsByID(digest.Registry.Changes)
+	if isNew {
+		n.log.Info("News were sent to all nodes.", "changes", len(digest.Registry.Changes), "from_revision", digest.Registry.FromRevision,
+			"revision", digest.Registry.Revision, "departures", len(departures))
+	}
+	return &digest, isNew
+}
+
+// isReliedOn reports whether nodes of all failure domains rely on news of this one while summaries are used. After a start of
+// all nodes, and while the object API does not answer, all call it, and only the first ones may send what others rely on.
+func (n *node) isReliedOn() bool {
+	tellsConfig := n.mustProveConfig() && !n.isConfigWatchSuspended() && n.countPrecedingByName() < outageProbers
+	return tellsConfig || n.holdsDutyLease.Load() || n.registry.tellsNews()
 }
 
 // composeUrgentDigests returns what peers must know before the next full digest: for all peers, what this node admitted near a
--- a/rudder/relaynode/registry_news_test.go
+++ b/rudder/relaynode/registry_news_test.go
@@ -30,6 +30,7 @@
 		e := backend.Entry{ID: path.Base(o.Key), Service: "model-a", Address: "10.1.2.3:8080", FailureDomain: "zone-1", Slots: 24, Reclaimable: true, StartUnixMillis: 1.7e12, SoftwareVersion: "v1"}
 		return e, json.Unmarshal(o.Value, &e.Draining)
 	}}
+	n.mesh = mesh.New("127.0.0.1:1", nil, nil, nil, slog.New(slog.DiscardHandler))
 	var objects []objectapi.Object
 	for i := range largeRegistry {
 		objects = append(objects, objectapi.Object{Key: fmt.Sprintf("servers/model-a-%05d", i), Value: json.RawMessage("false")})
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -35,6 +35,10 @@
 	// wantedWatchers is the number of nodes that watch the registry, in different failure domains where there are
 	// several.
 	wantedWatchers = 2
+	// maxNewsTellers is the number of nodes that tell others by news what they watch: those that should, and two more in case
+	// these have just ended. They are among the first outageProbers ones; if none of these reaches the object API, the others
+	// watch for themselves.
+	maxNewsTellers = wantedWatchers + 2
 	// changeRetention is how long a change is included in digests: four digests at the longest interval, since datagrams
 	// get lost.
 	changeRetention = 4 * time.Second
@@ -270,13 +274,24 @@
 	}
 }
 
-// takeNews reports whether changes have been learnt from the object API since the last call.
+// takeNews reports whether changes have been learnt from the object API since the last call that others are to hear of from
+// this node.
 func (r *registrySync) takeNews() bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	hasNews := r.hasNews
 	r.hasNews = false
-	return hasNews
+	r.mu.Unlock()
+	return hasNews && r.tellsNews()
+}
+
+// tellsNews reports whether this node watches the registry and is one of the first of those that do. After a start of all nodes,
+// and when there are more changes than news may hold, all do.
+func (r *registrySync) tellsNews() bool {
+	if !r.isWatching() {
+		return false
+	}
+	preceding, watchers := r.countPrecedingNodes()
+	return preceding < outageProbers && watchers < maxNewsTellers
 }
 
 // newsDelta returns what this node's news say of the registry. A change by which a server drains has the short form if it is
@@ -389,6 +404,8 @@
 	r.mu.Lock()
 	age, callAge, attemptedAt := boottime.Since(r.currentAsOf), boottime.Since(r.lastCallAt), r.attemptedAt
 	r.mu.Unlock()
+	// The clocks of watchers are not known in the first second after a start. Until then the age of what this node has read
+	// itself bounds how long it relies on them.
 	preceding, watchers := r.countPrecedingNodes()
 	switch {
 	case preceding < wantedWatchers:
@@ -409,8 +426,8 @@
 	return !r.isPassive
 }
 
-// countPrecedingNodes returns how many nodes precede this one in the order in which nodes become watchers, and how
-// many of these watch. Nodes that are not ready count too; see countPrecedingByName. The first nodes by name of all failure domains precede the second ones, so that the watchers are
+// countPrecedingNodes returns how many nodes precede this one in the order in which nodes become watchers, how many of these
+// watch. Nodes that are not ready count too; see countPrecedingByName. The first nodes by name of all failure domains precede the second ones, so that the watchers are
 // in different failure domains.
 func (r *registrySync) countPrecedingNodes() (preceding, watchers int) {
 	self := r.node.settings
@@ -433,7 +450,7 @@
 		}
 		preceding++
 		lastCallAt := m.SentAt.Add(-time.Duration(m.Registry.CallAgeMillis) * time.Millisecond)
-		if m.HasReliableSentAt && !m.Registry.Revision.IsZero() && boottime.Since(lastCallAt) < watcherTimeout {
+		if !m.Registry.Revision.IsZero() && boottime.Since(lastCallAt) < watcherTimeout {
 			watchers++
 		}
 	}
--- a/rudder/relaynode/registry_sync_test.go
+++ b/rudder/relaynode/registry_sync_test.go
@@ -113,11 +113,14 @@
 		}
 		n.mesh = mesh.New(selfAddress, []string{seed}, composeDigest, func(m *mesh.Member) { n.registry.applyDelta(m) }, slog.New(slog.DiscardHandler))
 		n.mesh.FailureDomain, n.mesh.NeedsShortInterval = n.settings.FailureDomain, n.registry.isWatching
-		n.mesh.ComposeNews = func(isDue bool) (mesh.Digest, bool) {
+		n.mesh.ComposeNews = func(isDue bool) (*mesh.Digest, bool) {
 			isNew := n.registry.takeNews()
+			if !isNew && !(isDue && n.registry.tellsNews()) {
+				return nil, false
+			}
 			d := composeDigest()
 			d.Registry = n.registry.newsDelta()
-			return d, isNew
+			return &d, isNew
 		}
 		tasks.Go(func() { n.mesh.Run(ctx, meshConn) })
 		tasks.Go(func() { n.registry.objectWatcher.Run(ctx) })
