Bound what nodes admit of a limit before they hear of each other

Cause: at a cut, both sides could spend the level of an organisation's bucket, and each node admitted without bound until it noticed the cut.

Change: a node may be ahead of its peers' knowledge by its part of what is left; the parts follow recent use and add up to one. The part of a silent peer is withheld from level and refill and comes back when it is heard. Starting nodes assume many nodes until they hear others. Refusals name their cause; quota_refusals_total counts them; a log line tells what is withheld. Digest field 40 is new. Tests of partitioned nodes use SetNodes; the harness of summaries sets the silence limit as package mesh does.

--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -72,6 +72,8 @@
 	ServerVersions map[string]string `cbor:"28,keyasint,omitempty"`
 	// StreamOrigins tells where streams began, in an urgent digest.
 	StreamOrigins []streamorigin.Report `cbor:"29,keyasint,omitempty"`
+	// QuotaNodes is the number of nodes among which the sender divides the limits of organisations, as far as it knows itself.
+	QuotaNodes int `cbor:"40,keyasint,omitempty"`
 	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
 	Sightings []PeerSighting `cbor:"27,keyasint,omitempty"`
 }
--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -138,6 +138,35 @@
 	return reachable, known
 }
 
+// CountUnheardAddresses returns the number of known addresses of other nodes from which none of the known peers sends.
+func (m *Mesh) CountUnheardAddresses() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heard := make(map[string]bool, len(m.members))
+	for _, member := range m.members {
+		heard[member.sourceAddress] = true
+	}
+	count := 0
+	now := m.now()
+	for address, seenAt := range m.targetsSeenAt {
+		if !heard[address] && now.Sub(seenAt) <= removeAfter {
+			count++
+		}
+	}
+	return count
+}
+
+// SilenceLimit returns how long a peer may be silent and still count as reachable, for the peers that are heard least often.
+func (m *Mesh) SilenceLimit() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	limit := time.Duration(unreachableAfterIntervals * float64(m.digestInterval()))
+	if m.usesSummaries() {
+		limit += summaryDelayAllowance
+	}
+	return limit
+}
+
 // CountDirectPeers returns how many peers there are whose digests this node gets from themselves, and how many of them are
 // reachable and match. Where summaries are used, these are the peers of the failure domain.
 func (m *Mesh) CountDirectPeers(matches func(*Member) bool) (matching, known int) {
--- a/rudder/quota/quota.go
+++ b/rudder/quota/quota.go
@@ -1,5 +1,9 @@
 // Package quota enforces limits of organisations that all nodes share. Every node keeps a token bucket per organisation and
 // takes from it what it admits and what its peers report to have admitted. A request is admitted without asking other nodes.
+//
+// What a node may admit before its peers have heard of it is bounded by the node's part of what is left. The parts of all
+// nodes add up to one, so that the amounts that nodes admit without knowing of each other do not exceed what is left. The parts
+// of peers that have been silent for some time are withheld until they are heard again. See docs/design/limits.md.
 package quota
 
 import (
@@ -20,108 +24,114 @@
 const (
 	// warmUpTime is how long after its start a node adopts the levels of its peers: the first one reported, then lower ones.
 	warmUpTime = 2 * time.Second
-	// maxDebtSeconds bounds how far a bucket falls below zero, in seconds of its rate, so that an organisation that got more
-	// than its limit waits no longer than that.
-	maxDebtSeconds = 2.0
-	// restartLevelShare is the part of the burst in the buckets of a node that starts when others may have run before. After a
-	// restart of all nodes, empty buckets would refuse requests within the limit.
-	restartLevelShare = 0.05
-	// usedOverageShare and usedSlackShare are the parts of the tolerance that are added to the rate and the burst, so that the
-	// delay of peer reports does not refuse requests within the limit. The rest covers what all nodes admit during that delay.
-	usedOverageShare = 0.4
-	usedSlackShare   = 0.25
-	// urgentLevelShare is the part of the burst below which admitted amounts are reported at once, since what all nodes admit
-	// before they receive each other's reports exceeds the limit.
-	urgentLevelShare = 0.5
+	// defaultSilenceLimit applies until SetNodes is called.
+	defaultSilenceLimit = 1200 * time.Millisecond
 )
 
 // Tolerance is how far all nodes together may exceed a limit.
 type Tolerance struct {
-	Overage float64 // as a fraction of the limit
-	Slack   float64 // in addition, in the unit of the limit
+	Overage float64       // as a fraction of the limit
+	Slack   float64       // in addition, in tokens
+	Window  time.Duration // in which admitted amounts are summed up; 0 means defaultWindow
 }
 
 // Ledger holds the token buckets of one node. It is safe for concurrent use.
 type Ledger struct {
-	mu             sync.Mutex
-	startedAt      time.Time
-	startsFull     bool // buckets are full at first
-	tolerance      Tolerance
-	reachableShare float64 // share of the known nodes that this node hears
-	buckets        map[string]*bucket
-	peers          map[string]*peerState // by incarnation
-	now            func() time.Time
+	mu           sync.Mutex
+	startedAt    time.Time
+	startsFull   bool // buckets are full at first
+	tolerance    Tolerance
+	nodeCount    int           // nodes that may serve, this one included
+	silenceLimit time.Duration // of a peer, after which its part is withheld
+	buckets      map[string]*bucket
+	peers        map[string]*peerState // by incarnation
+	sorted       []*peerState          // see sortedPeers
+	heardAtValue time.Time             // result of heardAt at heardAtTime
+	heardAtTime  time.Time
+	now          func() time.Time
 }
 
-// peerState is what one incarnation of a peer has reported.
-type peerState struct {
-	taken         map[string]float64 // last reported amount by organisation
-	reportedAt    time.Time
-	hasFullReport bool // a full report was received, so organisations not in taken had no admitted amount at the last report
+// NewLedger returns a ledger without buckets. With startsFull, for the first start of all nodes when nothing can have been
+// admitted yet, buckets start full, else at a low level that follows the peers' reports.
+func NewLedger(startsFull bool, tolerance Tolerance, now func() time.Time) *Ledger {
+	if tolerance.Window <= 0 {
+		tolerance.Window = defaultWindow
+	}
+	return &Ledger{
+		startedAt: now(), startsFull: startsFull, tolerance: tolerance, nodeCount: 1, silenceLimit: defaultSilenceLimit,
+		buckets: map[string]*bucket{}, peers: map[string]*peerState{}, now: now,
+	}
 }
 
-// peerRetention is how long the state of an incarnation is kept after its last report.
-const peerRetention = time.Minute
-
-// bucket is the token bucket of one organisation. Amounts are in the unit of its limit.
-type bucket struct {
-	rate, burst  float64 // rate per second
-	level        float64
-	taken        float64 // admitted by this node since its start
-	reported     float64 // value of taken in the last report
-	refilledAt   time.Time
-	hasPeerLevel bool // level was set to that of a peer
+// Nodes is what a node knows of the nodes that share the limits.
+type Nodes struct {
+	Count        int           // nodes that may serve, this one included; those that have never been heard count as silent
+	SilenceLimit time.Duration // how long a peer may be silent before its part of the limits is withheld
 }
 
-// NewLedger returns a ledger without buckets. With startsFull, for the first start of all nodes when nothing can have been
-// admitted yet, buckets start full, else at a low level that follows the peers' reports.
-func NewLedger(startsFull bool, tolerance Tolerance, now func() time.Time) *Ledger {
-	return &Ledger{startedAt: now(), startsFull: startsFull, tolerance: tolerance, reachableShare: 1, buckets: map[string]*bucket{}, peers: map[string]*peerState{}, now: now}
+// SetNodes sets what this node knows of the nodes that share the limits.
+func (l *Ledger) SetNodes(n Nodes) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n.Count = max(n.Count, 1)
+	if l.nodeCount == n.Count && l.silenceLimit == n.SilenceLimit {
+		return
+	}
+	l.nodeCount, l.silenceLimit = n.Count, n.SilenceLimit
+	for _, b := range l.buckets {
+		l.update(b)
+	}
 }
 
 // bucket returns the bucket of an organisation with its current limit, refilled up to now. The caller holds the lock.
 func (l *Ledger) bucket(o *traffic.Organisation) *bucket {
 	b, found := l.buckets[o.Name]
 	if !found {
-		// No peer has reported the organisation since the start, so the low initial level refills from the start on.
-		b = &bucket{refilledAt: l.startedAt, level: restartLevelShare * o.Burst}
+		b = newBucket(o.Name, l.now(), l.tolerance.Window)
 		l.buckets[o.Name] = b
 	}
-	b.rate = o.RatePerSecond * (1 + usedOverageShare*l.tolerance.Overage)
-	b.burst = o.Burst
-	if o.CountsTokens {
-		b.burst += usedSlackShare * l.tolerance.Slack
+	isChanged := b.setLimit(o, l.tolerance)
+	if !found {
+		b.level = b.initialLevel(l.startsFull)
 	}
-	if !found && l.startsFull {
-		b.level = b.burst
+	if isChanged {
+		l.update(b)
 	}
-	b.refill(l.now(), l.reachableShare)
+	if !found {
+		// No peer has reported the organisation since the start, so the low initial level refills from the start on.
+		b.refilledAt = l.startedAt
+	}
+	l.refresh(b)
 	return b
 }
 
-// refill adds the given share of the rate since the last refill.
-func (b *bucket) refill(now time.Time, share float64) {
-	b.level += max(0, now.Sub(b.refilledAt).Seconds()) * b.rate * share
-	b.level = min(max(b.level, -maxDebtSeconds*b.rate), b.burst)
-	b.refilledAt = now
-}
-
-// SetReachableShare sets the share of the known nodes that this node hears, itself included, 0 to 1. Buckets refill at this
-// share of the rate, so that a partitioned node admits only its part of a limit.
-func (l *Ledger) SetReachableShare(share float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.now()
-	for _, b := range l.buckets {
-		b.refill(now, l.reachableShare)
+// refresh brings a bucket up to now. The caller holds the lock.
+func (l *Ledger) refresh(b *bucket) {
+	if l.now().Sub(b.updatedAt) >= updateInterval {
+		l.update(b)
 	}
-	l.reachableShare = min(max(share, 0), 1)
+	b.refill(l.now())
 }
 
+// Cause says why Take refused an amount.
+type Cause string
+
+// The causes of a refusal.
+const (
+	// AboveLimit means that the limit is used up.
+	AboveLimit Cause = "limit"
+	// Withheld means that the amount would be left but for the parts of silent peers.
+	Withheld Cause = "withheld"
+	// AheadOfReports means that the node has admitted its part of what is left and its peers may not know of it yet.
+	AheadOfReports Cause = "ahead_of_reports"
+)
+
 // Shortage describes by how much a request exceeds its organisation's limit.
 type Shortage struct {
 	Needed, Level, Rate float64       // in the unit of the limit; Rate per second
-	RetryAfter          time.Duration // until the bucket reaches Needed
+	Withheld            float64       // part of the limit's level that is kept for silent peers; not included in Level
+	RetryAfter          time.Duration // until the bucket probably has Needed
+	Cause               Cause
 }
 
 // Take takes an amount from an organisation's bucket and returns nil, or takes nothing and returns the shortage. An amount
@@ -130,13 +140,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(o)
-	need := min(amount, b.burst)
-	if b.level < need {
-		rate := max(b.rate*l.reachableShare, 1)
-		return &Shortage{Needed: need, Level: b.level, Rate: rate, RetryAfter: time.Duration((need - b.level) / rate * float64(time.Second))}
+	if !b.allows(amount) {
+		return b.shortage(amount)
 	}
 	b.level -= amount
 	b.taken += amount
+	b.ahead += amount
+	b.admitted.add(amount)
 	return nil
 }
 
@@ -148,8 +158,10 @@
 		return
 	}
 	b := l.bucket(o)
-	b.level = min(b.level+amount, b.burst)
+	b.level = min(b.level+amount, b.capacity)
 	b.taken -= amount
+	b.ahead = max(b.ahead-amount, 0)
+	b.admitted.add(-amount)
 }
 
 // FullReport returns the usage of all organisations by name, for the peers. It also drops the state of peers that have been
@@ -157,17 +169,11 @@
 func (l *Ledger) FullReport() map[string]Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name, p := range l.peers {
-		if l.now().Sub(p.reportedAt) > peerRetention {
-			delete(l.peers, name)
-		}
-	}
+	l.dropSilentPeers()
 	usages := map[string]Usage{}
 	for name, b := range l.buckets {
-		b.refill(l.now(), l.reachableShare)
-		// Whole numbers take fewer bytes when encoded. Rounding errors do not accumulate since totals are reported.
-		usages[name] = Usage{Taken: math.Round(b.taken), Level: math.Round(b.level)}
-		b.reported = b.taken
+		l.refresh(b)
+		usages[name] = b.report(l.now().Add(sendSpread))
 	}
 	return usages
 }
@@ -185,14 +191,17 @@
 		if usages == nil {
 			usages = map[string]Usage{}
 		}
-		usages[name] = Usage{Taken: math.Round(b.taken), Level: math.Round(b.level)}
-		b.reported = b.taken
+		usages[name] = b.report(l.now().Add(urgentSendSpread))
 	}
 	return usages
 }
 
-// isNearLimit reports whether peers must learn of admitted amounts at once.
-func (b *bucket) isNearLimit() bool { return b.level < urgentLevelShare*b.burst }
+// report returns the usage for a report that is sent to all peers by the given time. Whole numbers take fewer bytes when encoded.
+// Rounding errors do not accumulate since totals are reported.
+func (b *bucket) report(sentBy time.Time) Usage {
+	b.noteReport(sentBy)
+	return Usage{Taken: math.Round(b.taken), Level: math.Round(b.level)}
+}
 
 // NearLimitOrganisations returns the organisations whose usage peers must learn at once.
 func (l *Ledger) NearLimitOrganisations() map[string]bool {
@@ -210,45 +219,26 @@
 // IsWarmingUp reports whether the node started so recently that it may not know all amounts that were admitted before.
 func (l *Ledger) IsWarmingUp() bool { return l.now().Sub(l.startedAt) < warmUpTime }
 
-// PeerReport is a report of a peer's ledger.
-type PeerReport struct {
-	IsWarmingUp bool             // result of the peer's IsWarmingUp
-	IsPartial   bool             // from UrgentReport, so not all organisations are in Usages
-	Usages      map[string]Usage // by organisation
+// KnownNodes returns the number of nodes that this node knows itself, for its reports.
+func (l *Ledger) KnownNodes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.nodeCount, 1+len(l.peers))
 }
 
-// ApplyPeerReport subtracts what a peer has admitted since its last report from the buckets. The incarnation identifies one
-// start of the peer's process. In the first report of a peer that is warming up, the whole amount counts as new; in that of
-// any other peer, it is already part of the reported level.
-func (l *Ledger) ApplyPeerReport(incarnation string, report PeerReport) {
+// WithheldShare returns the largest part of a limit that is withheld for silent peers, 0 to 1, and the number of these peers.
+func (l *Ledger) WithheldShare() (share float64, silent int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p, found := l.peers[incarnation]
-	if !found {
-		p = &peerState{taken: map[string]float64{}}
-		l.peers[incarnation] = p
-	}
-	p.reportedAt = l.now()
-	hadFullReport := p.hasFullReport
-	p.hasFullReport = hadFullReport || !report.IsPartial
-	adoptsPeerLevels := !l.startsFull && l.IsWarmingUp()
-	for name, usage := range report.Usages {
-		b, isKnown := l.buckets[name]
-		if !isKnown {
-			b = &bucket{refilledAt: l.now(), burst: usage.Level, level: usage.Level, hasPeerLevel: true}
-			l.buckets[name] = b
-			p.taken[name] = usage.Taken
-			continue
-		}
-		if lastTaken, hasLast := p.taken[name]; hasLast || hadFullReport || report.IsWarmingUp {
-			b.level -= usage.Taken - lastTaken
-		}
-		p.taken[name] = usage.Taken
-		if adoptsPeerLevels && !report.IsWarmingUp && !b.hasPeerLevel {
-			b.level, b.hasPeerLevel = usage.Level, true
-		}
-		if adoptsPeerLevels && !report.IsWarmingUp {
-			b.level = min(b.level, usage.Level)
+	now := l.now()
+	for _, p := range l.peers {
+		if l.isSilent(p, now) {
+			silent++
 		}
 	}
+	for _, b := range l.buckets {
+		l.refresh(b)
+		share = max(share, b.silentShare)
+	}
+	return share, silent + max(l.assumedNodes(now)-1-len(l.peers), 0)
 }
--- a/rudder/quota/quota_test.go
+++ b/rudder/quota/quota_test.go
@@ -66,7 +66,7 @@
 	c := newCluster(9, true)
 	c.exchangeReports()
 	for _, l := range c.ledgers {
-		l.SetReachableShare(1.0 / 9)
+		l.SetNodes(Nodes{Count: 9, SilenceLimit: defaultSilenceLimit})
 	}
 	admitted := c.run(testOrganisation, 400, 8*time.Second, false)
 	if limit := 8*testOrganisation.RatePerSecond + 9*testOrganisation.Burst; admitted > limit {
--- a/rudder/quota/scale_test.go
+++ b/rudder/quota/scale_test.go
@@ -135,8 +135,9 @@
 
 func newSummarizedCluster(domains, perDomain int, tolerance Tolerance) *summarizedCluster {
 	c := &summarizedCluster{gossipCluster: newGossipCluster(domains*perDomain, true, tolerance), perDomain: perDomain}
-	for range c.ledgers {
+	for _, l := range c.ledgers {
 		c.heard = append(c.heard, map[int]PeerReport{})
+		l.SetNodes(Nodes{Count: len(c.ledgers), SilenceLimit: summarizedSilenceLimit})
 	}
 	return c
 }
@@ -146,6 +147,8 @@
 	localUrgentInterval = 240 * time.Millisecond
 	summaryInterval     = 500 * time.Millisecond
 	fullSummaryDivisor  = 4
+	// summarizedSilenceLimit is that of package mesh: 4.8 intervals and three summaries.
+	summarizedSilenceLimit = 48*localInterval/10 + 3*summaryInterval
 )
 
 // reportLocally sends a report to the nodes of the sender's failure domain.
--- a/rudder/relay/metrics.go
+++ b/rudder/relay/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"chestnutrudder.example/rudder/quota"
 	"chestnutrudder.example/rudder/telemetry"
 )
 
@@ -36,6 +37,15 @@
 	m.instruments.FirstToken.Record(context.Background(), elapsed.Seconds(), metric.WithAttributes(attribute.String("route", c.routeName())))
 }
 
+// countQuotaRefusal counts a request that was refused for its organisation's limit, by cause.
+func (m *Metrics) countQuotaRefusal(c *call, cause quota.Cause) {
+	if m.instruments == nil {
+		return
+	}
+	m.instruments.QuotaRefusals.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("organisation", c.organisationName()), attribute.String("cause", string(cause))))
+}
+
 // countCrash counts a request whose backend server crashed, by service.
 func (m *Metrics) countCrash(c *call) {
 	if m.instruments == nil {
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -137,8 +137,8 @@
 		return
 	}
 	if shortage := s.takeQuota(c); shortage != nil {
-		s.writeError(w, c, outcome.NotRunErrorf(http.StatusTooManyRequests, shortage.RetryAfter,
-			"organisation exceeded its rate limit: request needs %.0f, %.0f available, %.0f added per second", shortage.Needed, shortage.Level, shortage.Rate))
+		s.metrics.countQuotaRefusal(c, shortage.Cause)
+		s.writeError(w, c, quotaError(shortage))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -269,6 +269,21 @@
 	return s.Quotas.Take(c.organisation, c.quotaAmount)
 }
 
+// quotaError returns the answer to a request that exceeds its organisation's limit.
+func quotaError(s *quota.Shortage) *outcome.Error {
+	switch s.Cause {
+	case quota.Withheld:
+		return outcome.NotRunErrorf(http.StatusTooManyRequests, s.RetryAfter, "organisation's rate limit is partly withheld for nodes that are not heard: "+
+			"request needs %.0f, %.0f available, %.0f withheld, %.0f added per second", s.Needed, s.Level, s.Withheld, s.Rate)
+	case quota.AheadOfReports:
+		return outcome.NotRunErrorf(http.StatusTooManyRequests, s.RetryAfter, "node used its part of the organisation's rate limit before other nodes knew: "+
+			"request needs %.0f, %.0f available, %.0f added per second", s.Needed, s.Level, s.Rate)
+	default:
+		return outcome.NotRunErrorf(http.StatusTooManyRequests, s.RetryAfter, "organisation exceeded its rate limit: "+
+			"request needs %.0f, %.0f available, %.0f added per second", s.Needed, s.Level, s.Rate)
+	}
+}
+
 // checkAllowed returns nil if an admitted request may still run. It returns an error if its API key was revoked, or may have
 // been since the configuration was last confirmed to be the newest, longer than maxAge ago, or if similar requests were
 // quarantined.
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -93,6 +94,7 @@
 	// informedHolder is the holder of the duty lease to which counts were last sent, at holderInformedAt. Only the task that
 	// sends urgent digests uses them.
 	informedHolder   string
+	withheldShare    float64 // last logged by logWithheldShare
 	holderInformedAt boottime.Instant
 }
 
@@ -209,7 +211,7 @@
 		Loads: n.backends.OwnLoads(), Demand: n.backends.Demand(), QuotaUsages: n.quotas.FullReport(),
 		Crashes: n.relay.Crashes.FullReport(), ServerLimits: n.backends.Limits(), RunsByWindow: n.usageCounter.WindowsForPeers(),
 		Departures: n.backends.Departures(), Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
-		UsageFinalThrough: n.usageCounter.FinalThrough(),
+		UsageFinalThrough: n.usageCounter.FinalThrough(), QuotaNodes: n.quotas.KnownNodes(),
 	}
 	d.ServerVersions = versionsByID(d.Registry.Changes)
 	if config := n.currentConfig.Config(); config != nil {
@@ -296,7 +298,10 @@
 func (n *node) handleDigest(m *mesh.Member) {
 	if !m.IsBrief {
 		incarnation := incarnationID(m.Node, m.Incarnation)
-		n.quotas.ApplyPeerReport(incarnation, quota.PeerReport{IsWarmingUp: m.IsWarmingUp, IsPartial: m.IsUrgent, Usages: m.QuotaUsages})
+		n.quotas.ApplyPeerReport(incarnation, quota.PeerReport{
+			IsWarmingUp: m.IsWarmingUp, IsPartial: m.IsUrgent, IsLeaving: m.State == mesh.Draining,
+			Age: boottime.Since(m.SentAt), KnownNodes: m.QuotaNodes, Usages: m.QuotaUsages,
+		})
 		n.usageCounter.MergePeerWindows(incarnation, m.RunsByWindow)
 	}
 	n.relay.Crashes.Apply(m.Crashes)
@@ -320,7 +325,8 @@
 		peer := &s.Nodes[i]
 		n.backends.DropPeerLoads(peer.Node) // they are part of the sum
 		n.quotas.ApplyPeerReport(incarnationID(peer.Node, peer.Incarnation), quota.PeerReport{
-			IsWarmingUp: peer.IsWarmingUp, IsPartial: !peer.HasAllUsages, Usages: s.UsagesOf(peer),
+			IsWarmingUp: peer.IsWarmingUp, IsPartial: !peer.HasAllUsages, IsLeaving: peer.State == mesh.Draining,
+			Age: time.Duration(peer.AgeMillis) * time.Millisecond, Usages: s.UsagesOf(peer),
 		})
 	}
 	for i := range s.Nodes {
@@ -346,18 +352,34 @@
 	}
 }
 
-// updateShares adapts the use of quotas to the part of the known nodes that is reachable, the share of the retry budget to
+// updateShares adapts the use of quotas to the number of known nodes and the time after which they count as silent, the share of the retry budget to
 // the number of known nodes, and the shares of the limits of backend servers to the nodes that serve, until ctx ends.
 func (n *node) updateShares(ctx context.Context) {
 	for ctx.Err() == nil {
-		reachable, known := n.mesh.CountNodes()
-		n.quotas.SetReachableShare(float64(reachable) / float64(known))
+		_, known := n.mesh.CountNodes()
+		n.quotas.SetNodes(quota.Nodes{Count: known + n.mesh.CountUnheardAddresses(), SilenceLimit: n.mesh.SilenceLimit()})
+		n.logWithheldShare()
 		n.relay.SetNodeCount(known)
 		n.backends.SetNodes(n.settings.Node, n.servingNodes())
 		sleep.For(ctx, mesh.BaseInterval)
 	}
 }
 
+// withheldShareStep is the change of the withheld part of the limits that is logged.
+const withheldShareStep = 0.05
+
+// logWithheldShare logs when another part of the limits of organisations is withheld for nodes that are not heard. Only
+// updateShares calls it.
+func (n *node) logWithheldShare() {
+	share, silent := n.quotas.WithheldShare()
+	hasChanged := (share == 0) != (n.withheldShare == 0) || math.Abs(share-n.withheldShare) >= withheldShareStep
+	if !hasChanged {
+		return
+	}
+	n.withheldShare = share
+	n.log.Info("Withheld part of the limits of organisations has changed.", "withheld", math.Round(100*share)/100, "silent_nodes", silent)
+}
+
 // servingNodes returns the living nodes that serve callers, this one included if it does. The limits of backend servers are
 // divided among them, so that a node that is silent only to this one keeps its shares.
 func (n *node) servingNodes() []backend.Node {
