--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -82,6 +82,8 @@
 	RolloutCallAgeMillis int64 `cbor:"41,keyasint,omitempty"`
 	// News is set in an urgent digest that carries news of a node; see News.
 	News *News `cbor:"45,keyasint,omitempty"`
+	// QuotaNodes is the number of nodes among which the sender divides the limits of organisations, as far as it knows itself.
+	QuotaNodes int `cbor:"46,keyasint,omitempty"`
 	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
 	Sightings []PeerSighting `cbor:"27,keyasint,omitempty"`
 	// ServerPaces tells how fast backend servers were for the sender, once a second at most.
