Use the paces of servers in the choice only where that is set

Change: Table.ChoosesByPace, which no node sets. Paces are still measured, told to peers and shown to operators. With it, homes of prefixes are weighted by pace and prompts stay where most of their shared parts are cached; that was not measured.

Result: tests of package backend pass; its pace tests run with the choice by pace.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -267,9 +267,9 @@
 	}
 	m := t.model(r.Service)
 	t.updatePaces(r.Service, m, now)
-	home := homeServer(unlimited, r.Parts, m.paces.homeWeight)
+	home := homeServer(unlimited, r.Parts, t.homeWeight(m))
 	if home == nil {
-		home = homeServer(serving, r.Parts, m.paces.homeWeight)
+		home = homeServer(serving, r.Parts, t.homeWeight(m))
 	}
 	requestNumber := t.random.Uint64()
 	reservedFor := m.reservedShare(r)
@@ -300,7 +300,10 @@
 	c := Candidate{ID: s.ID, Running: total.running, IsLocal: s.FailureDomain == r.FailureDomain, IsHome: isHome, TieBreak: random}
 	slots := max(s.Slots, 1)
 	slowFactor := s.slowdown.current(now)
-	c.Pace, c.ComfortableSlots = s.pace.Pace(pace.Level(total.running, slots)), s.pace.ComfortableSlots(slots)
+	c.Pace, c.ComfortableSlots = 1, slots
+	if t.ChoosesByPace {
+		c.Pace, c.ComfortableSlots = s.pace.Pace(pace.Level(total.running, slots)), s.pace.ComfortableSlots(slots)
+	}
 	if r.IsGeneration {
 		cached := t.prefixes.cachedTokens(s.ID, r.Parts, now)
 		if isHome {
@@ -317,14 +320,14 @@
 		unpacedMillis := c.FirstByteMillis - (m.firstEventMillis+prefillMillis)*(c.Pace-1) // but for the wait for other prompts
 		c.Score = unpacedMillis*slowFactor + prefillMillis
 		if !isHome && 2*cached <= sumTokens(r.Parts) { // else another server would have to read what is cached here
-			c.Score *= m.paces.detourFactor(c.Pace, detourExponent, random)
+			c.Score *= t.detourFactor(m, c.Pace, detourExponent, random)
 		}
 	} else {
 		c.FirstByteMillis = m.plainMillis * (1 + float64(total.running)/float64(slots)) * c.Pace
 		c.IsFull = s.ownLoad.running >= maxRunningFactor*slots
 		// Plain requests are shorter than the interval at which nodes exchange their loads, so all nodes would choose the same
 		// server by the same outdated loads. This node's own requests and jitter spread them better.
-		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*unitInterval(random)) * m.paces.detourFactor(c.Pace, plainDetourExponent, random)
+		c.Score = m.plainMillis * (1 + float64(s.ownLoad.running)/float64(slots)) * slowFactor * (1 - plainScoreJitter*unitInterval(random)) * t.detourFactor(m, c.Pace, plainDetourExponent, random)
 	}
 	c.SendWait, c.PauseWait = t.sendWait(s, r, now, bootNow)
 	mayQueue := r.HasWaited || s.pause.waiting < slots
--- a/rudder/backend/pace.go
+++ b/rudder/backend/pace.go
@@ -28,18 +28,21 @@
 )
 
 // detourFactor returns the factor of a server's score for one request: 1 if the server takes part in the choice.
-func (p *paces) detourFactor(pace, exponent float64, random uint64) float64 {
-	reference := p.Reference()
-	if pace <= reference || unitInterval(mix(random+1)) < math.Pow(reference/pace, exponent) {
+func (t *Table) detourFactor(m *latencyModel, pace, exponent float64, random uint64) float64 {
+	reference := m.paces.Reference()
+	if !t.ChoosesByPace || pace <= reference || unitInterval(mix(random+1)) < math.Pow(reference/pace, exponent) {
 		return 1
 	}
 	return detourPenalty
 }
 
-// homeWeight returns the share of prompt prefixes for which a server is home, relative to fast servers. It depends on nothing but the
-// server, so that all requests with a prefix have the same home.
-func (p *paces) homeWeight(s *Server) float64 {
-	return math.Pow(min(p.Reference()/s.pace.Pace(0), 1), detourExponent)
+// homeWeight returns the function that tells the share of prompt prefixes for which a server is home, relative to fast servers. It
+// depends on nothing but the server, so that all requests with a prefix have the same home.
+func (t *Table) homeWeight(m *latencyModel) func(*Server) float64 {
+	if !t.ChoosesByPace {
+		return func(*Server) float64 { return 1 }
+	}
+	return func(s *Server) float64 { return math.Pow(min(m.paces.Reference()/s.pace.Pace(0), 1), detourExponent) }
 }
 
 // updatePaces updates the paces in use of a service's servers if that is due. The caller holds the lock.
@@ -56,7 +59,9 @@
 	}
 	p.Update(p.estimators, now, func(i int, previous float64) {
 		s := p.servers[i]
-		s.slowdown.rescale(previous / s.pace.Pace(0))
+		if t.ChoosesByPace {
+			s.slowdown.rescale(previous / s.pace.Pace(0))
+		}
 		t.logPace(&p.log, s, previous, now)
 	})
 }
--- a/rudder/backend/pace_fleet_test.go
+++ b/rudder/backend/pace_fleet_test.go
@@ -75,6 +75,7 @@
 
 func (f *pacedFleet) newTable(node int) *Table {
 	t := NewTable(time.Second, slog.New(slog.DiscardHandler))
+	t.ChoosesByPace = true
 	t.random = rand.New(rand.NewPCG(f.seed, uint64(node)+1))
 	for i := range f.pacedFleetOptions.servers {
 		domain := i / 3 % 3 // has servers of all groups
--- a/rudder/backend/pace_test.go
+++ b/rudder/backend/pace_test.go
@@ -17,6 +17,13 @@
 	"chestnutrudder.example/rudder/pace"
 )
 
+// newPacedTable returns a table that chooses by the paces of servers.
+func newPacedTable(servers, slots int) *Table {
+	t := newTestTable(servers, slots)
+	t.ChoosesByPace = true
+	return t
+}
+
 // threeGroups is the slowness of model servers of which two in three take 0.7 times and the others 1.7 times the usual time.
 func threeGroups(server int, _ time.Duration) float64 {
 	if server%3 == 2 {
@@ -115,7 +122,7 @@
 func TestModelIsThatOfMedianServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const slowness = 2.2
-		table := newTestTable(5, 24)
+		table := newPacedTable(5, 24)
 		observeAll(table, func(id string) float64 {
 			if id == "s00" {
 				return slowness
@@ -220,7 +227,7 @@
 func TestPaceReportsAreBoundedAndReachAllServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const servers, maxReportBytes, maxQuietReportBytes = 300, 2 << 10, 512
-		from, to := newTestTable(servers, 8), newTestTable(servers, 8)
+		from, to := newPacedTable(servers, 8), newPacedTable(servers, 8)
 		observeAll(from, usualPace, 8)
 		isFirst := true
 		for range servers/paceReportsPerDigest + servers/knownPacesPerDigest + 2 {
@@ -271,7 +278,7 @@
 // a node as if it were new.
 func TestPaceReportCountsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		from, to := newTestTable(3, 8), newTestTable(3, 8)
+		from, to := newPacedTable(3, 8), newPacedTable(3, 8)
 		observeAll(from, usualPace, 6)
 		weight := func(table *Table) float64 {
 			maintain(table)
@@ -328,7 +335,7 @@
 func TestSlowestServerStaysInUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for _, isGeneration := range []bool{true, false} {
-			table := newTestTable(6, 24)
+			table := newPacedTable(6, 24)
 			observeAll(table, func(id string) float64 {
 				if id == "s00" {
 					return 50
@@ -360,7 +367,7 @@
 func TestPaceChangesAreLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
-		table := newTestTable(100, 24)
+		table := newPacedTable(100, 24)
 		table.Log = slog.New(slog.NewTextHandler(&log, nil))
 		observeAll(table, func(id string) float64 {
 			if strings.HasSuffix(id, "0") || strings.HasSuffix(id, "5") || strings.HasSuffix(id, "3") {
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -81,6 +81,9 @@
 	Log         *slog.Logger
 	// MaxIdleConns returns how many idle connections to one server of a service may be kept; nil means no limit.
 	MaxIdleConns func(service string) int
+	// ChoosesByPace makes the learnt paces of servers count in the choice. Without it they are only measured, told to peers and
+	// shown to operators.
+	ChoosesByPace bool
 
 	mu        sync.Mutex
 	servers   map[string]*Server
