--- a/rudder/backend/leaving.go
+++ b/rudder/backend/leaving.go
@@ -18,13 +18,6 @@
 	// departureRetention is how long a server that has announced that it leaves is remembered after the registry has dropped
 	// it: its entry may come back, for example when the registry recovers from an outage.
 	departureRetention = 10 * time.Minute
-	// departureNewsTime is how long an announcement is part of news to all nodes. They go out at once and by two ways; digests and
-	// summaries make up for what is lost.
-	departureNewsTime = time.Second
-	// misdirectedTimeout is how long a server is excluded because another one answered at its address, if its entry does not
-	// change: peers do not tell of entries that were written again alike, and the registry drops the entry of a silent server
-	// within this time.
-	misdirectedTimeout = 10 * time.Second
 	// maxUnlistedServers bounds the servers without a request that are remembered although the registry does not list them.
 	maxUnlistedServers = 512
 )
@@ -36,7 +29,7 @@
 	leaveDraining    leaveReasons = 1 << iota // its entry in the registry says so
 	leaveUnlisted                             // the registry does not list it any more
 	leaveAnnounced                            // one of its responses, to this node or a peer, said so; holds until its process ends
-	leaveMisdirected                          // another server answers at its address; holds until its next entry or for misdirectedTimeout
+	leaveMisdirected                          // another server answers at its address; holds until its next entry
 )
 
 // has reports whether the set holds a reason.
@@ -67,21 +60,11 @@
 }
 
 // MarkMisdirected excludes the server from new requests because another server answers at its address. The next entry of the
-// server from the registry lifts this, or the end of misdirectedTimeout while the registry lists it.
+// server from the registry lifts this.
 func (p *Placement) MarkMisdirected() {
 	p.table.mu.Lock()
 	defer p.table.mu.Unlock()
 	p.Server.leaving.set(leaveMisdirected, true)
-	p.Server.misdirectedAt = p.table.now()
-}
-
-// admitMisdirected ends the exclusion of misdirected servers that is older than misdirectedTimeout. The caller holds the lock.
-func (t *Table) admitMisdirected() {
-	for _, s := range t.servers {
-		if s.leaving.has(leaveMisdirected) && t.now().Sub(s.misdirectedAt) >= misdirectedTimeout {
-			s.leaving.set(leaveMisdirected, false)
-		}
-	}
 }
 
 // RecordDeparture records what a response of the server to a request says of its leaving: values are those of the header that
@@ -104,7 +87,7 @@
 	t.Log.Info("Backend server announced that it leaves, and gets no new requests.", "server", s.ID, "service", s.Service, "born", s.StartUnixMillis,
 		"request", requestID, "running", s.ownLoad.running)
 	s.setDeparture(t.now())
-	t.hasUrgentDeparture, t.hasDepartureNews = true, true
+	t.hasUrgentDeparture = true
 	return true
 }
 
@@ -147,20 +130,6 @@
 	return t.departureReports()
 }
 
-// DepartureNews returns the announcements of the last departureNewsTime if a response to this node has brought one since the last
-// call, else nil.
-func (t *Table) DepartureNews() []DepartureReport {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.hasDepartureNews {
-		return nil
-	}
-	t.hasDepartureNews = false
-	list := t.departureReports()
-	isOld := func(r DepartureReport) bool { return r.AgeMillis >= departureNewsTime.Milliseconds() }
-	return slices.DeleteFunc(list, isOld)
-}
-
 // departureReports returns the reports for peers, the latest first. The caller holds the lock.
 func (t *Table) departureReports() []DepartureReport {
 	now := t.now()
--- a/rudder/backend/leaving_test.go
+++ b/rudder/backend/leaving_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,38 +150,3 @@
 		}
 	})
 }
-
-// Guards against a server that stays excluded at a node whose peers tell it only entries that have changed, and against one that
-// is admitted at once although another server answers at its address.
-func TestMisdirectedServerIsAdmittedAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		table := NewTable(time.Second, slog.New(slog.DiscardHandler))
-		table.useTestClock()
-		entry := Entry{ID: "s1", Service: "m", Address: "127.0.0.1:1", Slots: 1, StartUnixMillis: 5}
-		table.Put(entry)
-		exclude := func() {
-			p, refusal := table.Place(Request{Service: "m"}, 0)
-			if refusal != nil {
-				t.Fatal(refusal.Reason)
-			}
-			p.MarkMisdirected()
-			p.Release(ResultCompleted)
-		}
-		exclude()
-		time.Sleep(misdirectedTimeout - time.Second)
-		table.Maintain(time.Minute)
-		if table.isServing("s1") {
-			t.Error("the server is admitted before its entry has changed or the time is over")
-		}
-		time.Sleep(2 * time.Second)
-		table.Maintain(time.Minute)
-		if !table.isServing("s1") {
-			t.Error("the server is still excluded after the time is over")
-		}
-		exclude()
-		table.Put(entry)
-		if !table.isServing("s1") {
-			t.Error("the server is still excluded after its entry was written again")
-		}
-	})
-}
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -42,7 +42,6 @@
 	leaving          leaveReasons
 	announcedAt      boottime.Instant // of leaveAnnounced
 	unlistedAt       boottime.Instant // of leaveUnlisted
-	misdirectedAt    boottime.Instant // of leaveMisdirected
 	hasSentMalformed bool             // see logMalformed
 
 	ownLoad       load // requests of this node
@@ -99,7 +98,6 @@
 	limitTurn      int // counts the reports of limits
 	// hasUrgentDeparture is true if a response to this node has announced one since the last report.
 	hasUrgentDeparture bool
-	hasDepartureNews   bool                      // the same since the last DepartureNews
 	removals           map[string]removal        // of forgotten servers by ID
 	versionShares      map[string]*VersionShares // by service; see SetVersionShares
 	ownByVersion       requestsByVersion
@@ -220,31 +218,6 @@
 	}
 }
 
-// Drain marks a listed server as draining, as its entry would with nothing else changed. It reports whether the server is listed.
-func (t *Table) Drain(id string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, found := t.servers[id]
-	if !found || s.leaving.has(leaveUnlisted) {
-		return false
-	}
-	e := s.Entry
-	e.Draining = true
-	t.put(e)
-	return true
-}
-
-// Entry returns the entry of a server that the registry lists, as last put.
-func (t *Table) Entry(id string) (Entry, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, found := t.servers[id]
-	if !found || s.leaving.has(leaveUnlisted) {
-		return Entry{}, false
-	}
-	return s.Entry, true
-}
-
 // HasListing reports whether Replace has received a listing since the process started.
 func (t *Table) HasListing() bool {
 	t.mu.Lock()
@@ -469,7 +442,6 @@
 	t.dropExpiredPeerLoads(time.Now())
 	maps.DeleteFunc(t.removals, func(_ string, r removal) bool { return t.now().Sub(r.at) > removalRetention })
 	t.updatePauses()
-	t.admitMisdirected()
 	t.forgetUnlisted()
 	t.maintainPaces(time.Now())
 	t.mu.Unlock()
--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -80,8 +80,6 @@
 	Rollouts []rollout.Report `cbor:"40,keyasint,omitempty"`
 	// RolloutCallAgeMillis is the time since the sender's last answered call for these orders, plus 1; 0 if there was none.
 	RolloutCallAgeMillis int64 `cbor:"41,keyasint,omitempty"`
-	// News is set in an urgent digest that carries news of a node; see News.
-	News *News `cbor:"45,keyasint,omitempty"`
 	// QuotaNodes is the number of nodes among which the sender divides the limits of organisations, as far as it knows itself.
 	QuotaNodes int `cbor:"46,keyasint,omitempty"`
 	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
@@ -122,16 +120,6 @@
 	Removed  bool // Server holds only the ID
 }
 
-// NewDrain returns the short form of the change by which a listed server drains and is otherwise as before. Only news hold it.
-func NewDrain(revision objectapi.Version, id string) RegistryChange {
-	return RegistryChange{Revision: revision, Server: backend.Entry{ID: id, Draining: true}}
-}
-
-// IsDrain reports whether the change has the form of NewDrain.
-func (c *RegistryChange) IsDrain() bool {
-	return !c.Removed && c.Server == backend.Entry{ID: c.Server.ID, Draining: true}
-}
-
 // UrgentDigest is a digest that is sent between two full ones, to all peers or to one.
 type UrgentDigest struct {
 	Digest
--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -73,20 +73,10 @@
 
 // setMember replaces what is known of a peer. The caller holds the lock.
 func (m *Mesh) setMember(member *Member) {
-	if !m.usesSummaries() {
-		defer func() {
-			if m.usesSummaries() {
-				m.NotifyNews() // ends the long pause of sendNews
-			}
-		}()
-	}
 	previous, known := m.members[member.Node]
 	if !known {
 		m.sortedNames = nil
 	}
-	if !known || previous.FailureDomain != member.FailureDomain {
-		m.newsKeys = nil
-	}
 	member.startKnownAt = member.ReceivedAt
 	if known && previous.Incarnation == member.Incarnation {
 		member.startKnownAt, member.sightedAt = previous.startKnownAt, previous.sightedAt
@@ -105,10 +95,9 @@
 	if member.FailureDomain == m.FailureDomain {
 		m.localCount--
 	}
-	m.sortedNames, m.newsKeys = nil, nil
+	m.sortedNames = nil
 	delete(m.members, member.Node)
 	delete(m.peerClocks, member.Node)
-	delete(m.newsSeen, member.Node)
 }
 
 // maxLoggedPeers bounds the names in one log line about several peers.
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -63,12 +63,7 @@
 	// ComposeUrgentDigests returns what must not wait for the next full digest. It is called each urgentInterval, less often
 	// with many peers. Nil means that the node sends no urgent digests.
 	ComposeUrgentDigests func() []UrgentDigest
-	// ComposeNews returns what nodes of all failure domains must know at once, as a brief digest with the clocks of this node,
-	// and whether it holds anything new since the last call; nil if there is nothing to tell. isDue means that none were sent
-	// for BaseInterval. It is called each newsInterval and after NotifyNews, while summaries are used. Nil means that the node
-	// sends no news.
-	ComposeNews func(isDue bool) (d *Digest, isNew bool)
-	// OnDigest is called with each accepted digest, full, brief or urgent, and with each brief digest from news.
+	// OnDigest is called with each accepted digest, full, brief or urgent.
 	OnDigest func(*Member)
 	// OnSummary is called after OnDigest with each summary. Nil means that summaries only update the members.
 	OnSummary func(*Summary)
@@ -87,14 +82,6 @@
 	targetsSeenAt   map[string]boottime.Instant // by address: when it was last heard from or added
 	targetsAddedAt  map[string]boottime.Instant // by address: when it became known, for newAddressPeriod at least
 	addressRotation int
-	conn            net.PacketConn
-	ungreeted       []string                  // addresses that have become known and got no digest yet
-	greetingDue     chan struct{}             // has a value when ungreeted has grown
-	newsNotified    chan struct{}             // has a value when NotifyNews was called
-	newsSeen        map[string][]newsIdentity // by node name: the latest, oldest first
-	newsRound       int
-	newsKeys        []string         // of members, sorted; nil if it has to be rebuilt
-	newsSentAt      boottime.Instant // when this node last sent news; only the task that sends news uses it
 	now             func() boottime.Instant
 	sleep           func(time.Duration)
 }
@@ -104,7 +91,7 @@
 	m := &Mesh{
 		SelfAddress: selfAddress, ComposeDigest: composeDigest, OnDigest: onDigest, Log: log,
 		members: map[string]*Member{}, summaries: map[string]*receivedSummary{}, peerClocks: map[string]*peerClock{}, targetsSeenAt: map[string]boottime.Instant{},
-		targetsAddedAt: map[string]boottime.Instant{}, greetingDue: make(chan struct{}, 1), newsNotified: make(chan struct{}, 1), newsSeen: map[string][]newsIdentity{},
+		targetsAddedAt: map[string]boottime.Instant{},
 		// Nodes that start at the same time must not all tell the same addresses.
 		addressRotation: rand.IntN(1 << 16), now: boottime.Now, sleep: time.Sleep,
 	}
@@ -127,7 +114,6 @@
 			continue
 		}
 		m.targetsSeenAt[a], m.targetsAddedAt[a] = now, now
-		m.noteNewAddress(a)
 	}
 }
 
@@ -142,22 +128,13 @@
 // Run sends and receives digests until ctx ends; then it closes conn.
 func (m *Mesh) Run(ctx context.Context, conn net.PacketConn) {
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	m.mu.Lock()
-	m.conn = conn
-	m.mu.Unlock()
 	go m.receive(ctx, conn)
-	go m.greetNewPeers(ctx, conn)
 	if m.ComposeUrgentDigests != nil {
 		go m.sendUrgentDigests(ctx, conn)
 	}
-	if m.ComposeNews != nil {
-		go m.sendNews(ctx, conn)
-	}
 	go m.sendSummaries(ctx, conn)
 	for ctx.Err() == nil {
-		// Where summaries are used, news tell what peers rely on: a round of digests to all nodes at this pace would fill the
-		// link of a small host.
-		isShort := m.NeedsShortInterval != nil && m.NeedsShortInterval() && (m.ComposeNews == nil || !m.UsesSummaries())
+		isShort := m.NeedsShortInterval != nil && m.NeedsShortInterval()
 		beganAt := time.Now()
 		m.sendDigest(conn, isShort)
 		interval := m.currentInterval()
@@ -223,7 +200,6 @@
 	digest := m.ComposeDigest()
 	m.setOwnDigest(digest)
 	direct, others := m.targets()
-	m.dropUngreeted(direct)
 	digest.PeerAddresses = m.nextPeerAddresses(slices.Concat(direct, others))
 	digest.Sightings = m.nextSightings()
 	within := m.roundDuration(toAll)
@@ -316,10 +292,6 @@
 		m.Log.Warn("Malformed digest dropped.", "from", source, "error", err)
 		return
 	}
-	if d.News != nil {
-		m.handleNews(d.News, source, receivedAt)
-		return
-	}
 	m.handleDigest(d, source, receivedAt)
 }
 
@@ -348,14 +320,7 @@
 		member.SentAt, member.HasReliableSentAt = m.peerClocks[d.Node].observe(d.Incarnation, sentAt, receivedAt)
 	}
 	member.IsSummarized = d.IsBrief || m.isSummarized(d.FailureDomain, receivedAt)
-	stored := member
-	if known && previous.Incarnation == d.Incarnation && previous.BootClockMillis > d.BootClockMillis {
-		stored = member.withNews(previous, m.FailureDomain) // a round of full digests takes most of an interval; news overtake it
-	}
-	m.setMember(stored)
-	if _, isKnown := m.targetsSeenAt[source]; !isKnown {
-		m.noteNewAddress(source)
-	}
+	m.setMember(member)
 	m.markSeen(source, receivedAt)
 	m.mu.Unlock()
 	if !known || previous.Incarnation != d.Incarnation || previous.State != d.State {
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -26,11 +26,6 @@
 	maxConfirmationAge      = 2200 * time.Millisecond
 	confirmationAgeStep     = 8 * time.Millisecond
 	maxExtraConfirmationAge = 1200 * time.Millisecond
-	// unprovenPeersAge is the age of this node's own confirmation above which it asks again before any peer has confirmed the
-	// configuration to it, and firstPeersWatchTimeout how long it then waits for a change. After a start of all nodes, the clock
-	// of a peer is known a second after its first digest, which may be later than the end of the node's own confirmation.
-	unprovenPeersAge       = 1400 * time.Millisecond
-	firstPeersWatchTimeout = 100 * time.Millisecond
 	// changeWatchTimeout is how long a watch of the configuration waits if it only has to report changes.
 	changeWatchTimeout = 20 * time.Second
 	// staleReadTimeout is how long after a read that may return old data a node asks the object API for the newer
@@ -56,7 +51,6 @@
 	hasAnswer      bool             // the object API has answered
 	epoch          int64            // of the object API in its last answer
 	startEpoch     int64            // of the object API in its first answer
-	hasPeerProof   bool             // a peer has told when its configuration was confirmed, by a clock that is known
 	hasHeardPeer   bool             // a peer has told, in this epoch, of a configuration that was confirmed at some time
 	holdUntil      boottime.Instant // until when answers are held if no peer was heard
 	heldAnswer     answer           // the last one that is held
@@ -73,24 +67,10 @@
 	n.configSync.mu.Lock()
 	n.configSync.calledAt = boottime.Now()
 	n.configSync.mu.Unlock()
-	switch {
-	case !n.mustProveConfig():
-		return changeWatchTimeout
-	case n.lacksPeerProof():
-		return firstPeersWatchTimeout
+	if n.mustProveConfig() {
+		return configPollInterval
 	}
-	return configPollInterval
-}
-
-// lacksPeerProof reports whether this node's own confirmation of the configuration still counts, grows old, and is the only one
-// that it has.
-func (n *node) lacksPeerProof() bool {
-	n.configSync.mu.Lock()
-	hasPeerProof := n.configSync.hasPeerProof
-	n.configSync.mu.Unlock()
-	confirmedAt := n.currentConfig.ConfirmedAt()
-	age := boottime.Since(confirmedAt)
-	return !hasPeerProof && confirmedAt > 0 && age > unprovenPeersAge && age <= n.relay.StalenessLimits.Send
+	return changeWatchTimeout
 }
 
 // mustProveConfig reports whether requests are refused unless the configuration is proved to be the newest.
@@ -127,8 +107,6 @@
 		return false
 	case wantedVersion > config.Version && boottime.Now() > staleReadUntil:
 		return false
-	case n.lacksPeerProof():
-		return false
 	case boottime.Since(n.currentConfig.ConfirmedAt()) <= maxConfirmationAge+min(time.Duration(preceding)*confirmationAgeStep, maxExtraConfirmationAge):
 		return true
 	}
@@ -145,16 +123,12 @@
 	if preceding < outageProbers {
 		return 0
 	}
-	return min(time.Duration(preceding)*outageIntervalPerNode, maxOutageCallInterval)
+	return time.Duration(preceding) * outageIntervalPerNode
 }
 
 // outageIntervalPerNode lengthens the pause between two calls during an outage for each node that comes before.
 const outageIntervalPerNode = 50 * time.Millisecond
 
-// maxOutageCallInterval bounds that pause. With it, 300 nodes make at most 110 calls a second for one kind of object; without it,
-// the last of them would call every 15 s.
-const maxOutageCallInterval = 4 * time.Second
-
 // noteConfigVersion records that a peer has a version of the configuration.
 func (n *node) noteConfigVersion(version int64) {
 	config := n.currentConfig.Config()
@@ -187,9 +161,6 @@
 		}
 	}
 	if confirmedAt, found := m.ConfigConfirmedAt(); found {
-		n.configSync.mu.Lock()
-		n.configSync.hasPeerProof = true
-		n.configSync.mu.Unlock()
 		n.currentConfig.ConfirmNewest(m.ConfigVersion, confirmedAt)
 	}
 }
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -168,7 +168,6 @@
 	n.mesh = mesh.New(s.MeshAddress, s.MeshSeeds, n.composeDigest, n.handleDigest, logger.Part("mesh"))
 	n.mesh.FailureDomain = s.FailureDomain
 	n.mesh.ComposeUrgentDigests = n.composeUrgentDigests
-	n.mesh.ComposeNews = n.composeNews
 	n.mesh.OnSummary = n.handleSummary
 	n.mesh.NearLimitOrganisations = n.quotas.NearLimitOrganisations
 	n.mesh.NeedsShortInterval = n.needsShortInterval
@@ -230,25 +229,18 @@
 
 // composeDigest returns the present state of this node for its peers.
 func (n *node) composeDigest() mesh.Digest {
-	d := n.composeIdentity()
-	d.Results, d.ServerPaces, d.QuotaNodes = n.backends.OwnResults(), n.backends.TakePaceReport(), n.quotas.KnownNodes()
-	d.Loads, d.Demand, d.QuotaUsages, d.RunsByWindow = n.backends.OwnLoads(), n.backends.Demand(), n.quotas.FullReport(), n.usageCounter.WindowsForPeers()
-	d.Crashes, d.ServerLimits, d.Departures = n.relay.Crashes.FullReport(), n.backends.Limits(), n.backends.Departures()
-	d.Registry, d.IsWarmingUp, d.UsageFinalThrough = n.registry.delta(), n.quotas.IsWarmingUp(), n.usageCounter.FinalThrough()
-	d.ServerVersions = versionsByID(d.Registry.Changes)
-	return d
-}
-
-// composeIdentity returns what all digests of this node to all nodes hold: who it is, its clocks, and what is confirmed of the
-// configuration.
-func (n *node) composeIdentity() mesh.Digest {
 	d := mesh.Digest{
 		Node: n.settings.Node, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain, Address: n.settings.CallerAddress,
 		// The clock is read before the age of the confirmation, so that a pause between the two makes the confirmation
 		// look older, not newer.
 		State: n.state(), BootClockMillis: time.Duration(boottime.Now()).Milliseconds(), WallClockMillis: time.Now().UnixMilli(),
 		ConfirmationAgeMillis: -1, HoldsDutyLease: n.holdsDutyLease.Load(),
+		Loads: n.backends.OwnLoads(), Results: n.backends.OwnResults(), Demand: n.backends.Demand(), QuotaUsages: n.quotas.FullReport(),
+		Crashes: n.relay.Crashes.FullReport(), ServerLimits: n.backends.Limits(), RunsByWindow: n.usageCounter.WindowsForPeers(),
+		Departures: n.backends.Departures(), Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
+		UsageFinalThrough: n.usageCounter.FinalThrough(), ServerPaces: n.backends.TakePaceReport(), QuotaNodes: n.quotas.KnownNodes(),
 	}
+	d.ServerVersions = versionsByID(d.Registry.Changes)
 	if n.rollouts != nil {
 		d.Rollouts, d.RolloutCallAgeMillis = n.rollouts.reports(), n.rollouts.callAgeMillis()
 	}
@@ -261,31 +253,6 @@
 	return d
 }
 
-// composeNews returns what nodes of all failure domains must know at once: changes of the registry and announcements of servers
-// that leave; and, when that is due, that this node and what it watches are as before.
-func (n *node) composeNews(isDue bool) (d *mesh.Digest, isNew bool) {
-	hasChanges, departures := n.registry.takeNews(), n.backends.DepartureNews()
-	isNew = hasChanges || len(departures) > 0
-	if !isNew && !(isDue && n.isReliedOn()) {
-		return nil, false
-	}
-	digest := n.composeIdentity()
-	digest.Departures, digest.Registry = departures, n.registry.newsDelta()
-	digest.ServerVersions = versionsByID(digest.Registry.Changes)
-	if isNew {
-		n.log.Info("News were sent to all nodes.", "changes", len(digest.Registry.Changes), "from_revision", digest.Registry.FromRevision,
-			"revision", digest.Registry.Revision, "departures", len(departures))
-	}
-	return &digest, isNew
-}
-
-// isReliedOn reports whether nodes of all failure domains rely on news of this one while summaries are used. After a start of
-// all nodes, and while the object API does not answer, all call it, and only the first ones may send what others rely on.
-func (n *node) isReliedOn() bool {
-	tellsConfig := n.mustProveConfig() && !n.isConfigWatchSuspended() && n.countPrecedingByName() < outageProbers
-	return tellsConfig || n.holdsDutyLease.Load() || n.registry.tellsNews()
-}
-
 // composeUrgentDigests returns what peers must know before the next full digest: for all peers, what this node admitted near a
 // limit, crashes of backend servers, limits that they name, those that leave, and where streams began; for the holder of the duty
 // lease, the request counts that have changed, which would be lost if all nodes ended.
--- a/rudder/relaynode/registry_sync.go
+++ b/rudder/relaynode/registry_sync.go
@@ -19,7 +19,7 @@
 	// get new work (two seconds).
 	registryWatchTimeout = 400 * time.Millisecond
 	// registryBatchDelay is the pause after changes of the registry before the next watch, so that changes in short
-	// succession cost one call. Servers write their entries again and again, so that a watch hardly ever waits.
+	// succession cost one call. Entries change with each heartbeat of a server, so that a watch hardly ever waits.
 	registryBatchDelay = 400 * time.Millisecond
 	// passiveMaxAge is the age of a passive node's knowledge of the registry up to which it makes no calls. Each node
 	// that precedes it adds passiveMaxAgeStep: nodes begin to call one after the other, so that the first ones can send
@@ -35,10 +35,6 @@
 	// wantedWatchers is the number of nodes that watch the registry, in different failure domains where there are
 	// several.
 	wantedWatchers = 2
-	// maxNewsTellers is the number of nodes that tell others by news what they watch: those that should, and two more in case
-	// these have just ended. They are among the first outageProbers ones; if none of these reaches the object API, the others
-	// watch for themselves.
-	maxNewsTellers = wantedWatchers + 2
 	// changeRetention is how long a change is included in digests: four digests at the longest interval, since datagrams
 	// get lost.
 	changeRetention = 4 * time.Second
@@ -46,9 +42,6 @@
 	// that misses some asks the object API.
 	maxChangesPerDigest     = 200
 	maxChangeBytesPerDigest = 24 << 10
-	// maxChangesPerNews bounds the changes in news, which also keep to maxChangeBytesPerDigest. All servers of a failure domain
-	// may drain at once: with 1,500 servers in three failure domains these are 500.
-	maxChangesPerNews = 800
 )
 
 // registrySync keeps the table of backend servers in line with the platform's registry. Two nodes, the watchers, watch
@@ -58,9 +51,6 @@
 	node          *node
 	log           *slog.Logger
 	objectWatcher *objectapi.Watcher
-	// usesSummaries reports whether news, not digests, tell the changes: digests then do not reach all nodes.
-	usesSummaries func() bool
-	notifyNews    func() // makes the mesh send news
 
 	mu            sync.Mutex
 	recentChanges []recentChange            // changes for digests, oldest first
@@ -69,7 +59,6 @@
 	lastCallAt    boottime.Instant          // when the last answered call was sent
 	attemptedAt   boottime.Instant          // when the last watch was sent, answered or not
 	currentAsOf   boottime.Instant          // all changes that the object API acknowledged before this time are known
-	hasNews       bool                      // changes have been learnt since the last news
 	isListing     bool                      // a listing has been applied whose revision is not recorded yet
 	isPassive     bool                      // result of the last updatePassive
 	unsettled     map[string]unsettledEntry // by server ID; after the object API was restored
@@ -81,24 +70,16 @@
 type recentChange struct {
 	mesh.RegistryChange
 	learntAt boottime.Instant
-	isDrain  bool // the server drains and is otherwise as before
 }
 
-// encodedBytes returns about how much the change adds to a digest, or to news.
-func (c *recentChange) encodedBytes(isNews bool) int {
+// encodedBytes returns about how much the change adds to a digest.
+func (c *recentChange) encodedBytes() int {
 	const numbersAndLengths = 48
-	if isNews && (c.isDrain || c.Removed) {
-		const shortForm = 24
-		return shortForm + len(c.Server.ID)
-	}
 	return numbersAndLengths + len(c.Server.ID) + len(c.Server.Service) + len(c.Server.Address) + len(c.Server.FailureDomain) + len(c.Server.SoftwareVersion)
 }
 
 func newRegistrySync(n *node) *registrySync {
-	r := &registrySync{
-		node: n, log: n.logger.Part("registry"),
-		usesSummaries: func() bool { return n.mesh != nil && n.mesh.UsesSummaries() }, notifyNews: func() { n.mesh.NotifyNews() },
-	}
+	r := &registrySync{node: n, log: n.logger.Part("registry")}
 	r.objectWatcher = &objectapi.Watcher{
 		Store: n.platform.Store, Prefix: n.platform.ServerPrefix, Log: r.log,
 		OnList: r.applyListing, OnChange: r.applyEvent, OnSync: r.recordAnswer,
@@ -158,17 +139,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	previous, isListed := r.node.backends.Entry(c.Server.ID)
-	isUnchanged := c.Removed && !isListed || !c.Removed && isListed && previous == c.Server
 	r.applyChange(c)
-	// Servers write their entries again and again. With these, the changes of a large registry would not fit in a digest. For
-	// a while after the object API was restored they matter, since they show that an entry is not one of the older copy.
-	if isUnchanged && boottime.Now() >= r.lapsedAt {
-		return
-	}
-	previous.Draining = true
-	isDrain := isListed && !c.Removed && previous == c.Server
-	r.recentChanges = append(r.recentChanges, recentChange{RegistryChange: c, learntAt: boottime.Now(), isDrain: isDrain})
+	r.recentChanges = append(r.recentChanges, recentChange{RegistryChange: c, learntAt: boottime.Now()})
 }
 
 // maxLoggedKeyBytes bounds a key in a log line; another writer may choose a huge one.
@@ -183,51 +155,38 @@
 		r.node.backends.Remove(c.Server.ID)
 		return
 	}
-	if c.IsDrain() {
-		r.node.backends.Drain(c.Server.ID)
-		return
-	}
 	r.node.backends.Put(c.Server)
 }
 
 // recordAnswer records that the answer to a call that was sent at the given time has been applied as a whole.
 func (r *registrySync) recordAnswer(sentAt boottime.Instant, revision objectapi.Version) {
-	usesSummaries := r.usesSummaries()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isListing {
+	if len(r.recentChanges) == 0 {
 		r.fromRevision = revision
 	}
 	r.isListing = false
-	hasChanged := false
 	for i := range r.recentChanges {
 		if r.recentChanges[i].Revision.IsZero() {
-			r.recentChanges[i].Revision, hasChanged = revision, true
+			r.recentChanges[i].Revision = revision
 		}
 	}
 	r.revision, r.lastCallAt, r.currentAsOf = revision, sentAt, max(r.currentAsOf, sentAt)
 	r.node.storeHistory.note(revision.Epoch)
-	r.pruneChanges(usesSummaries)
-	if hasChanged && usesSummaries {
-		r.hasNews = true
-		r.notifyNews()
-	}
+	r.pruneChanges()
 }
 
-// pruneChanges drops changes that are older than changeRetention or exceed what a digest, or news, may hold. The caller holds
-// the lock.
-func (r *registrySync) pruneChanges(isNews bool) {
-	pruned, size, maxChanges := 0, 0, maxChangesPerDigest
-	if isNews {
-		maxChanges = maxChangesPerNews
-	}
+// pruneChanges drops changes that are older than changeRetention or exceed maxChangesPerDigest or maxChangeBytesPerDigest.
+// The caller holds the lock.
+func (r *registrySync) pruneChanges() {
+	pruned, size := 0, 0
 	for _, c := range r.recentChanges {
-		size += c.encodedBytes(isNews)
+		size += c.encodedBytes()
 	}
 	for pruned < len(r.recentChanges) && !r.recentChanges[pruned].Revision.IsZero() &&
-		(boottime.Since(r.recentChanges[pruned].learntAt) > changeRetention || len(r.recentChanges)-pruned > maxChanges || size > maxChangeBytesPerDigest) {
+		(boottime.Since(r.recentChanges[pruned].learntAt) > changeRetention || len(r.recentChanges)-pruned > maxChangesPerDigest || size > maxChangeBytesPerDigest) {
 		r.fromRevision = r.recentChanges[pruned].Revision
-		size -= r.recentChanges[pruned].encodedBytes(isNews)
+		size -= r.recentChanges[pruned].encodedBytes()
 		pruned++
 	}
 	// The remaining changes of an answer are of no use once its first ones are dropped.
@@ -244,76 +203,22 @@
 	return r.revision
 }
 
-// delta returns what this node's digest says of the registry. Where summaries are used, it holds no changes: news do.
+// delta returns what this node's digest says of the registry.
 func (r *registrySync) delta() mesh.RegistryDelta {
-	usesSummaries := r.usesSummaries()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delta := r.deltaHeader(usesSummaries)
-	if usesSummaries {
-		delta.FromRevision = delta.Revision
-		return delta
-	}
-	for _, c := range r.recentChanges {
-		if !c.Revision.IsZero() {
-			delta.Changes = append(delta.Changes, c.RegistryChange)
-		}
-	}
-	return delta
-}
-
-// deltaHeader returns the delta without its changes. The caller holds the lock.
-func (r *registrySync) deltaHeader(isNews bool) mesh.RegistryDelta {
 	if r.currentAsOf == 0 || r.isListing {
 		return mesh.RegistryDelta{}
 	}
-	r.pruneChanges(isNews)
-	return mesh.RegistryDelta{
+	r.pruneChanges()
+	delta := mesh.RegistryDelta{
 		FromRevision: r.fromRevision, Revision: r.revision,
 		CallAgeMillis: boottime.Since(r.lastCallAt).Milliseconds(), AgeMillis: boottime.Since(r.currentAsOf).Milliseconds(),
 	}
-}
-
-// takeNews reports whether changes have been learnt from the object API since the last call that others are to hear of from
-// this node.
-func (r *registrySync) takeNews() bool {
-	r.mu.Lock()
-	hasNews := r.hasNews
-	r.hasNews = false
-	r.mu.Unlock()
-	return hasNews && r.tellsNews()
-}
-
-// tellsNews reports whether this node watches the registry and is one of the first of those that do. After a start of all nodes,
-// and when there are more changes than news may hold, all do.
-func (r *registrySync) tellsNews() bool {
-	if !r.isWatching() {
-		return false
-	}
-	preceding, watchers := r.countPrecedingNodes()
-	return preceding < outageProbers && watchers < maxNewsTellers
-}
-
-// newsDelta returns what this node's news say of the registry. A change by which a server drains has the short form if it is
-// the first one of its server in the delta: whoever can apply the delta knows the entry.
-func (r *registrySync) newsDelta() mesh.RegistryDelta {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delta := r.deltaHeader(true)
-	if delta.Revision.IsZero() {
-		return delta
-	}
-	hasEarlier := map[string]bool{}
 	for _, c := range r.recentChanges {
-		if c.Revision.IsZero() {
-			continue
-		}
-		change := c.RegistryChange
-		if c.isDrain && !hasEarlier[c.Server.ID] {
-			change = mesh.NewDrain(c.Revision, c.Server.ID)
+		if !c.Revision.IsZero() {
+			delta.Changes = append(delta.Changes, c.RegistryChange)
 		}
-		hasEarlier[c.Server.ID] = true
-		delta.Changes = append(delta.Changes, change)
 	}
 	return delta
 }
@@ -346,7 +251,7 @@
 func versionsByID(changes []mesh.RegistryChange) map[string]string {
 	var versions map[string]string
 	for _, c := range changes {
-		if c.Removed || c.IsDrain() {
+		if c.Removed {
 			continue
 		}
 		if versions == nil {
@@ -404,8 +309,6 @@
 	r.mu.Lock()
 	age, callAge, attemptedAt := boottime.Since(r.currentAsOf), boottime.Since(r.lastCallAt), r.attemptedAt
 	r.mu.Unlock()
-	// The clocks of watchers are not known in the first second after a start. Until then the age of what this node has read
-	// itself bounds how long it relies on them.
 	preceding, watchers := r.countPrecedingNodes()
 	switch {
 	case preceding < wantedWatchers:
@@ -426,8 +329,8 @@
 	return !r.isPassive
 }
 
-// countPrecedingNodes returns how many nodes precede this one in the order in which nodes become watchers, how many of these
-// watch. Nodes that are not ready count too; see countPrecedingByName. The first nodes by name of all failure domains precede the second ones, so that the watchers are
+// countPrecedingNodes returns how many nodes precede this one in the order in which nodes become watchers, and how
+// many of these watch. Nodes that are not ready count too; see countPrecedingByName. The first nodes by name of all failure domains precede the second ones, so that the watchers are
 // in different failure domains.
 func (r *registrySync) countPrecedingNodes() (preceding, watchers int) {
 	self := r.node.settings
@@ -450,7 +353,7 @@
 		}
 		preceding++
 		lastCallAt := m.SentAt.Add(-time.Duration(m.Registry.CallAgeMillis) * time.Millisecond)
-		if !m.Registry.Revision.IsZero() && boottime.Since(lastCallAt) < watcherTimeout {
+		if m.HasReliableSentAt && !m.Registry.Revision.IsZero() && boottime.Since(lastCallAt) < watcherTimeout {
 			watchers++
 		}
 	}
--- a/rudder/relaynode/registry_sync_test.go
+++ b/rudder/relaynode/registry_sync_test.go
@@ -112,16 +112,6 @@
 			}
 		}
 		n.mesh = mesh.New(selfAddress, []string{seed}, composeDigest, func(m *mesh.Member) { n.registry.applyDelta(m) }, slog.New(slog.DiscardHandler))
-		n.mesh.FailureDomain, n.mesh.NeedsShortInterval = n.settings.FailureDomain, n.registry.isWatching
-		n.mesh.ComposeNews = func(isDue bool) (*mesh.Digest, bool) {
-			isNew := n.registry.takeNews()
-			if !isNew && !(isDue && n.registry.tellsNews()) {
-				return nil, false
-			}
-			d := composeDigest()
-			d.Registry = n.registry.newsDelta()
-			return &d, isNew
-		}
 		tasks.Go(func() { n.mesh.Run(ctx, meshConn) })
 		tasks.Go(func() { n.registry.objectWatcher.Run(ctx) })
 		nodes = append(nodes, n)
@@ -236,12 +226,10 @@
 	for i := range manyLong {
 		manyLong[i].Key = fmt.Sprintf("servers/%03d%s", i, huge[:500])
 	}
-	for name, c := range map[string]struct{ listed, changed []objectapi.Object }{
-		"huge service": {changed: []objectapi.Object{{Key: "servers/s2", Value: json.RawMessage(huge)}}},
-		"huge name that is no server any more": {
-			listed: []objectapi.Object{{Key: "servers/" + huge}}, changed: []objectapi.Object{{Key: "servers/" + huge, Err: errors.New("not readable")}},
-		},
-		"many long names": {changed: manyLong},
+	for name, objects := range map[string][]objectapi.Object{
+		"huge service":                {{Key: "servers/s2", Value: json.RawMessage(huge)}},
+		"huge name that is no server": {{Key: "servers/" + huge, Err: errors.New("not readable")}},
+		"many long names":             manyLong,
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := &node{logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, "n"), backends: backend.NewTable(time.Second, slog.New(slog.DiscardHandler))}
@@ -249,9 +237,9 @@
 				return backend.Entry{ID: path.Base(o.Key), Service: string(o.Value)}, o.Err
 			}}
 			r := newRegistrySync(n)
-			r.applyListing(objectapi.Listing{Objects: c.listed}, boottime.Now())
+			r.applyListing(objectapi.Listing{}, boottime.Now())
 			r.recordAnswer(boottime.Now(), objectapi.Version{Number: 6})
-			for _, o := range c.changed {
+			for _, o := range objects {
 				r.applyEvent(objectapi.Event{Object: o})
 			}
 			r.recordAnswer(boottime.Now(), objectapi.Version{Number: 7})
