--- a/review/standins/lab.go
+++ b/review/standins/lab.go
@@ -41,6 +41,7 @@
 	nodes      []*node
 	budget     float64 // budgetSlack in the settings
 	memoryMB   int     // memoryMb in the settings
+	tokensPerS float64 // quota of the tenant, 0 for none
 
 	mu       sync.Mutex
 	record   *os.File
@@ -341,7 +342,7 @@
 	l.store.set("config", "main", map[string]any{
 		"version": 3, "routes": routes, "services": services,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "workshops", "apiKeys": []string{apiKey}}},
+		"tenants": []map[string]any{{"name": "workshops", "apiKeys": []string{apiKey}, "unit": "tokens", "plainTokens": 200, "ratePerS": l.tokensPerS, "burst": l.tokensPerS}},
 	})
 }
 
