--- a/review/standins/many_parts.go
+++ b/review/standins/many_parts.go
@@ -31,6 +31,7 @@
 	}
 	defer l.close()
 	l.memoryMB = 184 // the smallest machine on the sheets in grown/
+	l.tokensPerS = 36_000
 	l.setConfig([]map[string]any{
 		{"name": "colour-ask", "host": hostName, "pathPrefix": "/colour/", "kind": "streaming", "resumable": true, "service": "brush-model", "attempts": 2, "timeoutMs": 3000, "sloMs": 500, "gapTargetMs": 300, "priority": 0, "sticky": true},
 	}, []map[string]any{{"name": "brush-model", "maxConns": 370, "engine": map[string]any{"slots": 64, "kvCapacity": 794212}}})
@@ -84,7 +85,7 @@
 					sent[n.name]++
 					mu.Unlock()
 					attempt := fmt.Sprintf("ask-%d-%d-%d", k, c, i)
-					_, _ = fmt.Fprintf(conn, "POST /colour/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Counts: 1800,24\r\nX-Prompt-Prefix: %s\r\nX-Deadline-Ms: 3000\r\nAuthorization: Token %s\r\nContent-Length: 3\r\n\r\nask",
+					_, _ = fmt.Fprintf(conn, "POST /colour/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Counts: 8,24\r\nX-Prompt-Prefix: %s\r\nX-Deadline-Ms: 3000\r\nAuthorization: Token %s\r\nContent-Length: 3\r\n\r\nask",
 						hostName, attempt, prefix((k*connections+c)<<14|i), apiKey)
 					_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
 					response, err := http.ReadResponse(reader, nil)
