--- a/review/standins/upgrade_in_place.go
+++ b/review/standins/upgrade_in_place.go
@@ -16,12 +16,13 @@
 // runUpgradeInPlace lets all runners of a zone crash while streams run. They are back under their ids with another software version.
 func runUpgradeInPlace(folder string) (bool, error) {
 	const (
-		streams  = 60
-		events   = 96
-		pause    = 130 * time.Millisecond
-		deadline = 15 * time.Second
-		crashAt  = 4 * time.Second // after the begin of the streams, which would take 12.5 s
-		downTime = 2 * time.Second
+		streams   = 60
+		events    = 96
+		pause     = 130 * time.Millisecond
+		deadline  = 15 * time.Second
+		crashAt   = 4 * time.Second // after the begin of the streams, which would take 12.5 s
+		downTime  = 2 * time.Second
+		heartbeat = 1200 * time.Millisecond
 	)
 	l, err := newLab(folder, 3, 58)
 	if err != nil {
@@ -37,7 +38,7 @@
 		r.handle = func(r *runner, w http.ResponseWriter, request *http.Request) { r.stream(w, request, events, pause) }
 		return r
 	}
-	var old []*runner
+	var old, desks []*runner
 	for i := range zones {
 		old = append(old, newModel("v1", i))
 		desk := &runner{id: fmt.Sprintf("i-desk-%d", i+1), service: "order-desk", zone: zones[i], version: "v1", slots: 6}
@@ -48,6 +49,7 @@
 		if err := l.addRunner(desk); err != nil {
 			return false, err
 		}
+		desks = append(desks, desk)
 	}
 	for _, r := range old {
 		if err := l.addRunner(r); err != nil {
@@ -59,6 +61,21 @@
 	}
 	time.Sleep(3 * time.Second)
 	stop := make(chan struct{})
+	for i, r := range desks { // runners that have started a while ago and write what is left of their slow time
+		go func() {
+			time.Sleep(time.Duration(i) * heartbeat / time.Duration(len(desks)))
+			for left := 30_000; left > 0; left -= int(heartbeat.Milliseconds()) {
+				select {
+				case <-stop:
+					return
+				case <-time.After(heartbeat):
+				}
+				entry := r.entry()
+				entry["coldLeftMs"] = left
+				l.store.set("servers", r.id, entry)
+			}
+		}()
+	}
 	wait := every(5, stop, func(i int) {
 		l.send(l.nodes[i%len(l.nodes)], http.MethodGet, fmt.Sprintf("/stock/%d", i), l.newAttempt("look"), "", time.Second)
 	})
