Withhold a status that denies a run whatever its body is

What callers saw: a non-idempotent request that a server had run and then failed with 503, without the not-run header and with a body of more than 64 KiB, was answered 503.

Cause: forwardPlain passed long bodies to forwardLarge before it looked at the status; only the branch of short bodies withheld 408, 429 and 503.

TestStatusThatDeniesTheRunIsNotForwarded on (with outcome.go of this commit): 288 of 720 cases fail, all with bodies over 64 KiB. TestRefusalAfterUnknownOutcomeDeniesNoRun passed before, too.

Change: the status alone decides, before anything depends on the body. The two functions that write the head of an answer replace such a status by 502 unless the request is known not to have run, so that no way of forwarding can leave the rule out.

--- a/rudder/outcome/outcome.go
+++ b/rudder/outcome/outcome.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -33,6 +34,25 @@
 	}
 }
 
+// ImpliesNotRun reports whether callers conclude from a status that the request has not run and will not run, so that they may
+// send it again even if it must run once only.
+func ImpliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// CallerStatus returns the status for the caller of a request with this outcome: the given one, or 502 if callers would conclude
+// from it that the request has not run, which is not known.
+func (o Outcome) CallerStatus(status int) int {
+	if o != NotRun && ImpliesNotRun(status) {
+		return http.StatusBadGateway
+	}
+	return status
+}
+
 // Error describes the failure of a request and whether the request was run.
 type Error struct {
 	Outcome    Outcome
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -16,6 +16,7 @@
 
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/traffic"
 	"chestnutrudder.example/rudder/upstream"
 )
@@ -233,7 +234,12 @@
 	if a.forwarder.isHeadSent {
 		return attemptResult{backendResult: backend.ResultServerFailure, reason: fmt.Sprintf("response with status %d and content type %.40q does not continue the stream", response.StatusCode, contentType)}
 	}
-	r := a.forwardPlain(ctx, response, isSuccess)
+	var r attemptResult
+	if outcome.ImpliesNotRun(response.StatusCode) {
+		r = a.withholdResponse(ctx, response)
+	} else {
+		r = a.forwardPlain(ctx, response, isSuccess)
+	}
 	if isPaused && r.backendResult == backend.ResultServerFailure {
 		r.backendResult = backend.ResultRejected // a server that asks for a pause has not failed
 	}
@@ -252,7 +258,21 @@
 	return err
 }
 
-// forwardPlain forwards a response that is not an event stream.
+// withholdResponse handles a response whose status implies that the request has not run, while the server has not stated that.
+// Whatever its body is, the response is not forwarded. What is read of the body shows whether the server broke off, and allows
+// the connection to be used again.
+func (a *attempt) withholdResponse(ctx context.Context, response *http.Response) attemptResult {
+	err := a.discardBody(response)
+	if err == nil {
+		err = a.endError(response)
+	}
+	if err != nil && !isLocalAbort(err) {
+		return a.brokenResponse(ctx, errors.Wrap(err, "read response body"))
+	}
+	return attemptResult{backendResult: a.resultUnlessCancelled(ctx, backend.ResultServerFailure), reason: fmt.Sprintf("backend server responded with status %d and did not state that the request has not run", response.StatusCode)}
+}
+
+// forwardPlain forwards a response that is not an event stream and whose status does not imply that the request has not run.
 func (a *attempt) forwardPlain(ctx context.Context, response *http.Response, isSuccess bool) attemptResult {
 	a.setReadTimeout(a.forwarder.firstByteTimeout(a.placement.ExpectedFirstByte))
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
@@ -266,25 +286,11 @@
 		return a.brokenResponse(ctx, err)
 	}
 	b := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
-	if isSuccess || response.StatusCode < 500 && !impliesNotRun(response.StatusCode) {
+	if response.StatusCode < 500 {
 		a.forwarder.writeResponse(b)
 		return attemptResult{isFinal: true, isAnswer: isSuccess, backendResult: backend.ResultCompleted}
 	}
-	r := attemptResult{backendResult: backend.ResultServerFailure, reason: "backend server responded with status " + strconv.Itoa(response.StatusCode)}
-	if !impliesNotRun(response.StatusCode) {
-		r.response = b
-	}
-	return r
-}
-
-// impliesNotRun reports whether callers conclude from a status that the request has not run. A response with such a status
-// but without the not-run header must not be forwarded.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
+	return attemptResult{backendResult: backend.ResultServerFailure, reason: "backend server responded with status " + strconv.Itoa(response.StatusCode), response: b}
 }
 
 // errResponseTooLarge means that the body of a response exceeds the limit.
@@ -429,8 +435,19 @@
 	copyHeader(h, response.Header)
 	h.Del("Content-Length")
 	f.server.closeConnectionIfNeeded(f.call, h)
+	f.sendStatus(response.StatusCode)
+}
+
+// sendStatus ends the head of a backend server's response to the caller. Every forwarded response passes here: a server whose
+// response is forwarded may have run the request, so that a status that denies it is replaced and the response is not signed.
+func (f *forwarder) sendStatus(status int) {
+	callerStatus := outcome.Unknown.CallerStatus(status)
+	if callerStatus != status {
+		f.writer.Header().Del(f.server.Dialect.ResponseSignature)
+		f.server.Log.Error("Replaced the status of a response, which implies that the request has not run.", "request", f.call.id, "status", status)
+	}
 	f.isHeadSent = true
-	f.writer.WriteHeader(response.StatusCode)
+	f.writer.WriteHeader(callerStatus)
 }
 
 // finishResponse clears the write timeout and logs and counts a response whose body was sent in several writes.
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -310,11 +310,10 @@
 	copyHeader(h, b.header)
 	h.Set("Content-Length", strconv.Itoa(len(b.body)))
 	f.server.closeConnectionIfNeeded(f.call, h)
-	f.isHeadSent = true
 	if len(b.body) > uncountedBufferBytes {
 		f.call.charge.ForceResize(resource.Response, int64(len(b.body)))
 	}
-	f.writer.WriteHeader(b.status)
+	f.sendStatus(b.status)
 	if f.call.method != http.MethodHead {
 		_, _ = f.writer.Write(b.body)
 	}
--- /dev/null
+++ b/rudder/relay/not_run_status_test.go
@@ -0,0 +1,155 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/outcome"
+)
+
+// failure is a response of a backend server that has run a request. extra holds further header lines.
+type failure struct {
+	status   int
+	extra    string
+	body     string
+	framing  framing
+	isBroken bool // the connection is reset before the end
+}
+
+func (f failure) String() string {
+	return fmt.Sprintf("%d with %d bytes by %s, broken %t", f.status, len(f.body), f.framing, f.isBroken)
+}
+
+// send writes the response. It returns false, which ends the connection, unless the response leaves it open.
+func (f failure) send(conn net.Conn, r *http.Request) bool {
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Rudder-Request: %s\r\nX-Rudder-Signature: sig\r\n%s", f.status, r.Header.Get("X-Rudder-Request"), f.extra)
+	switch f.framing {
+	case framedByLength:
+		length := len(f.body)
+		if f.isBroken {
+			length += 10
+		}
+		fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, length, f.body)
+	case framedByChunks:
+		fmt.Fprintf(conn, "%sTransfer-Encoding: chunked\r\n\r\n", head)
+		if f.body != "" {
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(f.body), f.body)
+		}
+		if !f.isBroken {
+			fmt.Fprint(conn, lastChunk)
+		}
+	case framedByConnection:
+		fmt.Fprintf(conn, "%s\r\n%s", head, f.body)
+	}
+	if f.isBroken {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	return !f.isBroken && f.framing != framedByConnection
+}
+
+// failures returns responses with the given statuses and with bodies around the size up to which they are buffered.
+func failures(statuses ...int) []failure {
+	var list []failure
+	for _, status := range statuses {
+		for _, size := range []int{0, 100, maxBufferedBytes, maxBufferedBytes + 1, 3 * maxBufferedBytes} {
+			for _, f := range []framing{framedByLength, framedByChunks, framedByConnection} {
+				for _, isBroken := range []bool{false, true} {
+					list = append(list, failure{status: status, body: strings.Repeat("x", size), framing: f, isBroken: isBroken})
+				}
+			}
+		}
+	}
+	return list
+}
+
+// Guards against an answer which says that a request has not run although a server has run it, so that its caller sends it again
+// and it takes effect twice: the status alone decides, whatever the body, its framing and its end are.
+func TestStatusThatDeniesTheRunIsNotForwarded(t *testing.T) {
+	for _, f := range failures(http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable) {
+		for _, path := range []string{"/once/x", "/safe/x", "/stream/x", "/resumable/x"} {
+			isRepeatable := path == "/safe/x" || path == "/resumable/x"
+			for _, allFail := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%v/all fail %t", path, f, allFail), func(t *testing.T) {
+					t.Parallel()
+					h := newHarness(t)
+					var runs atomic.Int64
+					for _, name := range []string{"a", "b"} {
+						h.backendServer(name, func(conn net.Conn, r *http.Request) bool {
+							if runs.Add(1) > 1 && !allFail {
+								return succeed(conn, r)
+							}
+							return f.send(conn, r)
+						})
+					}
+					wantStatus, wantRuns := http.StatusBadGateway, int64(1)
+					if isRepeatable {
+						wantRuns = 2
+						if !allFail {
+							wantStatus = http.StatusOK
+						}
+					}
+					got := h.get(path)
+					if got.status != wantStatus || got.err != nil || runs.Load() != wantRuns {
+						t.Errorf("status %d, error %v after %d runs, want %d after %d", got.status, got.err, runs.Load(), wantStatus, wantRuns)
+					}
+					if wantStatus == http.StatusBadGateway && (got.header.Get("X-Rudder-Signature") != "" || got.header.Get(headerRetryAfter) != "") {
+						t.Errorf("header %v of the node's own answer, want no signature and no Retry-After", got.header)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against an answer which says that a request has not run because its second attempt has not, whatever the first one did.
+func TestRefusalAfterUnknownOutcomeDeniesNoRun(t *testing.T) {
+	const maxConfigAge = 3 * time.Second
+	for name, refuse := range map[string]func(h *harness){
+		"refused as not run":     func(*harness) {},
+		"misdirected":            func(*harness) {},
+		"no further server":      func(h *harness) { h.server.Backends.Replace([]backend.Entry{}) },
+		"retry budget exhausted": func(h *harness) { h.server.SetNodeCount(1 << 20) },
+		"node is stopping":       func(h *harness) { h.server.RefuseRequests() },
+		"configuration is stale": func(*harness) { time.Sleep(maxConfigAge + 100*time.Millisecond) },
+		"API key revoked": func(h *harness) {
+			config := *h.config
+			config.Version, config.Organisations = 2, nil
+			config.BuildIndex()
+			h.server.Current.Apply(&config)
+			h.server.Current.ConfirmNewest(2, boottime.Now())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.server.StalenessLimits.Send = maxConfigAge
+			for _, route := range h.config.Routes {
+				route.Timeout, route.LatencyObjective = time.Minute, 30*time.Second // the first server is awaited
+			}
+			var sends atomic.Int64
+			for _, server := range []string{"a", "b"} {
+				h.backendServer(server, func(conn net.Conn, r *http.Request) bool {
+					if sends.Add(1) == 1 {
+						refuse(h)
+						return false
+					}
+					if name == "misdirected" {
+						return respond(conn, r, http.StatusMisdirectedRequest, "", "")
+					}
+					return refuseNotRun(conn, r)
+				})
+			}
+			if got := h.call(context.Background(), http.MethodGet, "/safe/x", "", http.Header{"X-Rudder-Timeout-Ms": {"50000"}}); got.status < 500 || outcome.ImpliesNotRun(got.status) {
+				t.Errorf("status %d, error %v after an attempt with unknown outcome and %d sends, want 502 or 504", got.status, got.err, sends.Load())
+			}
+		})
+	}
+}
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -425,6 +425,7 @@
 
 // writeError answers a request that failed with the status of problem and an empty body.
 func (s *Server) writeError(w http.ResponseWriter, c *call, problem *outcome.Error) {
+	status := problem.Outcome.CallerStatus(problem.Status)
 	h := w.Header()
 	h.Set(s.Dialect.RequestID, c.id)
 	if problem.RetryAfter > 0 {
@@ -432,11 +433,11 @@
 	}
 	s.closeConnectionIfNeeded(c, h)
 	h.Set("Content-Length", "0")
-	w.WriteHeader(problem.Status)
-	s.Log.Info("Sent an error response to the caller.", "request", c.id, "status", problem.Status, "run", problem.Outcome.String(), "reason", problem.Reason,
+	w.WriteHeader(status)
+	s.Log.Info("Sent an error response to the caller.", "request", c.id, "status", status, "run", problem.Outcome.String(), "reason", problem.Reason,
 		"route", c.routeName(), "organisation", c.organisationName(), "config_version", c.configVersion,
 		"proof_age_ms", boottime.Since(s.Current.ConfirmedAt()).Milliseconds(), "after_ms", time.Since(c.arrivedAt).Milliseconds(), "retry_after_ms", problem.RetryAfter.Milliseconds())
-	s.metrics.countRequest(c, problem.Status)
+	s.metrics.countRequest(c, status)
 }
 
 // routeName returns the name of the route, or "" before the route is known.
