Treat failures with long bodies like those with short ones

What callers saw: an idempotent request got the 500, 502 or 504 of one server although another one could have run it, if the body was longer than 64 KiB; and the server went on getting requests.

Cause: forwardLarge forwards the head of any response at once and reports every status as completed, so that neither the retry nor the ejection of the server follows.

TestLongFailureIsForwardedWithoutRetryBudget passed before, too.

Change: a long failure is given up if a retry and a place at another server can be reserved (secureAlternative), otherwise it is forwarded; it counts as a failure of the server either way.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -280,6 +280,11 @@
 		return a.brokenResponse(ctx, errors.Wrap(err, "read response body"))
 	}
 	if len(body) > maxBufferedBytes {
+		// What was buffered does not allow the failure to be forwarded after another attempt, so that a place for that is reserved
+		// before this response is given up.
+		if response.StatusCode >= 500 && a.forwarder.secureAlternative(a.placement.ID) == "" {
+			return attemptResult{backendResult: backend.ResultServerFailure, reason: failureReason(response.StatusCode)}
+		}
 		return a.forwardLarge(ctx, response, body, isSuccess)
 	}
 	if err := a.endError(response); err != nil {
@@ -290,7 +295,11 @@
 		a.forwarder.writeResponse(b)
 		return attemptResult{isFinal: true, isAnswer: isSuccess, backendResult: backend.ResultCompleted}
 	}
-	return attemptResult{backendResult: backend.ResultServerFailure, reason: "backend server responded with status " + strconv.Itoa(response.StatusCode), response: b}
+	return attemptResult{backendResult: backend.ResultServerFailure, reason: failureReason(response.StatusCode), response: b}
+}
+
+func failureReason(status int) string {
+	return "backend server responded with status " + strconv.Itoa(status)
 }
 
 // errResponseTooLarge means that the body of a response exceeds the limit.
@@ -332,6 +341,9 @@
 		return r
 	}
 	f.finishResponse(response.StatusCode)
+	if response.StatusCode >= 500 {
+		return attemptResult{isFinal: true, backendResult: backend.ResultServerFailure, reason: failureReason(response.StatusCode)}
+	}
 	return attemptResult{isFinal: true, isAnswer: isSuccess, backendResult: backend.ResultCompleted}
 }
 
