Do not await the body of a response that is not forwarded

What callers saw: a success without a signature, or with a content encoding, whose body stalled was answered 504 at the deadline, though the node knew at once that it would not forward it.

Cause: canReuseConn read on to see whether the body had ended. With no read timeout on routes whose requests may not be repeated, that took until the deadline.

Evidence: on the parent of this commit, 8 of the 24 cases of TestBodyThatIsNotForwardedIsNotAwaited get 504 after 20 s.

Change: a wrapper notes whether a body was read to its end; a connection whose response was not is not used again.

Result: the test passes; go test -race ./rudder/relay passes.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -46,6 +46,7 @@
 	placement *backend.Placement
 	forwarder *forwarder
 	conn      *upstream.Conn
+	body      *endNotingBody // of the response; nil if it has none
 	cancel    context.CancelFunc
 
 	sentAt       boottime.Instant // when the sending began
@@ -108,6 +109,10 @@
 		}
 		return attemptResult{isSent: true, isTimeout: isTimeout(err), backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
+	if response.Body != http.NoBody {
+		a.body = &endNotingBody{ReadCloser: response.Body}
+		response.Body = a.body
+	}
 	r := a.handleResponse(parent, response)
 	r.isSent = true
 	if a.canReuseConn(response, r) && isWritten(writeResult) && stop() {
@@ -170,9 +175,19 @@
 	if r.backendResult == backend.ResultConnectionFailure || r.backendResult == backend.ResultInconclusive || response.Close {
 		return false
 	}
-	var b [1]byte
-	n, err := response.Body.Read(b[:])
-	return n == 0 && err == io.EOF
+	return a.body == nil || a.body.hasEnded
+}
+
+// endNotingBody notes whether a body was read to its end.
+type endNotingBody struct {
+	io.ReadCloser
+	hasEnded bool
+}
+
+func (b *endNotingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.hasEnded = b.hasEnded || err == io.EOF
+	return n, err
 }
 
 // addAwaitingResponse lets WatchWaitingRequests cancel the attempt until the response starts.
@@ -254,7 +269,7 @@
 func (a *attempt) discardBody(response *http.Response) error {
 	a.conn.OnReadTimeout(nil)
 	a.setReadTimeout(refusalBodyTimeout)
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes+1)) // one more, so that the end is seen
 	return err
 }
 
