Believe the not-run header on error responses only

What could happen: a server that has run a request and sends the not-run header with a success or a redirect made the node send the request to another server, where it runs twice.

Cause: handleResponse believed the header whatever the status was.

The header on 400, 421, 429, 500, 503 and 504 was and is believed, whole or broken off.

Change: the header counts with statuses of 400 and above; with any other one the response is a failure of unknown outcome.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -222,7 +222,7 @@
 func (a *attempt) handleResponse(ctx context.Context, response *http.Response) attemptResult {
 	d := a.server.Dialect
 	isPaused := a.recordServerState(response)
-	if response.Header.Get(d.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
+	if d.statesNotRun(response) {
 		if err := a.discardBody(response); errors.Is(err, upstream.ErrMalformedResponse) {
 			a.forwarder.countRun()
 			return a.brokenResponse(ctx, errors.Wrap(err, "read refusal"))
@@ -239,6 +239,9 @@
 	a.forwarder.countRun()
 	a.server.metrics.recordFirstByte(a.call, time.Since(a.call.arrivedAt))
 	isSuccess := response.StatusCode >= 200 && response.StatusCode < 300
+	if response.Header.Get(d.NotRun) != "" {
+		return attemptResult{backendResult: backend.ResultServerFailure, reason: fmt.Sprintf("response with status %d states that the request has not run", response.StatusCode)}
+	}
 	if isSuccess && (response.Header.Get(d.ResponseSignature) == "" || response.Header.Get("Content-Encoding") != "") {
 		return attemptResult{backendResult: backend.ResultServerFailure, reason: "success response has no signature header or has a content encoding"}
 	}
@@ -261,6 +264,12 @@
 	return r
 }
 
+// statesNotRun reports whether a server states with a response that it has not run the request. The header on a status that is no
+// error contradicts it: such a server may have run the request.
+func (d *Dialect) statesNotRun(response *http.Response) bool {
+	return response.StatusCode == http.StatusMisdirectedRequest || response.StatusCode >= 400 && response.Header.Get(d.NotRun) != ""
+}
+
 // refusalBodyTimeout bounds the reading of the body of a refusal, which only allows the connection to be used again. The request
 // goes elsewhere meanwhile.
 const refusalBodyTimeout = 50 * time.Millisecond
--- a/rudder/relay/not_run_status_test.go
+++ b/rudder/relay/not_run_status_test.go
@@ -153,3 +153,39 @@
 		})
 	}
 }
+
+// Guards against a request that runs twice because its server sent the not-run header with a response that is no refusal, and
+// against refusals that are not believed because their body is broken.
+func TestNotRunHeaderCountsOnRefusalsOnly(t *testing.T) {
+	for _, c := range []struct {
+		status    int
+		isRefusal bool
+	}{{200, false}, {204, false}, {302, false}, {400, true}, {421, true}, {429, true}, {500, true}, {503, true}, {504, true}} {
+		for _, f := range failures(c.status) {
+			if c.status == http.StatusNoContent && f.body != "" {
+				continue
+			}
+			f.extra = "X-Rudder-Not-Run: 1\r\n"
+			t.Run(f.String(), func(t *testing.T) {
+				t.Parallel()
+				h := newHarness(t)
+				var sends atomic.Int64
+				for _, name := range []string{"a", "b"} {
+					h.backendServer(name, func(conn net.Conn, r *http.Request) bool {
+						if sends.Add(1) > 1 {
+							return succeed(conn, r)
+						}
+						return f.send(conn, r)
+					})
+				}
+				wantStatus, wantSends := http.StatusBadGateway, int64(1)
+				if c.isRefusal {
+					wantStatus, wantSends = http.StatusOK, 2
+				}
+				if got := h.get("/once/x"); got.status != wantStatus || sends.Load() != wantSends {
+					t.Errorf("status %d, error %v after %d sends, want %d after %d", got.status, got.err, sends.Load(), wantStatus, wantSends)
+				}
+			})
+		}
+	}
+}
