Answer 502 for a handed-over run when no other node is known

What callers could see: a stopping node that had handed over a run and knew no other node answered 503 with "run": "unknown". docs/callers.md says that 503 means not run.

Cause: redirectToOtherNode chose the status apart from the outcome.

Evidence: on the parent of this commit TestHandedOverRunIsNotAnsweredAsNotRun gets 503, and TestStatusOfProblemAgreesWithItsOutcome fails for 408, 421, 429 and 503.

Change: 502, and newProblem replaces a status that denies the run unless the outcome says so, as the relay does.

Result: go test -race ./rudder/entry passes.

--- a/rudder/entry/drain.go
+++ b/rudder/entry/drain.go
@@ -115,7 +115,7 @@
 func (s *Server) redirectToOtherNode(w http.ResponseWriter, r *http.Request, run string, stream bool) {
 	address, found := s.otherNodeAddress(r.RemoteAddr)
 	if !found {
-		s.writeProblem(w, r, outcome.UnknownErrorf(http.StatusServiceUnavailable, errors.New("no other node is live"), "the node is stopping"))
+		s.writeProblem(w, r, outcome.UnknownErrorf(http.StatusBadGateway, errors.New("no other node is live"), "the node is stopping"))
 		return
 	}
 	location := "http://" + address + "/v1/runs/" + run
--- a/rudder/entry/server.go
+++ b/rudder/entry/server.go
@@ -209,7 +209,7 @@
 	var retryAfter time.Duration
 	var outcomeErr *outcome.Error
 	if errors.As(err, &outcomeErr) {
-		problem.Status = outcomeErr.Status
+		problem.Status = outcomeErr.Outcome.CallerStatus(outcomeErr.Status)
 		problem.Detail = outcomeErr.Reason
 		problem.Run = outcomeErr.Outcome.String()
 		retryAfter = outcomeErr.RetryAfter
