Count pollers of the configuration by their last answer

Cause: who polls for all was decided by name, and a node that has lost the store is still heard; a node that asked for itself then rested on its own answer; and it rested for 2.2 s, a constant beside a bound that the settings name and nothing read.

Change: digests tell the age of the sender's last answer, and a node counts as a poller while that is young. Others begin in turn, the first two at once, and go on until two nodes before them poll. News of a version, and of a node that begins to poll, are sent at once. The ages in a digest are read before the version that they belong to. Without proofs, a node that knows of a newer version polls.

The fixture of two tests in config_sync_test.go had peers that were only heard; they now also tell that the store answers them, which is what the node relies on. What the tests check is the same.

--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -40,6 +40,9 @@
 	// ConfirmationAgeMillis is the time since the sender's configuration was last confirmed as the newest; -1 if it never
 	// was.
 	ConfirmationAgeMillis int64 `cbor:"9,keyasint,omitempty"`
+	// ConfigAnswerAgeMillis is the time since the object API last answered a call of the sender for the configuration, plus 1; 0 if it
+	// never did.
+	ConfigAnswerAgeMillis int64 `cbor:"47,keyasint,omitempty"`
 	// HoldsDutyLease is true if the sender performs the duties that one node performs for all.
 	HoldsDutyLease bool                        `cbor:"10,keyasint,omitempty"`
 	Loads          map[string]backend.PeerLoad `cbor:"11,keyasint,omitempty"` // the sender's requests by backend server
--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -35,6 +35,15 @@
 	return m.SentAt.Add(-time.Duration(m.ConfirmationAgeMillis)*time.Millisecond - transitAllowance), true
 }
 
+// ConfigAnsweredAt returns when the object API last answered a call of the peer for the configuration, by this node's clock. The
+// second result is false if it never did or the send time of the digest is not known reliably.
+func (m Member) ConfigAnsweredAt() (boottime.Instant, bool) {
+	if m.ConfigAnswerAgeMillis <= 0 || !m.HasReliableSentAt {
+		return 0, false
+	}
+	return m.SentAt.Add(-time.Duration(m.ConfigAnswerAgeMillis-1) * time.Millisecond), true
+}
+
 // KnownSince returns when this node first heard of the present process of the peer.
 func (m Member) KnownSince() boottime.Instant { return m.startKnownAt }
 
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -82,6 +82,7 @@
 	targetsSeenAt   map[string]boottime.Instant // by address: when it was last heard from or added
 	targetsAddedAt  map[string]boottime.Instant // by address: when it became known, for newAddressPeriod at least
 	addressRotation int
+	sendSoon        chan struct{} // has a value when the next full digest must not wait for the end of the interval
 	now             func() boottime.Instant
 	sleep           func(time.Duration)
 }
@@ -93,7 +94,7 @@
 		members: map[string]*Member{}, summaries: map[string]*receivedSummary{}, peerClocks: map[string]*peerClock{}, targetsSeenAt: map[string]boottime.Instant{},
 		targetsAddedAt: map[string]boottime.Instant{},
 		// Nodes that start at the same time must not all tell the same addresses.
-		addressRotation: rand.IntN(1 << 16), now: boottime.Now, sleep: time.Sleep,
+		addressRotation: rand.IntN(1 << 16), sendSoon: make(chan struct{}, 1), now: boottime.Now, sleep: time.Sleep,
 	}
 	m.AddAddresses(seeds)
 	return m
@@ -141,7 +142,26 @@
 		if isShort {
 			interval = BaseInterval
 		}
-		sleep.For(ctx, interval-time.Since(beganAt))
+		m.awaitNextDigest(ctx, interval-time.Since(beganAt))
+	}
+}
+
+// awaitNextDigest waits for a time, until SendSoon is called or until ctx ends.
+func (m *Mesh) awaitNextDigest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-m.sendSoon:
+	}
+}
+
+// SendSoon makes Run send the next full digest now, or after the round that is being sent.
+func (m *Mesh) SendSoon() {
+	select {
+	case m.sendSoon <- struct{}{}:
+	default: // it is to be sent already
 	}
 }
 
--- a/rudder/mesh/summary.go
+++ b/rudder/mesh/summary.go
@@ -208,6 +208,9 @@
 	if d.ConfirmationAgeMillis >= 0 {
 		d.ConfirmationAgeMillis += elapsed
 	}
+	if d.ConfigAnswerAgeMillis > 0 {
+		d.ConfigAnswerAgeMillis += elapsed
+	}
 	d.Registry = RegistryDelta{}
 	d.Summary = summarize(nodes, now, isFull, nearLimit)
 	return d
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -15,14 +15,9 @@
 )
 
 const (
-	// configPollers is the number of nodes that ask the object API each configPollInterval whether the configuration is
-	// the newest. The other nodes rely on the confirmations in their digests, and read the configuration when a peer has a
-	// newer one.
-	configPollers      = 2
-	configPollInterval = 800 * time.Millisecond
-	// maxConfirmationAge is the age of the last confirmation above which a node asks the object API itself; each node that
-	// precedes it adds confirmationAgeStep, up to maxExtraConfirmationAge, so that the first ones can tell the others.
-	// Confirmations from the pollers are up to configPollInterval, mesh.BaseInterval and two lost digests old.
+	// maxConfirmationAge is the age of the last confirmation above which a node asks the object API itself although others poll;
+	// each node that precedes it adds confirmationAgeStep, up to maxExtraConfirmationAge. Confirmations from pollers are up to twice
+	// maxConfigPollInterval, mesh.BaseInterval and two lost digests old.
 	maxConfirmationAge      = 2200 * time.Millisecond
 	confirmationAgeStep     = 8 * time.Millisecond
 	maxExtraConfirmationAge = 1200 * time.Millisecond
@@ -40,20 +35,23 @@
 
 // configSync decides when this node asks the object API for the configuration. Each call is paid for.
 type configSync struct {
-	mu             sync.Mutex
-	calledAt       boottime.Instant // when the last call was sent
-	wantedVersion  int64            // the newest version that a peer has told of
-	wantedSince    boottime.Instant // when a peer first told of it
-	storedVersion  int64            // the version that the object API last returned; 0 if it holds none
-	isStoreBehind  bool             // result of the last comparison of storedVersion with the versions known otherwise
-	staleReadUntil boottime.Instant // end of the time for the read of wantedVersion
-	newerVersion   chan struct{}    // has a value when wantedVersion has changed
-	hasAnswer      bool             // the object API has answered
-	epoch          int64            // of the object API in its last answer
-	startEpoch     int64            // of the object API in its first answer
-	hasHeardPeer   bool             // a peer has told, in this epoch, of a configuration that was confirmed at some time
-	holdUntil      boottime.Instant // until when answers are held if no peer was heard
-	heldAnswer     answer           // the last one that is held
+	mu              sync.Mutex
+	calledAt        boottime.Instant // when the last call was sent
+	answeredAt      boottime.Instant // when the last answer came
+	answeredVersion int64            // of the configuration in force then
+	isPolling       bool             // this node watches all the time, or asks since nobody else does
+	wantedVersion   int64            // the newest version that a peer has told of
+	wantedSince     boottime.Instant // when a peer first told of it
+	storedVersion   int64            // the version that the object API last returned; 0 if it holds none
+	isStoreBehind   bool             // result of the last comparison of storedVersion with the versions known otherwise
+	staleReadUntil  boottime.Instant // end of the time for the read of wantedVersion
+	newerVersion    chan struct{}    // has a value when wantedVersion has changed
+	hasAnswer       bool             // the object API has answered
+	epoch           int64            // of the object API in its last answer
+	startEpoch      int64            // of the object API in its first answer
+	hasHeardPeer    bool             // a peer has told, in this epoch, of a configuration that was confirmed at some time
+	holdUntil       boottime.Instant // until when answers are held if no peer was heard
+	heldAnswer      answer           // the last one that is held
 }
 
 // answer is the answer to a call of the object API.
@@ -64,21 +62,48 @@
 
 // configWatchTimeout returns how long the next watch of the configuration waits for a change.
 func (n *node) configWatchTimeout() time.Duration {
+	config := n.currentConfig.Config()
 	n.configSync.mu.Lock()
-	n.configSync.calledAt = boottime.Now()
-	n.configSync.mu.Unlock()
-	if n.mustProveConfig() {
-		return configPollInterval
+	defer n.configSync.mu.Unlock()
+	now := boottime.Now()
+	wait := n.configTiming.watchWait(n.configSync.answeredAt, n.configSync.calledAt, now)
+	n.configSync.calledAt = now
+	if n.mustProveConfig() || config != nil && n.configSync.wantedVersion > config.Version {
+		return wait
 	}
 	return changeWatchTimeout
 }
 
+// recordConfigAnswer records an answer of the object API whose changes have been applied. Peers are told at once that this node has
+// a newer configuration, or polls in place of another one.
+func (n *node) recordConfigAnswer(sentAt boottime.Instant, revision objectapi.Version) {
+	version := int64(0)
+	if config := n.currentConfig.Config(); config != nil {
+		version = config.Version
+	}
+	n.configSync.mu.Lock()
+	isNews := n.configSync.isPolling && (boottime.Since(n.configSync.answeredAt) > n.configTiming.pollerTimeout || version > n.configSync.answeredVersion)
+	n.configSync.answeredAt, n.configSync.answeredVersion = boottime.Now(), version
+	n.configSync.mu.Unlock()
+	n.confirmConfig(sentAt, revision)
+	if isNews {
+		n.mesh.SendSoon()
+	}
+}
+
+// configAnswerAgeMillis returns what Digest.ConfigAnswerAgeMillis tells.
+func (n *node) configAnswerAgeMillis() int64 {
+	n.configSync.mu.Lock()
+	defer n.configSync.mu.Unlock()
+	if n.configSync.answeredAt == 0 {
+		return 0
+	}
+	return boottime.Since(n.configSync.answeredAt).Milliseconds() + 1
+}
+
 // mustProveConfig reports whether requests are refused unless the configuration is proved to be the newest.
 func (n *node) mustProveConfig() bool { return n.relay.StalenessLimits.Send > 0 }
 
-// isConfigPoller reports whether this node is one of those that confirm the configuration for all nodes.
-func (n *node) isConfigPoller() bool { return n.countPrecedingByName() < configPollers }
-
 // countPrecedingByName returns how many nodes come before this one by name. Nodes that are not ready count too: while the
 // object API is down none is, and if all nodes then took the place of the first ones, all would call it.
 func (n *node) countPrecedingByName() int {
@@ -91,26 +116,54 @@
 	return count
 }
 
-// isConfigWatchSuspended reports whether this node need not call the object API for the configuration, because peers confirm
-// that it is the newest.
+// isConfigWatchSuspended decides anew whether this node need not call the object API for the configuration, because peers find out
+// whether it is the newest, and logs a change.
 func (n *node) isConfigWatchSuspended() bool {
 	if !n.mustProveConfig() {
 		return false
 	}
+	view := n.pollerView()
+	mustPoll := n.configTiming.mustPoll(view, boottime.Now())
 	n.configSync.mu.Lock()
-	sinceCall, wantedVersion, staleReadUntil := boottime.Since(n.configSync.calledAt), n.configSync.wantedVersion, n.configSync.staleReadUntil
+	hasChanged := n.configSync.isPolling != mustPoll
+	n.configSync.isPolling = mustPoll
+	calledAt, answeredAt := n.configSync.calledAt, n.configSync.answeredAt
+	wantedVersion, staleReadUntil := n.configSync.wantedVersion, n.configSync.staleReadUntil
 	n.configSync.mu.Unlock()
-	preceding := n.countPrecedingByName()
+	if hasChanged {
+		n.log.Info("The part of this node in polling the configuration has changed.", "polls", mustPoll, "preceding_nodes", view.preceding,
+			"newest_answer_ms", ageMillis(view.newest), "second_answer_ms", ageMillis(view.second), "own_answer_ms", ageMillis(view.own))
+	}
 	config := n.currentConfig.Config()
+	proofLimit := maxConfirmationAge + min(time.Duration(view.preceding)*confirmationAgeStep, maxExtraConfirmationAge)
+	isProofOld := boottime.Since(n.currentConfig.ConfirmedAt()) > proofLimit
 	switch {
-	case preceding < configPollers || config == nil:
+	case view.preceding < configPollers || config == nil:
 		return false
 	case wantedVersion > config.Version && boottime.Now() > staleReadUntil:
 		return false
-	case boottime.Since(n.currentConfig.ConfirmedAt()) <= maxConfirmationAge+min(time.Duration(preceding)*confirmationAgeStep, maxExtraConfirmationAge):
+	case !mustPoll && !isProofOld:
 		return true
+	case mustPoll && answeredAt >= calledAt:
+		return false // the object API answers this node
+	}
+	return boottime.Since(calledAt) < outageCallInterval(view.preceding)
+}
+
+// isConfigPoller reports whether peers can rely on this node to find out whether the configuration is the newest: it polls, and the
+// object API answers it.
+func (n *node) isConfigPoller() bool {
+	n.configSync.mu.Lock()
+	defer n.configSync.mu.Unlock()
+	return n.configSync.isPolling && boottime.Since(n.configSync.answeredAt) <= n.configTiming.pollerTimeout
+}
+
+// ageMillis returns the age of an instant for a log line, -1 for 0.
+func ageMillis(i boottime.Instant) int64 {
+	if i == 0 {
+		return -1
 	}
-	return sinceCall < outageCallInterval(preceding)
+	return boottime.Since(i).Milliseconds()
 }
 
 // outageProbers is the number of nodes that go on calling the object API at their usual rate while no node gets answers.
@@ -141,7 +194,7 @@
 	if n.platform.GetStale != nil {
 		n.configSync.staleReadUntil = boottime.Now().Add(maxStaleReadDelay + staleReadTimeout)
 	}
-	n.configWatcher.RestartWatch(configPollInterval) // a long watch over a dead connection would not return
+	n.configWatcher.RestartWatch(n.configTiming.pollInterval) // a long watch over a dead connection would not return
 	select {
 	case n.configSync.newerVersion <- struct{}{}:
 	default: // the last one is still to be handled
--- a/rudder/relaynode/config_sync_test.go
+++ b/rudder/relaynode/config_sync_test.go
@@ -22,11 +22,12 @@
 )
 
 // followingNode is a node that relies on two peers, which come before it by name, for the configuration. It has version 1,
-// confirmed now.
+// confirmed now. The peers are heard all the time; whether the object API answers them, hasAnswers tells.
 type followingNode struct {
 	*node
 	staleReads   atomic.Int64
 	staleVersion atomic.Int64 // version that GetStale returns
+	hasAnswers   atomic.Bool
 }
 
 func startFollowingNode(t *testing.T) *followingNode {
@@ -37,8 +38,9 @@
 	f := &followingNode{node: &node{
 		settings: Settings{Node: "n2"}, log: slog.New(slog.DiscardHandler), logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, "n2"),
 		currentConfig: traffic.NewCurrentConfig(), relay: &relay.Server{StalenessLimits: relay.StalenessLimits{Send: 4 * time.Second}},
-		configSync: configSync{newerVersion: make(chan struct{}, 1)}, configWatcher: &objectapi.Watcher{},
+		configSync: configSync{newerVersion: make(chan struct{}, 1)}, configTiming: newConfigTiming(0), configWatcher: &objectapi.Watcher{},
 	}}
+	f.hasAnswers.Store(true)
 	f.currentConfig.Apply(&traffic.Config{Version: 1})
 	f.currentConfig.ConfirmNewest(1, boottime.Now())
 	f.platform = Platform{
@@ -62,7 +64,13 @@
 	}
 	conn, address := listen()
 	digestOf := func(name string) func() mesh.Digest {
-		return func() mesh.Digest { return mesh.Digest{Node: name, Incarnation: 1, State: mesh.Ready} }
+		return func() mesh.Digest {
+			d := mesh.Digest{Node: name, Incarnation: 1, State: mesh.Ready, BootClockMillis: time.Duration(boottime.Now()).Milliseconds()}
+			if f.hasAnswers.Load() {
+				d.ConfigAnswerAgeMillis = 1
+			}
+			return d
+		}
 	}
 	f.mesh = mesh.New(address, nil, digestOf("n2"), func(*mesh.Member) {}, slog.New(slog.DiscardHandler))
 	tasks.Go(func() { f.mesh.Run(ctx, conn) })
@@ -72,7 +80,9 @@
 		tasks.Go(func() { peer.Run(ctx, peerConn) })
 	}
 	tasks.Go(func() { f.readNewerConfigs(ctx) })
-	waitFor(t, 30*time.Second, "the node hears from both peers", func() bool { return f.countPrecedingByName() == 2 })
+	waitFor(t, 30*time.Second, "the node hears that both peers get answers", func() bool {
+		return f.countPrecedingByName() == 2 && f.pollerView().second > 0
+	})
 	return f
 }
 
@@ -98,6 +108,27 @@
 	}
 }
 
+// Guards against nodes that rely on pollers which have lost the object API and are still heard. The next node must poll in their place,
+// and must not take its own answer for a sign that others poll.
+func TestNodePollsWhilePollersGetNoAnswers(t *testing.T) {
+	f := startFollowingNode(t)
+	if !f.isConfigWatchSuspended() {
+		t.Fatal("node watches the configuration while peers poll it")
+	}
+	f.hasAnswers.Store(false)
+	waitFor(t, 30*time.Second, "the node polls", func() bool {
+		f.currentConfig.ConfirmNewest(1, boottime.Now()) // peers that are behind go on confirming
+		return !f.isConfigWatchSuspended()
+	})
+	f.recordConfigAnswer(boottime.Now(), objectapi.Version{Number: 1})
+	f.currentConfig.ConfirmNewest(1, boottime.Now())
+	if f.isConfigWatchSuspended() {
+		t.Error("node stops polling after its own answer")
+	}
+	f.hasAnswers.Store(true)
+	waitFor(t, 30*time.Second, "the node relies on its peers again", f.isConfigWatchSuspended)
+}
+
 // A read that may return old data can miss the newer configuration. The node must then ask for the newest.
 func TestOldConfigurationIsNotAccepted(t *testing.T) {
 	f := startFollowingNode(t)
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -81,6 +81,7 @@
 	leases        *lease.Manager
 	configWatcher *objectapi.Watcher
 	configSync    configSync
+	configTiming  configTiming
 	registry      *registrySync
 	streamRecords *streamRecords
 	storeHistory  storeHistory
@@ -157,7 +158,7 @@
 	n := &node{
 		settings: s, platform: platform, logger: logger, log: logger.Part("node"),
 		currentConfig: traffic.NewCurrentConfig(), startedAt: boottime.Now(), incarnation: time.Now().UnixMilli(),
-		configSync: configSync{newerVersion: make(chan struct{}, 1)},
+		configSync: configSync{newerVersion: make(chan struct{}, 1)}, configTiming: newConfigTiming(s.ConfigBound),
 	}
 	n.resourceLimits = resource.LimitsOf(s.MemoryLimitBytes, s.MaxDescriptors)
 	n.resources = resource.NewAccount(n.resourceLimits.Bytes, logger.Part("resource"))
@@ -210,7 +211,7 @@
 		Store: n.platform.Store, Prefix: path.Dir(n.platform.ConfigKey) + "/", Log: n.logger.Part("config"),
 		OnList:       n.applyConfigListing,
 		OnChange:     func(e objectapi.Event) { n.applyStoredConfig(e.Object) },
-		OnSync:       n.confirmConfig,
+		OnSync:       n.recordConfigAnswer,
 		WatchTimeout: n.configWatchTimeout, IsSuspended: n.isConfigWatchSuspended,
 	}
 	tasks := []func(context.Context){
@@ -241,15 +242,17 @@
 		UsageFinalThrough: n.usageCounter.FinalThrough(), ServerPaces: n.backends.TakePaceReport(), QuotaNodes: n.quotas.KnownNodes(),
 	}
 	d.ServerVersions = versionsByID(d.Registry.Changes)
+	// The ages are read before the version that they belong to: a newer one that is applied in between makes them look older.
+	d.ConfigAnswerAgeMillis = n.configAnswerAgeMillis()
+	if confirmedAt := n.currentConfig.ConfirmedAt(); confirmedAt > 0 {
+		d.ConfirmationAgeMillis = boottime.Since(confirmedAt).Milliseconds()
+	}
 	if n.rollouts != nil {
 		d.Rollouts, d.RolloutCallAgeMillis = n.rollouts.reports(), n.rollouts.callAgeMillis()
 	}
 	if config := n.currentConfig.Config(); config != nil {
 		d.ConfigVersion = config.Version
 	}
-	if confirmedAt := n.currentConfig.ConfirmedAt(); confirmedAt > 0 {
-		d.ConfirmationAgeMillis = boottime.Since(confirmedAt).Milliseconds()
-	}
 	return d
 }
 
@@ -329,7 +332,7 @@
 // needsShortInterval reports whether other nodes rely on the digests of this one: to follow the registry and to know that
 // the configuration is the newest, and, where summaries would tell it late, who holds the duty lease.
 func (n *node) needsShortInterval() bool {
-	return n.mustProveConfig() && !n.isConfigWatchSuspended() || n.registry.isWatching() || n.holdsDutyLease.Load() && n.mesh.UsesSummaries()
+	return n.isConfigPoller() || n.registry.isWatching() || n.holdsDutyLease.Load() && n.mesh.UsesSummaries()
 }
 
 // handleDigest updates this node's knowledge of its peers from a digest, which may be an urgent or a brief one.
--- a/rudder/relaynode/settings.go
+++ b/rudder/relaynode/settings.go
@@ -39,6 +39,7 @@
 	MaxAddressLifetime time.Duration // longest time that callers keep addresses
 
 	RevocationBound time.Duration // after the revocation of a key, when no request with it may run any more; 0 means no bound
+	ConfigBound     time.Duration // after the acknowledgement of a configuration, when it must be in force at all nodes; 0 means defaultConfigBound
 	RetryFraction   float64       // retries of all nodes for each request for a service
 	RetryBurst      float64       // retries of all nodes beyond that
 	QuotaTolerance  quota.Tolerance
