Let pollers of the configuration contend for the duty lease

What could happen: with the first three nodes by name cut off from the store and still heard, nobody took the lease of the duties until they were back: no usage reports, no orders of runners, no step of a rollout.

Cause: contenders were chosen by name alone.

Change: a node that polls the configuration in the place of others gets answers of the object API, and contends too, unless a holder is heard. With the first nodes sound these are the same nodes, so that no calls are added. shouldContend is split into hasLeaseHolder and isFirstContender; TestFewNodesContendWhileNoneIsReady checks the same by them.

Evidence: with the choice by name alone, TestPollerContendsWhileFirstNodesGetNoAnswers times out after 30 s; now it passes.

--- a/rudder/relaynode/config_sync_test.go
+++ b/rudder/relaynode/config_sync_test.go
@@ -21,7 +21,7 @@
 	"chestnutrudder.example/rudder/traffic"
 )
 
-// followingNode is a node that relies on two peers, which come before it by name, for the configuration. It has version 1,
+// followingNode is a node that relies on some peers, which come before it by name, for the configuration. It has version 1,
 // confirmed now. The peers are heard all the time; whether the object API answers them, hasAnswers tells.
 type followingNode struct {
 	*node
@@ -30,13 +30,14 @@
 	hasAnswers   atomic.Bool
 }
 
-func startFollowingNode(t *testing.T) *followingNode {
+func startFollowingNode(t *testing.T, peers int) *followingNode {
 	t.Helper()
+	name := fmt.Sprintf("n%d", peers)
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	t.Cleanup(func() { cancel(); tasks.Wait() })
 	f := &followingNode{node: &node{
-		settings: Settings{Node: "n2"}, log: slog.New(slog.DiscardHandler), logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, "n2"),
+		settings: Settings{Node: name}, log: slog.New(slog.DiscardHandler), logger: telemetry.NewLogger(io.Discard, slog.LevelInfo, name),
 		currentConfig: traffic.NewCurrentConfig(), relay: &relay.Server{StalenessLimits: relay.StalenessLimits{Send: 4 * time.Second}},
 		configSync: configSync{newerVersion: make(chan struct{}, 1)}, configTiming: newConfigTiming(0), configWatcher: &objectapi.Watcher{},
 	}}
@@ -72,16 +73,16 @@
 			return d
 		}
 	}
-	f.mesh = mesh.New(address, nil, digestOf("n2"), func(*mesh.Member) {}, slog.New(slog.DiscardHandler))
+	f.mesh = mesh.New(address, nil, digestOf(name), func(*mesh.Member) {}, slog.New(slog.DiscardHandler))
 	tasks.Go(func() { f.mesh.Run(ctx, conn) })
-	for _, name := range []string{"n0", "n1"} {
+	for i := range peers {
 		peerConn, peerAddress := listen()
-		peer := mesh.New(peerAddress, []string{address}, digestOf(name), func(*mesh.Member) {}, slog.New(slog.DiscardHandler))
+		peer := mesh.New(peerAddress, []string{address}, digestOf(fmt.Sprintf("n%d", i)), func(*mesh.Member) {}, slog.New(slog.DiscardHandler))
 		tasks.Go(func() { peer.Run(ctx, peerConn) })
 	}
 	tasks.Go(func() { f.readNewerConfigs(ctx) })
-	waitFor(t, 30*time.Second, "the node hears that both peers get answers", func() bool {
-		return f.countPrecedingByName() == 2 && f.pollerView().second > 0
+	waitFor(t, 30*time.Second, "the node hears that its peers get answers", func() bool {
+		return f.countPrecedingByName() == peers && f.pollerView().second > 0
 	})
 	return f
 }
@@ -89,7 +90,7 @@
 // Pattern: the configuration changes while hundreds of nodes watch it. A watch at each node costs one call of each node for
 // each change. Nodes that rely on pollers must not call, and must take a newer configuration from a cheap read.
 func TestNewerConfigurationOfPeerIsReadWithoutWatch(t *testing.T) {
-	f := startFollowingNode(t)
+	f := startFollowingNode(t, configPollers)
 	f.currentConfig.ConfirmNewest(1, boottime.Now())
 	if !f.isConfigWatchSuspended() {
 		t.Fatal("node watches the configuration while peers confirm it")
@@ -111,7 +112,7 @@
 // Guards against nodes that rely on pollers which have lost the object API and are still heard. The next node must poll in their place,
 // and must not take its own answer for a sign that others poll.
 func TestNodePollsWhilePollersGetNoAnswers(t *testing.T) {
-	f := startFollowingNode(t)
+	f := startFollowingNode(t, configPollers)
 	if !f.isConfigWatchSuspended() {
 		t.Fatal("node watches the configuration while peers poll it")
 	}
@@ -131,7 +132,7 @@
 
 // A read that may return old data can miss the newer configuration. The node must then ask for the newest.
 func TestOldConfigurationIsNotAccepted(t *testing.T) {
-	f := startFollowingNode(t)
+	f := startFollowingNode(t, configPollers)
 	f.staleVersion.Store(1)
 	f.noteConfigVersion(2)
 	waitFor(t, 30*time.Second, "the node watches the configuration", func() bool {
@@ -183,7 +184,7 @@
 // An object API that was restored from an older copy returned an older configuration, and its answers confirmed the one in
 // force for ever: a newer one, with a revoked key, had been lost, and nobody asked for it.
 func TestRestoredConfigurationConfirmsNothing(t *testing.T) {
-	f := startFollowingNode(t)
+	f := startFollowingNode(t, configPollers)
 	listing := func(epoch int64, version int64) objectapi.Listing {
 		return objectapi.Listing{
 			Revision: objectapi.Version{Epoch: epoch, Number: 10},
@@ -232,7 +233,7 @@
 		"first start, cut off":      {isRunning: true, isFirstStart: true},
 	} {
 		for peerVersion, wantConfirmed := range map[int64]bool{8: false, 5: true} {
-			f := startFollowingNode(t)
+			f := startFollowingNode(t, configPollers)
 			f.settings.IsFirstStart = c.isFirstStart
 			answer := func(epoch int64) (sentAt boottime.Instant) {
 				sentAt = boottime.Now()
@@ -278,7 +279,7 @@
 		{name: "not restored lately", epochAge: time.Hour, want: true},
 		{name: "first start", isFirstStart: true, want: true},
 	} {
-		f := startFollowingNode(t)
+		f := startFollowingNode(t, configPollers)
 		f.settings.IsFirstStart = c.isFirstStart
 		answer := func() bool {
 			sentAt := boottime.Now()
@@ -311,7 +312,7 @@
 
 // Guards against records that were read before a restore and that settle the epoch after it.
 func TestAnswerOfALaterEpochThanTheRecordsIsHeld(t *testing.T) {
-	f := startFollowingNode(t)
+	f := startFollowingNode(t, configPollers)
 	f.storeHistory.load(1, []epochRecord{{Epoch: 1, SinceUnixMillis: 1}}, false)
 	confirmedBefore := f.currentConfig.ConfirmedAt()
 	f.applyConfigListing(objectapi.Listing{Objects: []objectapi.Object{{Key: "config/main", Value: json.RawMessage("5")}}}, boottime.Now())
@@ -327,7 +328,7 @@
 // A node that started after the object API was restored put the older configuration of the copy in force, and answered 404 for
 // routes that were in force at all other nodes.
 func TestNodeWithLostConfigurationIsNotReady(t *testing.T) {
-	f := startFollowingNode(t)
+	f := startFollowingNode(t, configPollers)
 	f.backends = backend.NewTable(time.Second, slog.New(slog.DiscardHandler))
 	f.backends.Replace(nil)
 	answer := func(epoch, version int64) {
@@ -363,7 +364,7 @@
 // A node stayed unready for good when it got the newer configuration by a read for a peer's version and made no call of its own
 // afterwards.
 func TestNodeIsReadyOnceItHasTheNewerConfiguration(t *testing.T) {
-	f := startFollowingNode(t)
+	f := startFollowingNode(t, configPollers)
 	f.backends = backend.NewTable(time.Second, slog.New(slog.DiscardHandler))
 	f.backends.Replace(nil)
 	f.setStoredVersion(1)
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,25 +38,32 @@
 	unregisterTimeout = 300 * time.Millisecond
 )
 
-// isLeaseContender reports whether this node should contend for the duty lease.
+// isLeaseContender reports whether this node should contend for the duty lease. The first nodes by name may have lost the object
+// API, unlike those that poll the configuration in their place.
 func (n *node) isLeaseContender(string) bool {
-	return !n.isDraining.Load() && shouldContend(n.settings.Node, n.mesh.ReachableMembers(), boottime.Now())
+	peers, now := n.mesh.ReachableMembers(), boottime.Now()
+	if n.isDraining.Load() || hasLeaseHolder(peers, now) {
+		return false
+	}
+	return isFirstContender(n.settings.Node, peers) || n.isConfigPoller()
+}
+
+// hasLeaseHolder reports whether a peer has told lately that it holds the duty lease.
+func hasLeaseHolder(peers []*mesh.Member, now boottime.Instant) bool {
+	return slices.ContainsFunc(peers, func(m *mesh.Member) bool { return m.HoldsDutyLease && now.Sub(m.SentAt) < leaseHolderTimeout })
 }
 
-// shouldContend reports whether a node should read the duty lease in order to take it: no peer reported recently that it
-// holds the lease, and the node is among the first by name. Nodes that are not ready count too: the time for which they
-// have to see the lease unchanged passes meanwhile, and while the object API is down no node is ready.
-func shouldContend(node string, peers []*mesh.Member, now boottime.Instant) bool {
-	precedingNodes := 0
+// isFirstContender reports whether a node is among the first by name, which contend for the duty lease. Nodes that are not ready
+// count too: the time for which they have to see the lease unchanged passes meanwhile, and while the object API is down no node is
+// ready.
+func isFirstContender(node string, peers []*mesh.Member) bool {
+	preceding := 0
 	for _, m := range peers {
-		if m.HoldsDutyLease && now.Sub(m.SentAt) < leaseHolderTimeout {
-			return false
-		}
 		if m.State != mesh.Draining && m.Node < node {
-			precedingNodes++
+			preceding++
 		}
 	}
-	return precedingNodes < maxContenders
+	return preceding < maxContenders
 }
 
 // runDuties performs the duties until the lease is lost or ctx ends.
--- a/rudder/relaynode/duties_test.go
+++ b/rudder/relaynode/duties_test.go
@@ -24,7 +24,7 @@
 	contenders := 0
 	for i, m := range members[1:] {
 		peers := append(append([]*mesh.Member{}, members[:i+1]...), members[i+2:]...)
-		if shouldContend(m.Node, peers, now) {
+		if !hasLeaseHolder(peers, now) && isFirstContender(m.Node, peers) {
 			contenders++
 		}
 	}
@@ -32,14 +32,29 @@
 		t.Errorf("%d nodes contend for the lease, want %d", contenders, maxContenders)
 	}
 	members[8].HoldsDutyLease = true
-	if shouldContend("n1", members, now) {
+	if !hasLeaseHolder(members, now) {
 		t.Error("node n1 contends for the lease while a peer holds it")
 	}
-	if !shouldContend("n1", members, now.Add(2*time.Second)) {
+	if hasLeaseHolder(members, now.Add(2*time.Second)) || !isFirstContender("n1", members) {
 		t.Error("node n1 does not contend for the lease 2 s after the last digest of its holder")
 	}
 }
 
+// Guards against duties that nobody does while the first nodes by name have lost the object API and are still heard.
+func TestPollerContendsWhileFirstNodesGetNoAnswers(t *testing.T) {
+	f := startFollowingNode(t, maxContenders)
+	if f.isLeaseContender(dutyLeaseName) {
+		t.Fatal("node contends for the lease while others before it get answers")
+	}
+	f.hasAnswers.Store(false)
+	waitFor(t, 30*time.Second, "the node polls and contends for the lease", func() bool {
+		if !f.isConfigWatchSuspended() {
+			f.recordConfigAnswer(boottime.Now(), objectapi.Version{Number: 1})
+		}
+		return f.isLeaseContender(dutyLeaseName)
+	})
+}
+
 // The store came back from a copy without the record of a node, which was not written again: a node that starts would not find
 // the others.
 func TestNodeRecordIsWrittenAgainAfterRestore(t *testing.T) {
