--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -46,7 +46,7 @@
 	placement *backend.Placement
 	forwarder *forwarder
 	conn      *upstream.Conn
-	body      *endNotingBody // of the response; nil if it has none
+	body      *trackedBody // of the response; nil if it has none
 	cancel    context.CancelFunc
 
 	sentAt       boottime.Instant // when the sending began
@@ -110,7 +110,7 @@
 		return attemptResult{isSent: true, isTimeout: isTimeout(err), backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
 	if response.Body != http.NoBody {
-		a.body = &endNotingBody{ReadCloser: response.Body}
+		a.body = &trackedBody{ReadCloser: response.Body}
 		response.Body = a.body
 	}
 	r := a.handleResponse(parent, response)
@@ -178,13 +178,13 @@
 	return a.body == nil || a.body.hasEnded
 }
 
-// endNotingBody notes whether a body was read to its end.
-type endNotingBody struct {
+// trackedBody records whether a body was read to its end.
+type trackedBody struct {
 	io.ReadCloser
 	hasEnded bool
 }
 
-func (b *endNotingBody) Read(p []byte) (int, error) {
+func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.hasEnded = b.hasEnded || err == io.EOF
 	return n, err
--- a/rudder/relay/large_failure_test.go
+++ b/rudder/relay/large_failure_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 )
 
@@ -20,15 +19,7 @@
 				t.Run(fmt.Sprintf("%s/%v/all fail %t", path, f, allFail), func(t *testing.T) {
 					t.Parallel()
 					h := newHarness(t)
-					var runs atomic.Int64
-					for _, name := range []string{"a", "b"} {
-						h.backendServer(name, func(conn net.Conn, r *http.Request) bool {
-							if runs.Add(1) > 1 && !allFail {
-								return succeed(conn, r)
-							}
-							return f.send(conn, r)
-						})
-					}
+					runs := h.failingServers(f, allFail)
 					got := h.get(path)
 					wantRuns := int64(1)
 					if isRepeatable {
--- a/rudder/relay/not_run_status_test.go
+++ b/rudder/relay/not_run_status_test.go
@@ -70,6 +70,22 @@
 	return list
 }
 
+// failingServers adds two backend servers. The first request that reaches one of them gets the response f, later ones too if allFail
+// is set; otherwise these succeed. It returns the number of requests that reached them.
+func (h *harness) failingServers(f failure, allFail bool) *atomic.Int64 {
+	h.t.Helper()
+	var requests atomic.Int64
+	for _, name := range []string{"a", "b"} {
+		h.backendServer(name, func(conn net.Conn, r *http.Request) bool {
+			if requests.Add(1) > 1 && !allFail {
+				return succeed(conn, r)
+			}
+			return f.send(conn, r)
+		})
+	}
+	return &requests
+}
+
 // Guards against an answer which says that a request has not run although a server has run it, so that its caller sends it again
 // and it takes effect twice: the status alone decides, whatever the body, its framing and its end are.
 func TestStatusThatDeniesTheRunIsNotForwarded(t *testing.T) {
@@ -80,15 +96,7 @@
 				t.Run(fmt.Sprintf("%s/%v/all fail %t", path, f, allFail), func(t *testing.T) {
 					t.Parallel()
 					h := newHarness(t)
-					var runs atomic.Int64
-					for _, name := range []string{"a", "b"} {
-						h.backendServer(name, func(conn net.Conn, r *http.Request) bool {
-							if runs.Add(1) > 1 && !allFail {
-								return succeed(conn, r)
-							}
-							return f.send(conn, r)
-						})
-					}
+					runs := h.failingServers(f, allFail)
 					wantStatus, wantRuns := http.StatusBadGateway, int64(1)
 					if isRepeatable {
 						wantRuns = 2
@@ -169,15 +177,7 @@
 			t.Run(f.String(), func(t *testing.T) {
 				t.Parallel()
 				h := newHarness(t)
-				var sends atomic.Int64
-				for _, name := range []string{"a", "b"} {
-					h.backendServer(name, func(conn net.Conn, r *http.Request) bool {
-						if sends.Add(1) > 1 {
-							return succeed(conn, r)
-						}
-						return f.send(conn, r)
-					})
-				}
+				sends := h.failingServers(f, false)
 				wantStatus, wantSends := http.StatusBadGateway, int64(1)
 				if c.isRefusal {
 					wantStatus, wantSends = http.StatusOK, 2
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -125,13 +125,15 @@
 	view := n.pollerView()
 	mustPoll := n.configTiming.mustPoll(view, boottime.Now())
 	n.configSync.mu.Lock()
-	hasChanged := n.configSync.isPolling != mustPoll
 	n.configSync.isPolling = mustPoll
-	calledAt, answeredAt := n.configSync.calledAt, n.configSync.answeredAt
-	wantedVersion, staleReadUntil := n.configSync.wantedVersion, n.configSync.staleReadUntil
+	calledAt, wantedVersion, staleReadUntil := n.configSync.calledAt, n.configSync.wantedVersion, n.configSync.staleReadUntil
 	n.configSync.mu.Unlock()
-	if hasChanged {
-		n.log.Info("The part of this node in polling the configuration has changed.", "polls", mustPoll, "preceding_nodes", view.preceding,
+	if mustPoll != view.isPolling {
+		message := "This node relies on peers that poll the configuration."
+		if mustPoll {
+			message = "This node polls the configuration."
+		}
+		n.log.Info(message, "preceding_nodes", view.preceding,
 			"newest_answer_ms", ageMillis(view.newest), "second_answer_ms", ageMillis(view.second), "own_answer_ms", ageMillis(view.own))
 	}
 	config := n.currentConfig.Config()
@@ -144,7 +146,7 @@
 		return false
 	case !mustPoll && !isProofOld:
 		return true
-	case mustPoll && answeredAt >= calledAt:
+	case mustPoll && view.own >= calledAt:
 		return false // the object API answers this node
 	}
 	return boottime.Since(calledAt) < outageCallInterval(view.preceding)
