Answer 502 when a request is cancelled while its response arrives

Cause: requests with a revoked key that wait for a response are cancelled, which resets their connections. A response whose head had been read by then but not been handled was forwarded as far as it was read, and cut.

Evidence: without the change, TestRequestCancelledWhenItsResponseArrivesIsAnswered gets 200 and a cut body on both kinds of event streams.

Change: an event stream or a long response is not begun for a request that was cancelled meanwhile; its caller gets 502.

Result: go test -race ./rudder/relay passes.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -53,6 +53,7 @@
 	headAt       boottime.Instant // when the head of a response that is not a refusal came; 0 if none came
 	firstEventAt boottime.Instant // of the stream; 0 if none came
 	progressAt   boottime.Instant // when the server last sent a head or a whole event; at first sentAt
+	isCancelled  bool             // WatchWaitingRequests gave the attempt up when its response arrived; its connection is being reset
 	isSilent     bool             // the server was silent for too long, but the request could not go elsewhere
 	hasReadLate  bool             // bytes were read after the present read timeout had expired
 }
@@ -209,6 +210,9 @@
 	return found
 }
 
+// cancelledResult is the result of an attempt whose response would be cut after its head, so that nothing of it is forwarded.
+var cancelledResult = attemptResult{backendResult: backend.ResultInconclusive, reason: "request was cancelled when its response arrived"}
+
 // resultUnlessCancelled returns r, or ResultInconclusive if the caller disconnected or the deadline passed, so that the
 // failure is not attributed to the backend server.
 func (a *attempt) resultUnlessCancelled(ctx context.Context, r backend.Result) backend.Result {
@@ -232,7 +236,7 @@
 		}
 		return attemptResult{isKnownNotRun: true, isPaused: isPaused, backendResult: backend.ResultRejected, reason: "backend server refused the request with status " + strconv.Itoa(response.StatusCode)}
 	}
-	a.removeAwaitingResponse()
+	a.isCancelled = !a.removeAwaitingResponse()
 	a.headAt = boottime.Now()
 	a.progressAt = a.headAt
 	a.placement.RecordFirstByte()
@@ -337,6 +341,9 @@
 // forwardLarge forwards a response that exceeds maxBufferedBytes; buffered is the part of its body that was read already. If
 // the rest fails, the result is partial.
 func (a *attempt) forwardLarge(ctx context.Context, response *http.Response, buffered []byte, isSuccess bool) attemptResult {
+	if a.isCancelled {
+		return cancelledResult
+	}
 	f := a.forwarder
 	limit := f.server.MaxResponseBytes
 	if limit == 0 {
@@ -388,6 +395,9 @@
 // forwardStream forwards events as they arrive. The head is sent with the first complete event, so that a stream that breaks
 // before can be started again on another server.
 func (a *attempt) forwardStream(ctx context.Context, response *http.Response) attemptResult {
+	if a.isCancelled {
+		return cancelledResult
+	}
 	f := a.forwarder
 	reader := &eventReader{source: response.Body, requestIDHeader: a.server.Dialect.RequestID, memory: a.server.newMemoryAccount()}
 	defer reader.memory.release()
