End the first watches when answers are held no more

Cause: a node that has just started holds answers until a peer was heard or 0.75 s are over.

Change: while answers are held, a watch waits until that is over.

Evidence: TestWatchEndsWhenAnswersAreHeldNoMore.

--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -31,6 +31,8 @@
 	// peerWait is how long a node waits for a peer that may know a newer configuration than the object API, after the first
 	// answer of an object API that may have been restored from an older copy. Peers send several digests in this time.
 	peerWait = 750 * time.Millisecond
+	// afterHold is how much longer a watch waits than answers are held.
+	afterHold = 10 * time.Millisecond
 )
 
 // configSync decides when this node asks the object API for the configuration. Each call is paid for.
@@ -67,6 +69,9 @@
 	defer n.configSync.mu.Unlock()
 	now := boottime.Now()
 	wait := n.configTiming.watchWait(n.configSync.answeredAt, n.configSync.calledAt, now)
+	if held := n.configSync.heldAnswer; held.sentAt > 0 && now < n.configSync.holdUntil {
+		wait = n.configSync.holdUntil.Sub(now) + afterHold // an answer before that would be held, too
+	}
 	n.configSync.calledAt = now
 	if n.mustProveConfig() || config != nil && n.configSync.wantedVersion > config.Version {
 		return wait
--- a/rudder/relaynode/config_sync_test.go
+++ b/rudder/relaynode/config_sync_test.go
@@ -379,3 +379,18 @@
 		t.Errorf("node with the configuration of its peer is not ready: %s", reason)
 	}
 }
+
+// Guards against nodes that refuse requests for longer than they must after a start of all nodes: an answer that came shortly before the
+// end of the time in which answers are held was held as well, and the next one came a whole poll interval later.
+func TestWatchEndsWhenAnswersAreHeldNoMore(t *testing.T) {
+	f := startFollowingNode(t, configPollers)
+	f.configSync.holdUntil = boottime.Now().Add(time.Hour)
+	f.configSync.heldAnswer = answer{sentAt: boottime.Now()}
+	if wait := f.configWatchTimeout(); wait <= 59*time.Minute || wait > time.Hour+afterHold {
+		t.Errorf("watch waits %s while answers are held for an hour, want until then", wait)
+	}
+	f.configSync.heldAnswer = answer{}
+	if wait := f.configWatchTimeout(); wait > f.configTiming.pollInterval {
+		t.Errorf("watch waits %s after an answer that is not held, want %s at most", wait, f.configTiming.pollInterval)
+	}
+}
