Share the count of preceding nodes and the view of pollers

Reading the change once more: the loop that counts the nodes before one by name stood in countPrecedingByName and isFirstContender, and the simulation had a copy of how a poller view is put together. countPreceding and pollerView.addPreceding serve both now; behaviour and assertions are unchanged.

Measured: go vet and the tests of rudder/relaynode on configuration, polling, lease, watch and rollouts pass with -race.

--- a/rudder/relaynode/config_polling.go
+++ b/rudder/relaynode/config_polling.go
@@ -62,6 +62,16 @@
 	isPolling bool             // this node polls since its turn has come
 }
 
+// addPreceding adds a node that comes before this one, with the latest answer to it.
+func (v *pollerView) addPreceding(answeredAt boottime.Instant) {
+	v.preceding++
+	if answeredAt > v.newest {
+		v.newest, v.second = answeredAt, v.newest
+	} else if answeredAt > v.second {
+		v.second = answeredAt
+	}
+}
+
 // mustPoll reports whether a node polls the configuration. A node counts as a poller by the age of its last answer, not by its
 // name: one that has lost the object API is still heard by its peers. While one of the pollers is missing, the next node takes its
 // place; while all are, the following ones begin one after the other, the last one maxTurnDelay later.
@@ -110,13 +120,8 @@
 		if m.State == mesh.Draining || m.Node >= n.settings.Node {
 			continue
 		}
-		v.preceding++
 		answeredAt, _ := m.ConfigAnsweredAt()
-		if answeredAt > v.newest {
-			v.newest, v.second = answeredAt, v.newest
-		} else if answeredAt > v.second {
-			v.second = answeredAt
-		}
+		v.addPreceding(answeredAt)
 	}
 	n.configSync.mu.Lock()
 	defer n.configSync.mu.Unlock()
--- a/rudder/relaynode/config_polling_test.go
+++ b/rudder/relaynode/config_polling_test.go
@@ -105,16 +105,9 @@
 }
 
 func (s *pollSystem) view(n *pollNode) pollerView {
-	v := pollerView{nodes: len(s.nodes), preceding: n.index, own: n.answeredAt, isPolling: n.isPolling}
-	for i, at := range n.answers {
-		if i >= n.index {
-			continue
-		}
-		if at > v.newest {
-			v.newest, v.second = at, v.newest
-		} else if at > v.second {
-			v.second = at
-		}
+	v := pollerView{nodes: len(s.nodes), own: n.answeredAt, isPolling: n.isPolling}
+	for i := range n.index {
+		v.addPreceding(n.answers[i])
 	}
 	return v
 }
--- a/rudder/relaynode/config_sync.go
+++ b/rudder/relaynode/config_sync.go
@@ -112,9 +112,14 @@
 // countPrecedingByName returns how many nodes come before this one by name. Nodes that are not ready count too: while the
 // object API is down none is, and if all nodes then took the place of the first ones, all would call it.
 func (n *node) countPrecedingByName() int {
+	return countPreceding(n.settings.Node, n.mesh.ReachableMembers())
+}
+
+// countPreceding returns how many of the peers come before a node by name and do not leave.
+func countPreceding(node string, peers []*mesh.Member) int {
 	count := 0
-	for _, m := range n.mesh.ReachableMembers() {
-		if m.State != mesh.Draining && m.Node < n.settings.Node {
+	for _, m := range peers {
+		if m.State != mesh.Draining && m.Node < node {
 			count++
 		}
 	}
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -57,13 +57,7 @@
 // count too: the time for which they have to see the lease unchanged passes meanwhile, and while the object API is down no node is
 // ready.
 func isFirstContender(node string, peers []*mesh.Member) bool {
-	preceding := 0
-	for _, m := range peers {
-		if m.State != mesh.Draining && m.Node < node {
-			preceding++
-		}
-	}
-	return preceding < maxContenders
+	return countPreceding(node, peers) < maxContenders
 }
 
 // runDuties performs the duties until the lease is lost or ctx ends.
