--- a/review/rig-3/runner.go
+++ b/review/rig-3/runner.go
@@ -23,7 +23,24 @@
 	lines                               chan string
 
 	mu   sync.Mutex
-	runs []string
+	runs []run
+}
+
+// run is a request that a runner began to run.
+type run struct {
+	attempt, tenant string
+	at              time.Time
+}
+
+// runs returns what all runners of the script have run.
+func (s *system) runs() []run {
+	var list []run
+	for _, r := range s.runners {
+		r.mu.Lock()
+		list = append(list, r.runs...)
+		r.mu.Unlock()
+	}
+	return list
 }
 
 // startRunner starts a runner on an address, port 0 for a free one, and waits until it listens. args are further flags of
@@ -54,9 +71,14 @@
 		for scanner.Scan() {
 			line := scanner.Text()
 			s.record.printf("runner %s: %s", id, line)
-			r.mu.Lock()
-			r.runs = append(r.runs, line)
-			r.mu.Unlock()
+			var begun run
+			var after int
+			if _, err := fmt.Sscanf(line, "runs %s after event %d for tenant %q", &begun.attempt, &after, &begun.tenant); err == nil {
+				begun.at = time.Now()
+				r.mu.Lock()
+				r.runs = append(r.runs, begun)
+				r.mu.Unlock()
+			}
 		}
 		_ = r.command.Wait()
 		close(r.exited)
--- a/review/rig-3/versions.go
+++ b/review/rig-3/versions.go
@@ -63,7 +63,6 @@
 				return nil, err
 			}
 			rec.printf("runner %s has started again with version v2", r.id)
-			time.Sleep(100 * time.Millisecond)
 		}
 	}
 	group.Wait()
