review: case 14, a usage window is reported twice after a cut, a kill and a restore

Takes the place of the case of a runner that restarts as another version, which review/8 shows already.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Plays the case restart-as-other-version; see claim.txt. TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build-3.sh.
+# Plays the case usage-reported-twice; see claim.txt. TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/rudderd bin/review-3; do
 	[ -x "$program" ] || { echo "$program is missing" >&2; exit 2; }
 done
-exec bin/review-3 restart-as-other-version review/14/record.txt
+exec bin/review-3 usage-reported-twice review/14/record.txt
--- a/review/rig-3/system.go
+++ b/review/rig-3/system.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +31,7 @@
 	nodes   []*nodeProcess
 	zones   []string
 	runners []*runnerProcess
+	network *cutNetwork // nil if the nodes send their datagrams to each other
 
 	mu         sync.Mutex
 	registered map[string]int // number of registrations by the id of the runner
@@ -64,11 +67,12 @@
 
 // deployment holds what a script chooses of a deployment.
 type deployment struct {
-	nodes    int
-	config   map[string]any
-	memoryMB int
-	cloud    string // address of the cloud API; empty for the stand-in of the project
-	store    string // address of the store as the nodes know it; empty for that of the stand-in
+	nodes         int
+	config        map[string]any
+	memoryMB      int
+	cloud         string // address of the cloud API; empty for the stand-in of the project
+	hasCutNetwork bool
+	store         string // address of the store as the nodes know it; empty for that of the stand-in
 }
 
 // startSystem writes the configuration to the store and starts the nodes. The caller calls close.
@@ -92,6 +96,16 @@
 	for _, n := range s.nodes { // the mesh ports must be the same on all nodes
 		copy(n.ports[3:4], s.nodes[0].ports[3:4])
 	}
+	if d.hasCutNetwork {
+		var addresses []netip.Addr
+		for _, n := range s.nodes {
+			addresses = append(addresses, netip.MustParseAddr(n.ip))
+		}
+		if s.network, err = newCutNetwork(s.nodes[0].ports[3], addresses); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
 	for _, n := range s.nodes {
 		if err := s.startNode(n, d, true); err != nil {
 			s.close()
@@ -138,7 +152,11 @@
 		if i > 0 {
 			seeds.WriteString(", ")
 		}
-		fmt.Fprintf(&seeds, "%q", fmt.Sprintf("%s:%d", seed.ip, seed.ports[4]+1))
+		ip := seed.ip
+		if self := slices.Index(s.nodes, n); s.network != nil && self != i {
+			ip = s.network.addressOf(self, i)
+		}
+		fmt.Fprintf(&seeds, "%q", fmt.Sprintf("%s:%d", ip, seed.ports[4]+1))
 	}
 	return fmt.Sprintf(`node = %q
 role = "relay"
@@ -280,6 +298,9 @@
 	for _, r := range s.runners {
 		r.kill()
 	}
+	if s.network != nil {
+		s.network.close()
+	}
 	s.store.HTTPServer.CloseClientConnections()
 	_ = s.store.HTTPServer.Listener.Close()
 	_ = s.cloud.HTTPServer.Listener.Close()
