--- a/review/rig-3/runner.go
+++ b/review/rig-3/runner.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +19,8 @@
 // runnerProcess is a runner that the script started as a process of its own, so that its end is that of a process.
 type runnerProcess struct {
 	id, service, zone, address, version string
+	born                                int64         // Unix milliseconds of the first registration
+	slowFor                             time.Duration // from then on
 	command                             *exec.Cmd
 	exited                              chan struct{}
 	lines                               chan string
@@ -116,13 +119,33 @@
 // register writes the entry of a runner to the store.
 func (s *system) register(r *runnerProcess, state string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.registered[r.id]++
-	s.mu.Unlock()
+	if r.born == 0 {
+		r.born = time.Now().UnixMilli()
+	}
+	slowLeft := max(r.slowFor-time.Since(time.UnixMilli(r.born)), 0)
 	s.store.Set("servers", r.id, map[string]any{
-		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": 64, "state": state, "coldLeftMs": 0, "callSeq": 1, "born": time.Now().UnixMilli(),
+		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": 64, "state": state, "coldLeftMs": slowLeft.Milliseconds(), "callSeq": 1, "born": r.born,
 	})
 }
 
+// heartbeatInterval is the pause between two writes of a runner.
+const heartbeatInterval = 1200 * time.Millisecond
+
+// sendHeartbeats writes the entry of a runner that starts slowly again and again, as long as it changes, until stop is closed.
+func (s *system) sendHeartbeats(r *runnerProcess, stop <-chan struct{}) {
+	time.Sleep(rand.N(heartbeatInterval))
+	for time.Since(time.UnixMilli(r.born)) < r.slowFor {
+		s.register(r, "ready")
+		select {
+		case <-stop:
+			return
+		case <-time.After(heartbeatInterval):
+		}
+	}
+}
+
 // runRunner is a runner. It answers /brief/ and /ask/ with event streams, and all else with a body of 800 bytes. Its answers have
 // neither a length nor chunks and end with their connections.
 func runRunner(args []string) {
