Log how responses without a length end

Each such response now gives one line with its bytes, the time since the last one, and the result of the probe.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -111,7 +111,7 @@
 		return attemptResult{isSent: true, isTimeout: isTimeout(err), backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
 	if response.Body != http.NoBody {
-		a.body = &trackedBody{ReadCloser: response.Body}
+		a.body = &trackedBody{ReadCloser: response.Body, lastByteAt: boottime.Now()}
 		response.Body = a.body
 	}
 	r := a.handleResponse(parent, response)
@@ -179,14 +179,20 @@
 	return a.body == nil || a.body.hasEnded
 }
 
-// trackedBody records whether a body was read to its end.
+// trackedBody records how much of a body was read, and whether it was read to its end.
 type trackedBody struct {
 	io.ReadCloser
-	hasEnded bool
+	hasEnded   bool
+	bytes      int64
+	lastByteAt boottime.Instant // at first when the head was read
 }
 
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.bytes += int64(n)
+		b.lastByteAt = boottime.Now()
+	}
 	b.hasEnded = b.hasEnded || err == io.EOF
 	return n, err
 }
--- a/rudder/relay/response_end.go
+++ b/rudder/relay/response_end.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"chestnutrudder.example/rudder/boottime"
 )
 
 // This file decides whether a response that ended without an error of its connection or of its framing is complete. The table
@@ -26,12 +28,24 @@
 // connection is also that of a server that crashes or is reclaimed: the response is complete only if the server still runs. A
 // probe of another request may have begun before the end, so that its result is not shared.
 func (a *attempt) endError(response *http.Response) error {
-	if endsWithConnection(response) && !isServerRunning(a.placement.Address) {
+	if !endsWithConnection(response) {
+		return nil
+	}
+	probedAt := boottime.Now()
+	isRunning := isServerRunning(a.placement.Address)
+	a.logUnframedEnd("server_accepts", isRunning, "probe_ms", boottime.Since(probedAt).Milliseconds())
+	if !isRunning {
 		return errEndedWithServer
 	}
 	return nil
 }
 
+// logUnframedEnd logs how a response without a length ended, with what was found out about it.
+func (a *attempt) logUnframedEnd(findings ...any) {
+	a.server.Log.Info("A response without a length ended.", append([]any{"request", a.call.id, "server", a.placement.ID, "send", a.forwarder.sends + 1,
+		"bytes", a.body.bytes, "last_event", a.forwarder.lastEventID, "since_last_byte_ms", boottime.Since(a.body.lastByteAt).Milliseconds()}, findings...)...)
+}
+
 // endProbeWait is how long the end of a response without a length waits for the reset of a probe.
 const endProbeWait = 50 * time.Millisecond
 
