Keep the first error of a connection, whichever call receives it

Cause: the kernel reports the error of a connection once. When a read deadline expires, the relay looks for unread bytes with a peek (HasUnread); after a standstill the peek gets the reset and drops it, and the read after it returns an ordinary end. ETIMEDOUT of TCP_USER_TIMEOUT was lost in the same way. The class: a call on the socket besides the reader takes the error. Until now only writes were guarded. Change: connend.Conn makes all calls on the socket, peeks included (onSilence, the check of pooled connections), keeps the first error and returns it in place of the end.

--- a/rudder/connend/connend_test.go
+++ b/rudder/connend/connend_test.go
@@ -102,3 +102,50 @@
 		t.Errorf("read returned %q, %v, want the whole response and no error", data, err)
 	}
 }
+
+// Guards against a reset that the kernel reports to a look at unread bytes only: the read after it must not return an ordinary end.
+func TestResetReceivedByPeekIsReturnedByRead(t *testing.T) {
+	client, server := pair(t)
+	conn := connend.New(client)
+	if _, err := server.Write([]byte("part")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(conn, make([]byte, len("part"))); err != nil {
+		t.Fatal(err)
+	}
+	if unread := conn.Peek(); unread != connend.UnreadNothing {
+		t.Fatalf("peek returned %d before the reset, want nothing unread", unread)
+	}
+	_ = server.SetLinger(0)
+	server.Close()
+	for deadline := time.Now().Add(20 * time.Second); conn.Peek() != connend.UnreadEnd; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the reset did not arrive")
+		}
+	}
+	if n, err := conn.Read(make([]byte, 1)); n != 0 || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read returned %d bytes, %v, want the reset", n, err)
+	}
+	if err := conn.Err(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("first error %v, want the reset", err)
+	}
+}
+
+// The end of a connection in order and unread bytes are no errors, whoever has looked at them.
+func TestPeekLeavesBytesAndEndInOrder(t *testing.T) {
+	client, server := pair(t)
+	conn := connend.New(client)
+	_, _ = server.Write([]byte("whole"))
+	server.Close()
+	for deadline := time.Now().Add(20 * time.Second); conn.Peek() != connend.UnreadBytes; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the bytes did not arrive")
+		}
+	}
+	if data, err := io.ReadAll(conn); err != nil || string(data) != "whole" {
+		t.Errorf("read returned %q, %v, want the whole response and no error", data, err)
+	}
+	if unread := conn.Peek(); unread != connend.UnreadEnd || conn.Err() != nil {
+		t.Errorf("peek returned %d with first error %v, want the end and no error", unread, conn.Err())
+	}
+}
--- a/rudder/relay/caller_conn.go
+++ b/rudder/relay/caller_conn.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"net"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
+	"chestnutrudder.example/rudder/connend"
 	"chestnutrudder.example/rudder/resource"
 )
 
@@ -39,36 +37,13 @@
 		return true
 	}
 	conn, _ := ctx.Value(callerConnKey{}).(net.Conn)
-	_, hasEnded := peek(conn)
-	return hasEnded
+	unread, _ := connend.Peek(conn)
+	return unread == connend.UnreadEnd
 }
 
-// HasUnread reports whether bytes, or the end of the connection, have arrived and were not read yet. It does not wait.
+// HasUnread reports whether bytes, or the end of the connection, have arrived and were not read yet. It does not wait. It may take the
+// error of the connection, so that later calls see an ordinary end; see connend.Peek.
 func HasUnread(conn net.Conn) bool {
-	hasBytes, hasEnded := peek(conn)
-	return hasBytes || hasEnded
-}
-
-// peek reports without waiting whether unread bytes have arrived on a connection, and whether its end has. Both are false if
-// that cannot be told.
-func peek(conn net.Conn) (hasBytes, hasEnded bool) {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return false, false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false, false
-	}
-	// Control, unlike Read, neither waits for a read that is in progress nor fails after a read deadline.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		hasBytes = n > 0
-		hasEnded = n == 0 && peekErr == nil || peekErr == unix.ECONNRESET
-	})
-	if err != nil {
-		return false, false
-	}
-	return hasBytes, hasEnded
+	unread, _ := connend.Peek(conn)
+	return unread == connend.UnreadBytes || unread == connend.UnreadEnd
 }
--- a/rudder/relay/server_identity_test.go
+++ b/rudder/relay/server_identity_test.go
@@ -30,13 +30,15 @@
 		atAddress func(conn net.Conn, r *http.Request) // answers at the server's address after the end; nil closes the connection
 		want      bool
 	}{
-		"same process":                     {func(conn net.Conn, _ *http.Request) { reportStart(conn, serverStart) }, whole},
-		"same server without a report":     {func(conn net.Conn, r *http.Request) { respond(conn, r, 200, "", "no report") }, whole},
-		"new process with another id":      {refuse, cut},
-		"new process with the same id":     {func(conn net.Conn, _ *http.Request) { reportStart(conn, serverStart+2000) }, cut},
-		"proxy without a server behind it": {func(conn net.Conn, _ *http.Request) { fmt.Fprint(conn, "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n") }, cut},
-		"another protocol":                 {func(conn net.Conn, _ *http.Request) { fmt.Fprint(conn, "220 mail.example\r\n") }, cut},
-		"listener that closes":             {nil, cut},
+		"same process":                 {func(conn net.Conn, _ *http.Request) { reportStart(conn, serverStart) }, whole},
+		"same server without a report": {func(conn net.Conn, r *http.Request) { respond(conn, r, 200, "", "no report") }, whole},
+		"new process with another id":  {refuse, cut},
+		"new process with the same id": {func(conn net.Conn, _ *http.Request) { reportStart(conn, serverStart+2000) }, cut},
+		"proxy without a server behind it": {func(conn net.Conn, _ *http.Request) {
+			fmt.Fprint(conn, "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n")
+		}, cut},
+		"another protocol":     {func(conn net.Conn, _ *http.Request) { fmt.Fprint(conn, "220 mail.example\r\n") }, cut},
+		"listener that closes": {nil, cut},
 	} {
 		for path, body := range map[string]string{"/once/x": "part", "/once/large": strings.Repeat("y", 2*maxBufferedBytes), "/stream/x": eventText(1, 2)} {
 			t.Run(name+path, func(t *testing.T) {
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -67,7 +67,7 @@
 // wait. A sound server may be silent for a moment: the attempt is given up only when the request can go elsewhere for
 // certain.
 func (a *attempt) onSilence() time.Duration {
-	if !a.hasReadLate && HasUnread(a.conn.Conn) {
+	if !a.hasReadLate && a.conn.HasUnread() {
 		// This process was late, not the server.
 		a.hasReadLate = true
 		return lateReadTimeout
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -208,24 +208,18 @@
 	if time.Since(c.idleSince) > maxIdleTime || c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isIdle := false
-	err = control.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		isIdle = peekErr == unix.EAGAIN
-		return true
-	})
-	return err == nil && isIdle
+	return c.stream.Peek() == connend.UnreadNothing
+}
+
+// HasUnread reports whether bytes, or the end of the connection, have arrived and were not read from the socket yet. It does not wait.
+func (c *Conn) HasUnread() bool {
+	unread := c.stream.Peek()
+	return unread == connend.UnreadBytes || unread == connend.UnreadEnd
 }
 
+// Err returns the first error of the connection, whichever call has received it; nil if there was none.
+func (c *Conn) Err() error { return c.stream.Err() }
+
 // hasCarried reports whether a request with the id is among the latest requests on the connection.
 func (c *Conn) hasCarried(id string) bool {
 	return slices.Contains(c.recentIDs[:min(c.requestCount, recentIDCount)], xxhash.Sum64String(id))
