Believe the end of a response without a length only if its server's process still runs

Cause: the end of the connection is the only mark of such a response, a crash ends it in the same way, and the probe asked whether anybody listens at the address, not who. A restarted process, one of another service, a proxy or the listener of a host passed for the server, the more easily the later the node read the end (cut off, stopped). The class: a statement about one process is taken from whatever answers at its address. Change: one function, judgeEnd, gets all the evidence (framing, first error of the connection, events, identity) and serves plain, large, withheld and event responses; what is unknown counts as cut. The identity is asked at the address: the report names the instance (421 from another one) and tells the start of the process. A server that is silent for a moment is asked again, so that sound responses are not lost; responses that end together share a question. unframed_ends_total counts the verdicts, the log line has them. Stand-ins answer the report; the harness of package relay does not count it as a request.

--- a/rudder/backend/choose.go
+++ b/rudder/backend/choose.go
@@ -125,6 +125,7 @@
 	ID                 string
 	Address            string
 	Incarnation        uint64        // identifies the server's process, on all nodes alike
+	StartUnixMillis    int64         // start time of that process, 0 if unknown
 	SoftwareVersion    string        // of the server when the request was placed
 	PredictedFirstByte time.Duration // predicted time to the first byte
 	ExpectedFirstByte  time.Duration // the same, longer while all servers of the service respond later than predicted
@@ -201,7 +202,7 @@
 	}
 	s := t.servers[best.ID]
 	p := &Placement{
-		Server: s, ID: s.ID, Address: s.Address, Incarnation: s.incarnation(), SoftwareVersion: s.SoftwareVersion, PredictedFirstByte: predicted,
+		Server: s, ID: s.ID, Address: s.Address, Incarnation: s.incarnation(), StartUnixMillis: s.StartUnixMillis, SoftwareVersion: s.SoftwareVersion, PredictedFirstByte: predicted,
 		ExpectedFirstByte: time.Duration(float64(predicted) * max(t.model(r.Service).lateness, 1)), Running: best.Running, CandidateCount: len(candidates),
 		UncachedTokens: best.UncachedTokens, AssumedTokens: best.AssumedTokens, table: t, request: r, placedAt: now, pace: newPlacementPace(best, s.Slots),
 	}
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -298,7 +298,7 @@
 func (a *attempt) withholdResponse(ctx context.Context, response *http.Response) attemptResult {
 	err := a.discardBody(response)
 	if err == nil {
-		err = a.endError(response)
+		err = a.endError(ctx, response)
 	}
 	if err != nil && !isLocalAbort(err) {
 		return a.brokenResponse(ctx, errors.Wrap(err, "read response body"))
@@ -321,7 +321,7 @@
 		}
 		return a.forwardLarge(ctx, response, body, isSuccess)
 	}
-	if err := a.endError(response); err != nil {
+	if err := a.endError(ctx, response); err != nil {
 		return a.brokenResponse(ctx, err)
 	}
 	b := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
@@ -367,7 +367,7 @@
 		err = errors.Wrapf(errResponseTooLarge, "more than %d bytes", limit)
 	}
 	if err == nil {
-		err = a.endError(response)
+		err = a.endError(ctx, response)
 	}
 	switch {
 	case caller.err != nil:
@@ -440,7 +440,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			if err := a.streamEndError(response, reader); err != nil {
+			if err := a.streamEndError(ctx, response, reader); err != nil {
 				return a.brokenResponse(ctx, err)
 			}
 			eventPace.report(a.placement)
--- a/rudder/relay/dialect.go
+++ b/rudder/relay/dialect.go
@@ -3,7 +3,7 @@
 // requests may be sent again after a failure, and reports a failed request as not run only if that is certain.
 package relay
 
-// Dialect holds the names of the headers that callers, this system and backend servers exchange. Other headers are
+// Dialect holds the names of the headers, and of the report, that callers, this system and backend servers exchange. Other headers are
 // forwarded unchanged, except hop-by-hop headers and Retry-After in requests.
 type Dialect struct {
 	RequestID         string // id of one attempt of a caller; the backend server returns it
@@ -18,6 +18,8 @@
 	ServerLimit       string // set by a backend server in need: requests a second that it takes from all nodes together
 	ServerLeaving     string // set to 1 by a backend server that leaves
 	ResponseSignature string // set by a backend server; a success response without it is treated as a failure
+	ReportPath        string // path at which a backend server reports its state; such a request takes no slot
+	ReportStart       string // field of the JSON object in that report: start of the server's process in Unix milliseconds
 	APIKeyScheme      string // scheme of API keys in the Authorization header
 	// Reserved lists further headers that only this system may set. They are removed from the requests of callers.
 	Reserved []string
@@ -28,6 +30,7 @@
 	RequestID: "X-Rudder-Request", Timeout: "X-Rudder-Timeout-Ms", TokenCounts: "X-Rudder-Tokens", PromptPrefix: "X-Rudder-Prefix",
 	Organisation: "X-Rudder-Organisation", ExpectInstance: "X-Rudder-Instance", Urgency: "X-Rudder-Urgency",
 	NotRun: "X-Rudder-Not-Run", ResumedAttempt: "X-Rudder-Resumes", ServerLimit: "X-Rudder-Limit", ServerLeaving: "X-Rudder-Leaving", ResponseSignature: "X-Rudder-Signature", APIKeyScheme: "Bearer",
+	ReportPath: "/rudder/v1/report", ReportStart: "start_unix_millis",
 }
 
 const (
--- a/rudder/relay/harness_test.go
+++ b/rudder/relay/harness_test.go
@@ -36,6 +36,9 @@
 	requestCounts map[string]int    // number of requests that each backend server read, by its name
 	addresses     map[string]string // of the backend servers, by name
 	requests      []*http.Request   // that the backend servers read
+
+	// report answers requests for the reports of backend servers, which count as no requests; nil means defaultReport.
+	report func(conn net.Conn, r *http.Request)
 }
 
 // runCounter is the RunCounter of the server under test.
@@ -125,6 +128,10 @@
 		if err != nil {
 			return
 		}
+		if r.URL.Path == NativeDialect.ReportPath {
+			h.answerReport(conn, r)
+			return
+		}
 		body, _ := io.ReadAll(r.Body)
 		r.Body = io.NopCloser(strings.NewReader(string(body)))
 		h.mu.Lock()
@@ -137,6 +144,15 @@
 	}
 }
 
+// answerReport answers a request for the report of a backend server.
+func (h *harness) answerReport(conn net.Conn, r *http.Request) {
+	if h.report != nil {
+		h.report(conn, r)
+		return
+	}
+	reportStart(conn, serverStart)
+}
+
 // requestCount returns the number of requests that all backend servers read.
 func (h *harness) requestCount() int {
 	h.mu.Lock()
--- a/rudder/relay/metrics.go
+++ b/rudder/relay/metrics.go
@@ -69,3 +69,12 @@
 	}
 	m.instruments.ServerDepartures.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", c.service)))
 }
+
+// countUnframedEnd counts a response of which only the end of the connection marked the end, by service and by whether it counts as
+// complete.
+func (m *Metrics) countUnframedEnd(c *call, isComplete bool) {
+	if m.instruments == nil {
+		return
+	}
+	m.instruments.UnframedEnds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", c.service), attribute.Bool("complete", isComplete)))
+}
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -73,6 +73,7 @@
 	metrics          Metrics
 	crashProbes      atomic.Int64 // running observeCrash tasks
 	probes           singleflight.Group
+	identities       identityChecks
 }
 
 // InProgress returns the number of requests in progress.
--- a/rudder/relay/server_identity_test.go
+++ b/rudder/relay/server_identity_test.go
@@ -43,15 +43,16 @@
 		for path, body := range map[string]string{"/once/x": "part", "/once/large": strings.Repeat("y", 2*maxBufferedBytes), "/stream/x": eventText(1, 2)} {
 			t.Run(name+path, func(t *testing.T) {
 				h := newHarness(t)
-				h.backendServer("a", func(conn net.Conn, r *http.Request) bool {
-					if r.URL.Path == path {
-						fmt.Fprint(conn, framedResponse(r, framedByConnection, body))
-					} else if c.atAddress != nil {
-						if got := r.Header.Get("X-Rudder-Instance"); got != "a" {
-							t.Errorf("probe names instance %q, want a", got)
-						}
+				h.report = func(conn net.Conn, r *http.Request) {
+					if got := r.Header.Get("X-Rudder-Instance"); got != "a" {
+						t.Errorf("probe names instance %q, want a", got)
+					}
+					if c.atAddress != nil {
 						c.atAddress(conn, r)
 					}
+				}
+				h.backendServer("a", func(conn net.Conn, r *http.Request) bool {
+					fmt.Fprint(conn, framedResponse(r, framedByConnection, body))
 					return false
 				})
 				h.server.Backends.Put(backend.Entry{ID: "a", Service: "s", Address: h.addresses["a"], Slots: 8, StartUnixMillis: serverStart})
--- a/rudder/telemetry/telemetry.go
+++ b/rudder/telemetry/telemetry.go
@@ -55,6 +55,7 @@
 	ServerDepartures metric.Int64Counter // backend servers that announced in a response that they leave
 	ServerPauses     metric.Int64Counter // pauses that backend servers asked for
 	QuotaRefusals    metric.Int64Counter // requests that were refused for their organisation's limit
+	UnframedEnds     metric.Int64Counter // responses of which only the end of the connection marked the end
 	handler          http.Handler
 	meter            metric.Meter
 }
@@ -70,7 +71,7 @@
 	m := &Metrics{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: meter}
 	firstTokenBounds := metric.WithExplicitBucketBoundaries(.05, .1, .2, .3, .4, .5, .6, .68, .8, 1, 2, 5, 10)
 	betweenTokensBounds := metric.WithExplicitBucketBoundaries(.005, .01, .015, .02, .025, .027, .03, .04, .06, .1, .5, 1)
-	var errs [13]error
+	var errs [14]error
 	m.FirstToken, errs[0] = meter.Float64Histogram("first_token_seconds", firstTokenBounds)
 	m.BetweenTokens, errs[1] = meter.Float64Histogram("between_tokens_seconds", betweenTokensBounds)
 	m.GeneratedTokens, errs[2] = meter.Int64Counter("generated_tokens")
@@ -84,6 +85,7 @@
 	m.ServerDepartures, errs[10] = meter.Int64Counter("server_departures")
 	m.ServerPauses, errs[11] = meter.Int64Counter("server_pauses")
 	m.QuotaRefusals, errs[12] = meter.Int64Counter("quota_refusals")
+	m.UnframedEnds, errs[13] = meter.Int64Counter("unframed_ends")
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Wrap(err, "create instrument")
