--- a/rudder/relay/log_test.go
+++ b/rudder/relay/log_test.go
@@ -38,6 +38,19 @@
 	return strings.Contains(r.lines.String(), text)
 }
 
+// linesOf returns the lines about a request, for the message of a failed test.
+func (r *logRecorder) linesOf(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var lines []string
+	for line := range strings.Lines(r.lines.String()) {
+		if strings.Contains(line, " request="+id+" ") {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "")
+}
+
 // waitFor waits for a line that contains the text. It returns false if stop is closed before one came.
 func (r *logRecorder) waitFor(t *testing.T, text string, stop <-chan struct{}) bool {
 	t.Helper()
--- a/rudder/relay/version_test.go
+++ b/rudder/relay/version_test.go
@@ -97,10 +97,12 @@
 // Guards against a stream that breaks off and goes on, within one answer, at a server of another software version.
 func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
 	h := newVersionHarness(t, map[string]int{"v1": 2, "v1.1": 3, "": 2})
+	log := h.recordLog()
 	for i := range 24 {
-		got := h.begin(fmt.Sprint("r", i))
+		id := fmt.Sprint("r", i)
+		got := h.begin(id)
 		if versions := versionsIn(got.body); got.status != 200 || got.err != nil || len(versions) != 1 || strings.Count(got.body, "id:") != streamEvents {
-			t.Errorf("stream %d: status %d, error %v, versions %v in %q, want a whole stream of one version", i, got.status, got.err, versions, got.body)
+			t.Errorf("stream %d: status %d, error %v, versions %v in %q, want a whole stream of one version; log:\n%s", i, got.status, got.err, versions, got.body, log.linesOf(id))
 		}
 	}
 }
