Identify servers that make no report, over an older connection where there is one

The question now expects an instance that does not exist and bears a request id: no server runs it, one without a report refuses it and names its id. It goes over an idle connection from before the request if there is one: a process that answers on that is the one that got the request, even if it has started again under its id otherwise, and no connection is made. An answer that tells neither is followed by the former question.

--- a/rudder/backend/leaving.go
+++ b/rudder/backend/leaving.go
@@ -59,6 +59,14 @@
 	return !p.Server.isServing()
 }
 
+// IsReplaced reports whether the registry has told of another process of the server since the request was placed.
+func (p *Placement) IsReplaced() bool {
+	p.table.mu.Lock()
+	defer p.table.mu.Unlock()
+	present, found := p.table.servers[p.ID]
+	return found && present.incarnation() != p.Incarnation
+}
+
 // MarkMisdirected excludes the server from new requests because another server answers at its address. The next entry of the
 // server from the registry lifts this.
 func (p *Placement) MarkMisdirected() {
--- a/rudder/relay/consumed_reset_test.go
+++ b/rudder/relay/consumed_reset_test.go
@@ -77,7 +77,14 @@
 	if refusal != nil || p.ID != name {
 		h.t.Fatalf("placement %+v, refusal %+v, want server %s", p, refusal, name)
 	}
-	p.Server.Pool.Dial = func(context.Context, string, string) (net.Conn, error) { return conn, nil }
+	isDialled := false
+	p.Server.Pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if isDialled { // by a question after the response
+			return new(net.Dialer).DialContext(ctx, network, address)
+		}
+		isDialled = true
+		return conn, nil
+	}
 	p.Release(backend.ResultInconclusive)
 	return strings.Repeat("x", 4*asyncBodyBytes)
 }
--- a/rudder/relay/dialect.go
+++ b/rudder/relay/dialect.go
@@ -13,6 +13,7 @@
 	Organisation      string // set by this system: name of the organisation
 	ExpectInstance    string // set by this system: id of the only backend server that may run the request
 	Urgency           string // set by this system: 0 (served first) to 9
+	InstanceID        string // set by a backend server that refuses the request of another instance: its own id
 	NotRun            string // set by a backend server that has not run the request
 	ResumedAttempt    string // request id of the attempt that brought the first event of the stream that the caller takes up
 	ServerLimit       string // set by a backend server in need: requests a second that it takes from all nodes together
@@ -29,7 +30,7 @@
 var NativeDialect = Dialect{
 	RequestID: "X-Rudder-Request", Timeout: "X-Rudder-Timeout-Ms", TokenCounts: "X-Rudder-Tokens", PromptPrefix: "X-Rudder-Prefix",
 	Organisation: "X-Rudder-Organisation", ExpectInstance: "X-Rudder-Instance", Urgency: "X-Rudder-Urgency",
-	NotRun: "X-Rudder-Not-Run", ResumedAttempt: "X-Rudder-Resumes", ServerLimit: "X-Rudder-Limit", ServerLeaving: "X-Rudder-Leaving", ResponseSignature: "X-Rudder-Signature", APIKeyScheme: "Bearer",
+	InstanceID: "X-Rudder-Instance-Id", NotRun: "X-Rudder-Not-Run", ResumedAttempt: "X-Rudder-Resumes", ServerLimit: "X-Rudder-Limit", ServerLeaving: "X-Rudder-Leaving", ResponseSignature: "X-Rudder-Signature", APIKeyScheme: "Bearer",
 	ReportPath: "/rudder/v1/report", ReportStart: "start_unix_millis",
 }
 
--- a/rudder/relay/harness_test.go
+++ b/rudder/relay/harness_test.go
@@ -37,7 +37,8 @@
 	addresses     map[string]string // of the backend servers, by name
 	requests      []*http.Request   // that the backend servers read
 
-	// report answers requests for the reports of backend servers, which count as no requests; nil means defaultReport.
+	// report answers requests for the reports of backend servers, which count as no requests; nil means that these servers make no
+	// reports and refuse to be another instance.
 	report func(conn net.Conn, r *http.Request)
 }
 
@@ -129,7 +130,7 @@
 			return
 		}
 		if r.URL.Path == NativeDialect.ReportPath {
-			h.answerReport(conn, r)
+			h.answerReport(conn, r, name)
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
@@ -144,13 +145,13 @@
 	}
 }
 
-// answerReport answers a request for the report of a backend server.
-func (h *harness) answerReport(conn net.Conn, r *http.Request) {
+// answerReport answers a request for the report of the backend server with the given name.
+func (h *harness) answerReport(conn net.Conn, r *http.Request, name string) {
 	if h.report != nil {
 		h.report(conn, r)
 		return
 	}
-	reportStart(conn, serverStart)
+	refuseAs(conn, r, name)
 }
 
 // requestCount returns the number of requests that all backend servers read.
--- a/rudder/relay/response_end.go
+++ b/rudder/relay/response_end.go
@@ -73,7 +73,7 @@
 	}
 	lastByteAge, askedAt := boottime.Since(a.body.lastByteAt), boottime.Now()
 	if judgeEnd(e) == nil {
-		e.server = a.server.findIdentity(ctx, a.placement)
+		e.server = a.server.findIdentity(ctx, a.placement, a.sentAt)
 	}
 	err := judgeEnd(e)
 	a.server.Log.Info("A response without a length ended.", "request", a.call.id, "server", a.placement.ID, "send", a.forwarder.sends+1, "complete", err == nil,
--- a/rudder/relay/server_identity.go
+++ b/rudder/relay/server_identity.go
@@ -1,20 +1,20 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
-	"io"
-	"net"
+	"errors"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/upstream"
 )
 
 // serverIdentity tells which process answers at the address of a backend server.
@@ -29,11 +29,14 @@
 const (
 	// identityTimeout bounds the search for the identity of a server, which may be silent for a second and go on.
 	identityTimeout = 2 * time.Second
-	// identityRetryInterval is the pause after a connection that failed: a server at the limit of its connections resets new ones, and
-	// the kernel resets those that a killed process has not accepted.
-	identityRetryInterval = 50 * time.Millisecond
-	// maxReportBytes bounds the body of a server's report.
-	maxReportBytes = 64 << 10
+	// questionTimeout bounds one question: a connection may be dead while others work.
+	questionTimeout = 700 * time.Millisecond
+	// minQuestionPause and maxQuestionPause bound the growing pause after a question that failed: a server at the limit of its
+	// connections resets new ones, and the kernel resets those that a killed process has not accepted.
+	minQuestionPause = 50 * time.Millisecond
+	maxQuestionPause = 400 * time.Millisecond
+	// noInstance is the id of no server. Every server refuses a request that expects it, without running it.
+	noInstance = "none"
 )
 
 // identityChecks finds out which processes answer at the addresses of servers. Calls for one server that wait at the same time share
@@ -50,12 +53,14 @@
 
 type identityCheck struct {
 	done   chan struct{}
+	sentAt boottime.Instant // of the earliest request whose server is to be identified
 	result serverIdentity
 }
 
-// get returns the result of a check that begins after the call of get, or identityUnknown when ctx ends.
-func (c *identityChecks) get(ctx context.Context, incarnation uint64, check func() serverIdentity) serverIdentity {
-	joined := c.join(incarnation, check)
+// get returns the result of a check that begins after the call of get, or identityUnknown when ctx ends. The check gets the time
+// at which the earliest request was sent for which it is made.
+func (c *identityChecks) get(ctx context.Context, incarnation uint64, sentAt boottime.Instant, check func(sentAt boottime.Instant) serverIdentity) serverIdentity {
+	joined := c.join(incarnation, sentAt, check)
 	select {
 	case <-joined.done:
 		return joined.result
@@ -65,7 +70,7 @@
 }
 
 // join returns the next check of a server that has not begun.
-func (c *identityChecks) join(incarnation uint64, check func() serverIdentity) *identityCheck {
+func (c *identityChecks) join(incarnation uint64, sentAt boottime.Instant, check func(sentAt boottime.Instant) serverIdentity) *identityCheck {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	queue, isActive := c.byServer[incarnation]
@@ -78,13 +83,14 @@
 		defer func() { go c.runAll(incarnation, check) }()
 	}
 	if queue.waiting == nil {
-		queue.waiting = &identityCheck{done: make(chan struct{})}
+		queue.waiting = &identityCheck{done: make(chan struct{}), sentAt: sentAt}
 	}
+	queue.waiting.sentAt = min(queue.waiting.sentAt, sentAt)
 	return queue.waiting
 }
 
 // runAll runs the checks of a server one after the other until no call waits.
-func (c *identityChecks) runAll(incarnation uint64, check func() serverIdentity) {
+func (c *identityChecks) runAll(incarnation uint64, check func(sentAt boottime.Instant) serverIdentity) {
 	for {
 		c.mu.Lock()
 		queue := c.byServer[incarnation]
@@ -96,87 +102,111 @@
 			return
 		}
 		c.mu.Unlock()
-		next.result = check()
+		next.result = check(next.sentAt)
 		close(next.done)
 	}
 }
 
-// findIdentity asks at the address of a placed server which process answers there now. It names the instance, so that another one
-// refuses, and reads the start time in the report, which also tells a process that has started again with the same id.
-func (s *Server) findIdentity(ctx context.Context, p *backend.Placement) serverIdentity {
-	return s.identities.get(ctx, p.Incarnation, func() serverIdentity {
+// findIdentity finds out which process answers now at the address of a server to which a request was sent at the given time.
+func (s *Server) findIdentity(ctx context.Context, p *backend.Placement, sentAt boottime.Instant) serverIdentity {
+	identity := s.identities.get(ctx, p.Incarnation, sentAt, func(sentAt boottime.Instant) serverIdentity {
 		ctx, cancel := context.WithTimeout(context.Background(), identityTimeout)
 		defer cancel()
-		for {
-			identity, err := s.askIdentity(ctx, p)
-			if err == nil {
+		for pause := minQuestionPause; ; pause = min(2*pause, maxQuestionPause) {
+			identity, isFinal := s.askIdentity(ctx, p, sentAt)
+			if isFinal {
 				return identity
 			}
-			if errors.Is(err, syscall.ECONNREFUSED) {
-				return identityOther
-			}
 			select {
 			case <-ctx.Done():
 				return identityUnknown
-			case <-time.After(identityRetryInterval):
+			case <-time.After(pause):
 			}
 		}
 	})
+	if identity == identitySame && p.IsReplaced() {
+		return identityOther // the answer to the question may tell the id only
+	}
+	return identity
 }
 
-// askIdentity asks once. It returns an error if no response comes.
-func (s *Server) askIdentity(ctx context.Context, p *backend.Placement) (serverIdentity, error) {
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", p.Address)
-	if err != nil {
-		return "", errors.Wrapf(err, "connect to %s", p.Address)
-	}
-	defer conn.Close()
-	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
-		_ = conn.SetDeadline(deadline)
-	}
-	request := &http.Request{
-		Method: http.MethodGet, URL: &url.URL{Path: s.Dialect.ReportPath}, Host: p.Address, Close: true,
-		Header: http.Header{s.Dialect.ExpectInstance: {p.ID}, "User-Agent": {""}}, // empty, so that net/http adds none
-	}
-	if err := request.Write(conn); err != nil {
-		return "", errors.Wrapf(err, "ask %s for its report", p.Address)
-	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
-	if err != nil {
-		return "", errors.Wrapf(err, "read report of %s", p.Address)
+// askIdentity asks at the address of a server which process answers. The result is not final if another question may tell more.
+//
+// The first question is a request for the report of the server that expects an instance which does not exist. A server that makes
+// reports answers with the start of its process, every other one refuses and names its id; none runs the request. A server that does
+// neither is asked as the instance that it should be: another one refuses, it signs its response.
+func (s *Server) askIdentity(ctx context.Context, p *backend.Placement, sentAt boottime.Instant) (identity serverIdentity, isFinal bool) {
+	id := strconv.FormatUint(rand.Uint64(), 16)
+	answer, err := s.ask(ctx, p, sentAt, noInstance, id)
+	if err == nil && (answer.Header.Get(s.Dialect.RequestID) == "" || answer.Header.Get(s.Dialect.RequestID) == id) {
+		if identity = s.Dialect.identify(answer, p.ID, p.StartUnixMillis); identity != identityUnknown {
+			return identity, true
+		}
+		answer, err = s.ask(ctx, p, sentAt, p.ID, "")
+		if err == nil {
+			identity = s.Dialect.identifyBySignature(answer)
+			return identity, identity != identityUnknown || !isOverload(answer.Status)
+		}
 	}
-	defer response.Body.Close()
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return identityOther, nil
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return identityOther, true
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
-	if err != nil {
-		return "", errors.Wrapf(err, "read report of %s", p.Address)
+	return identityUnknown, false
+}
+
+// isOverload reports whether the same question may be answered otherwise later.
+func isOverload(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// ask asks a server for its report as the given instance. An empty request id is left out.
+func (s *Server) ask(ctx context.Context, p *backend.Placement, sentAt boottime.Instant, instance, requestID string) (*upstream.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	header := http.Header{"User-Agent": {""}} // empty, so that net/http adds none
+	header.Set(s.Dialect.ExpectInstance, instance)
+	if requestID != "" {
+		header.Set(s.Dialect.RequestID, requestID)
 	}
-	return s.Dialect.identify(response, body, p.StartUnixMillis), nil
+	return p.Server.Pool.Ask(ctx, &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Path: s.Dialect.ReportPath}, Host: p.Address, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}, sentAt)
 }
 
-// identify tells from the response to a request for the report whether it is that of the process with the given start time, 0 if
-// the registry does not tell that. A server that makes no report still signs its responses, and would have refused the instance of
-// another one.
-func (d *Dialect) identify(response *http.Response, body []byte, startUnixMillis int64) serverIdentity {
-	start, found := d.reportedStart(body)
+// identify tells from the answer to a question that expects no instance whether the process with the given id and start time gave it.
+// The start time is 0 if the registry does not tell it. A process that has kept a connection since before it got the request is the
+// one that got it, whatever it tells of itself.
+func (d *Dialect) identify(answer *upstream.Answer, id string, startUnixMillis int64) serverIdentity {
+	start, hasStart := d.reportedStart(answer)
+	answeringID := answer.Header.Get(d.InstanceID)
+	hasRefused := answer.Status == http.StatusMisdirectedRequest
 	switch {
-	case found && response.StatusCode == http.StatusOK:
-		if startUnixMillis != 0 && start != startUnixMillis {
-			return identityOther
-		}
+	case hasStart && startUnixMillis != 0 && start != startUnixMillis, hasRefused && answeringID != "" && answeringID != id:
+		return identityOther
+	case hasStart && startUnixMillis != 0, hasRefused && answeringID == id:
+		return identitySame
+	case answer.IsFromBefore && (hasStart || hasRefused):
 		return identitySame
-	case response.Header.Get(d.ResponseSignature) != "":
+	}
+	return identityUnknown
+}
+
+// identifyBySignature tells from the answer to a question that expects the server whether it is that server. One without room may
+// refuse before it looks at the instance.
+func (d *Dialect) identifyBySignature(answer *upstream.Answer) serverIdentity {
+	switch {
+	case answer.Status == http.StatusMisdirectedRequest:
+		return identityOther
+	case answer.Header.Get(d.ResponseSignature) != "" && !isOverload(answer.Status):
 		return identitySame
 	}
 	return identityUnknown
 }
 
 // reportedStart returns the start time in a server's report, in Unix milliseconds.
-func (d *Dialect) reportedStart(body []byte) (startUnixMillis int64, found bool) {
+func (d *Dialect) reportedStart(answer *upstream.Answer) (startUnixMillis int64, found bool) {
 	var fields map[string]json.RawMessage
-	if json.Unmarshal(body, &fields) != nil {
+	if answer.Status != http.StatusOK || json.Unmarshal(answer.Body, &fields) != nil {
 		return 0, false
 	}
 	err := json.Unmarshal(fields[d.ReportStart], &startUnixMillis)
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/connend"
 )
 
@@ -83,6 +85,7 @@
 	Reused            bool                  // the connection came from the pool
 	recentIDs         [recentIDCount]uint64 // hashes of the ids of the latest requests, as a ring
 	requestCount      int
+	connectedAt       boottime.Instant
 	idleSince         time.Time
 	serverIdleTimeout time.Duration // from the server's Keep-Alive header; 0 means unknown
 }
@@ -102,17 +105,22 @@
 		}
 		c.Discard()
 	}
+	return p.connect(ctx)
+}
+
+// connect makes a new connection. Errors wrap ErrNotSent and their cause.
+func (p *Pool) connect(ctx context.Context) (*Conn, error) {
 	dial := p.Dial
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: p.DialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}).DialContext
 	}
 	raw, err := dial(ctx, "tcp", p.Address)
 	if err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", p.Address, err)
+		return nil, fmt.Errorf("connect to %s: %w: %w", p.Address, err, ErrNotSent)
 	}
 	stream := connend.New(raw)
 	source := &headLimiter{conn: stream}
-	return &Conn{Conn: raw, stream: stream, pool: p, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
+	return &Conn{Conn: raw, stream: stream, pool: p, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), connectedAt: boottime.Now()}, nil
 }
 
 // headLimiter reads from a connection. While a head is expected, it bounds the bytes, since http.ReadResponse would collect
