Strengthen the judgement of ends after its review

Heads and bodies of answers are bounded, and a malformed answer is not asked for again. - A host that refuses a new connection counted as the end of the server at once; three refusals are needed now, since a node without a path to its servers is refused new connections while older ones work. An older connection is believed whatever the registry says. - A continuation of a stream that has no event left and no length was cut. The crash of a server that is back when the node looks was not recorded. A response that is withheld waited up to 2 s for the identity, and a second caller up to 4 s. - The check of whoever came first was used for others at another address. - Log: server_identity=unasked where nobody asked, the evidence, reasons without stack traces, and a line for responses that fail while they are read. upstream.Conn no longer exposes the raw connection. TestEndOfAnswerIsProbedAnew blocked a probe that endError no longer uses; it blocks the check of identities now. go test -race ./rudder/relay passes.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -49,13 +49,14 @@
 	body      *trackedBody // of the response; nil if it has none
 	cancel    context.CancelFunc
 
-	sentAt       boottime.Instant // when the sending began
-	headAt       boottime.Instant // when the head of a response that is not a refusal came; 0 if none came
-	firstEventAt boottime.Instant // of the stream; 0 if none came
-	progressAt   boottime.Instant // when the server last sent a head or a whole event; at first sentAt
-	isCancelled  bool             // WatchWaitingRequests gave the attempt up when its response arrived; its connection is being reset
-	isSilent     bool             // the server was silent for too long, but the request could not go elsewhere
-	hasReadLate  bool             // bytes were read after the present read timeout had expired
+	sentAt           boottime.Instant // when the sending began
+	headAt           boottime.Instant // when the head of a response that is not a refusal came; 0 if none came
+	firstEventAt     boottime.Instant // of the stream; 0 if none came
+	progressAt       boottime.Instant // when the server last sent a head or a whole event; at first sentAt
+	isCancelled      bool             // WatchWaitingRequests gave the attempt up when its response arrived; its connection is being reset
+	isServerReplaced bool             // the end of the response showed that the server's process has ended
+	isSilent         bool             // the server was silent for too long, but the request could not go elsewhere
+	hasReadLate      bool             // bytes were read after the present read timeout had expired
 }
 
 // bufferedResponse is a response that was read completely.
@@ -292,12 +293,17 @@
 	return err
 }
 
+// withheldEndTimeout bounds the search for the identity of a server whose response is withheld: the request goes elsewhere meanwhile.
+const withheldEndTimeout = 100 * time.Millisecond
+
 // withholdResponse handles a response whose status implies that the request has not run, while the server has not stated that.
 // Whatever its body is, the response is not forwarded. What is read of the body shows whether the server broke off, and allows
 // the connection to be used again.
 func (a *attempt) withholdResponse(ctx context.Context, response *http.Response) attemptResult {
 	err := a.discardBody(response)
 	if err == nil {
+		ctx, cancel := context.WithTimeout(ctx, withheldEndTimeout)
+		defer cancel()
 		err = a.endError(ctx, response)
 	}
 	if err != nil && !isLocalAbort(err) {
@@ -311,7 +317,7 @@
 	a.setReadTimeout(a.forwarder.firstByteTimeout(a.placement.ExpectedFirstByte))
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	if err != nil {
-		return a.brokenResponse(ctx, errors.Wrap(err, "read response body"))
+		return a.brokenResponse(ctx, a.readError(response, err, "read response body"))
 	}
 	if len(body) > maxBufferedBytes {
 		// What was buffered does not allow the failure to be forwarded after another attempt, so that a place for that is reserved
@@ -361,19 +367,21 @@
 	caller := &callerWriter{ResponseWriter: f.writer}
 	_, err := caller.Write(buffered)
 	if err == nil {
-		_, err = io.Copy(caller, rest)
+		if _, err = io.Copy(caller, rest); err != nil && caller.err == nil {
+			err = a.readError(response, err, "read large response")
+		}
 	}
 	if err == nil && rest.N <= 0 {
-		err = errors.Wrapf(errResponseTooLarge, "more than %d bytes", limit)
+		err = errors.Wrapf(errResponseTooLarge, "read large response: more than %d bytes", limit)
 	}
 	if err == nil {
-		err = a.endError(ctx, response)
+		err = errors.Wrap(a.endError(ctx, response), "read large response")
 	}
 	switch {
 	case caller.err != nil:
 		return attemptResult{isPartial: true, backendResult: backend.ResultInconclusive, reason: "write large response to caller: " + caller.err.Error()}
 	case err != nil:
-		r := a.brokenResponse(ctx, errors.Wrap(err, "read large response"))
+		r := a.brokenResponse(ctx, err)
 		r.isPartial = true
 		return r
 	}
@@ -446,7 +454,7 @@
 			eventPace.report(a.placement)
 			return a.finishStream(reader, response, controller)
 		case err != nil:
-			return a.brokenResponse(ctx, errors.Wrap(err, "read event stream"))
+			return a.brokenResponse(ctx, a.readError(response, err, "read event stream"))
 		}
 	}
 }
--- a/rudder/relay/crash.go
+++ b/rudder/relay/crash.go
@@ -107,7 +107,10 @@
 	go func() {
 		defer close(done)
 		defer s.crashProbes.Add(-1)
-		state := s.probe(a.placement)
+		state := serverGone
+		if !a.isServerReplaced {
+			state = s.probe(a.placement)
+		}
 		// A host that does not answer may be cut off. It counts only if the connection was ended from its side.
 		if state == serverAlive || state == serverUnknown && r.isTimeout {
 			return
--- a/rudder/relay/response_end.go
+++ b/rudder/relay/response_end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -59,27 +60,47 @@
 }
 
 // streamEndError is endError for an event stream. A server may stop in the middle of an event and still end the framing of its
-// response in order.
+// response in order. A continuation may have no events left.
 func (a *attempt) streamEndError(ctx context.Context, response *http.Response, reader *eventReader) error {
-	return a.findEndError(ctx, response, endEvidence{isWithinEvent: reader.isWithinEvent(), lacksEvents: a.firstEventAt == 0})
+	return a.findEndError(ctx, response, endEvidence{isWithinEvent: reader.isWithinEvent(), lacksEvents: a.firstEventAt == 0 && a.forwarder.lastEventID == ""})
 }
 
 // findEndError completes the evidence about the end of a response and judges it. It asks for the identity of the server only if that
 // matters.
 func (a *attempt) findEndError(ctx context.Context, response *http.Response, e endEvidence) error {
-	e.endsWithConnection, e.connErr, e.server = endsWithConnection(response), a.conn.Err(), identitySame
-	if !e.endsWithConnection {
+	if e.endsWithConnection = endsWithConnection(response); !e.endsWithConnection {
 		return judgeEnd(e)
 	}
+	e.connErr = a.conn.Err()
+	finding := identityFinding{identity: identityUnasked}
 	lastByteAge, askedAt := boottime.Since(a.body.lastByteAt), boottime.Now()
-	if judgeEnd(e) == nil {
-		e.server = a.server.findIdentity(ctx, a.placement, a.sentAt)
+	if e.server = identitySame; judgeEnd(e) == nil {
+		finding = a.server.findIdentity(ctx, a.placement, a.sentAt)
+		e.server = finding.identity
 	}
 	err := judgeEnd(e)
-	a.server.Log.Info("A response without a length ended.", "request", a.call.id, "server", a.placement.ID, "send", a.forwarder.sends+1, "complete", err == nil,
-		"bytes", a.body.bytes, "last_event", a.forwarder.lastEventID, "since_last_byte_ms", lastByteAge.Milliseconds(), "server_identity", string(e.server),
-		"probe_ms", boottime.Since(askedAt).Milliseconds(), "error", err)
+	a.isServerReplaced = finding.identity == identityOther
+	a.recordUnframedEnd(err, lastByteAge, "server_identity", string(finding.identity), "evidence", finding.detail, "probe_ms", boottime.Since(askedAt).Milliseconds())
+	return err
+}
+
+// recordUnframedEnd logs and counts the end of a response without a length. err is nil if it is complete.
+func (a *attempt) recordUnframedEnd(err error, lastByteAge time.Duration, findings ...any) {
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	a.server.Log.Info("A response without a length ended.", append([]any{"request", a.call.id, "server", a.placement.ID, "send", a.forwarder.sends + 1, "complete", err == nil,
+		"bytes", a.body.bytes, "last_event", a.forwarder.lastEventID, "since_last_byte_ms", lastByteAge.Milliseconds(), "reason", reason}, findings...)...)
 	a.server.metrics.countUnframedEnd(a.call, err == nil)
+}
+
+// readError returns the error of a body that could not be read to its end, and records it if the body has no length.
+func (a *attempt) readError(response *http.Response, err error, message string) error {
+	err = errors.Wrap(err, message)
+	if endsWithConnection(response) {
+		a.recordUnframedEnd(err, boottime.Since(a.body.lastByteAt), "server_identity", string(identityUnasked))
+	}
 	return err
 }
 
--- a/rudder/relay/server_identity.go
+++ b/rudder/relay/server_identity.go
@@ -4,7 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
+	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -22,8 +26,9 @@
 
 const (
 	identitySame    serverIdentity = "same"    // the process at which the request was placed
-	identityOther   serverIdentity = "other"   // another process, or none: the host refuses connections
+	identityOther   serverIdentity = "other"   // another process, or none: the host refuses new connections, and none is open
 	identityUnknown serverIdentity = "unknown" // nobody answered in time, or the answer does not tell
+	identityUnasked serverIdentity = "unasked" // it does not matter
 )
 
 const (
@@ -35,15 +40,30 @@
 	// connections resets new ones, and the kernel resets those that a killed process has not accepted.
 	minQuestionPause = 50 * time.Millisecond
 	maxQuestionPause = 400 * time.Millisecond
+	// refusalsOfEndedServer is the number of refused connections after which a server counts as ended. On a node that is cut off from
+	// its servers new connections may be refused while older ones work, of which one may become idle meanwhile.
+	refusalsOfEndedServer = 3
 	// noInstance is the id of no server. Every server refuses a request that expects it, without running it.
 	noInstance = "none"
 )
 
+// identityFinding is an identity with what it follows from, for the log.
+type identityFinding struct {
+	identity serverIdentity
+	detail   string
+}
+
 // identityChecks finds out which processes answer at the addresses of servers. Calls for one server that wait at the same time share
 // a check that begins after all of them. The zero value is ready for use.
 type identityChecks struct {
 	mu       sync.Mutex
-	byServer map[uint64]*identityQueue // by incarnation
+	byServer map[identityKey]*identityQueue
+}
+
+// identityKey is the process of a server, at the address at which it was placed.
+type identityKey struct {
+	incarnation uint64
+	address     string
 }
 
 // identityQueue holds the checks of one server.
@@ -52,111 +72,135 @@
 }
 
 type identityCheck struct {
-	done   chan struct{}
-	sentAt boottime.Instant // of the earliest request whose server is to be identified
-	result serverIdentity
+	run     func(sentAt boottime.Instant) identityFinding
+	sentAt  boottime.Instant // of the earliest request whose server is to be identified
+	done    chan struct{}
+	finding identityFinding
 }
 
 // get returns the result of a check that begins after the call of get, or identityUnknown when ctx ends. The check gets the time
 // at which the earliest request was sent for which it is made.
-func (c *identityChecks) get(ctx context.Context, incarnation uint64, sentAt boottime.Instant, check func(sentAt boottime.Instant) serverIdentity) serverIdentity {
-	joined := c.join(incarnation, sentAt, check)
+func (c *identityChecks) get(ctx context.Context, key identityKey, sentAt boottime.Instant, run func(sentAt boottime.Instant) identityFinding) identityFinding {
+	joined := c.join(key, sentAt, run)
 	select {
 	case <-joined.done:
-		return joined.result
+		return joined.finding
 	case <-ctx.Done():
-		return identityUnknown
+		return identityFinding{identityUnknown, "no answer within the time limit"}
 	}
 }
 
 // join returns the next check of a server that has not begun.
-func (c *identityChecks) join(incarnation uint64, sentAt boottime.Instant, check func(sentAt boottime.Instant) serverIdentity) *identityCheck {
+func (c *identityChecks) join(key identityKey, sentAt boottime.Instant, run func(sentAt boottime.Instant) identityFinding) *identityCheck {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	queue, isActive := c.byServer[incarnation]
+	queue, isActive := c.byServer[key]
 	if !isActive {
 		queue = &identityQueue{}
 		if c.byServer == nil {
-			c.byServer = map[uint64]*identityQueue{}
+			c.byServer = map[identityKey]*identityQueue{}
 		}
-		c.byServer[incarnation] = queue
-		defer func() { go c.runAll(incarnation, check) }()
+		c.byServer[key] = queue
+		defer func() { go c.runAll(key) }()
 	}
 	if queue.waiting == nil {
-		queue.waiting = &identityCheck{done: make(chan struct{}), sentAt: sentAt}
+		queue.waiting = &identityCheck{run: run, done: make(chan struct{}), sentAt: sentAt}
 	}
 	queue.waiting.sentAt = min(queue.waiting.sentAt, sentAt)
 	return queue.waiting
 }
 
 // runAll runs the checks of a server one after the other until no call waits.
-func (c *identityChecks) runAll(incarnation uint64, check func(sentAt boottime.Instant) serverIdentity) {
+func (c *identityChecks) runAll(key identityKey) {
 	for {
 		c.mu.Lock()
-		queue := c.byServer[incarnation]
+		queue := c.byServer[key]
 		next := queue.waiting
 		queue.waiting = nil
 		if next == nil {
-			delete(c.byServer, incarnation)
+			delete(c.byServer, key)
 			c.mu.Unlock()
 			return
 		}
 		c.mu.Unlock()
-		next.result = check(next.sentAt)
+		next.finding = next.run(next.sentAt)
 		close(next.done)
 	}
 }
 
-// findIdentity finds out which process answers now at the address of a server to which a request was sent at the given time.
-func (s *Server) findIdentity(ctx context.Context, p *backend.Placement, sentAt boottime.Instant) serverIdentity {
-	identity := s.identities.get(ctx, p.Incarnation, sentAt, func(sentAt boottime.Instant) serverIdentity {
+// findIdentity finds out which process answers now at the address of a server to which a request was sent at the given time. It takes
+// at most identityTimeout.
+func (s *Server) findIdentity(ctx context.Context, p *backend.Placement, sentAt boottime.Instant) identityFinding {
+	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
+	defer cancel()
+	return s.identities.get(ctx, identityKey{p.Incarnation, p.Address}, sentAt, func(sentAt boottime.Instant) identityFinding {
 		ctx, cancel := context.WithTimeout(context.Background(), identityTimeout)
 		defer cancel()
+		refusals := 0
 		for pause := minQuestionPause; ; pause = min(2*pause, maxQuestionPause) {
-			identity, isFinal := s.askIdentity(ctx, p, sentAt)
-			if isFinal {
-				return identity
+			finding, err := s.askIdentity(ctx, p, sentAt)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				if refusals++; refusals == refusalsOfEndedServer {
+					return identityFinding{identityOther, "host refuses connections"}
+				}
+			}
+			if !mayAskAgain(err) {
+				return finding
 			}
 			select {
 			case <-ctx.Done():
-				return identityUnknown
+				return finding
 			case <-time.After(pause):
 			}
 		}
 	})
-	if identity == identitySame && p.IsReplaced() {
-		return identityOther // the answer to the question may tell the id only
-	}
-	return identity
 }
 
-// askIdentity asks at the address of a server which process answers. The result is not final if another question may tell more.
+// errAskAgain means that a server has answered a question and may answer it otherwise later.
+var errAskAgain = errors.New("server cannot answer the question now")
+
+// mayAskAgain reports whether a question that ended with the error may be answered when it is asked again.
+func mayAskAgain(err error) bool {
+	var connErr *net.OpError
+	return errors.Is(err, errAskAgain) || errors.As(err, &connErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// askIdentity asks at the address of a server which process answers. With an error another question may tell more.
 //
 // The first question is a request for the report of the server that expects an instance which does not exist. A server that makes
 // reports answers with the start of its process, every other one refuses and names its id; none runs the request. A server that does
 // neither is asked as the instance that it should be: another one refuses, it signs its response.
-func (s *Server) askIdentity(ctx context.Context, p *backend.Placement, sentAt boottime.Instant) (identity serverIdentity, isFinal bool) {
+func (s *Server) askIdentity(ctx context.Context, p *backend.Placement, sentAt boottime.Instant) (identityFinding, error) {
+	unknown := func(err error) (identityFinding, error) { return identityFinding{identityUnknown, err.Error()}, err }
 	id := strconv.FormatUint(rand.Uint64(), 16)
 	answer, err := s.ask(ctx, p, sentAt, noInstance, id)
-	if err == nil && (answer.Header.Get(s.Dialect.RequestID) == "" || answer.Header.Get(s.Dialect.RequestID) == id) {
-		if identity = s.Dialect.identify(answer, p.ID, p.StartUnixMillis); identity != identityUnknown {
-			return identity, true
-		}
-		answer, err = s.ask(ctx, p, sentAt, p.ID, "")
-		if err == nil {
-			identity = s.Dialect.identifyBySignature(answer)
-			return identity, identity != identityUnknown || !isOverload(answer.Status)
-		}
+	if err != nil {
+		return unknown(err)
+	}
+	if got := answer.Header.Get(s.Dialect.RequestID); got != "" && got != id {
+		return unknown(fmt.Errorf("%w: the answer is that to another request", errAskAgain))
+	}
+	finding := s.Dialect.identify(answer, p)
+	if finding.identity != identityUnknown {
+		return finding, nil
+	}
+	if isBusy(answer.Status) {
+		return finding, errAskAgain
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return identityOther, true
+	if answer, err = s.ask(ctx, p, sentAt, p.ID, ""); err != nil {
+		return unknown(err)
 	}
-	return identityUnknown, false
+	second := s.Dialect.identifyNamed(answer, p)
+	second.detail = finding.detail + "; " + second.detail
+	if second.identity == identityUnknown && isBusy(answer.Status) {
+		return second, errAskAgain
+	}
+	return second, nil
 }
 
-// isOverload reports whether the same question may be answered otherwise later.
-func isOverload(status int) bool {
-	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+// isBusy reports whether a server that answers with the status may answer the same question otherwise later.
+func isBusy(status int) bool {
+	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
 }
 
 // ask asks a server for its report as the given instance. An empty request id is left out.
@@ -173,34 +217,41 @@
 	}, sentAt)
 }
 
-// identify tells from the answer to a question that expects no instance whether the process with the given id and start time gave it.
-// The start time is 0 if the registry does not tell it. A process that has kept a connection since before it got the request is the
-// one that got it, whatever it tells of itself.
-func (d *Dialect) identify(answer *upstream.Answer, id string, startUnixMillis int64) serverIdentity {
+// identify tells from the answer to a question that expects no instance whether the process gave it at which a request was placed. A
+// process that has kept a connection since before it got the request is that one, whatever it tells of itself. A process with the same
+// id and no start is that one unless the registry tells of another start meanwhile.
+func (d *Dialect) identify(answer *upstream.Answer, p *backend.Placement) identityFinding {
 	start, hasStart := d.reportedStart(answer)
-	answeringID := answer.Header.Get(d.InstanceID)
+	id := answer.Header.Get(d.InstanceID)
 	hasRefused := answer.Status == http.StatusMisdirectedRequest
 	switch {
-	case hasStart && startUnixMillis != 0 && start != startUnixMillis, hasRefused && answeringID != "" && answeringID != id:
-		return identityOther
-	case hasStart && startUnixMillis != 0, hasRefused && answeringID == id:
-		return identitySame
 	case answer.IsFromBefore && (hasStart || hasRefused):
-		return identitySame
+		return identityFinding{identitySame, "older connection"}
+	case hasStart && p.StartUnixMillis != 0:
+		if start != p.StartUnixMillis {
+			return identityFinding{identityOther, fmt.Sprintf("start %d", start)}
+		}
+		return identityFinding{identitySame, "start"}
+	case hasRefused && id != "":
+		if id != p.ID || p.IsReplaced() {
+			return identityFinding{identityOther, "instance " + id}
+		}
+		return identityFinding{identitySame, "instance"}
 	}
-	return identityUnknown
+	return identityFinding{identityUnknown, fmt.Sprintf("status %d", answer.Status)}
 }
 
-// identifyBySignature tells from the answer to a question that expects the server whether it is that server. One without room may
-// refuse before it looks at the instance.
-func (d *Dialect) identifyBySignature(answer *upstream.Answer) serverIdentity {
-	switch {
-	case answer.Status == http.StatusMisdirectedRequest:
-		return identityOther
-	case answer.Header.Get(d.ResponseSignature) != "" && !isOverload(answer.Status):
-		return identitySame
+// identifyNamed is identify for a question that expects the server itself. Another server refuses it. One without room may refuse
+// before it looks at the instance, so that its signature counts only with other statuses.
+func (d *Dialect) identifyNamed(answer *upstream.Answer, p *backend.Placement) identityFinding {
+	if answer.Status == http.StatusMisdirectedRequest {
+		return identityFinding{identityOther, "refuses the instance"}
+	}
+	finding := d.identify(answer, p)
+	if finding.identity == identityUnknown && answer.Header.Get(d.ResponseSignature) != "" && !isBusy(answer.Status) && !p.IsReplaced() {
+		return identityFinding{identitySame, "signature"}
 	}
-	return identityUnknown
+	return finding
 }
 
 // reportedStart returns the start time in a server's report, in Unix milliseconds.
@@ -209,6 +260,7 @@
 	if answer.Status != http.StatusOK || json.Unmarshal(answer.Body, &fields) != nil {
 		return 0, false
 	}
-	err := json.Unmarshal(fields[d.ReportStart], &startUnixMillis)
-	return startUnixMillis, err == nil
+	var start float64 // as in the registry, which may write it in any form of a number
+	err := json.Unmarshal(fields[d.ReportStart], &start)
+	return int64(start), err == nil && start == math.Trunc(start)
 }
--- a/rudder/relay/silence_test.go
+++ b/rudder/relay/silence_test.go
@@ -229,7 +229,7 @@
 	if err := conn.Send(request); err != nil {
 		t.Fatal(err)
 	}
-	for deadline := time.Now().Add(20 * time.Second); !HasUnread(conn.Conn); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(20 * time.Second); !conn.HasUnread(); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("no response arrived within 20 s")
 		}
--- a/rudder/relay/unframed_test.go
+++ b/rudder/relay/unframed_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"testing"
 	"time"
 
 	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/boottime"
 )
 
 // crashingBackendServer adds a backend server that closes the connection in an orderly way after each response. If handle
@@ -173,15 +174,13 @@
 	if refusal != nil {
 		t.Fatal(refusal)
 	}
-	// A probe that began while the server lived is in progress.
+	// A check that began while the server lived is in progress.
 	begun, end := make(chan struct{}), make(chan struct{})
-	go func() {
-		_, _, _ = h.server.probes.Do(strconv.FormatUint(p.Incarnation, 36), func() (any, error) {
-			close(begun)
-			<-end
-			return serverAlive, nil
-		})
-	}()
+	go h.server.identities.get(context.Background(), identityKey{p.Incarnation, p.Address}, 0, func(boottime.Instant) identityFinding {
+		close(begun)
+		<-end
+		return identityFinding{identity: identitySame}
+	})
 	<-begun
 	p.Release(backend.ResultCompleted)
 	time.AfterFunc(100*time.Millisecond, func() { close(end) })
--- a/rudder/upstream/ask.go
+++ b/rudder/upstream/ask.go
@@ -18,6 +18,9 @@
 	maxIdleTimeForQuestion = 8 * time.Second
 )
 
+// ErrAnswerTooLarge means that a head or a body exceeds what answers to questions have.
+var ErrAnswerTooLarge = errors.New("answer is too large")
+
 // Answer is the response to a question.
 type Answer struct {
 	Status int
@@ -62,16 +65,19 @@
 	response, err := c.readHead(request)
 	for interim := 0; err == nil && response.StatusCode < http.StatusOK; interim++ {
 		if interim == maxInterimResponses {
-			return nil, nil, ErrHeadTooLarge
+			return nil, nil, ErrAnswerTooLarge
 		}
 		response, err = c.readHead(request)
 	}
+	if errors.Is(err, ErrHeadTooLarge) {
+		return nil, nil, errors.Wrap(ErrAnswerTooLarge, err.Error())
+	}
 	if err != nil {
 		return nil, nil, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.Errorf("answer has more than %d bytes", maxAnswerBytes)
+		err = errors.Wrapf(ErrAnswerTooLarge, "more than %d bytes", maxAnswerBytes)
 	}
 	if err != nil {
 		return nil, nil, err
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -77,8 +77,7 @@
 
 // Conn is a connection from a Pool. It carries one request at a time.
 type Conn struct {
-	net.Conn
-	stream            *connend.Conn // reads and writes Conn
+	*connend.Conn
 	pool              *Pool
 	source            *headLimiter // of reader
 	reader            *bufio.Reader
@@ -118,9 +117,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", p.Address, err, ErrNotSent)
 	}
-	stream := connend.New(raw)
-	source := &headLimiter{conn: stream}
-	return &Conn{Conn: raw, stream: stream, pool: p, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), connectedAt: boottime.Now()}, nil
+	conn := connend.New(raw)
+	source := &headLimiter{conn: conn}
+	return &Conn{Conn: conn, pool: p, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), connectedAt: boottime.Now()}, nil
 }
 
 // headLimiter reads from a connection. While a head is expected, it bounds the bytes, since http.ReadResponse would collect
@@ -216,18 +215,15 @@
 	if time.Since(c.idleSince) > maxIdleTime || c.reader.Buffered() > 0 {
 		return false
 	}
-	return c.stream.Peek() == connend.UnreadNothing
+	return c.Peek() == connend.UnreadNothing
 }
 
 // HasUnread reports whether bytes, or the end of the connection, have arrived and were not read from the socket yet. It does not wait.
 func (c *Conn) HasUnread() bool {
-	unread := c.stream.Peek()
+	unread := c.Peek()
 	return unread == connend.UnreadBytes || unread == connend.UnreadEnd
 }
 
-// Err returns the first error of the connection, whichever call has received it; nil if there was none.
-func (c *Conn) Err() error { return c.stream.Err() }
-
 // hasCarried reports whether a request with the id is among the latest requests on the connection.
 func (c *Conn) hasCarried(id string) bool {
 	return slices.Contains(c.recentIDs[:min(c.requestCount, recentIDCount)], xxhash.Sum64String(id))
@@ -245,7 +241,7 @@
 // Abort resets the connection. Bytes of a request that are still on their way are dropped: after an orderly close, a
 // delayed request would reach the server and run long after this node gave it up.
 func (c *Conn) Abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails on a closed connection only
 	}
 	_ = c.Conn.Close()
@@ -296,7 +292,7 @@
 // other error the server may have received the request.
 func (c *Conn) Send(request *http.Request) error {
 	w := writerPool.Get().(*bufio.Writer)
-	counter := &countingWriter{conn: c.stream}
+	counter := &countingWriter{conn: c.Conn}
 	w.Reset(counter)
 	defer func() {
 		w.Reset(nil)
