Break off plain responses without a length that hold the head of another one

Callers got the answer of another request behind their own (MIXED) when a server that answers twice wrote its late copy into a response of which only the end of the connection marks the end. Cause: nothing else delimits such a body, and only event streams were searched for heads. Change: a body without a length is searched for a status line, at any place of a line, that the header of the request id follows before the next empty line, as in streams. A short response fails before anything of it is forwarded, a large one is cut. A body that quotes such a head is refused too.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -315,6 +315,9 @@
 // forwardPlain forwards a response that is not an event stream and whose status does not imply that the request has not run.
 func (a *attempt) forwardPlain(ctx context.Context, response *http.Response, isSuccess bool) attemptResult {
 	a.setReadTimeout(a.forwarder.firstByteTimeout(a.placement.ExpectedFirstByte))
+	if endsWithConnection(response) {
+		response.Body = &headSearcher{ReadCloser: response.Body, requestIDHeader: a.server.Dialect.RequestID}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	if err != nil {
 		return a.brokenResponse(ctx, a.readError(response, err, "read response body"))
