--- a/rudder/relay/caller_conn.go
+++ b/rudder/relay/caller_conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 
 	"chestnutrudder.example/rudder/connend"
 	"chestnutrudder.example/rudder/resource"
@@ -30,6 +31,18 @@
 	return nil
 }
 
+// resettableConn is a connection that Close resets after SetLinger(0).
+type resettableConn interface{ SetLinger(seconds int) error }
+
+// oldCallerConn returns the connection of a request with HTTP/1.0, nil for later versions.
+func oldCallerConn(r *http.Request) resettableConn {
+	if r.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	conn, _ := r.Context().Value(callerConnKey{}).(resettableConn)
+	return conn
+}
+
 // hasCallerLeft reports whether the caller has closed the connection of a request. net/http notices that too, but only in a
 // goroutine that starts with the handler; a request that waited in the socket until its caller left would be sent first.
 func hasCallerLeft(ctx context.Context) bool {
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -279,6 +279,9 @@
 func (f *forwarder) abort(reason string) {
 	f.server.Log.Info("Aborted the response to the caller.", "request", f.call.id, "reason", reason, "last_event", f.lastEventID, "after_ms", time.Since(f.call.arrivedAt).Milliseconds())
 	f.server.metrics.countRequest(f.call, statusAborted)
+	if f.call.oldCallerConn != nil {
+		_ = f.call.oldCallerConn.SetLinger(0) // the end of the connection in order would be that of the response
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -43,6 +43,7 @@
 	content         culprit.Trait    // see contentTrait; 0 before its first call
 	isTrial         bool             // sent although similar requests are quarantined
 	charge          *resource.Charge // of the caller's connection; nil if nothing is charged
+	oldCallerConn   resettableConn   // of a caller with HTTP/1.0, to which chunks are unknown; else nil
 }
 
 const (
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -121,7 +121,7 @@
 	defer s.inProgress.Add(-1)
 	c := &call{
 		id: r.Header.Get(s.Dialect.RequestID), arrivedAt: time.Now(),
-		method: r.Method, requestTarget: r.RequestURI, hostHeader: r.Host, charge: chargeOf(r.Context()),
+		method: r.Method, requestTarget: r.RequestURI, hostHeader: r.Host, charge: chargeOf(r.Context()), oldCallerConn: oldCallerConn(r),
 	}
 	defer s.logPanic(c)
 	defer c.releaseCharge()
