--- a/standin/faultproxy/path.go
+++ b/standin/faultproxy/path.go
@@ -27,6 +27,8 @@
 	CutRefuse Cut = "refuse"
 	// CutResetLater establishes new connections and resets them, and the open ones, at once.
 	CutResetLater Cut = "reset-after-accept"
+	// CutSilence establishes new connections, and holds back all data in both directions until the cut ends.
+	CutSilence Cut = "silent-after-accept"
 )
 
 // Path is the network path from one client to one server, with an address of its own. Unlike Proxy, it treats connections as a
@@ -194,14 +196,12 @@
 }
 
 // copy copies data from src to dst until either fails or src ends, and then ends both: in order if src has ended in order, else
-// by a reset. It holds back what the client should get while the path hangs.
+// by a reset. It holds back what the client should get while the path hangs or is silent, and what the server should while it is silent.
 func (p *Path) copy(c *pathConn, dst, src *net.TCPConn) {
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := src.Read(buffer)
-		if dst == c.client {
-			p.awaitPassage()
-		}
+		p.awaitPassage(dst == c.client)
 		if n > 0 {
 			if _, err := dst.Write(buffer[:n]); err != nil {
 				c.reset()
@@ -220,11 +220,11 @@
 	}
 }
 
-// awaitPassage waits until the path does not hang.
-func (p *Path) awaitPassage() {
+// awaitPassage waits until the path lets data pass in a direction.
+func (p *Path) awaitPassage(isTowardsClient bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for p.cut() == CutHang && !p.isClosed {
+	for (p.cut() == CutHang && isTowardsClient || p.cut() == CutSilence) && !p.isClosed {
 		p.changed.Wait()
 	}
 }
