Know when a node has lost the path to all servers of a service

Change: backend.Paths probes some servers of a service when a connection attempt fails, a connection breaks or all servers are silent; lines for a path that is lost and back, gauge services_without_path. Failures at servers without a path say nothing to peers.

--- a/rudder/backend/recent_results.go
+++ b/rudder/backend/recent_results.go
@@ -89,7 +89,7 @@
 	var reports map[string]ResultReport
 	for id, s := range t.servers {
 		counts := s.ownResults.current(now)
-		if counts.rejected+counts.failed < minReportedResults {
+		if counts.rejected+counts.failed < minReportedResults || t.isPathLost(s.Service) {
 			continue
 		}
 		if reports == nil {
--- a/rudder/backend/table.go
+++ b/rudder/backend/table.go
@@ -80,6 +80,9 @@
 	Log         *slog.Logger
 	// MaxIdleConns returns how many idle connections to one server of a service may be kept; nil means no limit.
 	MaxIdleConns func(service string) int
+	// IsPathLost reports whether this node has no path to the servers of a service. Its failures at them then say nothing to peers. Nil
+	// means that it has one.
+	IsPathLost func(service string) bool
 	// ChoosesByPace makes the table learn the paces of servers, share them with peers and use them in the choice. Learning alone costs a
 	// host with 86 peers half a percent of a core.
 	ChoosesByPace bool
@@ -365,7 +368,7 @@
 	now := time.Now()
 	loads := map[string]PeerLoad{}
 	for id, s := range t.servers {
-		isEjected := s.health.isEjected(now)
+		isEjected := s.health.isEjected(now) && !t.isPathLost(s.Service)
 		if s.ownLoad.running > 0 || isEjected {
 			l := PeerLoad{Running: s.ownLoad.running, PendingTokens: trimTrailingZeros(s.ownLoad.pendingTokens)}
 			if isEjected {
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -72,9 +72,15 @@
 	a.cancel = cancel
 	conn, err := a.placement.Server.Pool.Get(ctx, a.call.id, a.maxIdleTime())
 	if err != nil {
-		return attemptResult{isKnownNotRun: true, backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
+		if parent.Err() == nil {
+			a.server.Paths.SuspectConnect(a.call.service, err)
+		}
+		return attemptResult{isKnownNotRun: true, isUnconnected: true, backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
 	a.conn = conn
+	if !conn.Reused {
+		a.server.Paths.RecordConnection(a.call.service)
+	}
 	conn.OnReadTimeout(a.onSilence)
 	// The end of the connection makes the server cancel the request.
 	stop := context.AfterFunc(ctx, conn.Abort)
@@ -93,6 +99,7 @@
 	a.sentAt = boottime.Now()
 	a.progressAt = a.sentAt
 	a.countSend()
+	defer a.server.Paths.BeginWait(a.call.service)()
 	writeResult, err := a.send(request)
 	if err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -103,6 +110,9 @@
 	a.setReadTimeout(a.forwarder.firstByteTimeout(a.placement.ExpectedFirstByte))
 	response, err := conn.Receive(request, a.server.Dialect.RequestID)
 	if err != nil {
+		if parent.Err() == nil && !isLocalAbort(err) {
+			a.server.Paths.SuspectBreak(a.call.service, err)
+		}
 		// A server that closes the connection without a response has usually run the request. One that sends nothing until
 		// this node gives up has usually not started it: its queue was too long, or it hangs.
 		if !isLocalAbort(err) {
@@ -110,8 +120,9 @@
 		}
 		return attemptResult{isSent: true, isTimeout: isTimeout(err), backendResult: a.resultUnlessCancelled(parent, backend.ResultConnectionFailure), reason: err.Error()}
 	}
+	a.server.Paths.RecordBytes(a.call.service)
 	if response.Body != http.NoBody {
-		a.body = &trackedBody{ReadCloser: response.Body, lastByteAt: boottime.Now()}
+		a.body = &trackedBody{ReadCloser: response.Body, lastByteAt: boottime.Now(), onBytes: func() { a.server.Paths.RecordBytes(a.call.service) }}
 		response.Body = a.body
 	}
 	r := a.handleResponse(parent, response)
@@ -185,6 +196,7 @@
 	hasEnded   bool
 	bytes      int64
 	lastByteAt boottime.Instant // at first when the head was read
+	onBytes    func()
 }
 
 func (b *trackedBody) Read(p []byte) (int, error) {
@@ -192,6 +204,7 @@
 	if n > 0 {
 		b.bytes += int64(n)
 		b.lastByteAt = boottime.Now()
+		b.onBytes()
 	}
 	b.hasEnded = b.hasEnded || err == io.EOF
 	return n, err
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -135,6 +135,7 @@
 	isPartial     bool           // the caller has a part of a response that cannot be continued, or does not read
 	isSent        bool           // at least one byte of the request was sent
 	isKnownNotRun bool           // nothing was sent, or the server stated that it has not run the request
+	isUnconnected bool           // there was no connection to the server
 	isWithdrawn   bool           // nothing was sent, since the server gets no requests any more, or none for a time
 	isPaused      bool           // the server asked for a pause
 	backendResult backend.Result // for the statistics of the server
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -59,6 +59,7 @@
 	Log              *slog.Logger
 	Crashes          *culprit.List
 	Origins          *streamorigin.Book
+	Paths            *backend.Paths  // nil means that the paths to backend servers are not watched
 	Versions         VersionObserver // nil means that the requests at software versions are not counted
 
 	mu               sync.Mutex
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -61,6 +61,18 @@
 	a.clearReadDeadline()
 }
 
+// LeaveSilentServers makes the requests that wait for a response of the service and may be repeated go elsewhere if they can, since
+// this node has no path to the servers any more.
+func (s *Server) LeaveSilentServers(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a := range s.awaitingResponse {
+		if a.call.service == service && a.forwarder.resendDenial(true, a.forwarder.possibleRuns+1, a.forwarder.sends+1) == "" {
+			_ = a.conn.SetReadDeadline(time.Now())
+		}
+	}
+}
+
 func (a *attempt) clearReadDeadline() { _ = a.conn.SetReadDeadline(time.Time{}) }
 
 // onSilence decides whether the attempt at a silent server is given up. It returns 0 if it is, otherwise how much longer to
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -74,6 +74,7 @@
 
 	currentConfig *traffic.CurrentConfig
 	backends      *backend.Table
+	paths         *backend.Paths
 	quotas        *quota.Ledger
 	usageCounter  *usage.Counter
 	relay         *relay.Server
@@ -123,6 +124,9 @@
 	if err := metrics.ObserveNodes(n.mesh.CountNodes); err != nil {
 		return err
 	}
+	if err := metrics.ObserveLostPaths(n.paths.Lost); err != nil {
+		return err
+	}
 	if err := n.resources.Observe(metrics); err != nil {
 		return err
 	}
@@ -164,6 +168,8 @@
 	n.resources = resource.NewAccount(n.resourceLimits.Bytes, logger.Part("resource"))
 	n.backends = backend.NewTable(dialTimeout, logger.Part("backend"))
 	n.backends.MaxIdleConns = n.maxIdleConnections
+	n.paths = &backend.Paths{Table: n.backends, Log: logger.Part("paths"), OnChange: n.handlePathChange}
+	n.backends.IsPathLost = n.paths.IsLost
 	n.quotas = quota.NewLedger(s.IsFirstStart, s.QuotaTolerance, time.Now)
 	n.registry = newRegistrySync(n)
 	n.mesh = mesh.New(s.MeshAddress, s.MeshSeeds, n.composeDigest, n.handleDigest, logger.Part("mesh"))
@@ -178,6 +184,7 @@
 		FailureDomain: s.FailureDomain, Log: logger.Part("relay"), Crashes: &culprit.List{Log: logger.Part("culprit"), IsTrialNode: n.isFirstNode},
 		RetryRate: limit.RetryRate{Fraction: retryBudgetFraction * s.RetryFraction, Burst: retryBudgetFraction * s.RetryBurst},
 	}
+	n.relay.Paths = n.paths
 	n.relay.MaxBufferedBytes = s.MemoryLimitBytes / responseMemoryDivisor
 	if s.RevocationBound > 0 {
 		n.relay.StalenessLimits = relay.StalenessLimits{Send: s.RevocationBound - stopSendingMargin, Wait: s.RevocationBound - cancelWaitingMargin}
@@ -198,6 +205,14 @@
 	return n
 }
 
+// handlePathChange tells the peers at once that the path to the servers of a service was lost or is back.
+func (n *node) handlePathChange(service string, isLost bool) {
+	n.mesh.SendSoon()
+	if isLost {
+		n.relay.LeaveSilentServers(service)
+	}
+}
+
 // leasePollInterval is the pause between two reads of the duty lease by a node that contends for it. Nodes contend only
 // while no peer reports that it holds the lease.
 const leasePollInterval = 500 * time.Millisecond
@@ -217,7 +232,7 @@
 	tasks := []func(context.Context){
 		func(ctx context.Context) { n.mesh.Run(ctx, meshConn) },
 		n.configWatcher.Run, n.registry.objectWatcher.Run, n.relay.WatchWaitingRequests, n.closeIdleConnections, n.reportResources, n.updateShares,
-		n.readNewerConfigs, n.registerAndDiscover, n.keepQuarantines, n.streamRecords.run,
+		n.readNewerConfigs, n.registerAndDiscover, n.keepQuarantines, n.streamRecords.run, n.paths.Run,
 	}
 	if n.rollouts != nil {
 		tasks = append(tasks, n.rollouts.run, n.rollouts.update)
--- a/rudder/telemetry/telemetry.go
+++ b/rudder/telemetry/telemetry.go
@@ -56,6 +56,7 @@
 	ServerPauses     metric.Int64Counter // pauses that backend servers asked for
 	QuotaRefusals    metric.Int64Counter // requests that were refused for their organisation's limit
 	UnframedEnds     metric.Int64Counter // responses of which only the end of the connection marked the end
+	PassedOnRequests metric.Int64Counter // requests that were passed on to another node
 	handler          http.Handler
 	meter            metric.Meter
 }
@@ -71,7 +72,7 @@
 	m := &Metrics{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: meter}
 	firstTokenBounds := metric.WithExplicitBucketBoundaries(.05, .1, .2, .3, .4, .5, .6, .68, .8, 1, 2, 5, 10)
 	betweenTokensBounds := metric.WithExplicitBucketBoundaries(.005, .01, .015, .02, .025, .027, .03, .04, .06, .1, .5, 1)
-	var errs [14]error
+	var errs [15]error
 	m.FirstToken, errs[0] = meter.Float64Histogram("first_token_seconds", firstTokenBounds)
 	m.BetweenTokens, errs[1] = meter.Float64Histogram("between_tokens_seconds", betweenTokensBounds)
 	m.GeneratedTokens, errs[2] = meter.Int64Counter("generated_tokens")
@@ -86,6 +87,7 @@
 	m.ServerPauses, errs[11] = meter.Int64Counter("server_pauses")
 	m.QuotaRefusals, errs[12] = meter.Int64Counter("quota_refusals")
 	m.UnframedEnds, errs[13] = meter.Int64Counter("unframed_ends")
+	m.PassedOnRequests, errs[14] = meter.Int64Counter("passed_on_requests")
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Wrap(err, "create instrument")
@@ -123,6 +125,16 @@
 	return errors.Wrap(err, "register callback")
 }
 
+// ObserveLostPaths registers a gauge of the services without a path from this node to their backend servers. list is called at each
+// collection.
+func (m *Metrics) ObserveLostPaths(list func() []string) error {
+	_, err := m.meter.Int64ObservableGauge("services_without_path", metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(int64(len(list())))
+		return nil
+	}))
+	return errors.Wrap(err, "create instrument")
+}
+
 // RolloutReading is how far the rollout of a service to a software version has come, as a node knows it.
 type RolloutReading struct {
 	Service, Version string
