Tell peers which services a node has no path to, and callers other nodes

Cause: peers and callers don't know that a node is cut off from the servers of a service. Change: Digest.LostServices (field 50), Summary.LostServices by node (field 8; NodeSummary is a list of known length); the address answers leave out nodes without a path while enough others are ready. Result: tests of packages mesh and relaynode (addresses) pass.

--- a/rudder/mesh/digest.go
+++ b/rudder/mesh/digest.go
@@ -85,6 +85,8 @@
 	RolloutCallAgeMillis int64 `cbor:"41,keyasint,omitempty"`
 	// QuotaNodes is the number of nodes among which the sender divides the limits of organisations, as far as it knows itself.
 	QuotaNodes int `cbor:"46,keyasint,omitempty"`
+	// LostServices holds the services to whose backend servers the sender has no path, in full and brief digests.
+	LostServices []string `cbor:"50,keyasint,omitempty"`
 	// Sightings tells when the sender last got a digest from some of its peers. Successive digests go through all peers.
 	Sightings []PeerSighting `cbor:"27,keyasint,omitempty"`
 	// ServerPaces tells how fast backend servers were for the sender, once a second at most.
--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -44,6 +44,9 @@
 	return m.SentAt.Add(-time.Duration(m.ConfigAnswerAgeMillis-1) * time.Millisecond), true
 }
 
+// MeshAddress returns the IP:port from which the peer sends its digests.
+func (m *Member) MeshAddress() string { return m.sourceAddress }
+
 // KnownSince returns when this node first heard of the present process of the peer.
 func (m Member) KnownSince() boottime.Instant { return m.startKnownAt }
 
--- a/rudder/mesh/summary.go
+++ b/rudder/mesh/summary.go
@@ -22,6 +22,9 @@
 	Organisations []string                    `cbor:"5,keyasint,omitempty"` // whose usage the summary holds
 	Levels        []float64                   `cbor:"6,keyasint,omitempty"` // of the sender's buckets, as Organisations
 	Nodes         []NodeSummary               `cbor:"7,keyasint,omitempty"` // the sender included
+	// LostServices is Digest.LostServices by node. It is no field of NodeSummary, which nodes of earlier versions decode as a list of
+	// known length.
+	LostServices map[string][]string `cbor:"8,keyasint,omitempty"`
 }
 
 // NodeSummary is the state of one node in a Summary.
@@ -256,6 +259,12 @@
 			entry.Taken = append(entry.Taken, taken)
 		}
 		s.Nodes = append(s.Nodes, entry)
+		if len(n.LostServices) > 0 {
+			if s.LostServices == nil {
+				s.LostServices = map[string][]string{}
+			}
+			s.LostServices[n.Node] = n.LostServices
+		}
 	}
 	return s
 }
@@ -268,7 +277,7 @@
 	m.mu.Lock()
 	m.summaries[s.FailureDomain] = &receivedSummary{Summary: s, receivedAt: receivedAt}
 	for i := range s.Nodes {
-		m.updateMember(s.FailureDomain, &s.Nodes[i], receivedAt)
+		m.updateMember(s, &s.Nodes[i], receivedAt)
 	}
 	m.mu.Unlock()
 	if m.OnSummary != nil {
@@ -278,7 +287,7 @@
 
 // updateMember updates one member from a summary unless a later digest of it is known. A peer that is not known is added
 // when a full summary tells its addresses. The caller holds the lock.
-func (m *Mesh) updateMember(failureDomain string, n *NodeSummary, receivedAt boottime.Instant) {
+func (m *Mesh) updateMember(s *Summary, n *NodeSummary, receivedAt boottime.Instant) {
 	if n.AgeMillis < 0 || n.AgeMillis > removeAfter.Milliseconds() {
 		return
 	}
@@ -291,11 +300,12 @@
 	if !isSameStart && n.MeshAddress == "" || m.ownDigest != nil && n.Node == m.ownDigest.Node {
 		return
 	}
-	updated := &Member{Digest: Digest{Node: n.Node, Incarnation: n.Incarnation, FailureDomain: failureDomain, ConfirmationAgeMillis: -1}, IsSummarized: true}
+	updated := &Member{Digest: Digest{Node: n.Node, Incarnation: n.Incarnation, FailureDomain: s.FailureDomain, ConfirmationAgeMillis: -1}, IsSummarized: true}
 	if isSameStart {
 		*updated = *previous
 	}
 	updated.State, updated.ConfigVersion, updated.HoldsDutyLease, updated.ReceivedAt = n.State, n.ConfigVersion, n.HoldsDutyLease, heardAt
+	updated.LostServices = s.LostServices[n.Node]
 	if n.MeshAddress != "" {
 		updated.Address, updated.sourceAddress = n.Address, n.MeshAddress
 	}
--- a/rudder/relaynode/addresses.go
+++ b/rudder/relaynode/addresses.go
@@ -25,6 +25,7 @@
 func (n *node) serveAddresses(w http.ResponseWriter, r *http.Request) {
 	members := append(n.mesh.ReachableMembers(), &mesh.Member{Digest: mesh.Digest{
 		Node: n.settings.Node, FailureDomain: n.settings.FailureDomain, Address: n.settings.CallerAddress, State: n.state(),
+		LostServices: n.paths.Lost(),
 	}})
 	addresses := chooseAddresses(members, n.platform.CallerFailureDomain(r))
 	if len(addresses) == 0 {
@@ -38,12 +39,18 @@
 }
 
 // addressGroup collects the addresses of nodes among which a caller may choose.
-type addressGroup struct{ ready, starting []string }
+type addressGroup struct {
+	ready, starting []string
+	withPaths       []string // those of ready that have paths to the servers of all services
+}
 
 func (g *addressGroup) add(m *mesh.Member) {
 	switch m.State {
 	case mesh.Ready:
 		g.ready = append(g.ready, m.Address)
+		if len(m.LostServices) == 0 {
+			g.withPaths = append(g.withPaths, m.Address)
+		}
 	case mesh.Starting:
 		g.starting = append(g.starting, m.Address)
 	}
@@ -54,9 +61,22 @@
 	return float64(len(g.ready)) >= minReadyShare*float64(len(g.ready)+len(g.starting))
 }
 
+// sparesCutNodes reports whether so many nodes of the group have paths to all servers that they can take the callers of the ready
+// ones. Those without a path serve too, but pass requests on.
+func (g *addressGroup) sparesCutNodes() bool {
+	return len(g.withPaths) > 0 && float64(len(g.withPaths)) >= minReadyShare*float64(len(g.ready))
+}
+
+func (g *addressGroup) leaveOutCutNodes() {
+	if g.sparesCutNodes() {
+		g.ready = g.withPaths
+	}
+}
+
 // chooseAddresses returns at most maxAddresses addresses: those of the ready nodes of the failure domain if they can take its
 // callers, else those of all ready nodes, else those of the nodes that will be ready soon too. It returns none if no node is
-// ready: callers then keep the addresses that they have.
+// ready: callers then keep the addresses that they have. Ready nodes without a path to the servers of some service are left out
+// while enough others are ready.
 func chooseAddresses(members []*mesh.Member, failureDomain string) []string {
 	var local, all addressGroup
 	for _, m := range members {
@@ -65,6 +85,12 @@
 			local.add(m)
 		}
 	}
+	if local.sparesCutNodes() || !all.sparesCutNodes() {
+		local.leaveOutCutNodes()
+	} else {
+		local = addressGroup{} // its callers are better off with nodes elsewhere than with a hop
+	}
+	all.leaveOutCutNodes()
 	var addresses []string
 	switch {
 	case len(local.ready) >= minLocalNodes && local.carriesItsCallers():
--- a/rudder/relaynode/addresses_test.go
+++ b/rudder/relaynode/addresses_test.go
@@ -66,3 +66,47 @@
 		})
 	}
 }
+
+// Callers are told nodes without a path to the servers of a service only if too few others are ready.
+func TestChooseAddressesLeavesOutNodesWithoutPath(t *testing.T) {
+	tests := map[string]struct {
+		localCut, remoteCut   int // of four ready nodes each
+		wantLocal, wantRemote int
+	}{
+		"none":                   {0, 0, 4, 0},
+		"some":                   {1, 2, 3, 0},
+		"half":                   {2, 4, 2, 0},
+		"most of the domain":     {3, 0, 1, 4},
+		"all of the domain":      {4, 0, 0, 4},
+		"others":                 {0, 4, 4, 0},
+		"most of the domains":    {3, 3, 4, 0},
+		"all":                    {4, 4, 4, 0},
+		"the domain and another": {4, 1, 4, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			local, remote := addressMembers("a", 4, 0), addressMembers("b", 4, 0)
+			for i, m := range local {
+				if i < c.localCut {
+					m.LostServices = []string{"s"}
+				}
+			}
+			for i, m := range remote {
+				if i < c.remoteCut {
+					m.LostServices = []string{"s"}
+				}
+			}
+			gotLocal, gotRemote := 0, 0
+			for _, address := range chooseAddresses(append(local, remote...), "a") {
+				if address[0] == 'a' {
+					gotLocal++
+				} else {
+					gotRemote++
+				}
+			}
+			if gotLocal != c.wantLocal || gotRemote != c.wantRemote {
+				t.Errorf("got %d local and %d remote addresses, want %d and %d", gotLocal, gotRemote, c.wantLocal, c.wantRemote)
+			}
+		})
+	}
+}
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -255,6 +255,7 @@
 		Crashes: n.relay.Crashes.FullReport(), ServerLimits: n.backends.Limits(), RunsByWindow: n.usageCounter.WindowsForPeers(),
 		Departures: n.backends.Departures(), Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
 		UsageFinalThrough: n.usageCounter.FinalThrough(), ServerPaces: n.backends.TakePaceReport(), QuotaNodes: n.quotas.KnownNodes(),
+		LostServices: n.paths.Lost(),
 	}
 	d.ServerVersions = versionsByID(d.Registry.Changes)
 	// The ages are read before the version that they belong to: a newer one that is applied in between makes them look older.
