Pass requests on to peers while a service has no path from here

Change: package detour (choice of a peer, sending, the handler of the port for peers: TCP at the mesh address); relay passes a request on if its service has no path here, or after two servers that could not be connected to. The peer checks and counts it; one hop. A crash is recorded only if this node has a path to the service, or no peer has one.

--- a/rudder/backend/paths.go
+++ b/rudder/backend/paths.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/sleep"
@@ -52,7 +53,8 @@
 	// Dial connects to a server and closes the connection; nil means a TCP connection. Tests replace it.
 	Dial func(ctx context.Context, address string) error
 
-	services sync.Map // *servicePath by service name
+	services      sync.Map // *servicePath by service name
+	confirmations singleflight.Group
 }
 
 // servicePath is what a node knows of the path to the servers of one service. Times are boottime.Instants.
@@ -123,6 +125,26 @@
 	}
 }
 
+// Confirm reports whether this node had a path to a server of the service after the given time. It waits for connection attempts if that
+// is not known.
+func (p *Paths) Confirm(service string, since boottime.Instant) bool {
+	if p == nil {
+		return true
+	}
+	path := p.path(service)
+	if path.isLost.Load() {
+		return false
+	}
+	if boottime.Instant(max(path.connectedAt.Load(), path.byteAt.Load())) > since {
+		return true
+	}
+	found, _, _ := p.confirmations.Do(service, func() (any, error) {
+		round := p.probe(service, probedServers)
+		return round.hasAccepted || round.attempts == 0, nil
+	})
+	return found.(bool)
+}
+
 // SuspectConnect records that a connection attempt to a server of the service failed. Bytes on older connections do not show that new
 // ones are possible.
 func (p *Paths) SuspectConnect(service string, err error) {
--- a/rudder/relay/crash.go
+++ b/rudder/relay/crash.go
@@ -112,6 +112,9 @@
 		if state == serverAlive || state == serverUnknown && r.isTimeout {
 			return
 		}
+		if !s.Paths.Confirm(c.service, failedAt) && s.Detours.HasPeer(c.service, nil) {
+			return // this node is cut off from the servers, of which nothing is known
+		}
 		s.Crashes.RecordCrash(a.placement.Incarnation, c.service, traits, failedAt, a.sentAt)
 		s.metrics.countCrash(c)
 		s.Log.Info("Backend server crashed while running a request.", "request", c.id, "server", a.placement.ID, "service", c.service,
--- a/rudder/relay/forwarder.go
+++ b/rudder/relay/forwarder.go
@@ -43,6 +43,7 @@
 	alternative     *alternative    // reserved for the next send; nil if nothing is
 	failedAt        time.Time       // when the last attempt failed
 	hasWaited       bool            // for a server that asked for a pause
+	passing         passing         // to peers
 	version         *string         // of the software that began the stream; nil if none has
 	// crashObserved is closed when it is known whether the server of the last attempt crashed; nil if that is no question.
 	crashObserved <-chan struct{}
@@ -51,24 +52,28 @@
 // run sends the request to backend servers until there is a final response, and writes that to the caller.
 func (f *forwarder) run(ctx context.Context) {
 	s, c := f.server, f.call
-	s.recordFirstSend(c.service)
 	defer f.releaseAlternative()
-	if problem := f.findOrigin(ctx); problem != nil {
-		f.fail(problem)
-		return
-	}
 	for {
 		if !f.mayHaveRun && s.isRefusing() {
+			c.isNodeProblem = true
 			f.fail(errStopping()) // the response might be cut at the end of the stop
 			return
 		}
 		if problem := s.checkAllowed(c, s.StalenessLimits.Send); problem != nil {
+			c.isNodeProblem = !s.isConfigFresh(s.StalenessLimits.Send)
 			if f.mayHaveRun {
 				problem = outcome.UnknownErrorf(http.StatusBadGateway, errors.New(f.lastFailure), "%s", problem.Reason)
 			}
 			f.fail(problem)
 			return
 		}
+		if f.shouldPassOn() && f.tryPeers(ctx) {
+			return
+		}
+		if problem := f.beginHere(ctx); problem != nil {
+			f.fail(problem)
+			return
+		}
 		placement, refusal := f.place()
 		switch {
 		case refusal == nil:
@@ -78,6 +83,9 @@
 			}
 			f.fail(f.deadlineError())
 			return
+		case refusal.NoServers && f.passing.unconnected > 0 && f.passing.unconnected < maxUnconnected:
+			f.passing.unconnected = maxUnconnected // no server is left to try
+			continue
 		default:
 			f.failPlacement(refusal)
 			return
@@ -160,6 +168,9 @@
 		f.mayHaveRun = true
 		f.possibleRuns++
 	}
+	if r.isUnconnected {
+		f.passing.unconnected++
+	}
 	f.crashObserved = nil
 	switch {
 	case a.mayHaveCrashedServer(r):
--- a/rudder/relay/metrics.go
+++ b/rudder/relay/metrics.go
@@ -22,7 +22,7 @@
 
 // countRequest counts a finished request by route and status.
 func (m *Metrics) countRequest(c *call, status int) {
-	if m.instruments == nil {
+	if m.instruments == nil || c.passed != nil { // the node that passed it on counts it
 		return
 	}
 	m.instruments.Requests.Add(context.Background(), 1, metric.WithAttributes(
@@ -78,3 +78,11 @@
 	}
 	m.instruments.UnframedEnds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", c.service), attribute.Bool("complete", isComplete)))
 }
+
+// countPassing counts a request that was passed on to a peer, by service and result.
+func (m *Metrics) countPassing(c *call, result string) {
+	if m.instruments == nil {
+		return
+	}
+	m.instruments.PassedOnRequests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", c.service), attribute.String("result", result)))
+}
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -12,6 +12,7 @@
 
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/culprit"
+	"chestnutrudder.example/rudder/detour"
 	"chestnutrudder.example/rudder/resource"
 	"chestnutrudder.example/rudder/traffic"
 )
@@ -43,6 +44,9 @@
 	content         culprit.Trait    // see contentTrait; 0 before its first call
 	isTrial         bool             // sent although similar requests are quarantined
 	charge          *resource.Charge // of the caller's connection; nil if nothing is charged
+	callerHeader    http.Header      // as it came
+	passed          *detour.State    // set if a peer passed the request on
+	isNodeProblem   bool             // the request is refused for a reason that does not hold at other nodes
 }
 
 const (
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -16,6 +16,7 @@
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/culprit"
+	"chestnutrudder.example/rudder/detour"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/quota"
@@ -60,6 +61,7 @@
 	Crashes          *culprit.List
 	Origins          *streamorigin.Book
 	Paths            *backend.Paths  // nil means that the paths to backend servers are not watched
+	Detours          *detour.Client  // nil means that no request is passed on to peers
 	Versions         VersionObserver // nil means that the requests at software versions are not counted
 
 	mu               sync.Mutex
@@ -123,10 +125,13 @@
 	c := &call{
 		id: r.Header.Get(s.Dialect.RequestID), arrivedAt: time.Now(),
 		method: r.Method, requestTarget: r.RequestURI, hostHeader: r.Host, charge: chargeOf(r.Context()),
+		callerHeader: r.Header, passed: detour.StateOf(r.Context()),
 	}
+	c.recordPassing(s.Log)
 	defer s.logPanic(c)
 	defer c.releaseCharge()
 	if problem := s.receive(w, r, c); problem != nil {
+		c.isNodeProblem = true
 		s.refuse(w, r, c, problem)
 		return
 	}
@@ -135,26 +140,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	if problem := s.admit(c, r); problem != nil {
+		c.isNodeProblem = true
 		s.writeError(w, c, problem)
 		return
 	}
 	c.header = backendRequestHeader(r.Header, s.Dialect)
-	if shortage := s.takeQuota(c); shortage != nil {
-		s.metrics.countQuotaRefusal(c, shortage.Cause)
-		s.writeError(w, c, quotaError(shortage))
-		return
-	}
-	if s.Versions != nil {
-		s.Versions.CountArrival(c.service)
-	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	f := &forwarder{server: s, call: c, writer: w, callerDone: r.Context().Done()}
-	defer func() {
-		if !f.mayHaveRun && c.organisation != nil {
-			s.Quotas.Return(c.organisation, c.quotaAmount)
-		}
-	}()
+	f.takeOver(c.passed)
+	defer f.returnQuota()
 	f.run(ctx)
 }
 
@@ -434,6 +429,7 @@
 		h.Set(headerRetryAfter, strconv.FormatFloat(problem.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	s.closeConnectionIfNeeded(c, h)
+	c.markError(h, problem)
 	h.Set("Content-Length", "0")
 	w.WriteHeader(status)
 	s.Log.Info("Sent an error response to the caller.", "request", c.id, "status", status, "run", problem.Outcome.String(), "reason", problem.Reason,
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -103,8 +103,8 @@
 
 // alternative is the place at the server to which a request goes next. It counts in the load of that server.
 type alternative struct {
-	placement *backend.Placement
-	hasRetry  bool // a retry was taken from the budget with it
+	placement *backend.Placement // nil if the request goes to a peer
+	hasRetry  bool               // a retry was taken from the budget with it
 }
 
 // secureAlternative reserves what the request needs to be sent to another server once the attempt in progress at the given
@@ -136,6 +136,10 @@
 	if needsRetry && !s.takeRetry(c.service) {
 		return deniedBudget
 	}
+	if f.canPassOn() {
+		f.alternative = &alternative{hasRetry: needsRetry}
+		return ""
+	}
 	r.Patience = 0 // a server that asked for a pause is no alternative until it is over
 	placement, refusal := s.Backends.Place(r, 0)
 	if refusal != nil {
@@ -179,7 +183,9 @@
 	if f.alternative == nil {
 		return
 	}
-	f.alternative.placement.Release(backend.ResultInconclusive)
+	if f.alternative.placement != nil {
+		f.alternative.placement.Release(backend.ResultInconclusive)
+	}
 	if f.alternative.hasRetry {
 		f.server.returnRetry(f.call.service)
 	}
@@ -190,7 +196,9 @@
 func (f *forwarder) place() (*backend.Placement, *backend.Refusal) {
 	if a := f.alternative; a != nil {
 		f.alternative = nil
-		return a.placement, nil
+		if a.placement != nil {
+			return a.placement, nil
+		}
 	}
 	return f.server.Backends.Place(f.placementRequest(), f.maxPredictedFirstByte())
 }
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -22,6 +22,7 @@
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/culprit"
+	"chestnutrudder.example/rudder/detour"
 	"chestnutrudder.example/rudder/lease"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/mesh"
@@ -145,13 +146,13 @@
 	for _, task := range n.backgroundTasks(meshConn) {
 		group.Go(func() error { task(groupCtx); return nil })
 	}
-	callers, closeServers, err := n.startServers(group, metrics)
+	callers, detours, closeServers, err := n.startServers(group, metrics)
 	if err != nil {
 		return err
 	}
 	n.log.Info("Node is running.", "failure_domain", s.FailureDomain, "address", s.CallerAddress, "first_start", s.IsFirstStart)
 	n.waitForStop(ctx, groupCtx.Done())
-	n.stop(callers, meshConn)
+	n.stop(callers, meshConn, detours)
 	stopTasks()
 	closeServers()
 	return group.Wait()
@@ -185,6 +186,7 @@
 		RetryRate: limit.RetryRate{Fraction: retryBudgetFraction * s.RetryFraction, Burst: retryBudgetFraction * s.RetryBurst},
 	}
 	n.relay.Paths = n.paths
+	n.relay.Detours = &detour.Client{Node: s.Node, FailureDomain: s.FailureDomain, Peers: n.detourPeers}
 	n.relay.MaxBufferedBytes = s.MemoryLimitBytes / responseMemoryDivisor
 	if s.RevocationBound > 0 {
 		n.relay.StalenessLimits = relay.StalenessLimits{Send: s.RevocationBound - stopSendingMargin, Wait: s.RevocationBound - cancelWaitingMargin}
@@ -205,14 +207,6 @@
 	return n
 }
 
-// handlePathChange tells the peers at once that the path to the servers of a service was lost or is back.
-func (n *node) handlePathChange(service string, isLost bool) {
-	n.mesh.SendSoon()
-	if isLost {
-		n.relay.LeaveSilentServers(service)
-	}
-}
-
 // leasePollInterval is the pause between two reads of the duty lease by a node that contends for it. Nodes contend only
 // while no peer reports that it holds the lease.
 const leasePollInterval = 500 * time.Millisecond
@@ -418,6 +412,7 @@
 	for ctx.Err() == nil {
 		sleep.For(ctx, idleConnectionCheckInterval)
 		n.backends.Maintain(backendIdleTimeout)
+		n.relay.Detours.CloseIdle()
 	}
 }
 
@@ -492,8 +487,9 @@
 	return traffic.Limits{}
 }
 
-// startServers opens the sockets of all servers before it serves any of them. The returned function closes the servers.
-func (n *node) startServers(group *errgroup.Group, metrics *telemetry.Metrics) (*callerServer, func(), error) {
+// startServers opens the sockets of all servers before it serves any of them. It returns the servers for callers and for peers that
+// pass requests on, and a function that closes all.
+func (n *node) startServers(group *errgroup.Group, metrics *telemetry.Metrics) (callers, detours *callerServer, closeAll func(), err error) {
 	routers := map[string]*mux.Router{}
 	handle := func(address, path string, handler http.Handler) {
 		if routers[address] == nil {
@@ -508,20 +504,25 @@
 	handle(n.settings.MetricsAddress, "/debug/pprof/heap", pprof.Handler("heap"))
 	listener, err := net.Listen("tcp4", n.settings.CallerAddress)
 	if err != nil {
-		return nil, nil, errors.Wrapf(err, "listen on %s", n.settings.CallerAddress)
+		return nil, nil, nil, errors.Wrapf(err, "listen on %s", n.settings.CallerAddress)
 	}
-	callers := newCallerServer(listener, n.relay, n.callerLimits, n.logger.Part("http"))
+	callers = newCallerServer(listener, n.relay, n.callerLimits, n.logger.Part("http"))
 	callers.port = n.resources.NewPort(n.settings.CallerAddress, n.resourceLimits.CallerConnections)
+	detours, err = n.newDetourServer()
+	if err != nil {
+		return nil, nil, nil, err
+	}
 	serversByListener := map[net.Listener]*http.Server{}
 	for address, router := range routers {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
-			return nil, nil, errors.Wrapf(err, "listen on %s", address)
+			return nil, nil, nil, errors.Wrapf(err, "listen on %s", address)
 		}
 		port := n.resources.NewPort(address, n.resourceLimits.OtherPortConnections)
 		serversByListener[&chargedListener{Listener: listener, port: port}] = newOtherPortServer(router)
 	}
 	group.Go(callers.Serve)
+	group.Go(detours.Serve)
 	for listener, server := range serversByListener {
 		group.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -530,8 +531,9 @@
 			return nil
 		})
 	}
-	return callers, func() {
+	return callers, detours, func() {
 		callers.Close()
+		detours.Close()
 		for _, server := range serversByListener {
 			_ = server.Close() // the process ends, whatever a connection that is still open reports
 		}
--- a/rudder/relaynode/stop.go
+++ b/rudder/relaynode/stop.go
@@ -44,7 +44,7 @@
 
 // stop lets requests in progress end: callers are first sent to other nodes while new requests are still served, then new
 // requests are refused as not run. It returns within the stop timeout.
-func (n *node) stop(callers *callerServer, meshConn net.PacketConn) {
+func (n *node) stop(callers *callerServer, meshConn net.PacketConn, others ...*callerServer) {
 	startedAt := time.Now()
 	n.isDraining.Store(true)
 	// Each connection ends with its next response. SetKeepAlivesEnabled(false) would close the idle ones at once, and
@@ -62,7 +62,9 @@
 	n.log.Info("Node closes its connections.", "requests_cut", n.relay.InProgress(), "after_ms", time.Since(startedAt).Milliseconds())
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		n.log.Warn("Connections of callers were not idle at the end of the stop timeout and are closed.", "error", err)
+	for _, server := range append(others, callers) {
+		if err := server.Shutdown(ctx); err != nil {
+			n.log.Warn("Connections were not idle at the end of the stop timeout and are closed.", "address", server.listener.Addr(), "error", err)
+		}
 	}
 }
--- a/rudder/upstream/upstream.go
+++ b/rudder/upstream/upstream.go
@@ -57,6 +57,7 @@
 type Pool struct {
 	Address     string
 	DialTimeout time.Duration
+	KeepAlive   net.KeepAliveConfig // probes of connections; none if it is not enabled
 	// Dial makes a connection; nil means a TCP connection with DialTimeout. Tests replace it.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -104,7 +105,7 @@
 	}
 	dial := p.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: p.DialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}).DialContext
+		dial = (&net.Dialer{Timeout: p.DialTimeout, KeepAlive: -1, KeepAliveConfig: p.KeepAlive, Control: setTCPUserTimeout}).DialContext
 	}
 	raw, err := dial(ctx, "tcp", p.Address)
 	if err != nil {
