--- a/rudder/backend/paths.go
+++ b/rudder/backend/paths.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// Confirm reports whether this node had a path to a server of the service after the given time. It waits for connection attempts if that
-// is not known.
+// Confirm reports whether a server of the service has accepted a connection of this node after the given time. It makes connection
+// attempts if none has.
 func (p *Paths) Confirm(service string, since boottime.Instant) bool {
 	if p == nil {
 		return true
@@ -135,7 +135,7 @@
 	if path.isLost.Load() {
 		return false
 	}
-	if boottime.Instant(max(path.connectedAt.Load(), path.byteAt.Load())) > since {
+	if boottime.Instant(path.connectedAt.Load()) > since {
 		return true
 	}
 	found, _, _ := p.confirmations.Do(service, func() (any, error) {
