Count a path as lost when few of the probed servers accept

Change: a path is lost if at most a quarter of the probed servers accept, and back when 4 of the last 6 attempts were accepted. Requests leave silent servers only in silent cuts and when they were silent for 300 ms.

--- a/rudder/backend/paths.go
+++ b/rudder/backend/paths.go
@@ -38,18 +38,21 @@
 	// lostProbeInterval is the pause between two rounds for a service without a path; up to half of it is added at random.
 	lostProbeInterval = 250 * time.Millisecond
 	lostProbes        = 2
+	// A path that was lost is back when backAccepts of the last backResults connection attempts were accepted.
+	backResults       = 6
+	backAccepts       = 4
 	pathCheckInterval = 100 * time.Millisecond
 )
 
 // Paths knows for each service whether this node has a path to its servers. A network that is cut between the node and the servers
 // shows as connection attempts that fail, as connections that break, or as silence; a server that has crashed, is at its limit of
 // connections or is slow shows in the same way, but others of the service still accept connections. So each of these is a suspicion
-// only, and connection attempts to several servers decide. A nil *Paths has all paths. Set the exported fields before use.
+// only, and connection attempts to several servers decide: a path is lost if at most a quarter of them accept. A nil *Paths has all paths. Set the exported fields before use.
 type Paths struct {
 	Table *Table
 	Log   *slog.Logger
 	// OnChange is called, in any goroutine, after a path was lost or regained; nil means nothing is called.
-	OnChange func(service string, isLost bool)
+	OnChange func(PathChange)
 	// Dial connects to a server and closes the connection; nil means a TCP connection. Tests replace it.
 	Dial func(ctx context.Context, address string) error
 
@@ -57,6 +60,13 @@
 	confirmations singleflight.Group
 }
 
+// PathChange is the loss of the path to the servers of a service, or its return.
+type PathChange struct {
+	Service  string
+	IsLost   bool
+	IsSilent bool // no answer came rather than a refusal, so that older connections can be expected to be silent too
+}
+
 // servicePath is what a node knows of the path to the servers of one service. Times are boottime.Instants.
 type servicePath struct {
 	isLost      atomic.Bool
@@ -69,6 +79,7 @@
 	lostAt      atomic.Int64
 	nextProbeAt atomic.Int64 // while the path is lost
 	probes      atomic.Int64 // connection attempts since the path was lost
+	results     []bool       // of the latest of these, true if accepted; used by the goroutine that has set isProbing
 }
 
 func (p *Paths) path(service string) *servicePath {
@@ -79,7 +90,7 @@
 	return added.(*servicePath)
 }
 
-// IsLost reports whether this node has no path to the servers of a service.
+// IsLost reports whether this node has no path to the servers of a service, or to so few that they could not take its requests.
 func (p *Paths) IsLost(service string) bool { return p != nil && p.path(service).isLost.Load() }
 
 // Lost returns the services without a path, sorted.
@@ -140,7 +151,7 @@
 	}
 	found, _, _ := p.confirmations.Do(service, func() (any, error) {
 		round := p.probe(service, probedServers)
-		return round.hasAccepted || round.attempts == 0, nil
+		return round.hasPath() || round.attempts == 0, nil
 	})
 	return found.(bool)
 }
@@ -182,27 +193,28 @@
 	switch {
 	case round.attempts == 0:
 		return
-	case round.hasAccepted:
+	case round.hasPath():
 		path.foundAt.Store(int64(boottime.Now()))
-		p.Log.Info("Backend servers of a service were suspected to be unreachable, and one accepts connections.", "service", service,
-			"suspicion", suspicion, "detail", detail, "probes", round.attempts, "probe_ms", round.took.Milliseconds())
+		p.Log.Info("Backend servers of a service were suspected to be unreachable, and enough accept connections.", "service", service,
+			"suspicion", suspicion, "detail", detail, "probes", round.attempts, "accepted", round.accepted, "probe_ms", round.took.Milliseconds())
 		return
 	}
 	now := boottime.Now()
 	path.lostAt.Store(int64(now))
 	path.probes.Store(int64(round.attempts))
 	path.nextProbeAt.Store(int64(now.Add(nextLostProbe())))
+	path.results = path.results[:0]
 	path.isLost.Store(true)
 	p.Log.Warn("Path to the backend servers of a service is lost.", "service", service, "suspicion", suspicion, "detail", detail,
-		"probes", round.attempts, "refused_or_reset", round.failed, "timed_out", round.timedOut, "probe_ms", round.took.Milliseconds())
-	p.changed(service, true)
+		"probes", round.attempts, "accepted", round.accepted, "refused_or_reset", round.failed, "timed_out", round.timedOut, "probe_ms", round.took.Milliseconds())
+	p.changed(PathChange{Service: service, IsLost: true, IsSilent: round.timedOut > round.failed})
 }
 
 func nextLostProbe() time.Duration { return lostProbeInterval + rand.N(lostProbeInterval/2) }
 
-func (p *Paths) changed(service string, isLost bool) {
+func (p *Paths) changed(c PathChange) {
 	if p.OnChange != nil {
-		p.OnChange(service, isLost)
+		p.OnChange(c)
 	}
 }
 
@@ -238,30 +250,56 @@
 // probeLost finds out whether a lost path is back. The caller has set isProbing.
 func (p *Paths) probeLost(service string, path *servicePath) {
 	defer path.isProbing.Store(false)
-	round := p.probe(service, lostProbes)
+	round := p.connect(service, lostProbes, lostProbes, func(*probeRound) bool { return false })
 	now := boottime.Now()
 	attempts := path.probes.Add(int64(round.attempts))
 	path.nextProbeAt.Store(int64(now.Add(nextLostProbe())))
-	if !round.hasAccepted && round.attempts > 0 {
+	path.results = append(path.results, slices.Repeat([]bool{true}, round.accepted)...)
+	path.results = append(path.results, make([]bool, round.attempts-round.accepted)...)
+	path.results = path.results[max(len(path.results)-backResults, 0):]
+	accepted := 0
+	for _, isAccepted := range path.results {
+		if isAccepted {
+			accepted++
+		}
+	}
+	if accepted < backAccepts && round.attempts > 0 {
 		return
 	}
 	path.foundAt.Store(int64(now))
 	path.isLost.Store(false)
 	p.Log.Info("Path to the backend servers of a service is back.", "service", service, "lost_ms", now.Sub(boottime.Instant(path.lostAt.Load())).Milliseconds(),
-		"probes", attempts, "accepted", round.hasAccepted)
-	p.changed(service, false)
+		"probes", attempts, "accepted", accepted)
+	p.changed(PathChange{Service: service})
 }
 
 // probeRound is the result of connection attempts to several servers.
 type probeRound struct {
-	attempts         int // 0 if the service has no servers
-	hasAccepted      bool
+	targets          int // servers that may be tried; 0 if the service has none
+	attempts         int
+	accepted         int
 	failed, timedOut int
 	took             time.Duration
 }
 
-// probe connects to up to limit servers of a service and returns when one accepts or all have failed.
+// hasPath reports whether more than a quarter of the servers can be expected to accept connections. With fewer, requests that other
+// nodes could spread over all servers would crowd at these.
+func (r *probeRound) hasPath() bool {
+	return r.accepted > r.targets/4 || r.accepted == firstProbes && r.attempts == firstProbes
+}
+
+// isDecided reports whether the attempts in progress cannot change hasPath.
+func (r *probeRound) isDecided() bool {
+	return r.hasPath() || r.accepted+r.targets-r.failed-r.timedOut <= r.targets/4
+}
+
+// probe connects to some servers of a service until it is known whether there is a path.
 func (p *Paths) probe(service string, limit int) probeRound {
+	return p.connect(service, limit, firstProbes, (*probeRound).isDecided)
+}
+
+// connect connects to up to limit servers of a service, first of them at once, until isDecided or all have accepted or failed.
+func (p *Paths) connect(service string, limit, first int, isDecided func(*probeRound) bool) probeRound {
 	addresses := p.Table.probeTargets(service, limit)
 	beganAt := boottime.Now()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -271,7 +309,7 @@
 		dial = dialAndClose
 	}
 	results := make(chan error, len(addresses))
-	var round probeRound
+	round := probeRound{targets: len(addresses)}
 	begin := func(n int) {
 		for ; n > 0 && round.attempts < len(addresses); n-- {
 			address := addresses[round.attempts]
@@ -283,25 +321,14 @@
 			}()
 		}
 	}
-	begin(firstProbes)
+	begin(first)
 	further := time.NewTimer(furtherProbesAfter)
 	defer further.Stop()
-	for done := 0; done < round.attempts; {
+	for round.accepted+round.failed+round.timedOut < round.attempts && !isDecided(&round) {
 		select {
 		case err := <-results:
-			done++
-			var netError net.Error
-			switch {
-			case err == nil:
-				round.hasAccepted = true
-				round.took = boottime.Since(beganAt)
-				return round
-			case errors.As(err, &netError) && netError.Timeout():
-				round.timedOut++
-			default:
-				round.failed++
-			}
-			if done == round.attempts {
+			round.add(err)
+			if err != nil || round.accepted+round.failed+round.timedOut == round.attempts && !isDecided(&round) {
 				begin(len(addresses))
 			}
 		case <-further.C:
@@ -312,6 +339,19 @@
 	return round
 }
 
+// add adds the result of one attempt.
+func (r *probeRound) add(err error) {
+	var netError net.Error
+	switch {
+	case err == nil:
+		r.accepted++
+	case errors.As(err, &netError) && netError.Timeout():
+		r.timedOut++
+	default:
+		r.failed++
+	}
+}
+
 // dialAndClose is the default of Paths.Dial.
 func dialAndClose(ctx context.Context, address string) error {
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
--- a/rudder/backend/paths_test.go
+++ b/rudder/backend/paths_test.go
@@ -60,10 +60,10 @@
 		table.Put(Entry{ID: fmt.Sprint("id", i), Service: "s", Address: fmt.Sprint("s", i), FailureDomain: fmt.Sprint("fd", i%3), Slots: 8})
 	}
 	n := &network{errs: map[string]error{}}
-	p := &Paths{Table: table, Log: slog.New(slog.DiscardHandler), Dial: n.dial, OnChange: func(_ string, isLost bool) {
+	p := &Paths{Table: table, Log: slog.New(slog.DiscardHandler), Dial: n.dial, OnChange: func(c PathChange) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.changes = append(n.changes, isLost)
+		n.changes = append(n.changes, c.IsLost)
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -134,15 +134,42 @@
 	}
 }
 
-func TestPathStaysWhenOneServerAccepts(t *testing.T) {
+func TestPathStaysWhenSomeServersAccept(t *testing.T) {
 	for _, err := range []error{syscall.ECONNREFUSED, errSilent} {
-		t.Run(err.Error(), func(t *testing.T) {
-			p, n := newPaths(t, 8)
-			n.setAll(8, err)
-			n.set("s5", nil)
-			p.SuspectConnect("s", err)
-			stays(t, p, 2*probeTimeout)
-		})
+		for servers, accepting := range map[int]int{1: 1, 2: 1, 3: 1, 8: 3, 4: 2} {
+			t.Run(fmt.Sprint(err, accepting, " of ", servers), func(t *testing.T) {
+				p, n := newPaths(t, servers)
+				n.setAll(servers, err)
+				for i := range accepting {
+					n.set(fmt.Sprint("s", i), nil)
+				}
+				p.SuspectConnect("s", err)
+				stays(t, p, 2*probeTimeout)
+			})
+		}
+	}
+}
+
+// A node that reaches a few servers only would send all its requests to these.
+func TestPathIsLostWhenFewServersAccept(t *testing.T) {
+	for _, err := range []error{syscall.ECONNREFUSED, errSilent} {
+		for servers, accepting := range map[int]int{8: 2, 4: 1} {
+			t.Run(fmt.Sprint(err, accepting, " of ", servers), func(t *testing.T) {
+				p, n := newPaths(t, servers)
+				n.setAll(servers, err)
+				for i := range accepting {
+					n.set(fmt.Sprint("s", i), nil)
+				}
+				for end := time.Now().Add(2 * time.Second); !p.IsLost("s"); time.Sleep(5 * time.Millisecond) {
+					p.SuspectConnect("s", err) // again if the first attempts were all accepted
+					if time.Now().After(end) {
+						t.Fatal("path is there, want it to be lost")
+					}
+				}
+				n.setAll(servers, nil)
+				await(t, p, false, 2*time.Second)
+			})
+		}
 	}
 }
 
--- a/rudder/relay/passing_test.go
+++ b/rudder/relay/passing_test.go
@@ -443,9 +443,9 @@
 	defer close(done)
 	p.cut.stuckServer("stuck", done)
 	p.peer.backendServer("a", succeed)
-	p.cut.server.Paths.OnChange = func(service string, isLost bool) {
-		if isLost {
-			p.cut.server.LeaveSilentServers(service)
+	p.cut.server.Paths.OnChange = func(c backend.PathChange) {
+		if c.IsLost {
+			p.cut.server.LeaveSilentServers(c.Service)
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -18,6 +18,8 @@
 	eventTimeoutFactor = 4
 	// silenceCheckInterval is the pause between two checks whether a request at a silent server can go elsewhere.
 	silenceCheckInterval = 100 * time.Millisecond
+	// minSilenceToLeave is the silence after which a request leaves a server to which there may be no path any more.
+	minSilenceToLeave = 300 * time.Millisecond
 	// lateReadTimeout bounds the reading of bytes that had arrived when the time for them was over.
 	lateReadTimeout = time.Second
 )
@@ -67,7 +69,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for a := range s.awaitingResponse {
-		if a.call.service == service && a.forwarder.resendDenial(true, a.forwarder.possibleRuns+1, a.forwarder.sends+1) == "" {
+		if a.call.service == service && a.silence() >= minSilenceToLeave && a.forwarder.resendDenial(true, a.forwarder.possibleRuns+1, a.forwarder.sends+1) == "" {
 			_ = a.conn.SetReadDeadline(time.Now())
 		}
 	}
--- a/rudder/relaynode/detours.go
+++ b/rudder/relaynode/detours.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/detour"
 	"chestnutrudder.example/rudder/mesh"
 	"chestnutrudder.example/rudder/traffic"
@@ -20,10 +21,10 @@
 )
 
 // handlePathChange tells the peers at once that the path to the servers of a service was lost or is back.
-func (n *node) handlePathChange(service string, isLost bool) {
+func (n *node) handlePathChange(c backend.PathChange) {
 	n.mesh.SendSoon()
-	if isLost {
-		n.relay.LeaveSilentServers(service)
+	if c.IsLost && c.IsSilent {
+		n.relay.LeaveSilentServers(c.Service)
 	}
 }
 
