--- a/rudder/detour/client.go
+++ b/rudder/detour/client.go
@@ -121,8 +121,12 @@
 	if len(peers) == 0 {
 		return nil
 	}
-	a, b := &peers[rand.IntN(len(peers))], &peers[rand.IntN(len(peers))]
-	if c.load(b) < c.load(a) {
+	first := rand.IntN(len(peers))
+	a := &peers[first]
+	if len(peers) == 1 {
+		return a
+	}
+	if b := &peers[(first+1+rand.IntN(len(peers)-1))%len(peers)]; c.load(b) < c.load(a) {
 		return b
 	}
 	return a
--- a/rudder/relay/passing_test.go
+++ b/rudder/relay/passing_test.go
@@ -315,7 +315,7 @@
 	var requests atomic.Int64
 	p.peer.backendServer("a", succeed)
 	good := p.peers[0]
-	good.Load = 1000
+	good.FailureDomain, good.Load = "other", 1000
 	p.peers = nil
 	badPeer(t, p, "bad", &requests, func(net.Conn, *http.Request) {})
 	p.peers = append(p.peers, good)
