--- a/rudder/relaynode/settings.go
+++ b/rudder/relaynode/settings.go
@@ -28,7 +28,7 @@
 	CallerAddress    string   // IP:port for callers
 	ReadyAddress     string   // IP:port of the readiness check
 	DirectoryAddress string   // IP:port at which callers look up the addresses of nodes
-	MeshAddress      string   // IP:port for digests of other nodes, UDP
+	MeshAddress      string   // IP:port for digests of other nodes (UDP) and for requests that they pass on (TCP)
 	MetricsAddress   string   // IP:port of the metrics
 	MeshSeeds        []string // mesh addresses of some other nodes
 
