--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -12,6 +12,7 @@
 
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/culprit"
+	"chestnutrudder.example/rudder/detour"
 	"chestnutrudder.example/rudder/resource"
 	"chestnutrudder.example/rudder/traffic"
 )
@@ -44,6 +45,9 @@
 	isTrial         bool             // sent although similar requests are quarantined
 	charge          *resource.Charge // of the caller's connection; nil if nothing is charged
 	oldCallerConn   resettableConn   // of a caller with HTTP/1.0, to which chunks are unknown; else nil
+	callerHeader    http.Header      // as it came
+	passed          *detour.State    // set if a peer passed the request on
+	isNodeProblem   bool             // the request is refused for a reason that does not hold at other nodes
 }
 
 const (
--- a/rudder/relay/silence.go
+++ b/rudder/relay/silence.go
@@ -18,6 +18,8 @@
 	eventTimeoutFactor = 4
 	// silenceCheckInterval is the pause between two checks whether a request at a silent server can go elsewhere.
 	silenceCheckInterval = 100 * time.Millisecond
+	// minSilenceToLeave is the silence after which a request leaves a server to which there may be no path any more.
+	minSilenceToLeave = 300 * time.Millisecond
 	// lateReadTimeout bounds the reading of bytes that had arrived when the time for them was over.
 	lateReadTimeout = time.Second
 )
@@ -61,6 +63,18 @@
 	a.clearReadDeadline()
 }
 
+// LeaveSilentServers makes the requests that wait for a response of the service and may be repeated go elsewhere if they can, since
+// this node has no path to the servers any more.
+func (s *Server) LeaveSilentServers(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a := range s.awaitingResponse {
+		if a.call.service == service && a.silence() >= minSilenceToLeave && a.forwarder.resendDenial(true, a.forwarder.possibleRuns+1, a.forwarder.sends+1) == "" {
+			_ = a.conn.SetReadDeadline(time.Now())
+		}
+	}
+}
+
 func (a *attempt) clearReadDeadline() { _ = a.conn.SetReadDeadline(time.Time{}) }
 
 // onSilence decides whether the attempt at a silent server is given up. It returns 0 if it is, otherwise how much longer to
@@ -91,8 +105,8 @@
 
 // alternative is the place at the server to which a request goes next. It counts in the load of that server.
 type alternative struct {
-	placement *backend.Placement
-	hasRetry  bool // a retry was taken from the budget with it
+	placement *backend.Placement // nil if the request goes to a peer
+	hasRetry  bool               // a retry was taken from the budget with it
 }
 
 // secureAlternative reserves what the request needs to be sent to another server once the attempt in progress at the given
@@ -124,6 +138,10 @@
 	if needsRetry && !s.takeRetry(c.service) {
 		return deniedBudget
 	}
+	if f.canPassOn() {
+		f.alternative = &alternative{hasRetry: needsRetry}
+		return ""
+	}
 	r.Patience = 0 // a server that asked for a pause is no alternative until it is over
 	placement, refusal := s.Backends.Place(r, 0)
 	if refusal != nil {
@@ -167,7 +185,9 @@
 	if f.alternative == nil {
 		return
 	}
-	f.alternative.placement.Release(backend.ResultInconclusive)
+	if f.alternative.placement != nil {
+		f.alternative.placement.Release(backend.ResultInconclusive)
+	}
 	if f.alternative.hasRetry {
 		f.server.returnRetry(f.call.service)
 	}
@@ -178,7 +198,9 @@
 func (f *forwarder) place() (*backend.Placement, *backend.Refusal) {
 	if a := f.alternative; a != nil {
 		f.alternative = nil
-		return a.placement, nil
+		if a.placement != nil {
+			return a.placement, nil
+		}
 	}
 	return f.server.Backends.Place(f.placementRequest(), f.maxPredictedFirstByte())
 }
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -22,6 +22,7 @@
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/culprit"
+	"chestnutrudder.example/rudder/detour"
 	"chestnutrudder.example/rudder/lease"
 	"chestnutrudder.example/rudder/limit"
 	"chestnutrudder.example/rudder/mesh"
@@ -74,6 +75,7 @@
 
 	currentConfig *traffic.CurrentConfig
 	backends      *backend.Table
+	paths         *backend.Paths
 	quotas        *quota.Ledger
 	usageCounter  *usage.Counter
 	relay         *relay.Server
@@ -123,6 +125,9 @@
 	if err := metrics.ObserveNodes(n.mesh.CountNodes); err != nil {
 		return err
 	}
+	if err := metrics.ObserveLostPaths(n.paths.Lost); err != nil {
+		return err
+	}
 	if err := n.resources.Observe(metrics); err != nil {
 		return err
 	}
@@ -141,13 +146,13 @@
 	for _, task := range n.backgroundTasks(meshConn) {
 		group.Go(func() error { task(groupCtx); return nil })
 	}
-	callers, closeServers, err := n.startServers(group, metrics)
+	callers, detours, closeServers, err := n.startServers(group, metrics)
 	if err != nil {
 		return err
 	}
 	n.log.Info("Node is running.", "failure_domain", s.FailureDomain, "address", s.CallerAddress, "first_start", s.IsFirstStart)
 	n.waitForStop(ctx, groupCtx.Done())
-	n.stop(callers, meshConn)
+	n.stop(callers, meshConn, detours)
 	stopTasks()
 	closeServers()
 	return group.Wait()
@@ -164,6 +169,8 @@
 	n.resources = resource.NewAccount(n.resourceLimits.Bytes, logger.Part("resource"))
 	n.backends = backend.NewTable(dialTimeout, logger.Part("backend"))
 	n.backends.MaxIdleConns = n.maxIdleConnections
+	n.paths = &backend.Paths{Table: n.backends, Log: logger.Part("paths"), OnChange: n.handlePathChange}
+	n.backends.IsPathLost = n.paths.IsLost
 	n.quotas = quota.NewLedger(s.IsFirstStart, s.QuotaTolerance, time.Now)
 	n.registry = newRegistrySync(n)
 	n.mesh = mesh.New(s.MeshAddress, s.MeshSeeds, n.composeDigest, n.handleDigest, logger.Part("mesh"))
@@ -178,6 +185,8 @@
 		FailureDomain: s.FailureDomain, Log: logger.Part("relay"), Crashes: &culprit.List{Log: logger.Part("culprit"), IsTrialNode: n.isFirstNode},
 		RetryRate: limit.RetryRate{Fraction: retryBudgetFraction * s.RetryFraction, Burst: retryBudgetFraction * s.RetryBurst},
 	}
+	n.relay.Paths = n.paths
+	n.relay.Detours = &detour.Client{Node: s.Node, FailureDomain: s.FailureDomain, Peers: n.detourPeers}
 	n.relay.MaxBufferedBytes = s.MemoryLimitBytes / responseMemoryDivisor
 	if s.RevocationBound > 0 {
 		n.relay.StalenessLimits = relay.StalenessLimits{Send: s.RevocationBound - stopSendingMargin, Wait: s.RevocationBound - cancelWaitingMargin}
@@ -217,7 +226,7 @@
 	tasks := []func(context.Context){
 		func(ctx context.Context) { n.mesh.Run(ctx, meshConn) },
 		n.configWatcher.Run, n.registry.objectWatcher.Run, n.relay.WatchWaitingRequests, n.closeIdleConnections, n.reportResources, n.updateShares,
-		n.readNewerConfigs, n.registerAndDiscover, n.keepQuarantines, n.streamRecords.run,
+		n.readNewerConfigs, n.registerAndDiscover, n.keepQuarantines, n.streamRecords.run, n.paths.Run,
 	}
 	if n.rollouts != nil {
 		tasks = append(tasks, n.rollouts.run, n.rollouts.update)
@@ -240,6 +249,7 @@
 		Crashes: n.relay.Crashes.FullReport(), ServerLimits: n.backends.Limits(), RunsByWindow: n.usageCounter.WindowsForPeers(),
 		Departures: n.backends.Departures(), Registry: n.registry.delta(), IsWarmingUp: n.quotas.IsWarmingUp(),
 		UsageFinalThrough: n.usageCounter.FinalThrough(), ServerPaces: n.backends.TakePaceReport(), QuotaNodes: n.quotas.KnownNodes(),
+		LostServices: n.paths.Lost(),
 	}
 	d.ServerVersions = versionsByID(d.Registry.Changes)
 	// The ages are read before the version that they belong to: a newer one that is applied in between makes them look older.
@@ -402,6 +412,7 @@
 	for ctx.Err() == nil {
 		sleep.For(ctx, idleConnectionCheckInterval)
 		n.backends.Maintain(backendIdleTimeout)
+		n.relay.Detours.CloseIdle()
 	}
 }
 
@@ -476,8 +487,9 @@
 	return traffic.Limits{}
 }
 
-// startServers opens the sockets of all servers before it serves any of them. The returned function closes the servers.
-func (n *node) startServers(group *errgroup.Group, metrics *telemetry.Metrics) (*callerServer, func(), error) {
+// startServers opens the sockets of all servers before it serves any of them. It returns the servers for callers and for peers that
+// pass requests on, and a function that closes all.
+func (n *node) startServers(group *errgroup.Group, metrics *telemetry.Metrics) (callers, detours *callerServer, closeAll func(), err error) {
 	routers := map[string]*mux.Router{}
 	handle := func(address, path string, handler http.Handler) {
 		if routers[address] == nil {
@@ -492,20 +504,25 @@
 	handle(n.settings.MetricsAddress, "/debug/pprof/heap", pprof.Handler("heap"))
 	listener, err := net.Listen("tcp4", n.settings.CallerAddress)
 	if err != nil {
-		return nil, nil, errors.Wrapf(err, "listen on %s", n.settings.CallerAddress)
+		return nil, nil, nil, errors.Wrapf(err, "listen on %s", n.settings.CallerAddress)
 	}
-	callers := newCallerServer(listener, n.relay, n.callerLimits, n.logger.Part("http"))
+	callers = newCallerServer(listener, n.relay, n.callerLimits, n.logger.Part("http"))
 	callers.port = n.resources.NewPort(n.settings.CallerAddress, n.resourceLimits.CallerConnections)
+	detours, err = n.newDetourServer()
+	if err != nil {
+		return nil, nil, nil, err
+	}
 	serversByListener := map[net.Listener]*http.Server{}
 	for address, router := range routers {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
-			return nil, nil, errors.Wrapf(err, "listen on %s", address)
+			return nil, nil, nil, errors.Wrapf(err, "listen on %s", address)
 		}
 		port := n.resources.NewPort(address, n.resourceLimits.OtherPortConnections)
 		serversByListener[&chargedListener{Listener: listener, port: port}] = newOtherPortServer(router)
 	}
 	group.Go(callers.Serve)
+	group.Go(detours.Serve)
 	for listener, server := range serversByListener {
 		group.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -514,8 +531,9 @@
 			return nil
 		})
 	}
-	return callers, func() {
+	return callers, detours, func() {
 		callers.Close()
+		detours.Close()
 		for _, server := range serversByListener {
 			_ = server.Close() // the process ends, whatever a connection that is still open reports
 		}
