Believe an answer of a plain service only if the service holds a connection open

A kernel that accepts for a process that is being killed, and anything that accepts and closes, made the cut answer a whole one. The connection must now stay open for 50 ms. A restarted service is still not told from the one before: its protocol names no process.

--- a/rudder/service/service.go
+++ b/rudder/service/service.go
@@ -7,8 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -96,7 +96,7 @@
 	if err == nil && len(body) > maxResponseBytes {
 		err = errors.Errorf("answer has more than %d bytes", maxResponseBytes)
 	}
-	if err == nil && endsWithConnection(response) && c.isDown(ctx) {
+	if err == nil && endsWithConnection(response) && !c.isUp(ctx) {
 		err = errors.New("answer without a length ended with the service")
 	}
 	if err != nil {
@@ -118,11 +118,18 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed
 }
 
-// isDown reports whether the host of the service refuses connections, since its process has ended.
-func (c *Client) isDown(ctx context.Context) bool {
+// endProbeWait is how long a connection after the end of a response without a length must stay open.
+const endProbeWait = 50 * time.Millisecond
+
+// isUp reports whether the service holds a new connection open. The kernel accepts connections for a process that is being killed, and
+// resets them. A restarted service is not told from the one before.
+func (c *Client) isUp(ctx context.Context) bool {
 	conn, err := c.dial(ctx, "tcp", strings.TrimPrefix(c.baseURL, "http://"))
-	if err == nil {
-		_ = conn.Close()
+	if err != nil {
+		return false
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(endProbeWait))
+	_, err = conn.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
 }
--- a/rudder/service/service_test.go
+++ b/rudder/service/service_test.go
@@ -51,6 +51,37 @@
 	}
 }
 
+// Guards against an answer without a length that looks complete although its service ended, because its kernel, or something else at its
+// address, still accepts connections, and ends them at once.
+func TestUnframedAnswerOfServiceThatHoldsNoConnectionIsNotComplete(t *testing.T) {
+	for _, isReset := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { listener.Close() })
+		go func() {
+			for isFirst := true; ; isFirst = false {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if isFirst {
+					_, _ = http.ReadRequest(bufio.NewReader(conn))
+					fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart")
+				} else if isReset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				conn.Close()
+			}
+		}()
+		call := &peerpb.CallRequest{Method: http.MethodGet, Path: "x", Call: "c1"}
+		if response := NewClient("http://"+listener.Addr().String()).Call(context.Background(), call); response.Outcome != peerpb.Outcome_OUTCOME_UNKNOWN {
+			t.Errorf("reset %t: outcome %s with body %q, want unknown", isReset, response.Outcome, response.Body)
+		}
+	}
+}
+
 // A redirect of a service was followed by a second request, which could run elsewhere. If that one could not be sent or was
 // refused, the call counted as not run although the service had answered it.
 func TestRedirectOfServiceIsItsAnswer(t *testing.T) {
