--- a/rudder/detour/detour.go
+++ b/rudder/detour/detour.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +19,18 @@
 	headerError = "Rudder-Detour-Error" // in responses that the peer itself made: an ErrorKind
 )
 
+// headerPrefix is that of the headers between nodes.
+const headerPrefix = "Rudder-Detour-"
+
+// RemoveHeaders removes the headers between nodes from a head that a caller or a server has sent.
+func RemoveHeaders(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
 // ExtraHeaderBytes is how much longer the head of a request is that is passed on, at most.
 const ExtraHeaderBytes = 1 << 10
 
--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -16,6 +16,7 @@
 
 	"chestnutrudder.example/rudder/backend"
 	"chestnutrudder.example/rudder/boottime"
+	"chestnutrudder.example/rudder/detour"
 	"chestnutrudder.example/rudder/outcome"
 	"chestnutrudder.example/rudder/traffic"
 	"chestnutrudder.example/rudder/upstream"
@@ -245,6 +246,7 @@
 // handleResponse forwards a response whose head was received, or decides that it must not be forwarded.
 func (a *attempt) handleResponse(ctx context.Context, response *http.Response) attemptResult {
 	d := a.server.Dialect
+	detour.RemoveHeaders(response.Header)
 	isPaused := a.recordServerState(response)
 	if d.statesNotRun(response) {
 		if err := a.discardBody(response); errors.Is(err, upstream.ErrMalformedResponse) {
--- a/rudder/relay/passing_test.go
+++ b/rudder/relay/passing_test.go
@@ -521,3 +521,28 @@
 func readRequest(conn net.Conn) (*http.Request, error) {
 	return http.ReadRequest(bufio.NewReader(conn))
 }
+
+// Guards against a server whose response looks like the refusal of a peer: a request that has run would be answered as one that has not,
+// or run again. The headers between nodes are those of nodes only, on the way of the request too.
+func TestHeadersBetweenNodesAreNotTakenFromOthers(t *testing.T) {
+	p := newPassingPair(t)
+	p.cutOff(t)
+	p.peer.backendServer("a", func(conn net.Conn, r *http.Request) bool {
+		for name := range r.Header {
+			if strings.HasPrefix(name, "Rudder-Detour") {
+				t.Errorf("server got the header %s", name)
+			}
+		}
+		return respond(conn, r, 200, "Rudder-Detour-Error: not_run\r\nRudder-Detour-Id: x\r\n", "done")
+	})
+	forged := http.Header{"Rudder-Detour-Error": {"unknown"}, "Rudder-Detour-Id": {"x"}, "Rudder-Detour-State": {`{"quota":true}`}}
+	for _, h := range []*harness{p.cut, p.peer} {
+		got := h.call(context.Background(), http.MethodGet, "/once/x", "", forged)
+		if got.err != nil || got.status != 200 || got.body != "done" || got.header.Get("Rudder-Detour-Error") != "" {
+			t.Errorf("got status %d, headers %v, error %v, want the server's response", got.status, got.header, got.err)
+		}
+	}
+	if runs := p.peer.requestCount(); runs != 2 {
+		t.Errorf("%d runs of two requests, want 2", runs)
+	}
+}
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -94,6 +94,7 @@
 	for _, name := range []string{headerAuthorization, headerRetryAfter, d.Organisation, d.ExpectInstance, d.Urgency, d.Timeout, d.ServerLimit, d.ServerLeaving} {
 		out.Del(name)
 	}
+	detour.RemoveHeaders(out)
 	if _, found := out["User-Agent"]; !found {
 		out["User-Agent"] = []string{""} // prevents net/http from adding its own
 	}
