Recognise cuts in which connections are accepted and nothing answers

While no server of a service sends anything, a probe counts only with an answer to a question that servers answer without a slot.

--- a/rudder/backend/paths.go
+++ b/rudder/backend/paths.go
@@ -55,6 +55,10 @@
 	OnChange func(PathChange)
 	// Dial connects to a server and closes the connection; nil means a TCP connection. Tests replace it.
 	Dial func(ctx context.Context, address string) error
+	// Ask asks a server something that it answers at once, over a new connection. While no server of a service sends anything, a
+	// connection counts only with an answer: something between the node and the servers may accept and drop what follows. Nil
+	// means that connections count.
+	Ask func(ctx context.Context, address string) error
 
 	services      sync.Map // *servicePath by service name
 	confirmations singleflight.Group
@@ -80,6 +84,7 @@
 	nextProbeAt atomic.Int64 // while the path is lost
 	probes      atomic.Int64 // connection attempts since the path was lost
 	results     []bool       // of the latest of these, true if accepted; used by the goroutine that has set isProbing
+	needsAnswer bool         // a connection counts only with an answer; used like results
 }
 
 func (p *Paths) path(service string) *servicePath {
@@ -150,7 +155,7 @@
 		return true
 	}
 	found, _, _ := p.confirmations.Do(service, func() (any, error) {
-		round := p.probe(service, probedServers)
+		round := p.probe(service, probedServers, false)
 		return round.hasPath() || round.attempts == 0, nil
 	})
 	return found.(bool)
@@ -189,7 +194,8 @@
 // verify finds out whether a path is lost. The caller has set isProbing.
 func (p *Paths) verify(service string, path *servicePath, suspicion, detail string) {
 	defer path.isProbing.Store(false)
-	round := p.probe(service, probedServers)
+	path.needsAnswer = p.Ask != nil && boottime.Since(boottime.Instant(path.byteAt.Load())) >= silenceBeforeProbe
+	round := p.probe(service, probedServers, path.needsAnswer)
 	switch {
 	case round.attempts == 0:
 		return
@@ -206,7 +212,7 @@
 	path.results = path.results[:0]
 	path.isLost.Store(true)
 	p.Log.Warn("Path to the backend servers of a service is lost.", "service", service, "suspicion", suspicion, "detail", detail,
-		"probes", round.attempts, "accepted", round.accepted, "refused_or_reset", round.failed, "timed_out", round.timedOut, "probe_ms", round.took.Milliseconds())
+		"needs_answer", path.needsAnswer, "probes", round.attempts, "accepted", round.accepted, "refused_or_reset", round.failed, "timed_out", round.timedOut, "probe_ms", round.took.Milliseconds())
 	p.changed(PathChange{Service: service, IsLost: true, IsSilent: round.timedOut > round.failed})
 }
 
@@ -250,7 +256,7 @@
 // probeLost finds out whether a lost path is back. The caller has set isProbing.
 func (p *Paths) probeLost(service string, path *servicePath) {
 	defer path.isProbing.Store(false)
-	round := p.connect(service, lostProbes, lostProbes, func(*probeRound) bool { return false })
+	round := p.connect(service, lostProbes, lostProbes, path.needsAnswer, func(*probeRound) bool { return false })
 	now := boottime.Now()
 	attempts := path.probes.Add(int64(round.attempts))
 	path.nextProbeAt.Store(int64(now.Add(nextLostProbe())))
@@ -294,18 +300,21 @@
 }
 
 // probe connects to some servers of a service until it is known whether there is a path.
-func (p *Paths) probe(service string, limit int) probeRound {
-	return p.connect(service, limit, firstProbes, (*probeRound).isDecided)
+func (p *Paths) probe(service string, limit int, needsAnswer bool) probeRound {
+	return p.connect(service, limit, firstProbes, needsAnswer, (*probeRound).isDecided)
 }
 
 // connect connects to up to limit servers of a service, first of them at once, until isDecided or all have accepted or failed.
-func (p *Paths) connect(service string, limit, first int, isDecided func(*probeRound) bool) probeRound {
+func (p *Paths) connect(service string, limit, first int, needsAnswer bool, isDecided func(*probeRound) bool) probeRound {
 	addresses := p.Table.probeTargets(service, limit)
 	beganAt := boottime.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	dial := p.Dial
-	if dial == nil {
+	switch {
+	case needsAnswer:
+		dial = p.Ask
+	case dial == nil:
 		dial = dialAndClose
 	}
 	results := make(chan error, len(addresses))
--- a/rudder/relay/server_identity.go
+++ b/rudder/relay/server_identity.go
@@ -203,18 +203,32 @@
 	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
 }
 
-// ask asks a server for its report as the given instance. An empty request id is left out.
+// AskAddress asks the server at an address, over a new connection, for its report as an instance that does not exist. Any response is an
+// answer. It is used for Paths.Ask of package backend.
+func (s *Server) AskAddress(ctx context.Context, address string) error {
+	pool := &upstream.Pool{Address: address, DialTimeout: questionTimeout}
+	defer pool.CloseIdle(0)
+	_, err := pool.Ask(ctx, s.question(address, noInstance, strconv.FormatUint(rand.Uint64(), 16)), 0)
+	return err
+}
+
+// ask asks a placed server for its report as the given instance.
 func (s *Server) ask(ctx context.Context, p *backend.Placement, sentAt boottime.Instant, instance, requestID string) (*upstream.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
+	return p.Server.Pool.Ask(ctx, s.question(p.Address, instance, requestID), sentAt)
+}
+
+// question returns a request for the report of a server. An empty request id is left out.
+func (s *Server) question(address, instance, requestID string) *http.Request {
 	header := http.Header{"User-Agent": {""}} // empty, so that net/http adds none
 	header.Set(s.Dialect.ExpectInstance, instance)
 	if requestID != "" {
 		header.Set(s.Dialect.RequestID, requestID)
 	}
-	return p.Server.Pool.Ask(ctx, &http.Request{
-		Method: http.MethodGet, URL: &url.URL{Path: s.Dialect.ReportPath}, Host: p.Address, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}, sentAt)
+	return &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Path: s.Dialect.ReportPath}, Host: address, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
 }
 
 // identify tells from the answer to a question that expects no instance whether the process gave it at which a request was placed. A
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -186,6 +186,7 @@
 		RetryRate: limit.RetryRate{Fraction: retryBudgetFraction * s.RetryFraction, Burst: retryBudgetFraction * s.RetryBurst},
 	}
 	n.relay.Paths = n.paths
+	n.paths.Ask = n.relay.AskAddress
 	n.relay.Detours = &detour.Client{Node: s.Node, FailureDomain: s.FailureDomain, Peers: n.detourPeers}
 	n.relay.MaxBufferedBytes = s.MemoryLimitBytes / responseMemoryDivisor
 	if s.RevocationBound > 0 {
