--- a/rudder/backend/paths.go
+++ b/rudder/backend/paths.go
@@ -177,7 +177,16 @@
 		return
 	}
 	path := p.path(service)
-	p.suspect(service, path, max(path.connectedAt.Load(), path.byteAt.Load()), "connection broke", err.Error())
+	p.suspect(service, path, int64(p.contactAt(path)), "connection broke", err.Error())
+}
+
+// contactAt returns when a server of the service last showed that there is a path. A connection alone shows that only where servers
+// cannot be asked.
+func (p *Paths) contactAt(path *servicePath) boottime.Instant {
+	if p.Ask != nil {
+		return boottime.Instant(path.byteAt.Load())
+	}
+	return boottime.Instant(max(path.byteAt.Load(), path.connectedAt.Load()))
 }
 
 // suspect begins a round of probes unless there is fresh evidence of a path.
@@ -245,7 +254,7 @@
 	if path.inProgress.Load() == 0 {
 		return
 	}
-	evidenceAt := boottime.Instant(max(path.byteAt.Load(), path.busySince.Load(), path.connectedAt.Load()))
+	evidenceAt := max(p.contactAt(path), boottime.Instant(path.busySince.Load()))
 	foundAt := path.foundAt.Load()
 	if silence := now.Sub(evidenceAt); silence >= silenceBeforeProbe && (foundAt == 0 || now.Sub(boottime.Instant(foundAt)) >= silenceProbeInterval) &&
 		path.isProbing.CompareAndSwap(false, true) {
--- a/rudder/backend/paths_answer_test.go
+++ b/rudder/backend/paths_answer_test.go
@@ -29,7 +29,15 @@
 		go p.Run(ctx)
 		if name == "silent" {
 			defer p.BeginWait("s")()
+			connecting := time.NewTicker(100 * time.Millisecond)
+			defer connecting.Stop()
+			go func() {
+				for range connecting.C {
+					p.RecordConnection("s") // by further requests
+				}
+			}()
 		} else {
+			p.RecordConnection("s")
 			p.SuspectBreak("s", err)
 		}
 		await(t, p, true, 5*time.Second)
