Set the time of sending before other tasks can see an attempt

Cause: LeaveSilentServers reads it from another goroutine; it was set after the attempt was listed (found by reading). Change: it is set before. Result: go test -race -run 'Waiting|Silen|Crash|Pass|Resum' ./relay passes.

--- a/rudder/relay/attempt.go
+++ b/rudder/relay/attempt.go
@@ -93,11 +93,11 @@
 	if reason := a.placement.SendProblem(); reason != "" {
 		return attemptResult{isKnownNotRun: true, isWithdrawn: true, backendResult: backend.ResultInconclusive, reason: reason}
 	}
+	a.sentAt = boottime.Now()
+	a.progressAt = a.sentAt // LeaveSilentServers reads it once the attempt awaits its response
 	a.addAwaitingResponse()
 	defer a.removeAwaitingResponse()
 	request := a.call.newBackendRequest(a.server.Dialect, a.placement.ID, time.Until(a.call.deadline), a.forwarder.lastEventID)
-	a.sentAt = boottime.Now()
-	a.progressAt = a.sentAt
 	a.countSend()
 	defer a.server.Paths.BeginWait(a.call.service)()
 	writeResult, err := a.send(request)
