Try further peers when one could not be connected to

Cause: peers that have lost power count as reachable for over a second; two of them used up both tries although nothing was sent. Change: up to two such peers don't count. Result: go test -race -run 'Pass|Peer|Stream|Cut' ./relay passes, with two peers that refuse.

--- a/rudder/relay/passing.go
+++ b/rudder/relay/passing.go
@@ -22,8 +22,9 @@
 // This file passes requests on to peers while this node has no path to the servers of their service; see docs/design/paths.md.
 
 const (
-	// maxPasses bounds how many peers get a request one after the other.
-	maxPasses = 2
+	// maxPasses bounds how many peers get a request one after the other, and maxUnsentPasses how many others it could not be sent to.
+	maxPasses       = 2
+	maxUnsentPasses = 2
 	// maxUnconnected is the number of servers that a request could not be sent to after which it is passed on although others of the
 	// service can be reached.
 	maxUnconnected = 2
@@ -35,6 +36,7 @@
 // passing is what a forwarder knows of the peers that got its request.
 type passing struct {
 	passes      int
+	unsent      int             // peers that could not be connected to
 	peers       map[string]bool // that have had the request, by node name
 	refusal     *outcome.Error  // of the last peer that could not serve it; nil if none refused
 	unconnected int             // servers to which there was no connection
@@ -132,7 +134,7 @@
 func (f *forwarder) shouldPassOn() bool {
 	s, c := f.server, f.call
 	switch {
-	case s.Detours == nil || c.passed != nil || f.passing.passes >= maxPasses:
+	case s.Detours == nil || c.passed != nil || f.passing.passes >= maxPasses || f.passing.unsent > maxUnsentPasses:
 		return false
 	case f.alternative != nil && f.alternative.placement != nil:
 		return false // a place at a server is reserved
@@ -247,7 +249,7 @@
 	f.passing.passes++
 	f.returnQuota()
 	f.passing.hasBegun = false
-	s.Log.Info("Passed the request on to a peer.", "request", c.id, "peer", passage.Node, "peer_failure_domain", passage.FailureDomain, "peer_load", passage.Load, "pass", f.passing.passes,
+	s.Log.Info("Passed the request on to a peer.", "request", c.id, "peer", passage.Node, "peer_failure_domain", passage.FailureDomain, "peer_load", passage.Load, "pass", f.passing.passes+f.passing.unsent,
 		"no_path", s.Paths.IsLost(c.service), "sends", f.sends, "last_event", f.lastEventID, "route", c.route.Name, "service", c.service, "config_version", c.configVersion)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -262,7 +264,11 @@
 	response, err := passage.Send(ctx, f.newPeerRequest(), state, silenceTimeout)
 	r := passResult{attemptResult: attemptResult{isSent: true}}
 	if err != nil {
-		r.isKnownNotRun, r.reason = errors.Is(err, upstream.ErrNotSent), err.Error()
+		r.reason = err.Error()
+		if r.isKnownNotRun = errors.Is(err, upstream.ErrNotSent); r.isKnownNotRun {
+			f.passing.passes--
+			f.passing.unsent++
+		}
 	} else {
 		r = f.forwardFromPeer(response)
 	}
@@ -278,7 +284,7 @@
 	}
 	s.metrics.countPassing(c, result)
 	if !r.isFinal {
-		s.Log.Info("Passing the request on to a peer failed.", "request", c.id, "peer", passage.Node, "pass", f.passing.passes, "result", result, "not_run", r.isKnownNotRun,
+		s.Log.Info("Passing the request on to a peer failed.", "request", c.id, "peer", passage.Node, "pass", f.passing.passes+f.passing.unsent, "result", result, "not_run", r.isKnownNotRun,
 			"after_ms", time.Since(c.arrivedAt).Milliseconds(), "reason", r.reason)
 	}
 	return r
--- a/rudder/relay/passing_test.go
+++ b/rudder/relay/passing_test.go
@@ -181,7 +181,9 @@
 	p := newPassingPair(t)
 	p.cutOff(t)
 	p.peer.backendServer("a", succeed)
-	p.peers = append(p.peers, detour.Peer{Node: "gone", Address: refusedAddress(t), FailureDomain: "fd"})
+	for i := range 2 {
+		p.peers = append(p.peers, detour.Peer{Node: fmt.Sprint("gone", i), Address: refusedAddress(t), FailureDomain: "fd"})
+	}
 	for range 10 {
 		if r := p.cut.get("/once/x"); r.status != 200 {
 			t.Fatalf("got status %d, want 200", r.status)
