Let in nobody when the configuration has an empty list of organisations

Cause: an empty list was read like an absent one, and no organisation meant that no key is needed. Change: traffic.Callers tells who may call, with a zero value that lets in key holders only; only a document without the list opens the routes.

--- a/rudder/traffic/traffic.go
+++ b/rudder/traffic/traffic.go
@@ -97,12 +97,22 @@
 	IdleTimeout    time.Duration // for a connection without a request in progress
 }
 
+// Callers tells who may call routes that are not public. The zero value lets in only those who hold a key, so that a configuration
+// without organisations lets in nobody.
+type Callers int
+
+const (
+	KeyHolders Callers = iota // holders of the API keys of organisations
+	Everybody                 // all, without a key; the operator has chosen to have no organisations
+)
+
 // Config is one version of the configuration. It must not be changed after BuildIndex has been called.
 type Config struct {
 	Version       int64
 	Routes        []*Route
 	Services      map[string]*Service
 	Organisations []*Organisation
+	Callers       Callers // of routes that are not public
 	Limits        Limits
 	// Replaced has the values that an adapter could not translate and has replaced or left out. They are findings of Check.
 	Replaced []Finding
@@ -170,7 +180,7 @@
 func (c *Config) OrganisationFor(key string) *Organisation { return c.byAPIKey[key] }
 
 // RequiresAPIKeys reports whether requests to routes that are not public need an API key.
-func (c *Config) RequiresAPIKeys() bool { return len(c.Organisations) > 0 }
+func (c *Config) RequiresAPIKeys() bool { return c.Callers != Everybody }
 
 // ServiceFor returns the name of the service for a request, with a probability proportional to its weight if point is
 // uniformly distributed in [0, 1). The same point gives the same service. It returns "" if the route has no targets.
