Refuse to send a request again for the former holder of its key

Cause: checkAllowed asked whether the key is known, not whose it is. Change: it compares the organisation; a request that has not run is refused with 503 and an early Retry-After, since its caller is admitted anew then.

--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -327,19 +327,29 @@
 	}
 }
 
-// checkAllowed returns nil if an admitted request may still run. It returns an error if its API key was revoked, or may have
+// checkAllowed returns nil if an admitted request may still run. It returns an error if its API key was revoked or given to another organisation, or may have
 // been since the configuration was last confirmed to be the newest, longer than maxAge ago, or if similar requests were
 // quarantined.
 func (s *Server) checkAllowed(c *call, maxAge time.Duration) *outcome.Error {
 	if c.apiKey != "" && !s.isConfigFresh(maxAge) {
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, staleConfigRetryAfter, "configuration was not proved to be the newest within the time limit")
 	}
-	if c.apiKey != "" && s.Current.Config().OrganisationFor(c.apiKey) == nil {
-		return outcome.NotRunErrorf(http.StatusUnauthorized, 0, "API key was revoked")
+	if c.apiKey != "" {
+		holder := s.Current.Config().OrganisationFor(c.apiKey)
+		if holder == nil {
+			return outcome.NotRunErrorf(http.StatusUnauthorized, 0, "API key was revoked")
+		}
+		if holder.Name != c.organisation.Name {
+			return outcome.NotRunErrorf(http.StatusServiceUnavailable, movedKeyRetryAfter, "API key was given to another organisation")
+		}
 	}
 	return s.checkQuarantine(c, false)
 }
 
+// movedKeyRetryAfter is when a caller may come back whose key was given to another organisation while its request waited. It is then
+// admitted as one of that organisation.
+const movedKeyRetryAfter = 50 * time.Millisecond
+
 // WatchWaitingRequests cancels requests that wait for a backend server's response when their API key is revoked, the
 // configuration becomes stale or similar requests are quarantined. It returns when ctx is done.
 func (s *Server) WatchWaitingRequests(ctx context.Context) {
