--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -4,10 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
-	"math"
 	"net"
-	"net/http"
-	"net/http/pprof"
 	"path"
 	"runtime/debug"
 	"strconv"
@@ -15,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -425,50 +421,6 @@
 	}
 }
 
-// updateShares adapts the use of quotas to the number of known nodes and the time after which they count as silent, the share of the
-// retry budget to
-// the number of known nodes, and the shares of the limits of backend servers to the nodes that serve, until ctx ends.
-func (n *node) updateShares(ctx context.Context) {
-	for ctx.Err() == nil {
-		_, known := n.mesh.CountNodes()
-		n.quotas.SetNodes(quota.Nodes{Count: known + n.mesh.CountUnheardAddresses(), SilenceLimit: n.mesh.SilenceLimit()})
-		n.logWithheldShare()
-		n.relay.SetNodeCount(known)
-		n.backends.SetNodes(n.settings.Node, n.servingNodes())
-		sleep.For(ctx, mesh.BaseInterval)
-	}
-}
-
-// withheldShareStep is the change of the withheld part of the limits that is logged.
-const withheldShareStep = 0.05
-
-// logWithheldShare logs when another part of the limits of organisations is withheld for nodes that are not heard. Only
-// updateShares calls it.
-func (n *node) logWithheldShare() {
-	share, silent := n.quotas.WithheldShare()
-	hasChanged := (share == 0) != (n.withheldShare == 0) || math.Abs(share-n.withheldShare) >= withheldShareStep
-	if !hasChanged {
-		return
-	}
-	n.withheldShare = share
-	n.log.Info("Withheld part of the limits of organisations has changed.", "withheld", math.Round(100*share)/100, "silent_nodes", silent)
-}
-
-// servingNodes returns the living nodes that serve callers, this one included if it does. The limits of backend servers are
-// divided among them, so that a node that is silent only to this one keeps its shares.
-func (n *node) servingNodes() []backend.Node {
-	var nodes []backend.Node
-	if n.state() == mesh.Ready {
-		nodes = append(nodes, backend.Node{Name: n.settings.Node, FailureDomain: n.settings.FailureDomain})
-	}
-	for _, m := range n.mesh.LivingMembers() {
-		if m.State == mesh.Ready {
-			nodes = append(nodes, backend.Node{Name: m.Node, FailureDomain: m.FailureDomain})
-		}
-	}
-	return nodes
-}
-
 // maxIdleConnections returns how many idle connections to one backend server of a service this node keeps: half of its
 // part of the connections that the server accepts from all nodes. It returns 0 if the configuration sets no maximum.
 func (n *node) maxIdleConnections(service string) int {
@@ -487,56 +439,3 @@
 	}
 	return traffic.Limits{}
 }
-
-// startServers opens the sockets of all servers before it serves any of them. It returns the servers for callers and for peers that
-// pass requests on, and a function that closes all.
-func (n *node) startServers(group *errgroup.Group, metrics *telemetry.Metrics) (callers, detours *callerServer, closeAll func(), err error) {
-	routers := map[string]*mux.Router{}
-	handle := func(address, path string, handler http.Handler) {
-		if routers[address] == nil {
-			routers[address] = mux.NewRouter()
-		}
-		routers[address].Handle(path, handler).Methods(http.MethodGet)
-	}
-	handle(n.settings.ReadyAddress, n.platform.ReadyPath, http.HandlerFunc(n.serveReady))
-	handle(n.settings.DirectoryAddress, n.platform.AddressPath, http.HandlerFunc(n.serveAddresses))
-	handle(n.settings.MetricsAddress, "/metrics", metrics.Handler())
-	handle(n.settings.MetricsAddress, "/debug/pprof/profile", http.HandlerFunc(pprof.Profile))
-	handle(n.settings.MetricsAddress, "/debug/pprof/heap", pprof.Handler("heap"))
-	listener, err := net.Listen("tcp4", n.settings.CallerAddress)
-	if err != nil {
-		return nil, nil, nil, errors.Wrapf(err, "listen on %s", n.settings.CallerAddress)
-	}
-	callers = newCallerServer(listener, n.relay, n.callerLimits, n.logger.Part("http"))
-	callers.port = n.resources.NewPort(n.settings.CallerAddress, n.resourceLimits.CallerConnections)
-	detours, err = n.newDetourServer()
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	serversByListener := map[net.Listener]*http.Server{}
-	for address, router := range routers {
-		listener, err := net.Listen("tcp4", address)
-		if err != nil {
-			return nil, nil, nil, errors.Wrapf(err, "listen on %s", address)
-		}
-		port := n.resources.NewPort(address, n.resourceLimits.OtherPortConnections)
-		serversByListener[&chargedListener{Listener: listener, port: port}] = newOtherPortServer(router)
-	}
-	group.Go(callers.Serve)
-	group.Go(detours.Serve)
-	for listener, server := range serversByListener {
-		group.Go(func() error {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				return errors.Wrapf(err, "serve %s", listener.Addr())
-			}
-			return nil
-		})
-	}
-	return callers, detours, func() {
-		callers.Close()
-		detours.Close()
-		for _, server := range serversByListener {
-			_ = server.Close() // the process ends, whatever a connection that is still open reports
-		}
-	}, nil
-}
