Ask a server that names only its id for its start too

Cause, by reading: the refusal of a foreign instance names the id, which the new process has too, and it counted before the server was asked for its start. Now the server is asked as its own instance as well unless it has told its start, and an id alone does not count after a refused connection. A sound answer of a server without a report costs one more question over a new connection.

--- a/rudder/relay/server_identity.go
+++ b/rudder/relay/server_identity.go
@@ -51,6 +51,7 @@
 type identityFinding struct {
 	identity serverIdentity
 	detail   string
+	isByName bool // from the id only, which a process that has started again may have too
 }
 
 // identityChecks finds out which processes answer at the addresses of servers. Calls for one server that wait at the same time share
@@ -86,7 +87,7 @@
 	case <-joined.done:
 		return joined.finding
 	case <-ctx.Done():
-		return identityFinding{identityUnknown, "no answer within the time limit"}
+		return identityFinding{identity: identityUnknown, detail: "no answer within the time limit"}
 	}
 }
 
@@ -139,9 +140,12 @@
 		refusals := 0
 		for pause := minQuestionPause; ; pause = min(2*pause, maxQuestionPause) {
 			finding, err := s.askIdentity(ctx, p, sentAt)
+			if finding.isByName && refusals > 0 {
+				return identityFinding{identity: identityUnknown, detail: finding.detail + " after a refused connection"}
+			}
 			if errors.Is(err, syscall.ECONNREFUSED) {
 				if refusals++; refusals == refusalsOfEndedServer {
-					return identityFinding{identityOther, "host refuses connections"}
+					return identityFinding{identity: identityOther, detail: "host refuses connections"}
 				}
 			}
 			if !mayAskAgain(err) {
@@ -168,10 +172,12 @@
 // askIdentity asks at the address of a server which process answers. With an error another question may tell more.
 //
 // The first question is a request for the report of the server that expects an instance which does not exist. A server that makes
-// reports answers with the start of its process, every other one refuses and names its id; none runs the request. A server that does
-// neither is asked as the instance that it should be: another one refuses, it signs its response.
+// reports answers with the start of its process, every other one refuses and names its id; none runs the request. Unless it tells the
+// start, it is then asked as the instance that it should be: it may report to that only, another one refuses, and it signs its response.
 func (s *Server) askIdentity(ctx context.Context, p *backend.Placement, sentAt boottime.Instant) (identityFinding, error) {
-	unknown := func(err error) (identityFinding, error) { return identityFinding{identityUnknown, err.Error()}, err }
+	unknown := func(err error) (identityFinding, error) {
+		return identityFinding{identity: identityUnknown, detail: err.Error()}, err
+	}
 	id := strconv.FormatUint(rand.Uint64(), 16)
 	answer, err := s.ask(ctx, p, sentAt, noInstance, id)
 	if err != nil {
@@ -181,7 +187,7 @@
 		return unknown(fmt.Errorf("%w: the answer is that to another request", errAskAgain))
 	}
 	finding := s.Dialect.identify(answer, p)
-	if finding.identity != identityUnknown {
+	if finding.identity != identityUnknown && !finding.isByName {
 		return finding, nil
 	}
 	if isBusy(answer.Status) {
@@ -191,6 +197,9 @@
 		return unknown(err)
 	}
 	second := s.Dialect.identifyNamed(answer, p)
+	if finding.isByName && second.identity == identityUnknown {
+		return finding, nil // a server without a report
+	}
 	second.detail = finding.detail + "; " + second.detail
 	if second.identity == identityUnknown && isBusy(answer.Status) {
 		return second, errAskAgain
@@ -240,30 +249,30 @@
 	hasRefused := answer.Status == http.StatusMisdirectedRequest
 	switch {
 	case answer.IsFromBefore && (hasStart || hasRefused):
-		return identityFinding{identitySame, "older connection"}
+		return identityFinding{identity: identitySame, detail: "older connection"}
 	case hasStart && p.StartUnixMillis != 0:
 		if start != p.StartUnixMillis {
-			return identityFinding{identityOther, fmt.Sprintf("start %d", start)}
+			return identityFinding{identity: identityOther, detail: fmt.Sprintf("start %d", start)}
 		}
-		return identityFinding{identitySame, "start"}
+		return identityFinding{identity: identitySame, detail: "start"}
 	case hasRefused && id != "":
 		if id != p.ID || p.IsReplaced() {
-			return identityFinding{identityOther, "instance " + id}
+			return identityFinding{identity: identityOther, detail: "instance " + id}
 		}
-		return identityFinding{identitySame, "instance"}
+		return identityFinding{identity: identitySame, detail: "instance", isByName: true}
 	}
-	return identityFinding{identityUnknown, fmt.Sprintf("status %d", answer.Status)}
+	return identityFinding{identity: identityUnknown, detail: fmt.Sprintf("status %d", answer.Status)}
 }
 
 // identifyNamed is identify for a question that expects the server itself. Another server refuses it. One without room may refuse
 // before it looks at the instance, so that its signature counts only with other statuses.
 func (d *Dialect) identifyNamed(answer *upstream.Answer, p *backend.Placement) identityFinding {
 	if answer.Status == http.StatusMisdirectedRequest {
-		return identityFinding{identityOther, "refuses the instance"}
+		return identityFinding{identity: identityOther, detail: "refuses the instance"}
 	}
 	finding := d.identify(answer, p)
 	if finding.identity == identityUnknown && answer.Header.Get(d.ResponseSignature) != "" && !isBusy(answer.Status) && !p.IsReplaced() {
-		return identityFinding{identitySame, "signature"}
+		return identityFinding{identity: identitySame, detail: "signature", isByName: true}
 	}
 	return finding
 }
