Count the time in which a stopping node accepts requests from the signal

Cause: the node sent its digest to all peers, in bursts with pauses, before it began to count the 3 s; while it read its settings, the signal waited for that too. Evidence: the streams passed on late were those of the first 64 ms at nodes that watch the registry, whose digests take several bursts.

Change: beginStop runs as soon as the signal is received and sets the instant from which on requests are refused; each request is compared with the clock. The digest is sent beside the stop.

--- a/rudder/relay/not_run_status_test.go
+++ b/rudder/relay/not_run_status_test.go
@@ -125,7 +125,7 @@
 		"misdirected":            func(*harness) {},
 		"no further server":      func(h *harness) { h.server.Backends.Replace([]backend.Entry{}) },
 		"retry budget exhausted": func(h *harness) { h.server.SetNodeCount(1 << 20) },
-		"node is stopping":       func(h *harness) { h.server.RefuseRequests() },
+		"node is stopping":       func(h *harness) { h.server.RefuseRequestsFrom(boottime.Now()) },
 		"configuration is stale": func(*harness) { time.Sleep(maxConfigAge + 100*time.Millisecond) },
 		"API key revoked": func(h *harness) {
 			config := *h.config
--- a/rudder/relay/passing_test.go
+++ b/rudder/relay/passing_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"chestnutrudder.example/rudder/backend"
+	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/detour"
 	"chestnutrudder.example/rudder/traffic"
 )
@@ -195,7 +196,7 @@
 	p := newPassingPair(t)
 	p.cutOff(t)
 	p.peer.backendServer("a", succeed)
-	p.peer.server.RefuseRequests()
+	p.peer.server.RefuseRequestsFrom(boottime.Now())
 	if r := p.cut.get("/once/x"); r.status != 503 || r.header.Get("Retry-After") == "" || p.peer.requestCount() != 0 {
 		t.Errorf("got status %d, Retry-After %q, %d requests at servers, want 503 with it and none", r.status, r.header.Get("Retry-After"), p.peer.requestCount())
 	}
--- a/rudder/relay/refusal_before_body_test.go
+++ b/rudder/relay/refusal_before_body_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"chestnutrudder.example/rudder/boottime"
 	"chestnutrudder.example/rudder/resource"
 )
 
@@ -54,7 +55,7 @@
 		{"no key", "/once/x", "", nil, http.StatusUnauthorized},
 		{"unknown key", "/once/x", "Authorization: Bearer other\r\n", nil, http.StatusUnauthorized},
 		{"over the limit", "/once/x", key, func(h *harness) { h.config.Limits.MaxBodyBytes = 1 << 20 }, http.StatusRequestEntityTooLarge},
-		{"stopping", "/once/x", key, func(h *harness) { h.server.RefuseRequests() }, http.StatusServiceUnavailable},
+		{"stopping", "/once/x", key, func(h *harness) { h.server.RefuseRequestsFrom(boottime.Now()) }, http.StatusServiceUnavailable},
 		{"waiting for permission", "/nowhere", key + "Expect: 100-continue\r\n", nil, http.StatusNotFound},
 		{"short body", "/nowhere", key, nil, http.StatusNotFound},
 		{"waiting for permission with a short body", "/nowhere", key + "Expect: 100-continue\r\n", nil, http.StatusNotFound},
--- a/rudder/relay/relay_test.go
+++ b/rudder/relay/relay_test.go
@@ -374,7 +374,7 @@
 	}
 }
 
-// A draining node must still serve requests. After RefuseRequests it must refuse them with 503 and Retry-After and send none
+// A draining node must still serve requests. After RefuseRequestsFrom it must refuse them with 503 and Retry-After and send none
 // to a backend server.
 func TestStoppingNodeRefusesRequests(t *testing.T) {
 	h := newHarness(t)
@@ -383,7 +383,7 @@
 	if response := h.get("/once/x"); response.status != 200 {
 		t.Fatalf("draining: response %+v, want 200", response)
 	}
-	h.server.RefuseRequests()
+	h.server.RefuseRequestsFrom(boottime.Now())
 	response := h.get("/once/x")
 	if response.status != 503 || response.header.Get(headerRetryAfter) == "" || h.requestCount() != 1 {
 		t.Fatalf("refusing: response %+v after %d sends, want 503 with Retry-After and no further send", response, h.requestCount())
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -70,7 +70,7 @@
 	awaitingResponse map[*attempt]struct{}         // attempts without a first response byte
 	isDraining       atomic.Bool
 	refusalOnce      sync.Once    // sets refusal
-	refusal          refusalState // see RefuseRequests
+	refusal          refusalState // see RefuseRequestsFrom
 	inProgress       atomic.Int64
 	buffers          bufferBudget
 	metrics          Metrics
@@ -82,9 +82,6 @@
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
-// Drain makes every response close its connection, so that callers move to other nodes. Requests are still served.
-func (s *Server) Drain() { s.isDraining.Store(true) }
-
 // closeConnectionIfNeeded adds "Connection: close" to the header of a response while the node is draining, and while there is
 // hardly room for further connections: a caller that sends one request after the other would keep others out.
 func (s *Server) closeConnectionIfNeeded(c *call, h http.Header) {
@@ -93,29 +90,6 @@
 	}
 }
 
-// refusalState tells whether requests that have not run are refused: then its context has ended.
-type refusalState struct {
-	ctx   context.Context
-	begin context.CancelFunc
-}
-
-// refusalState returns the state that RefuseRequests changes.
-func (s *Server) refusalState() refusalState {
-	s.refusalOnce.Do(func() { s.refusal.ctx, s.refusal.begin = context.WithCancel(context.Background()) })
-	return s.refusal
-}
-
-// RefuseRequests makes the node refuse requests that have not run: new ones, and those that wait at the node. Requests that are
-// in progress at a backend server continue.
-func (s *Server) RefuseRequests() { s.refusalState().begin() }
-
-func (s *Server) isRefusing() bool { return s.refusalState().ctx.Err() != nil }
-
-// errStopping refuses a request at a node that stops. Other nodes can serve it immediately.
-func errStopping() *outcome.Error {
-	return outcome.NotRunErrorf(http.StatusServiceUnavailable, stoppingRetryAfter, "node is stopping")
-}
-
 // ServeHTTP relays a request to a backend server and writes the response or an error. It panics with http.ErrAbortHandler if
 // a response fails after its head was sent, or if the caller has left: net/http would write an empty success for a handler
 // that returns without an answer, and a caller that has ended only its sending side would read it.
--- a/rudder/relay/stopping_test.go
+++ b/rudder/relay/stopping_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"chestnutrudder.example/rudder/boottime"
 )
 
 // Guards against a stopping node that passes requests on late in its grace period, whose responses it then cuts: those that
@@ -27,7 +29,7 @@
 			log := h.recordLog()
 			go func() {
 				log.waitFor(t, "Request waits for a backend server", nil)
-				h.server.RefuseRequests()
+				h.server.RefuseRequestsFrom(boottime.Now())
 			}()
 			got := h.call(context.Background(), http.MethodGet, path, "", http.Header{"X-Rudder-Timeout-Ms": {"20000"}})
 			if !log.contains("Request waits for a backend server") {
--- a/rudder/relaynode/node.go
+++ b/rudder/relaynode/node.go
@@ -90,6 +90,8 @@
 
 	startedAt      boottime.Instant
 	incarnation    int64 // start of the process in Unix milliseconds; identifies this start
+	stopOnce       sync.Once
+	stopBeganAt    boottime.Instant // when the signal to stop was received; set by beginStop
 	isDraining     atomic.Bool
 	holdsDutyLease atomic.Bool
 
