Let only a node that hears a majority hold the duties and send usage reports

Cause: a report waited for a majority of the nodes to know of it, but for 2 s at most, since nobody else could take the lease.

Change: a report is sent only when a majority knows of it, and its counts are final only after a majority has told its own. A report that was announced and not sent is forgotten. No message has changed.

--- a/rudder/lease/manager.go
+++ b/rudder/lease/manager.go
@@ -34,6 +34,7 @@
 	IsFirstStart bool
 	// PollInterval is how often a node checks a lease that it does not hold; 0 means 2 s.
 	PollInterval time.Duration
+	Clock        Clock // nil means SystemClock
 }
 
 func (m *Manager) pollInterval() time.Duration {
@@ -48,7 +49,10 @@
 // is released too, and this process tries to acquire it again.
 func (m *Manager) Hold(ctx context.Context, name string, fn func(ctx context.Context, lease *Lease)) {
 	c := &contender{
-		store: m.Store, clock: SystemClock{}, timing: m.Timing, holder: m.Node + "/" + uuid.NewString(), name: name,
+		store: m.Store, clock: m.Clock, timing: m.Timing, holder: m.Node + "/" + uuid.NewString(), name: name,
+	}
+	if c.clock == nil {
+		c.clock = SystemClock{}
 	}
 	if m.IsFirstStart {
 		c.firstStartUntil = c.clock.Now().Add(m.Timing.Duration + m.Timing.MaxCommandDuration)
--- a/rudder/mesh/member.go
+++ b/rudder/mesh/member.go
@@ -115,11 +115,11 @@
 // maxLoggedPeers bounds the names in one log line about several peers.
 const maxLoggedPeers = 8
 
-// removeSilentMembers removes the peers that have been silent for longer than removeAfter. The caller holds the lock.
+// removeSilentMembers removes the peers that have been silent for longer than RemoveAfter. The caller holds the lock.
 func (m *Mesh) removeSilentMembers(now boottime.Instant) {
 	var removed []string
 	for name, member := range m.members {
-		if now.Sub(member.lastSeenAt()) > removeAfter {
+		if now.Sub(member.lastSeenAt()) > RemoveAfter {
 			m.removeMember(member)
 			removed = append(removed, name)
 		}
@@ -176,7 +176,7 @@
 	count := 0
 	now := m.now()
 	for address, seenAt := range m.targetsSeenAt {
-		if !heard[address] && now.Sub(seenAt) <= removeAfter {
+		if !heard[address] && now.Sub(seenAt) <= RemoveAfter {
 			count++
 		}
 	}
@@ -194,9 +194,10 @@
 	return limit
 }
 
-// CountDirectPeers returns how many peers there are whose digests this node gets from themselves, and how many of them are
-// reachable and match. Where summaries are used, these are the peers of the failure domain.
-func (m *Mesh) CountDirectPeers(matches func(*Member) bool) (matching, known int) {
+// CountDirectPeers counts the peers whose digests this node gets from themselves; where summaries are used, these are the peers of the
+// failure domain. matching are the reachable ones that match, running those that may run (the reachable ones, and the unreachable ones
+// that were not draining), and stopped the other ones, which count for RemoveAfter.
+func (m *Mesh) CountDirectPeers(matches func(*Member) bool) (matching, running, stopped int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now, usesSummaries := m.now(), m.usesSummaries()
@@ -209,10 +210,12 @@
 			matching++
 		}
 		if isReachable || member.State != Draining {
-			known++
+			running++
+		} else {
+			stopped++
 		}
 	}
-	return matching, known
+	return matching, running, stopped
 }
 
 // MedianTime returns the time of day that most nodes agree on: this node's boottime clock plus the median, over all nodes,
--- a/rudder/mesh/mesh.go
+++ b/rudder/mesh/mesh.go
@@ -41,8 +41,8 @@
 	summaryDelayAllowance = 3 * summaryInterval
 	// unreachableAfterIntervals is the number of digest intervals without a digest after which a peer counts as unreachable.
 	unreachableAfterIntervals = 4.8
-	// removeAfter is how long an unreachable peer is kept: until then it is sent digests and counts as a node that may serve.
-	removeAfter = 20 * time.Second
+	// RemoveAfter is how long an unreachable peer is kept: until then it is sent digests and counts as a node that may serve.
+	RemoveAfter = 20 * time.Second
 	// maxDatagramBytes is the largest UDP payload over IPv4.
 	maxDatagramBytes = 65507
 	// newAddressPeriod is how long an address counts as new to a node.
@@ -243,7 +243,7 @@
 }
 
 // targets returns the addresses to send to, sorted: those that get full digests, and those of peers that get summaries
-// instead. It drops addresses and members that have been silent for longer than removeAfter.
+// instead. It drops addresses and members that have been silent for longer than RemoveAfter.
 func (m *Mesh) targets() (direct, summarized []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -259,7 +259,7 @@
 	}
 	for address, seenAt := range m.targetsSeenAt {
 		switch {
-		case now.Sub(seenAt) > removeAfter:
+		case now.Sub(seenAt) > RemoveAfter:
 			delete(m.targetsSeenAt, address)
 			delete(m.targetsAddedAt, address)
 		case remote[address]:
--- a/rudder/mesh/mesh_test.go
+++ b/rudder/mesh/mesh_test.go
@@ -227,16 +227,17 @@
 		m.handleDigest(Digest{Node: name, Incarnation: 1, UsageFinalThrough: 7}, name, clock)
 	}
 	since := clock
-	count := func(d time.Duration) (matching, known int) {
+	count := func(d time.Duration) (matching, running, stopped int) {
 		return m.CountDirectPeers(func(member *Member) bool { return member.KnownSince() <= since.Add(d) && member.UsageFinalThrough == 7 })
 	}
-	if matching, known := count(0); matching != 3 || known != 3 {
-		t.Errorf("%d of %d peers, want 3 of 3", matching, known)
+	m.handleDigest(Digest{Node: "d", Incarnation: 1, State: Draining}, "d", clock)
+	if matching, running, stopped := count(0); matching != 3 || running != 4 || stopped != 0 {
+		t.Errorf("%d of %d peers and %d stopped ones, want 3 of 4 and 0", matching, running, stopped)
 	}
 	clock = clock.Add(10 * time.Second)
 	m.handleDigest(Digest{Node: "a", Incarnation: 1, UsageFinalThrough: 7}, "a", clock)
 	m.handleDigest(Digest{Node: "b", Incarnation: 2, UsageFinalThrough: 7}, "b", clock)
-	if matching, known := count(time.Second); matching != 1 || known != 3 {
-		t.Errorf("one peer restarted, one silent: %d of %d peers, want 1 of 3", matching, known)
+	if matching, running, stopped := count(time.Second); matching != 1 || running != 3 || stopped != 1 {
+		t.Errorf("one peer restarted, one silent, one stopped: %d of %d peers and %d stopped ones, want 1 of 3 and 1", matching, running, stopped)
 	}
 }
--- a/rudder/mesh/sighting.go
+++ b/rudder/mesh/sighting.go
@@ -29,7 +29,7 @@
 	var list []PeerSighting
 	for _, name := range turn.Take(m.names(), m.addressRotation, sightingsPerDigest) {
 		member := m.members[name]
-		if age := now.Sub(member.heardAt); member.heardAt > 0 && age <= removeAfter {
+		if age := now.Sub(member.heardAt); member.heardAt > 0 && age <= RemoveAfter {
 			list = append(list, PeerSighting{Node: name, AgeMillis: age.Milliseconds()})
 		}
 	}
@@ -43,7 +43,7 @@
 	defer m.mu.Unlock()
 	for _, s := range sightings {
 		member, known := m.members[s.Node]
-		if !known || s.AgeMillis < 0 || s.AgeMillis > removeAfter.Milliseconds() {
+		if !known || s.AgeMillis < 0 || s.AgeMillis > RemoveAfter.Milliseconds() {
 			continue
 		}
 		seenAt := receivedAt.Add(-millisDuration(s.AgeMillis))
--- a/rudder/mesh/sighting_test.go
+++ b/rudder/mesh/sighting_test.go
@@ -45,7 +45,7 @@
 			t.Errorf("node %d lists node 7 as living 6 s after its last digest", i)
 		}
 	}
-	for f.network.clock.Sub(diedAt) < removeAfter+2*time.Second {
+	for f.network.clock.Sub(diedAt) < RemoveAfter+2*time.Second {
 		f.exchangeDigests()
 	}
 	for i, m := range f.meshes {
@@ -61,7 +61,7 @@
 	cut := f.meshes[4].SelfAddress
 	f.network.isLost = func(from, to string) bool { return (from == cut) != (to == cut) }
 	cutAt := f.network.clock
-	for f.network.clock.Sub(cutAt) < removeAfter-2*time.Second {
+	for f.network.clock.Sub(cutAt) < RemoveAfter-2*time.Second {
 		f.exchangeDigests()
 		if living := len(f.meshes[4].LivingMembers()); living != len(f.meshes)-1 {
 			t.Fatalf("the node lists %d living peers %s after it was cut off, want %d", living, f.network.clock.Sub(cutAt), len(f.meshes)-1)
--- a/rudder/mesh/summary.go
+++ b/rudder/mesh/summary.go
@@ -288,7 +288,7 @@
 // updateMember updates one member from a summary unless a later digest of it is known. A peer that is not known is added
 // when a full summary tells its addresses. The caller holds the lock.
 func (m *Mesh) updateMember(s *Summary, n *NodeSummary, receivedAt boottime.Instant) {
-	if n.AgeMillis < 0 || n.AgeMillis > removeAfter.Milliseconds() {
+	if n.AgeMillis < 0 || n.AgeMillis > RemoveAfter.Milliseconds() {
 		return
 	}
 	heardAt := receivedAt.Add(-time.Duration(n.AgeMillis) * time.Millisecond)
--- a/rudder/relaynode/duties.go
+++ b/rudder/relaynode/duties.go
@@ -39,10 +39,11 @@
 )
 
 // isLeaseContender reports whether this node should contend for the duty lease. The first nodes by name may have lost the object
-// API, unlike those that poll the configuration in their place.
+// API, unlike those that poll the configuration in their place. A node outside a majority leaves the duties to others: it cannot know
+// what they have done.
 func (n *node) isLeaseContender(string) bool {
 	peers, now := n.mesh.ReachableMembers(), boottime.Now()
-	if n.isDraining.Load() || hasLeaseHolder(peers, now) {
+	if n.isDraining.Load() || hasLeaseHolder(peers, now) || !n.isInMajority() {
 		return false
 	}
 	return isFirstContender(n.settings.Node, peers) || n.isConfigPoller()
@@ -60,11 +61,12 @@
 	return countPreceding(node, peers) < maxContenders
 }
 
-// runDuties performs the duties until the lease is lost or ctx ends.
+// runDuties performs the duties until the lease is lost, this node is isolated or ctx ends. The lease is released then.
 func (n *node) runDuties(ctx context.Context, dutyLease *lease.Lease) {
 	n.holdsDutyLease.Store(true)
 	defer n.holdsDutyLease.Store(false)
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { n.awaitIsolation(ctx); return lease.ErrLost })
 	if n.settings.ReportsUsage {
 		reporter := &usage.Reporter{
 			Counter: n.usageCounter, Store: n.platform.Store, Send: n.platform.SendUsage, OverdueAfter: n.settings.UsageOverdueAfter, Now: n.mesh.MedianTime,
--- a/rudder/relaynode/stream_records.go
+++ b/rudder/relaynode/stream_records.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	own := n.registry.currentRevision()
-	heard, known := n.mesh.CountDirectPeers(func(m *mesh.Member) bool {
+	heard, known, _ := n.mesh.CountDirectPeers(func(m *mesh.Member) bool {
 		return m.HasReliableSentAt && m.SentAt >= t && m.Registry.Revision.Epoch == own.Epoch && m.Registry.Revision.Compare(own) <= 0
 	})
 	return known > 0 && isMajority(heard, known)
--- a/rudder/usage/final.go
+++ b/rudder/usage/final.go
@@ -43,6 +43,13 @@
 	c.final.through = max(c.final.through, window)
 }
 
+// forgetFinal forgets the final counts of a window. The window still counts as one that may have been reported.
+func (c *Counter) forgetFinal(window int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.final.own, window)
+}
+
 // finalCounts returns the final counts of a window if this node knows them. mayBeFinal is true if a node may have reported
 // counts of the window.
 func (c *Counter) finalCounts(window int64) (counts Counts, mayBeFinal bool) {
--- a/rudder/usage/reporter.go
+++ b/rudder/usage/reporter.go
@@ -32,8 +32,9 @@
 	// saveInterval is the time between saves of the counts. Counts since the last save are lost when all nodes stop at once;
 	// a report may be off by a few percent of a window of some seconds.
 	saveInterval = 250 * time.Millisecond
-	// maxAnnouncementWait is how long a report waits for a majority of the nodes to know that the counts of its window are final.
-	maxAnnouncementWait = 2 * time.Second
+	// announcementWarningDelay is how long a report waits for a majority of the nodes to know that the counts of its window are final
+	// before that is logged.
+	announcementWarningDelay = 2 * time.Second
 	// clockTolerance is by how much the agreed times of two nodes may differ.
 	clockTolerance = 250 * time.Millisecond
 	// retainedReports is the number of reports kept in the object API beyond those that the next lease holder may send again.
@@ -45,6 +46,8 @@
 
 // Peers tells what the other nodes know.
 type Peers interface {
+	// HaveToldWithin reports whether a majority of the nodes has told its state in the last d.
+	HaveToldWithin(d time.Duration) bool
 	// HaveNoted reports whether a majority of the nodes knows that the counts of a window are final.
 	HaveNoted(window int64) bool
 	// WereHeardSince reports whether this node has been in touch with a majority of the nodes since t, so that it would know of a
@@ -65,15 +68,18 @@
 	KeptSince func() (time.Time, bool)
 	Log       *slog.Logger
 
+	startedAt time.Time        // of Run
 	announced *announcedReport // the report that is to be sent next; nil if its counts are not final yet
 }
 
 // announcedReport is a report whose counts are final and of which the nodes are being told.
 type announcedReport struct {
 	report
-	window   int64
-	version  objectapi.Version
-	storedAt time.Time
+	window    int64
+	version   objectapi.Version
+	storedAt  time.Time
+	isDelayed bool // it was logged that the report waits
+	isTried   bool // the platform may have accepted the report
 }
 
 // report is the object API value with the final counts of a window.
@@ -97,10 +103,11 @@
 		}
 	}
 	next := r.Counter.WindowIndex(r.Now().Add(-r.OverdueAfter)) // the first window whose report is not overdue
-	startedAt := time.Now()
+	r.startedAt = time.Now()
+	defer r.withdraw()
 	var savedAt time.Time
 	for dutyLease.Check() == nil {
-		for time.Since(startedAt) >= takeoverDelay && r.Now().After(r.Counter.WindowEnd(next).Add(settleDelay)) {
+		for time.Since(r.startedAt) >= takeoverDelay && r.Now().After(r.Counter.WindowEnd(next).Add(settleDelay)) {
 			if !r.reportWindow(ctx, dutyLease, next) {
 				break
 			}
@@ -157,6 +164,9 @@
 	}
 	key := ReportPrefix + strconv.FormatInt(window, 10)
 	if r.announced == nil || r.announced.window != window {
+		if !r.isInformed(window) {
+			return false
+		}
 		final, version, err := r.finalCounts(ctx, key, window)
 		if errors.Is(err, errFinalCountsLost) {
 			r.Log.Warn("Dropped the report of a usage window.", "window", window, "error", err)
@@ -172,16 +182,22 @@
 	if final.Sent || len(final.Counts) == 0 {
 		return true
 	}
-	// The object API may lose the record of the report, and this node may end right after it.
-	isNoted := r.Peers.HaveNoted(window)
-	if !isNoted && time.Since(r.announced.storedAt) < maxAnnouncementWait || dutyLease.Check() != nil {
+	// The object API may lose the record of the report, and this node may end right after it. Without a majority that knows of the
+	// report, a successor would take the window for unreported. A report that is never sent is a missed duty; a second one with other
+	// counts cannot be undone.
+	if !r.Peers.HaveNoted(window) {
+		r.warnOfDelay()
+		return false
+	}
+	if dutyLease.Check() != nil {
 		return false
 	}
+	r.announced.isTried = true
 	if err := r.Send(ctx, dutyLease.FencingToken, window, final.Counts); err != nil {
 		r.Log.Warn("Failed to send the usage report.", "window", window, "fence", dutyLease.FencingToken, "error", err)
 		return false
 	}
-	r.Log.Info("Sent the usage report.", "window", window, "fence", dutyLease.FencingToken, "counts", final.Counts, "noted_by_majority", isNoted)
+	r.Log.Info("Sent the usage report.", "window", window, "fence", dutyLease.FencingToken, "counts", final.Counts)
 	if _, err := r.Store.Put(ctx, key, report{Counts: final.Counts, Sent: true}, version); err != nil {
 		r.Log.Warn("Failed to mark the usage report as sent; the next lease holder would send it again.", "window", window, "error", err)
 	}
@@ -189,6 +205,28 @@
 	return true
 }
 
+// isInformed reports whether the counts of a window can be final: a majority of the nodes has told its counts since the end of the
+// window, and, since this node became the holder, what it knows of earlier reports.
+func (r *Reporter) isInformed(window int64) bool {
+	return r.Peers.HaveToldWithin(min(time.Since(r.startedAt), r.Now().Sub(r.Counter.WindowEnd(window))))
+}
+
+// warnOfDelay logs once that a report waits for a majority of the nodes.
+func (r *Reporter) warnOfDelay() {
+	if r.announced.isDelayed || time.Since(r.announced.storedAt) < announcementWarningDelay {
+		return
+	}
+	r.announced.isDelayed = true
+	r.Log.Warn("The usage report waits until a majority of the nodes knows of it.", "window", r.announced.window)
+}
+
+// withdraw forgets the counts of a report that was announced and not sent: the next holder may send other ones.
+func (r *Reporter) withdraw() {
+	if r.announced != nil && !r.announced.isTried && !r.announced.Sent {
+		r.Counter.forgetFinal(r.announced.window)
+	}
+}
+
 // finalCounts stores the counts of a window and returns the report with its object version. If another lease holder has
 // already stored a report for the window, it returns that one; if that one was lost with a restored object API, it stores the
 // same counts again, or returns errFinalCountsLost if this node does not know them.
--- a/rudder/usage/usage_test.go
+++ b/rudder/usage/usage_test.go
@@ -22,15 +22,19 @@
 
 // fakePeers are the peers of a node under test.
 type fakePeers struct {
+	haveToldWithin func(time.Duration) bool
 	haveNoted      func(window int64) bool
 	wereHeardSince func(time.Time) bool
 }
 
-func (p fakePeers) HaveNoted(window int64) bool     { return p.haveNoted(window) }
-func (p fakePeers) WereHeardSince(t time.Time) bool { return p.wereHeardSince(t) }
+func (p fakePeers) HaveToldWithin(d time.Duration) bool { return p.haveToldWithin(d) }
+func (p fakePeers) HaveNoted(window int64) bool         { return p.haveNoted(window) }
+func (p fakePeers) WereHeardSince(t time.Time) bool     { return p.wereHeardSince(t) }
 
 // allPeers know at once what this node knows, and have always been heard.
-var allPeers = fakePeers{haveNoted: func(int64) bool { return true }, wereHeardSince: func(time.Time) bool { return true }}
+var allPeers = fakePeers{
+	haveToldWithin: func(time.Duration) bool { return true }, haveNoted: func(int64) bool { return true }, wereHeardSince: func(time.Time) bool { return true },
+}
 
 // runReporter runs a reporter under a lease for d and returns the reports that it sent. If fail is set, each send returns
 // an error. The object API has lost nothing.
