Refuse requests that peers pass on from the signal to stop on

The peer knew that it stops, the node that passed the request on has other peers.

Change: a stopping node answers such requests at once as not run here; the other node tries its next peer.

--- a/rudder/relay/passing_test.go
+++ b/rudder/relay/passing_test.go
@@ -202,6 +202,32 @@
 	}
 }
 
+// Guards against responses that are cut because a peer took the request in the time in which a stopping node still serves its own callers:
+// they have no other address yet, but the node that passes a request on has other peers.
+func TestStoppingPeerLeavesPassedOnRequestsToOthers(t *testing.T) {
+	p := newPassingPair(t)
+	p.cutOff(t)
+	p.peer.backendServer("a", succeed)
+	p.peer.server.Drain()
+	if r := p.cut.get("/once/x"); r.status != 503 || p.peer.requestCount() != 0 {
+		t.Errorf("got status %d, %d requests at servers, want 503 and none, as there is no other peer", r.status, p.peer.requestCount())
+	}
+	if r := p.peer.get("/once/x"); r.status != 200 {
+		t.Errorf("a caller of the stopping node got status %d, want 200", r.status)
+	}
+	other := newHarness(t)
+	other.backendServer("b", succeed)
+	p.peers = append(p.peers, detour.Peer{Node: "other", Address: newDetourPort(t, other).Listener.Addr().String(), FailureDomain: "fd"})
+	for range 10 {
+		if r := p.cut.get("/once/x"); r.status != 200 {
+			t.Fatalf("got status %d, want 200 from the other peer", r.status)
+		}
+	}
+	if runs := p.peer.requestCount(); runs != 1 {
+		t.Errorf("%d requests at servers of the stopping peer, want only that of its own caller", runs)
+	}
+}
+
 func TestFullPeerRefusalReachesTheCaller(t *testing.T) {
 	p := newPassingPair(t)
 	p.cutOff(t)
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -186,8 +186,8 @@
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, notReadyRetryAfter, "node has no configuration yet")
 	case s.Current.IsOutdated():
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, staleConfigRetryAfter, "configuration is older than that of other nodes, and the newer one cannot be read")
-	case s.isRefusing():
-		return errStopping()
+	case s.isRefusing() || c.passed != nil && s.isDraining.Load():
+		return errStopping() // the node that passed the request on can try another peer
 	case c.id == "":
 		return outcome.NotRunErrorf(http.StatusBadRequest, 0, "request header %s is missing", s.Dialect.RequestID)
 	case !s.isConfigFresh(s.StalenessLimits.Send):
