Report changes that let in everybody or nobody in config check

Change: callers are compared, and three changes are findings of the class access: the list of organisations is left out, the last key is taken away, a route becomes public.

TestChangesThatLetInEverybodyOrNobodyAreFindings covers them; the golden file shows the output. Nodes apply configurations as before.

--- a/rudder/command/config_check_test.go
+++ b/rudder/command/config_check_test.go
@@ -65,6 +65,9 @@
 		s.runCommand(soundConfig, "config", "check", "-", "--against", "in-force", "--store", "store")
 		s.runCommand(strings.Replace(soundConfig, `"Version":4`, `"Version":5`, 1), "config", "check", "-", "--against", "in-force", "--store", "store", "-o", "json")
 		s.runCommand(strings.Replace(soundConfig, `"Burst":10`, `"Burst":20`, 1), "config", "check", "-", "--against", "in-force", "--store", "store")
+		noKeys := strings.Replace(strings.Replace(soundConfig, `"Version":4`, `"Version":5`, 1), `["secret"]`, `[]`, 1)
+		s.runCommand(noKeys, "config", "check", "-", "--against", "other.json")
+		s.runCommand(strings.Replace(noKeys, `"Version":5`, `"Version":5,"Callers":1`, 1), "config", "check", "-", "--against", "other.json")
 		s.runCommand("{{{", "config", "check", "-")
 	})
 	checkGoldenWithForm(t, "config_not_checked", form, func(s *session) {
--- a/rudder/traffic/check.go
+++ b/rudder/traffic/check.go
@@ -164,13 +164,39 @@
 	k.require(org.Burst >= request, Contradiction, o, FieldBurst, org.Burst, allowed)
 }
 
-// CheckSuccession returns a finding if nodes that have a configuration in force do not apply next, although it differs.
+// CheckSuccession returns findings if nodes that have a configuration in force do not apply next, although it differs, and if next lets
+// in everybody or nobody where it was otherwise.
 func CheckSuccession(current, next *Config, differences []Difference) []Finding {
-	if next.Supersedes(current) || len(differences) == 0 {
-		return nil
+	var findings []Finding
+	if !next.Supersedes(current) && len(differences) > 0 {
+		findings = append(findings, Finding{Class: NoEffect, Object: Object{Kind: KindConfig}, Field: FieldVersion, Value: text(next.Version),
+			Allowed: "above " + text(current.Version) + ", the version in force"})
 	}
-	return []Finding{{Class: NoEffect, Object: Object{Kind: KindConfig}, Field: FieldVersion, Value: text(next.Version),
-		Allowed: "above " + text(current.Version) + ", the version in force"}}
+	return append(findings, checkAccess(current, next)...)
+}
+
+// checkAccess returns a finding for each change after which everybody or nobody may call.
+func checkAccess(current, next *Config) []Finding {
+	var findings []Finding
+	add := func(o Object, field Field, value, allowed string) {
+		findings = append(findings, Finding{Class: Access, Object: o, Field: field, Value: value, Allowed: allowed})
+	}
+	switch {
+	case current.RequiresAPIKeys() && !next.RequiresAPIKeys():
+		add(Object{Kind: KindConfig}, FieldCallers, next.Callers.String(), current.Callers.String()+", as in force, unless no request shall need a key any more")
+	case next.RequiresAPIKeys() && len(next.byAPIKey) == 0 && (len(current.byAPIKey) > 0 || !current.RequiresAPIKeys()):
+		add(Object{Kind: KindConfig}, FieldCallers, "no organisation has a key", "at least one key, as in force, unless only public routes shall be served")
+	}
+	wasPublic := make(map[string]bool, len(current.Routes))
+	for _, r := range current.Routes {
+		wasPublic[r.Name] = r.Public
+	}
+	for _, r := range next.Routes {
+		if was, isKnown := wasPublic[r.Name]; isKnown && !was && r.Public && current.RequiresAPIKeys() && next.RequiresAPIKeys() {
+			add(Object{KindRoute, r.Name}, FieldPublic, text(r.Public), text(was)+", as in force, unless requests shall need no key any more")
+		}
+	}
+	return findings
 }
 
 // sortedServices returns the services by name.
--- a/rudder/traffic/check_test.go
+++ b/rudder/traffic/check_test.go
@@ -208,3 +208,41 @@
 		}
 	}
 }
+
+// Guards against a change that lets in everybody or nobody and is reported like any other: an operator left out the last organisation
+// (review case 13).
+func TestChangesThatLetInEverybodyOrNobodyAreFindings(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Config)
+		want   Field // of the finding; empty for none
+	}{
+		"nothing changes":             {func(*Config) {}, ""},
+		"the list is left out":        {func(c *Config) { c.Organisations, c.Callers = nil, Everybody }, FieldCallers},
+		"the list is empty":           {func(c *Config) { c.Organisations = nil }, FieldCallers},
+		"no organisation has keys":    {func(c *Config) { c.Organisations = []*Organisation{{Name: "o"}} }, FieldCallers},
+		"another organisation's keys": {func(c *Config) { c.Organisations = []*Organisation{{Name: "other", APIKeys: []string{"k"}}} }, ""},
+		"a route becomes public":      {func(c *Config) { c.Routes[0].Public = true }, FieldPublic},
+		"a public route is added":     {func(c *Config) { c.Routes = append(c.Routes, &Route{Name: "new", Host: "h2", Public: true}) }, ""},
+	} {
+		current, next := validConfig(), validConfig()
+		next.Version++
+		c.change(next)
+		current.BuildIndex()
+		next.BuildIndex()
+		got := CheckSuccession(current, next, Diff(current, next))
+		if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || got[0].Class != Access || got[0].Field != c.want) {
+			t.Errorf("%s: findings %v, want one of field %q, or none if it is empty", name, got, c.want)
+		}
+		if c.want == FieldCallers {
+			if back := CheckSuccession(next, current, Diff(next, current)); len(back) != 1 || back[0].Class == Access {
+				t.Errorf("%s, and back: findings %v, want only that of the version", name, back)
+			}
+		}
+	}
+	everybody := validConfig()
+	everybody.Callers, everybody.Organisations = Everybody, nil
+	everybody.BuildIndex()
+	if d := Diff(validConfig(), everybody); len(d) == 0 || d[0].Object.Kind != KindConfig {
+		t.Errorf("differences %v, want one of the callers", d)
+	}
+}
--- a/rudder/traffic/diff.go
+++ b/rudder/traffic/diff.go
@@ -94,6 +94,7 @@
 		out = append(out, entry{entryKey{o, counts[o]}, values})
 		counts[o]++
 	}
+	add(Object{Kind: KindConfig}, []fieldValue{{FieldCallers, c.Callers.String()}})
 	add(Object{Kind: KindLimits}, c.Limits.values())
 	for _, r := range c.Routes {
 		add(Object{KindRoute, r.Name}, r.values())
--- a/rudder/traffic/finding.go
+++ b/rudder/traffic/finding.go
@@ -17,6 +17,8 @@
 	NoEffect Class = "no effect"
 	// Contradiction is a value that another value or the hosts make impossible to keep.
 	Contradiction Class = "contradiction"
+	// Access is a change of who may call that an operator may not intend: everybody or nobody may from then on.
+	Access Class = "access"
 )
 
 // ObjectKind is a kind of entry of a configuration.
@@ -43,6 +45,7 @@
 // The fields. They are unique over all kinds.
 const (
 	FieldVersion          Field = "version"
+	FieldCallers          Field = "callers"
 	FieldName             Field = "name"
 	FieldHost             Field = "host"
 	FieldPathPrefix       Field = "path prefix"
@@ -77,7 +80,7 @@
 // Fields returns all fields, for which an adapter must have names.
 func Fields() []Field {
 	return []Field{
-		FieldVersion, FieldName, FieldHost, FieldPathPrefix, FieldKind, FieldTimeout, FieldLatencyObjective,
+		FieldVersion, FieldCallers, FieldName, FieldHost, FieldPathPrefix, FieldKind, FieldTimeout, FieldLatencyObjective,
 		FieldMaxEventGap, FieldAttempts, FieldPriority, FieldPublic, FieldResumable, FieldTargets, FieldTargetWeight,
 		FieldMaxConnections, FieldSlots, FieldMinRunners, FieldMaxRunners, FieldStartupTime, FieldSpotPrice, FieldPrices,
 		FieldAPIKeys, FieldUnit, FieldDefaultTokens, FieldRate, FieldBurst, FieldMaxBody, FieldMaxHeader, FieldHeaderTimeout,
--- a/rudder/traffic/traffic.go
+++ b/rudder/traffic/traffic.go
@@ -106,6 +106,13 @@
 	Everybody                 // all, without a key; the operator has chosen to have no organisations
 )
 
+func (c Callers) String() string {
+	if c == Everybody {
+		return "everybody"
+	}
+	return "holders of keys"
+}
+
 // Config is one version of the configuration. It must not be changed after BuildIndex has been called.
 type Config struct {
 	Version       int64
