Answer 503, not 401, to a request whose route is opened while it waits

Cause: checkAllowed looked up the key without asking whether the configuration in force still wants one.

Change: such a request is refused as not run, with Retry-After, like one whose key has moved; its caller is admitted by the new version. TestRequestWhoseRouteIsOpenedIsNotRefusedForGood got 401 before.

--- a/rudder/relay/moved_key_test.go
+++ b/rudder/relay/moved_key_test.go
@@ -35,3 +35,33 @@
 		}
 	}
 }
+
+// Guards against a final refusal of a request that every configuration allows: its key was taken away while it waited, by a version that
+// opens its route to all, and it was answered 401 (soak with changing access, seed 57004).
+func TestRequestWhoseRouteIsOpenedIsNotRefusedForGood(t *testing.T) {
+	for name, c := range map[string]struct {
+		change     func(*traffic.Config)
+		wantStatus int
+	}{
+		"no list of organisations": {func(c *traffic.Config) { c.Organisations, c.Callers = nil, traffic.Everybody }, http.StatusServiceUnavailable},
+		"the route is public": {func(c *traffic.Config) {
+			c.Organisations = nil
+			for i, r := range c.Routes {
+				public := *r
+				public.Public = true
+				c.Routes[i] = &public
+			}
+		}, http.StatusServiceUnavailable},
+		"nobody has a key": {func(c *traffic.Config) { c.Organisations = nil }, http.StatusUnauthorized},
+	} {
+		h := newHarness(t)
+		h.backendServer("a", func(conn net.Conn, r *http.Request) bool {
+			h.applyConfig(c.change)
+			return refuseNotRun(conn, r)
+		})
+		got := h.get("/safe/x")
+		if got.status != c.wantStatus || (got.header.Get(headerRetryAfter) != "") != (c.wantStatus == http.StatusServiceUnavailable) {
+			t.Errorf("%s: status %d, Retry-After %q, want %d, with Retry-After if it is 503", name, got.status, got.header.Get(headerRetryAfter), c.wantStatus)
+		}
+	}
+}
--- a/rudder/relay/request.go
+++ b/rudder/relay/request.go
@@ -40,6 +40,7 @@
 	method          string
 	requestTarget   string // as the caller sent it
 	hostHeader      string
+	path            string           // escaped, without the query
 	parts           []culprit.Trait  // see partTraits; nil before its first call
 	content         culprit.Trait    // see contentTrait; 0 before its first call
 	isTrial         bool             // sent although similar requests are quarantined
--- a/rudder/relay/server.go
+++ b/rudder/relay/server.go
@@ -98,7 +98,7 @@
 	defer s.inProgress.Add(-1)
 	c := &call{
 		id: r.Header.Get(s.Dialect.RequestID), arrivedAt: time.Now(),
-		method: r.Method, requestTarget: r.RequestURI, hostHeader: r.Host, charge: chargeOf(r.Context()), oldCallerConn: oldCallerConn(r),
+		method: r.Method, requestTarget: r.RequestURI, hostHeader: r.Host, path: r.URL.EscapedPath(), charge: chargeOf(r.Context()), oldCallerConn: oldCallerConn(r),
 		callerHeader: r.Header, passed: detour.StateOf(r.Context()),
 	}
 	c.recordPassing(s.Log)
@@ -205,7 +205,7 @@
 	}
 	c.admittedBy = config
 	c.configVersion = config.Version
-	c.route = config.RouteFor(traffic.HostName(r.Host), r.URL.EscapedPath())
+	c.route = config.RouteFor(traffic.HostName(c.hostHeader), c.path)
 	if c.route == nil {
 		return outcome.NotRunErrorf(http.StatusNotFound, 0, "no route for host %q and path %q", r.Host, r.URL.Path)
 	}
@@ -297,28 +297,37 @@
 	}
 }
 
-// checkAllowed returns nil if an admitted request may still run. It returns an error if its API key was revoked or given to another organisation, or may have
-// been since the configuration was last confirmed to be the newest, longer than maxAge ago, or if similar requests were
-// quarantined.
+// checkAllowed returns nil if an admitted request may still run. It returns an error if its API key was revoked or given to another
+// organisation, or may have been since the configuration was last confirmed to be the newest, longer than maxAge ago, or if similar
+// requests were quarantined.
 func (s *Server) checkAllowed(c *call, maxAge time.Duration) *outcome.Error {
 	if c.apiKey != "" && !s.isConfigFresh(maxAge) {
 		return outcome.NotRunErrorf(http.StatusServiceUnavailable, staleConfigRetryAfter, "configuration was not proved to be the newest within the time limit")
 	}
 	if c.apiKey != "" {
-		holder := s.Current.Config().OrganisationFor(c.apiKey)
-		if holder == nil {
+		config := s.Current.Config()
+		holder := config.OrganisationFor(c.apiKey)
+		switch {
+		case holder == nil && !c.needsAPIKey(config):
+			return outcome.NotRunErrorf(http.StatusServiceUnavailable, changedAccessRetryAfter, "API key was revoked, and requests need none any more")
+		case holder == nil:
 			return outcome.NotRunErrorf(http.StatusUnauthorized, 0, "API key was revoked")
-		}
-		if holder.Name != c.organisation.Name {
-			return outcome.NotRunErrorf(http.StatusServiceUnavailable, movedKeyRetryAfter, "API key was given to another organisation")
+		case holder.Name != c.organisation.Name:
+			return outcome.NotRunErrorf(http.StatusServiceUnavailable, changedAccessRetryAfter, "API key was given to another organisation")
 		}
 	}
 	return s.checkQuarantine(c, false)
 }
 
-// movedKeyRetryAfter is when a caller may come back whose key was given to another organisation while its request waited. It is then
-// admitted as one of that organisation.
-const movedKeyRetryAfter = 50 * time.Millisecond
+// changedAccessRetryAfter is when a caller may come back whose request waited while its key was given to another organisation, or while
+// its route was opened to all. It is then admitted by the configuration in force.
+const changedAccessRetryAfter = 50 * time.Millisecond
+
+// needsAPIKey reports whether a configuration asks for an API key for the request.
+func (c *call) needsAPIKey(config *traffic.Config) bool {
+	route := config.RouteFor(traffic.HostName(c.hostHeader), c.path)
+	return config.RequiresAPIKeys() && (route == nil || !route.Public)
+}
 
 // WatchWaitingRequests cancels requests that wait for a backend server's response when their API key is revoked, the
 // configuration becomes stale or similar requests are quarantined. It returns when ctx is done.
