--- a/rudder/relaynode/majority.go
+++ b/rudder/relaynode/majority.go
@@ -21,8 +21,8 @@
 func isMajority(peers, knownPeers int) bool { return 2*(peers+1) > knownPeers+1 }
 
 // isInMajority reports whether this node hears more than half of the nodes that it knows. Nodes that have ended without notice count
-// as known for mesh.RemoveAfter. So long after its start, a node that knows addresses of others and has heard none of them may be cut
-// off from all.
+// as known for mesh.RemoveAfter. A node that has just started and has heard none of the nodes whose addresses it knows may be cut off
+// from all; it is outside a majority for as long.
 func (n *node) isInMajority() bool {
 	reachable, known := n.mesh.CountNodes()
 	if known == 1 && n.mesh.CountUnheardAddresses() > 0 && boottime.Since(n.startedAt) < mesh.RemoveAfter {
--- a/rudder/usage/model_test.go
+++ b/rudder/usage/model_test.go
@@ -79,9 +79,9 @@
 
 // modelPeer is what a node knows of a peer.
 type modelPeer struct {
-	incarnation, finalThrough    int64
-	knownSince, sentAt           time.Time
-	isDraining, holdsLeaseByNews bool
+	incarnation, finalThrough int64
+	knownSince, sentAt        time.Time
+	isDraining, holdsDuties   bool
 }
 
 // modelNode is one process of a node. The lock of the system guards its fields.
@@ -242,7 +242,7 @@
 		if time.Since(p.sentAt) > modelSilenceLimit {
 			continue
 		}
-		if p.holdsLeaseByNews {
+		if p.holdsDuties {
 			return false
 		}
 		if name < n.name {
@@ -340,7 +340,7 @@
 			known = &modelPeer{incarnation: n.incarnation, knownSince: time.Now()}
 			peer.peers[n.name] = known
 		}
-		known.sentAt, known.finalThrough, known.isDraining, known.holdsLeaseByNews = time.Now(), finalThrough, n.isDraining, n.holdsDuties
+		known.sentAt, known.finalThrough, known.isDraining, known.holdsDuties = time.Now(), finalThrough, n.isDraining, n.holdsDuties
 		receivers = append(receivers, peer)
 	}
 	n.mu.Unlock()
